--- /dev/null
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/__init__.py
@@ -0,0 +1,6 @@
+"""
+kingcupdyke_measure
+~~~~~~~~~~~~~~~~~~~
+
+Load runs, slopes and reports.
+"""
--- /dev/null
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/__init__.py
@@ -0,0 +1,6 @@
+"""
+kingcupdyke_standins
+~~~~~~~~~~~~~~~~~~~~
+
+Stand-ins for the platform, engines and services, for tests and the demo.
+"""
--- /dev/null
+++ b/packages/kingcupdyke-tool/kingcupdyke_tool/__init__.py
@@ -0,0 +1,6 @@
+"""
+kingcupdyke_tool
+~~~~~~~~~~~~~~~~
+
+The tool that operators use.
+"""
--- /dev/null
+++ b/packages/kingcupdyke/features/util.feature
@@ -0,0 +1,31 @@
+Feature: Options are checked in one place
+
+  Scenario Outline: A size or a duration is read with its unit
+    Given the option "value" is <given>
+    When util reads it as <kind>
+    Then util gives <expected>
+
+    Examples:
+      | given  | kind    | expected    |
+      | "14GB" | bytes   | 14000000000 |
+      | "2GiB" | bytes   | 2147483648  |
+      | 512    | bytes   | 512         |
+      | "400ms" | seconds | 0.4        |
+      | "1h"   | seconds | 3600        |
+
+  Scenario Outline: A wrong value is refused with its option, its value and a remedy
+    Given the option "value" is <given>
+    When util reads it as <kind>
+    Then util refuses it and names "value"
+
+    Examples:
+      | given    | kind    |
+      | "14 cows" | bytes  |
+      | -1       | bytes   |
+      | true     | bytes   |
+      | null     | seconds |
+      | "fast"   | seconds |
+
+  Scenario: Removing a member moves only the keys that it held
+    When util ranks 200 keys over 10 members and over 9 of them
+    Then util moves only the keys of the member taken out
--- /dev/null
+++ b/packages/kingcupdyke/kingcupdyke/__init__.py
@@ -0,0 +1,6 @@
+"""
+kingcupdyke
+~~~~~~~~~~~
+
+Decisions of a serving system for many models, without input or output.
+"""
--- /dev/null
+++ b/packages/kingcupdyke/kingcupdyke/error.py
@@ -0,0 +1,65 @@
+"""
+kingcupdyke.error
+~~~~~~~~~~~~~~~~~
+
+Typed failures, with the step and the peer at which they arose.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+__all__ = ["Failure", "OptionError", "Outcome", "Step"]
+
+
+class Outcome(StrEnum):
+    """What is known of a request that got no answer."""
+
+    #: The request has not run and will not run under this attempt.
+    NOT_RUN = "not_run"
+    #: The request ran and failed.
+    FAILED = "failed"
+    #: The request may or may not have run.
+    UNKNOWN = "unknown"
+
+
+class Step(StrEnum):
+    """The step of a request's path at which a failure arose."""
+
+    PARSE = "parse"
+    AUTHENTICATE = "authenticate"
+    ADMIT = "admit"
+    ROUTE = "route"
+    CONNECT = "connect"
+    CLAIM = "claim"
+    RUN = "run"
+    RELAY = "relay"
+    ORDER = "order"
+    STORE = "store"
+    CONFIGURE = "configure"
+
+
+class Failure(NamedTuple):
+    """A failure as a value, carried in the error side of a ``Result``."""
+
+    outcome: Outcome
+    step: Step
+    #: Address or name of the process at which the failure arose.
+    peer: str
+    reason: str
+    #: Seconds after which coming back helps, or None where it does not.
+    retry_after_s: float | None = None
+
+
+class OptionError(ValueError):
+    """A setting or argument that has a wrong value.
+
+    :param option: name of the option, dotted where nested
+    :param value: the value that was given
+    :param remedy: what to write instead
+    """
+
+    def __init__(self, option: str, value: object, remedy: str) -> None:
+        super().__init__(f"{option}: {value!r}: {remedy}")
+        self.option = option
+        self.value = value
+        self.remedy = remedy
