--- /dev/null
+++ b/packages/kingcupdyke/kingcupdyke/reservation.py
@@ -0,0 +1,121 @@
+"""
+kingcupdyke.reservation
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Memory that one order may take at an engine, until its end is known.
+"""
+
+from typing import NamedTuple
+
+from kingcupdyke.intent import Intent
+from kingcupdyke.inventory import EngineInventory, OrderState
+from kingcupdyke.placement import Order, OrderKind
+
+__all__ = ["OpenOrder", "Reservation"]
+
+
+class Reservation(NamedTuple):
+    """Memory set aside for an order."""
+
+    order_id: str
+    kind: str
+    #: Bytes set aside when the order was reserved.
+    reserved_bytes: int
+    #: Time after which the engine drops the order, in seconds of the timer service.
+    expires_s: float
+
+
+class OpenOrder:
+    """An order whose end is not known yet.
+
+    :param order: the order
+    :param reservation: what was set aside for it
+    :param held_bytes: bytes of the same name that were resident when it was reserved
+    :param adopted: whether an earlier sidecar recorded it, which may be paused and still send it
+    """
+
+    def __init__(
+        self, order: Order, reservation: Reservation, held_bytes: int, adopted: bool = False
+    ) -> None:
+        self.order = order
+        self.reservation = reservation
+        self.held_bytes = held_bytes
+        self.adopted = adopted
+        #: Whether its connection is closed, so that no answer can come.
+        self.closed = adopted
+        #: Last state that an inventory showed, or the empty string.
+        self.state = ""
+        #: An incarnation of the engine after which the order can no longer arrive.
+        self.bound_incarnation = ""
+        #: Count of events at which the connection was closed.
+        self.closed_at = 0
+        #: Whether the engine's "done" may be older than what is resident now: the id is a repeat,
+        #: or another order for the same name ended meanwhile.
+        self.contested = False
+
+    @classmethod
+    def from_intent(cls, intent: Intent, now_s: float) -> "OpenOrder":
+        """:return: the order of an earlier sidecar, whose lifetime runs from now at the earliest"""
+        order = Order(
+            intent.order_id,
+            "",
+            intent.kind,
+            intent.model,
+            intent.adapter,
+            order_bytes=intent.order_bytes,
+        )
+        expires_s = now_s + intent.lifetime_s
+        size_bytes = 0 if is_unload(intent.kind) else intent.order_bytes
+        reservation = Reservation(intent.order_id, intent.kind, size_bytes, expires_s)
+        return cls(order, reservation, 0, adopted=True)
+
+    @property
+    def name(self) -> tuple[str, str]:
+        """:return: the kind of thing and its name that the order is about"""
+        return get_target(self.order)
+
+    @property
+    def has_begun(self) -> bool:
+        """:return: whether memory that an inventory shows may be this order's"""
+        return self.state in (OrderState.RUNNING, OrderState.DONE)
+
+    def observe(self, inventory: EngineInventory, is_after_close: bool) -> None:
+        """Take over what an inventory shows of the order.
+
+        :param is_after_close: whether the inventory was asked for after the connection closed
+        """
+        state = inventory.orders.get(self.order.order_id, "")
+        if state:
+            self.state = state
+            self.bound_incarnation = inventory.incarnation
+        elif self.closed and not self.adopted and is_after_close and not self.bound_incarnation:
+            self.bound_incarnation = inventory.incarnation
+
+    def is_stranded(self, incarnation: str) -> bool:
+        """:return: whether the engine that it was sent to is gone"""
+        return self.closed and self.bound_incarnation not in ("", incarnation)
+
+    def is_over(self, asked_s: float) -> bool:
+        """Tell whether an inventory shows the order's outcome for good.
+
+        :param asked_s: a time before the inventory was asked for
+        """
+        if not self.closed or asked_s < self.reservation.expires_s:
+            return False
+        if self.state:
+            return self.state in OrderState.ENDED
+        return not self.adopted
+
+
+def get_target(order: Order) -> tuple[str, str]:
+    """:return: the kind of thing and its name that an order is about"""
+    if order.kind in (OrderKind.LOAD_ADAPTER, OrderKind.UNLOAD_ADAPTER):
+        return "adapter", order.adapter
+    if order.kind == OrderKind.ROLE:
+        return "role", ""
+    return "model", order.model
+
+
+def is_unload(kind: str) -> bool:
+    """:return: whether an order of this kind frees memory"""
+    return kind in (OrderKind.UNLOAD, OrderKind.UNLOAD_ADAPTER)
