--- a/packages/kingcupdyke/kingcupdyke/reservation.py
+++ b/packages/kingcupdyke/kingcupdyke/reservation.py
@@ -41,6 +41,8 @@
         self.reservation = reservation
         self.held_bytes = held_bytes
         self.adopted = adopted
+        #: Time after which no sending of it can arrive, in seconds of the timer service.
+        self.expires_s = reservation.expires_s
         #: Whether its connection is closed, so that no answer can come.
         self.closed = adopted
         #: Last state that an inventory showed, or the empty string.
@@ -74,6 +76,16 @@
         """:return: the kind of thing and its name that the order is about"""
         return get_target(self.order)
 
+    def repeat(self, expires_s: float, event: int) -> None:
+        """Note that it may be sent once more.
+
+        :param expires_s: time after which the engine drops the repeat
+        :param event: count of events at which it may have left
+        """
+        self.expires_s = max(self.expires_s, expires_s)
+        self.bound_incarnation = ""
+        self.closed_at = event
+
     @property
     def has_begun(self) -> bool:
         """:return: whether memory that an inventory shows may be this order's"""
@@ -100,7 +112,7 @@
 
         :param asked_s: a time before the inventory was asked for
         """
-        if not self.closed or asked_s < self.reservation.expires_s:
+        if not self.closed or asked_s < self.expires_s:
             return False
         if self.state:
             return self.state in OrderState.ENDED
