--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	$(BIN)/ruff check -q --fix .
 
 proto: setup
-	$(BIN)/python -m grpc_tools.protoc -I packages/kingcupdyke-wire \
+	PATH="$(CURDIR)/$(BIN):$(PATH)" $(BIN)/python -m grpc_tools.protoc -I packages/kingcupdyke-wire \
 		--python_out=packages/kingcupdyke-wire --grpclib_python_out=packages/kingcupdyke-wire \
 		packages/kingcupdyke-wire/kingcupdyke_wire/sidecar.proto \
 		packages/kingcupdyke-wire/kingcupdyke_wire/peer.proto
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/cmdline.py
@@ -0,0 +1,78 @@
+"""
+kingcupdyke_daemon.cmdline
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The command line of ``kingcupdyked``.
+"""
+
+import logging
+import sys
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+from typing import Annotated
+
+import anyio
+from cappa import Arg, Subcommands, command, invoke
+
+from kingcupdyke_daemon.gateway.process import run_gateway
+from kingcupdyke_daemon.settings import GatewaySettings, SidecarSettings, load_settings
+from kingcupdyke_daemon.sidecar.process import run_sidecar
+
+__all__ = ["main"]
+
+#: Exit status for settings that can't be used.
+EXIT_BAD_SETTINGS = 2
+_LOG_FORMAT = '{"time": "%(asctime)s", "level": "%(levelname)s", "event": "%(message)s"}'
+
+
+def _start(path: Path, kind: type, run: object) -> int:
+    loaded = load_settings(path, kind)
+    if loaded.is_error():
+        for mistake in loaded.error:
+            print(mistake, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    settings = loaded.ok
+    logging.basicConfig(level=settings.common.log_level, format=_LOG_FORMAT, stream=sys.stderr)
+    for name in ("uvicorn", "httpcore", "asyncio", "hpack", "h2"):
+        logging.getLogger(name).setLevel(logging.ERROR)
+    return anyio.run(partial(run, settings))
+
+
+def _start_gateway(gateway: "GatewayCommand") -> int:
+    return _start(gateway.settings, GatewaySettings, run_gateway)
+
+
+def _start_sidecar(sidecar: "SidecarCommand") -> int:
+    return _start(sidecar.settings, SidecarSettings, run_sidecar)
+
+
+@command(name="gateway", invoke=_start_gateway)
+@dataclass
+class GatewayCommand:
+    """Take callers' requests and send them to endpoints."""
+
+    settings: Annotated[Path, Arg(long=True, help="YAML file of settings")]
+
+
+@command(name="sidecar", invoke=_start_sidecar)
+@dataclass
+class SidecarCommand:
+    """Stand before one endpoint: a model engine, plain services, or both."""
+
+    settings: Annotated[Path, Arg(long=True, help="YAML file of settings")]
+
+
+@command(name="kingcupdyked")
+@dataclass
+class DaemonCommand:
+    """The daemons of kingcupdyke. SIGTERM is a planned stop: what runs is finished."""
+
+    role: Subcommands[GatewayCommand | SidecarCommand]
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """:param arguments: the words after the program's name; None takes the process's own
+    :return: the exit status
+    """
+    return invoke(DaemonCommand, argv=arguments)
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/__init__.py
@@ -0,0 +1,6 @@
+"""
+kingcupdyke_daemon.gateway
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The gateway: callers on one side, sidecars on the other.
+"""
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/directory.py
@@ -0,0 +1,160 @@
+"""
+kingcupdyke_daemon.gateway.directory
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The sidecars that a gateway knows, and what it thinks of each.
+"""
+
+import logging
+from collections.abc import Iterable
+
+from anyio import CancelScope
+from anyio.abc import TaskGroup
+
+from kingcupdyke.cache import PrefixIndex
+from kingcupdyke.host import Host
+from kingcupdyke.membership import MembershipTable
+from kingcupdyke.report import LoadTracker
+from kingcupdyke.request import Request
+from kingcupdyke.routing import EndpointView
+from kingcupdyke.timer import TimerService
+from kingcupdyke_daemon.gateway.link import SidecarLink
+from kingcupdyke_daemon.settings import HostSettings
+from kingcupdyke_wire.sidecar_pb2 import BeatReply
+
+__all__ = ["EndpointDirectory"]
+
+_LOGGER = logging.getLogger(__name__)
+#: Prefix blocks that are remembered over all endpoints.
+_MOST_PREFIXES = 200_000
+#: Seconds between tokens where an endpoint has reported none yet.
+_DEFAULT_TOKEN_INTERVAL_S = 0.01
+
+
+class EndpointDirectory:
+    """Links to the sidecars of the membership table.
+
+    :param settings: settings of this host
+    :param membership: who exists and who is leaving
+    :param tasks: the task group that carries the links
+    :param timer: the timer service
+    """
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        membership: MembershipTable,
+        tasks: TaskGroup,
+        timer: TimerService,
+    ) -> None:
+        self._settings = settings
+        self._membership = membership
+        self._tasks = tasks
+        self._timer = timer
+        self._scopes_by_host: dict[str, CancelScope] = {}
+        self.links_by_host: dict[str, SidecarLink] = {}
+        self.prefixes = PrefixIndex(_MOST_PREFIXES)
+        self.loads = LoadTracker()
+        #: Version of the configuration in force here, told with each heartbeat.
+        self.config_version = 0
+
+    def refresh(self) -> None:
+        """Open links to new sidecars and close those of sidecars that are gone."""
+        hosts_by_name = {each.host: each for each in self._membership.known("sidecar")}
+        for name, host in hosts_by_name.items():
+            link = self.links_by_host.get(name)
+            if link is not None and (link.host.address, link.host.port) != (
+                host.address,
+                host.port,
+            ):
+                self._close(name)
+            if name not in self.links_by_host:
+                self._open(host)
+        for name in set(self.links_by_host) - set(hosts_by_name):
+            self._close(name)
+
+    def links_for(self, target: str, service: bool) -> list[SidecarLink]:
+        """:return: links to the sidecars that hold a model or service and take work"""
+        return [link for link in self._usable_links() if _holds(link, target, service)]
+
+    def views(
+        self, request: Request, links: Iterable[SidecarLink], now_s: float
+    ) -> list[EndpointView]:
+        """:return: what is known of each candidate, for the router"""
+        return [self._view(request, link, now_s) for link in links]
+
+    def _view(self, request: Request, link: SidecarLink, now_s: float) -> EndpointView:
+        beat = link.last_beat
+        host = link.host
+        load = self.loads.view(host.host, now_s)
+        interval_s = beat.load.token_interval_ms / 1000 or _DEFAULT_TOKEN_INTERVAL_S
+        return EndpointView(
+            host.host,
+            host.region,
+            host.data_centre,
+            beat.load.running,
+            beat.load.waiting,
+            load.report_age_s,
+            load.dispatched_since,
+            interval_s,
+            not request.adapter or request.adapter in beat.adapters,
+            self.prefixes.cached_blocks(host.host, request.prefixes),
+        )
+
+    def _usable_links(self) -> list[SidecarLink]:
+        return [
+            link
+            for name, link in self.links_by_host.items()
+            if link.usable and not self._membership.is_leaving(name)
+        ]
+
+    def _open(self, host: Host) -> None:
+        settings = self._settings
+        link = SidecarLink(
+            host,
+            settings.host,
+            settings.beat_s,
+            settings.silence_s,
+            self._heard,
+            self._went_silent,
+        )
+        scope = CancelScope()
+        self.links_by_host[host.host] = link
+        self._scopes_by_host[host.host] = scope
+        self._tasks.start_soon(self._carry, link, scope)
+        _LOGGER.info("link opened: step=connect peer=%s host=%s", link.peer, host.host)
+
+    async def _carry(self, link: SidecarLink, scope: CancelScope) -> None:
+        with scope:
+            await link.beat_forever()
+
+    def _close(self, name: str) -> None:
+        link = self.links_by_host.pop(name)
+        self._scopes_by_host.pop(name).cancel()
+        self.prefixes.forget(name)
+        link.close()
+        _LOGGER.info("link closed: step=connect peer=%s host=%s", link.peer, name)
+
+    def _heard(self, link: SidecarLink, beat: BeatReply) -> None:
+        now_s = self._timer.now()
+        name = link.host.host
+        self.hear_load(name, beat.load.running, beat.load.waiting, beat.load.token_interval_ms)
+        self._membership.hear_answer(name, beat.load.incarnation, now_s)
+        link.config_version = self.config_version
+        for event in beat.cache_events:
+            self.prefixes.hear(
+                name, beat.cache_incarnation, event.sequence, event.stored, event.prefix
+            )
+
+    def hear_load(self, name: str, running: int, waiting: int, interval_ms: float) -> None:
+        """Take a load report of a heartbeat or a reply."""
+        self.loads.heard(name, running, waiting, interval_ms / 1000, self._timer.now())
+
+    def _went_silent(self, link: SidecarLink) -> None:
+        self._membership.hear_silence(link.host.host, self._timer.now())
+        _LOGGER.warning("peer silent: step=connect peer=%s host=%s", link.peer, link.host.host)
+
+
+def _holds(link: SidecarLink, target: str, service: bool) -> bool:
+    held = link.last_beat.services if service else link.last_beat.models
+    return target in held
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/sink.py
@@ -0,0 +1,79 @@
+"""
+kingcupdyke_daemon.gateway.sink
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Where the answer to a caller goes.
+"""
+
+from kingcupdyke_daemon.gateway.reply import (
+    Headers,
+    Rejection,
+    Send,
+    encode_error,
+    send_body,
+    send_rejection,
+)
+
+__all__ = ["CallerSink"]
+
+
+class CallerSink:
+    """Sends one answer: whole when it has ended, or part by part.
+
+    :param send: the server's function
+    :param headers: header fields that every answer carries
+    :param stream: whether parts are passed on as they come
+    """
+
+    def __init__(self, send: Send, headers: Headers, stream: bool) -> None:
+        self._send = send
+        self._headers = tuple(headers)
+        self._stream = stream
+        self._parts: list[bytes] = []
+        self._head: tuple[int, str] | None = None
+        #: Whether the caller has received anything, so that no other attempt can answer.
+        self.committed = False
+
+    def reset(self) -> None:
+        """Forget an attempt's answer that did not reach the caller."""
+        self._parts.clear()
+        self._head = None
+
+    def start(self, status: int, content_type: str) -> None:
+        """Take the head of the answer."""
+        self._head = (status, content_type)
+
+    async def part(self, data: bytes) -> None:
+        """Take a piece of the answer."""
+        if not self._stream:
+            self._parts.append(data)
+            return
+        await self._commit()
+        await self._send({"type": "http.response.body", "body": data, "more_body": True})
+
+    async def end(self) -> None:
+        """The answer is whole."""
+        if self._stream:
+            await self._commit()
+            await self._send({"type": "http.response.body", "body": b""})
+            return
+        self.committed = True
+        status, content_type = self._head
+        await send_body(self._send, status, content_type, b"".join(self._parts), self._headers)
+
+    async def fail(self, rejection: Rejection) -> None:
+        """End with an error; in a stream that has begun, as a last event without an end mark."""
+        if not self.committed:
+            self.committed = True
+            await send_rejection(self._send, rejection, self._headers)
+            return
+        event = b"data: " + encode_error(rejection) + b"\n\n"
+        await self._send({"type": "http.response.body", "body": event})
+
+    async def _commit(self) -> None:
+        if self.committed:
+            return
+        self.committed = True
+        status, content_type = self._head
+        headers = [(b"content-type", content_type.encode()), *self._headers]
+        await self._send({"type": "http.response.start", "status": status, "headers": headers})
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/__init__.py
@@ -0,0 +1,6 @@
+"""
+kingcupdyke_daemon.sidecar
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The sidecar: the one process before an endpoint.
+"""
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/backend.py
@@ -0,0 +1,221 @@
+"""
+kingcupdyke_daemon.sidecar.backend
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+How a sidecar runs an attempt at what stands behind it.
+"""
+
+import json
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator
+from contextlib import aclosing
+from typing import NamedTuple
+
+from anyio import fail_after
+from expression import Error, Ok, Result
+
+from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke.rule import ServiceClass
+from kingcupdyke_wire.engine import EngineClient
+from kingcupdyke_wire.http import ExchangeError, HttpClient
+from kingcupdyke_wire.sidecar_pb2 import RunRequest
+
+__all__ = ["Backend", "BackendHead", "BackendPart", "EngineBackend", "ServiceBackend"]
+
+#: Seconds without a byte after which a back end's connection counts as silent.
+_SILENCE_S = 1.5
+#: Times that a silent or truncated stream is taken up again.
+_MOST_RESUMES = 3
+_DONE_EVENT = b"data: [DONE]"
+_EVENT_STREAM = "text/event-stream"
+
+
+class BackendHead(NamedTuple):
+    """The head of a back end's answer."""
+
+    status: int
+    content_type: str
+
+
+class BackendPart(NamedTuple):
+    """A piece of a back end's answer, in order."""
+
+    data: bytes
+
+
+class Backend(ABC):
+    """Runs attempts; yields the head first, then parts, and last a failure if it broke."""
+
+    @abstractmethod
+    def run(self, request: RunRequest) -> AsyncIterator[BackendHead | BackendPart | Failure]:
+        """Run an attempt once.
+
+        :param request: the attempt as the gateway sent it
+        :return: the answer piece by piece; whole only when no failure is among them
+        """
+
+    @abstractmethod
+    async def cancel(self, request: RunRequest) -> None:
+        """Give up a running attempt."""
+
+
+class EngineBackend(Backend):
+    """Runs attempts at a model engine, and takes broken streams up again.
+
+    :param engine: the engine's client
+    :param peer: the engine's address, for failures
+    """
+
+    def __init__(self, engine: EngineClient, peer: str) -> None:
+        self._engine = engine
+        self._peer = peer
+
+    async def run(self, request: RunRequest) -> AsyncIterator[BackendHead | BackendPart | Failure]:
+        runner = self._run_stream if request.stream else self._run_whole
+        async with aclosing(runner(request)) as items:
+            async for item in items:
+                yield item
+
+    async def cancel(self, request: RunRequest) -> None:
+        await self._engine.cancel(request.attempt_id)
+
+    def _open(self, request: RunRequest, offset: int | None = None):
+        priority = ServiceClass.ALL.index(request.service_class)
+        return self._engine.open_run(
+            request.path, request.body, request.attempt_id, priority, request.adapter, offset
+        )
+
+    def _fail(self, reason: str, outcome: Outcome = Outcome.UNKNOWN) -> Failure:
+        return Failure(outcome, Step.RUN, self._peer, reason)
+
+    async def _run_whole(
+        self, request: RunRequest
+    ) -> AsyncIterator[BackendHead | BackendPart | Failure]:
+        read = await self._read_whole(request)
+        if read.is_error():
+            yield read.error
+            return
+        head, body = read.ok
+        yield head
+        yield BackendPart(body)
+
+    async def _read_whole(self, request: RunRequest) -> Result[tuple[BackendHead, bytes], Failure]:
+        try:
+            with fail_after(request.deadline_ms / 1000):
+                async with self._open(request) as opened:
+                    if opened.request_id != request.attempt_id:
+                        return Error(self._fail("the engine answered another request"))
+                    body = b"".join([part async for part in opened.parts])
+        except ExchangeError as error:
+            return Error(error.failure)
+        except TimeoutError:
+            return Error(self._fail("the engine's answer did not come in time"))
+        if not _is_json(body):
+            return Error(self._fail("the engine's answer is not whole"))
+        return Ok((BackendHead(opened.status, opened.content_type), body))
+
+    async def _run_stream(
+        self, request: RunRequest
+    ) -> AsyncIterator[BackendHead | BackendPart | Failure]:
+        events = 0
+        head_sent = False
+        reason = ""
+        for attempt in range(_MOST_RESUMES + 1):
+            offset = events if attempt else None
+            try:
+                async with self._open(request, offset) as opened:
+                    if opened.request_id != request.attempt_id:
+                        reason = "the engine answered another request"
+                        continue
+                    if attempt and opened.status != 200:
+                        break
+                    if not head_sent:
+                        head_sent = True
+                        yield BackendHead(opened.status, opened.content_type)
+                    if not opened.content_type.startswith(_EVENT_STREAM):
+                        async for part in opened.parts:
+                            yield BackendPart(part)
+                        return
+                    async for index, event in _read_events(opened.parts, events):
+                        if index < events:
+                            continue
+                        if index > events:
+                            raise ConnectionError("an event is missing")
+                        events += 1
+                        yield BackendPart(event)
+                        if event.startswith(_DONE_EVENT):
+                            return
+                reason = "the engine's stream ended early"
+            except ExchangeError as error:
+                if error.failure.outcome is Outcome.NOT_RUN and not attempt:
+                    yield error.failure
+                    return
+                reason = error.failure.reason
+            except (TimeoutError, ConnectionError) as error:
+                reason = f"the engine's stream broke off: {error!r}"
+        yield self._fail(reason)
+
+
+async def _read_events(
+    parts: AsyncIterator[bytes], first_index: int
+) -> AsyncIterator[tuple[int, bytes]]:
+    """Yield events with their index, which an ``id`` line gives where the engine writes one."""
+    index = first_index
+    async with aclosing(parts) as events:
+        while True:
+            with fail_after(_SILENCE_S):
+                event = await anext(events, None)
+            if event is None:
+                return
+            if event.startswith(b"id: "):
+                line, event = event.split(b"\n", 1)
+                index = int(line[4:])
+            yield index, event
+            index += 1
+
+
+def _is_json(body: bytes) -> bool:
+    try:
+        json.loads(body)
+    except ValueError:
+        return False
+    return True
+
+
+class ServiceBackend(Backend):
+    """Runs attempts at plain services.
+
+    :param urls_by_name: base addresses by the service's name
+    """
+
+    def __init__(self, urls_by_name: dict[str, str]) -> None:
+        self._clients_by_name = {
+            name: HttpClient(url, timeout_s=60.0) for name, url in urls_by_name.items()
+        }
+        self._urls_by_name = urls_by_name
+
+    async def run(self, request: RunRequest) -> AsyncIterator[BackendHead | BackendPart | Failure]:
+        headers = {"X-Request-Id": request.attempt_id}
+        if request.content_type:
+            headers["Content-Type"] = request.content_type
+        if request.idempotency_key:
+            headers["Idempotency-Key"] = request.idempotency_key
+        client = self._clients_by_name[request.target]
+        seconds = request.deadline_ms / 1000
+        answer = await client.request(
+            request.method, request.path, headers, request.body, timeout_s=seconds
+        )
+        if answer.is_error():
+            yield answer.error
+            return
+        head = answer.ok
+        answer_id = head.headers.get("x-request-id", request.attempt_id)
+        if answer_id != request.attempt_id:
+            peer = self._urls_by_name[request.target]
+            yield Failure(Outcome.UNKNOWN, Step.RUN, peer, "the service answered another request")
+            return
+        yield BackendHead(head.status, head.headers.get("content-type", ""))
+        yield BackendPart(head.body)
+
+    async def cancel(self, request: RunRequest) -> None:
+        """Do nothing: a plain service has no way to cancel."""
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/run.py
@@ -0,0 +1,167 @@
+"""
+kingcupdyke_daemon.sidecar.run
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The attempts that a sidecar runs, kept apart from the connections that carry them.
+"""
+
+from anyio import CancelScope, Event, current_time, sleep
+from anyio.abc import TaskGroup
+
+from kingcupdyke.answer import AnswerBuffer
+from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke_daemon.sidecar.backend import Backend, BackendHead, BackendPart
+from kingcupdyke_wire.sidecar_pb2 import RunRequest
+
+__all__ = ["Run", "RunTable"]
+
+#: Bytes of an answer that are kept for a resume.
+_MOST_BUFFER_BYTES = 4 << 20
+
+
+class Run:
+    """One attempt: its answer so far and how it ended.
+
+    :param request: the attempt as the gateway sent it
+    :param now_s: time in seconds of the timer service
+    """
+
+    def __init__(self, request: RunRequest, now_s: float) -> None:
+        self.request = request
+        self.started_s = now_s
+        self.deadline_s = now_s + request.deadline_ms / 1000
+        self.buffer = AnswerBuffer(_MOST_BUFFER_BYTES)
+        self.head: BackendHead | None = None
+        self.failure: Failure | None = None
+        self.replayed = False
+        self.done = False
+        #: Gateway streams that are attached.
+        self.attached = 0
+        self.detached_s = now_s
+        self.scope = CancelScope()
+        self._pending: list[bytes] = []
+        self._flushed_s = 0.0
+        self._changed = Event()
+
+    @property
+    def has_pending(self) -> bool:
+        """Whether parts wait for the next tick."""
+        return bool(self._pending)
+
+    def add(self, data: bytes, now_s: float, tick_s: float) -> bool:
+        """Take a piece of the answer.
+
+        :return: whether it waits for the next tick
+        """
+        self._pending.append(data)
+        if now_s - self._flushed_s >= tick_s:
+            self.flush(now_s)
+        return self.has_pending
+
+    def flush(self, now_s: float) -> None:
+        """Make one part of all that waits."""
+        if not self._pending:
+            return
+        self.buffer.append(b"".join(self._pending))
+        self._pending.clear()
+        self._flushed_s = now_s
+        self.notify()
+
+    def finish(self, failure: Failure | None, now_s: float) -> None:
+        """End the attempt; only the first end counts."""
+        if self.done:
+            return
+        self.flush(now_s)
+        self.failure = failure
+        self.done = True
+        self.buffer.end()
+        self.notify()
+
+    def notify(self) -> None:
+        """Wake those that wait for a change."""
+        self._changed.set()
+        self._changed = Event()
+
+    async def wait(self) -> None:
+        """Wait for the next change."""
+        await self._changed.wait()
+
+
+class RunTable:
+    """Runs attempts in tasks of their own and remembers them for a while.
+
+    :param tasks: the task group that carries the attempts
+    :param tick_s: seconds between parts of one stream, at the least
+    :param resume_s: seconds that an attempt outlives its gateway's stream
+    """
+
+    def __init__(self, tasks: TaskGroup, tick_s: float, resume_s: float) -> None:
+        self._tasks = tasks
+        self._tick_s = tick_s
+        self._resume_s = resume_s
+        self._due: set[Run] = set()
+        self.runs_by_attempt: dict[str, Run] = {}
+        self.running = 0
+
+    def open(self, request: RunRequest) -> Run:
+        """:return: a new attempt, remembered but not running yet"""
+        run = Run(request, current_time())
+        self.runs_by_attempt[request.attempt_id] = run
+        return run
+
+    def start(self, run: Run, backend: Backend) -> None:
+        """Run an attempt at a back end, in a task of its own."""
+        self.running += 1
+        self._tasks.start_soon(self._execute, run, backend)
+
+    async def _execute(self, run: Run, backend: Backend) -> None:
+        failure: Failure | None = Failure(
+            Outcome.UNKNOWN, Step.RUN, "", "the attempt was cancelled or passed its deadline"
+        )
+        run.scope.deadline = run.deadline_s
+        try:
+            with run.scope:
+                failure = await self._collect(run, backend)
+            if run.scope.cancelled_caught:
+                await backend.cancel(run.request)
+        finally:
+            self.running -= 1
+            run.finish(failure, current_time())
+
+    async def _collect(self, run: Run, backend: Backend) -> Failure | None:
+        async for item in backend.run(run.request):
+            if isinstance(item, Failure):
+                return item
+            if isinstance(item, BackendHead):
+                run.head = item
+                run.notify()
+            elif isinstance(item, BackendPart) and run.add(
+                item.data, current_time(), self._tick_s
+            ):
+                self._due.add(run)
+        return None
+
+    async def flush_forever(self) -> None:
+        """Make parts of what waits, once a tick."""
+        while True:
+            await sleep(self._tick_s)
+            now_s = current_time()
+            for run in self._due:
+                run.flush(now_s)
+            self._due.clear()
+
+    def sweep(self, now_s: float) -> None:
+        """Cancel attempts that nobody came back for, and forget old ones."""
+        for attempt_id, run in list(self.runs_by_attempt.items()):
+            if run.attached or now_s - run.detached_s < self._resume_s:
+                continue
+            if run.done:
+                del self.runs_by_attempt[attempt_id]
+            elif run.request.idempotent:
+                run.scope.cancel()
+
+    def cancel(self, attempt_id: str) -> None:
+        """Cancel an attempt that may be given up; work that must not be lost goes on."""
+        run = self.runs_by_attempt.get(attempt_id)
+        if run is not None and run.request.idempotent:
+            run.scope.cancel()
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/timer.py
@@ -0,0 +1,48 @@
+"""
+kingcupdyke_daemon.timer
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+The timer service on the event loop.
+"""
+
+from collections.abc import Callable
+
+from anyio import CancelScope, current_time, sleep
+from anyio.abc import TaskGroup
+
+from kingcupdyke.timer import TimerService
+
+__all__ = ["LoopTimer"]
+
+
+class LoopTimer(TimerService):
+    """Calls subscribers from tasks of a task group.
+
+    :param tasks: the task group that carries the subscriptions
+    """
+
+    def __init__(self, tasks: TaskGroup) -> None:
+        self._tasks = tasks
+        self._scopes_by_name: dict[str, CancelScope] = {}
+
+    def now(self) -> float:
+        return current_time()
+
+    def subscribe(self, name: str, period_s: float, callback: Callable[[float], None]) -> None:
+        self.unsubscribe(name)
+        scope = CancelScope()
+        self._scopes_by_name[name] = scope
+        self._tasks.start_soon(self._run, scope, period_s, callback)
+
+    def unsubscribe(self, name: str) -> None:
+        scope = self._scopes_by_name.pop(name, None)
+        if scope is not None:
+            scope.cancel()
+
+    async def _run(
+        self, scope: CancelScope, period_s: float, callback: Callable[[float], None]
+    ) -> None:
+        with scope:
+            while True:
+                await sleep(period_s)
+                callback(current_time())
