--- /dev/null
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/engine.py
@@ -0,0 +1,304 @@
+"""
+kingcupdyke_wire.engine
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Client of a model engine: orders, state, streams and KV cache.
+"""
+
+import json
+from abc import ABC, abstractmethod
+from base64 import b64decode, b64encode
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from typing import NamedTuple
+from urllib.parse import quote, urlencode
+
+from expression import Error, Ok, Result
+from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke.inventory import EngineInventory
+
+from kingcupdyke_wire.decode import decode, refuse
+from kingcupdyke_wire.http import HttpAnswer, HttpClient
+from kingcupdyke_wire.sse import split_events
+
+__all__ = [
+    "OLD_FENCE",
+    "CacheEvent",
+    "CacheEventBatch",
+    "EngineClient",
+    "EngineInventory",
+    "EngineLoad",
+    "EngineRun",
+    "HttpEngineClient",
+    "KvCache",
+    "OrderAnswer",
+]
+
+#: Reason of the failure "not run" of an order with an old fencing number.
+OLD_FENCE = "old fence"
+
+EVENT_STREAM = "text/event-stream"
+JSON_HEADERS = {"content-type": "application/json"}
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+
+
+class OrderAnswer(NamedTuple):
+    """How an order ended."""
+
+    #: "done" or "failed".
+    state: str
+    reason: str
+
+
+class EngineLoad(NamedTuple):
+    """The load of an engine by its last report."""
+
+    running: int
+    waiting: int
+    token_interval_ms: float
+    #: Seconds since the report was true.
+    age_s: float
+
+
+class CacheEvent(NamedTuple):
+    """A prefix block that was stored in or dropped from the cache."""
+
+    #: Grows by one with each event; a gap means that events were lost.
+    sequence: int
+    stored: bool
+    #: Hash of the prefix.
+    prefix: str
+
+
+class CacheEventBatch(NamedTuple):
+    """Events after a position."""
+
+    #: Incarnation of the engine; after a change the cache is empty.
+    incarnation: str
+    events: list[CacheEvent]
+
+
+class KvCache(NamedTuple):
+    """The KV cache of a request, as one engine exports and another imports it."""
+
+    request_id: str
+    kv: bytes
+    #: Memory that it takes.
+    kv_bytes: int
+
+
+class EngineRun(NamedTuple):
+    """The answer to a request, as it arrives."""
+
+    status: int
+    content_type: str
+    #: Request that the engine says it answers; the empty string when it says none.
+    request_id: str
+    #: Whole SSE events, each ending in its blank line, or parts of another body;
+    #: raises :class:`kingcupdyke_wire.http.ExchangeError`.
+    parts: AsyncIterator[bytes]
+
+
+class EngineClient(ABC):
+    """Everything that a sidecar asks of its engine."""
+
+    @abstractmethod
+    async def order(
+        self,
+        order_id: str,
+        fence: int,
+        kind: str,
+        model: str,
+        adapter: str,
+        model_version: str,
+        role: str,
+        order_bytes: int,
+        lifetime_s: float,
+    ) -> Result[OrderAnswer, Failure]:
+        """Give an order and wait for its end.
+
+        :param order_id: a repeat of it is never carried out twice
+        :param fence: fencing number; some engines ignore it
+        :param kind: a name of :class:`kingcupdyke.placement.OrderKind`
+        :param order_bytes: memory that the order takes
+        :param lifetime_s: seconds after which the engine drops it instead of beginning
+        :return: how it ended, a failure "not run" with the reason ``OLD_FENCE``, or
+            a failure "unknown" when no answer came
+        """
+
+    @abstractmethod
+    async def inventory(self) -> Result[EngineInventory, Failure]:
+        """:return: what is in the engine's memory now"""
+
+    @abstractmethod
+    async def load(self) -> Result[EngineLoad, Failure]:
+        """:return: the load, which lags"""
+
+    @abstractmethod
+    async def cache_events(
+        self, position: int, timeout_s: float
+    ) -> Result[CacheEventBatch, Failure]:
+        """Wait for cache events after a sequence number.
+
+        :param timeout_s: seconds to wait; the batch is empty when nothing happened
+        """
+
+    @abstractmethod
+    async def cancel(self, request_id: str) -> Result[None, Failure]:
+        """Stop a request; an unknown one is no failure."""
+
+    @abstractmethod
+    def open_run(
+        self,
+        path: str,
+        body: bytes,
+        request_id: str,
+        priority: int,
+        adapter: str,
+        offset: int | None = None,
+    ) -> AbstractAsyncContextManager[EngineRun]:
+        """Run a request, or take up the stream of one that runs.
+
+        Leaving the context early closes the connection; the engine goes on until cancelled.
+
+        :param path: path of the request in the OpenAI form
+        :param priority: 0 is the most urgent
+        :param adapter: name of the adapter, or the empty string
+        :param offset: None runs the request; a number takes up its events from that one on
+        :raises kingcupdyke_wire.http.ExchangeError: when the exchange breaks
+        """
+
+    @abstractmethod
+    async def kv_export(self, request_id: str) -> Result[KvCache, Failure]:
+        """:return: the KV cache of a request, for another engine"""
+
+    @abstractmethod
+    async def kv_import(self, cache: KvCache) -> Result[None, Failure]:
+        """Take in a KV cache; a failure "not run" when there is no memory for it."""
+
+    @abstractmethod
+    async def aclose(self) -> None:
+        """Close all connections."""
+
+
+class HttpEngineClient(EngineClient):
+    """Speaks to the engine at one address.
+
+    :param base_url: scheme, address and port
+    :param timeout_s: seconds allowed for a call that has no time of its own
+    :param run_timeout_s: seconds until the answer to a request begins, and between its parts
+    """
+
+    def __init__(self, base_url: str, timeout_s: float, run_timeout_s: float = 60.0) -> None:
+        self._http = HttpClient(base_url, timeout_s, step=Step.ORDER)
+        self._run_http = HttpClient(base_url, run_timeout_s, step=Step.RUN)
+        self._timeout_s = timeout_s
+
+    async def order(
+        self,
+        order_id: str,
+        fence: int,
+        kind: str,
+        model: str,
+        adapter: str,
+        model_version: str,
+        role: str,
+        order_bytes: int,
+        lifetime_s: float,
+    ) -> Result[OrderAnswer, Failure]:
+        order = {"order_id": order_id, "fence": fence, "kind": kind, "model": model}
+        order |= {"adapter": adapter, "model_version": model_version, "role": role}
+        order |= {"bytes": order_bytes, "lifetime": lifetime_s}
+        timeout_s = max(self._timeout_s, lifetime_s)
+        answer = await self._post("/admin/orders", order, timeout_s)
+        return answer.bind(self._read_order)
+
+    async def inventory(self) -> Result[EngineInventory, Failure]:
+        answer = await self._http.request("GET", "/admin/inventory")
+        return answer.bind(lambda each: self._decode(each, lambda d: EngineInventory(**d)))
+
+    async def load(self) -> Result[EngineLoad, Failure]:
+        answer = await self._http.request("GET", "/admin/load")
+        return answer.bind(lambda each: self._decode(each, _read_load))
+
+    async def cache_events(
+        self, position: int, timeout_s: float
+    ) -> Result[CacheEventBatch, Failure]:
+        path = "/admin/cache-events?" + urlencode({"position": position, "timeout": timeout_s})
+        answer = await self._http.request("GET", path, timeout_s=timeout_s + self._timeout_s)
+        return answer.bind(lambda each: self._decode(each, _read_cache_events))
+
+    async def cancel(self, request_id: str) -> Result[None, Failure]:
+        answer = await self._http.request("DELETE", f"/v1/requests/{quote(request_id, safe='')}")
+        return answer.bind(self._check)
+
+    @asynccontextmanager
+    async def open_run(
+        self,
+        path: str,
+        body: bytes,
+        request_id: str,
+        priority: int,
+        adapter: str,
+        offset: int | None = None,
+    ) -> AsyncIterator[EngineRun]:
+        headers = {"x-request-id": request_id, "x-priority": str(priority)}
+        if adapter:
+            headers["x-adapter"] = adapter
+        method = "POST"
+        if offset is not None:
+            method, body = "GET", b""
+            path = f"/v1/requests/{quote(request_id, safe='')}?offset={offset}"
+        async with self._run_http.stream(method, path, JSON_HEADERS | headers, body) as stream:
+            content_type = stream.headers.get("content-type", "")
+            parts = stream.parts
+            if content_type.startswith(EVENT_STREAM):
+                parts = split_events(parts)
+            yield EngineRun(
+                stream.status, content_type, stream.headers.get("x-request-id", ""), parts
+            )
+
+    async def kv_export(self, request_id: str) -> Result[KvCache, Failure]:
+        answer = await self._post("/admin/kv/export", {"request_id": request_id})
+        return answer.bind(lambda each: self._decode(each, lambda d: _read_kv(request_id, d)))
+
+    async def kv_import(self, cache: KvCache) -> Result[None, Failure]:
+        content = {"request_id": cache.request_id, "kv": b64encode(cache.kv).decode()}
+        answer = await self._post("/admin/kv/import", content | {"bytes": cache.kv_bytes})
+        return answer.bind(self._check)
+
+    async def aclose(self) -> None:
+        await self._http.aclose()
+        await self._run_http.aclose()
+
+    async def _post(
+        self, path: str, content: dict, timeout_s: float | None = None
+    ) -> Result[HttpAnswer, Failure]:
+        body = json.dumps(content).encode()
+        return await self._http.request("POST", path, JSON_HEADERS, body, timeout_s)
+
+    def _decode(self, answer: HttpAnswer, read) -> Result:
+        return decode(answer, Step.ORDER, self._http.peer, read)
+
+    def _read_order(self, answer: HttpAnswer) -> Result[OrderAnswer, Failure]:
+        if answer.status == STATUS_CONFLICT:
+            return Error(Failure(Outcome.NOT_RUN, Step.ORDER, self._http.peer, OLD_FENCE))
+        return self._decode(answer, lambda d: OrderAnswer(d["state"], d["reason"]))
+
+    def _check(self, answer: HttpAnswer) -> Result[None, Failure]:
+        if answer.status != STATUS_OK:
+            return Error(refuse(answer, Step.ORDER, self._http.peer))
+        return Ok(None)
+
+
+def _read_load(data: dict) -> EngineLoad:
+    return EngineLoad(data["running"], data["waiting"], data["token_interval_ms"], data["age"])
+
+
+def _read_cache_events(data: dict) -> CacheEventBatch:
+    return CacheEventBatch(data["incarnation"], [CacheEvent(**each) for each in data["events"]])
+
+
+def _read_kv(request_id: str, data: dict) -> KvCache:
+    return KvCache(request_id, b64decode(data["kv"]), data["bytes"])
--- /dev/null
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/http.py
@@ -0,0 +1,209 @@
+"""
+kingcupdyke_wire.http
+~~~~~~~~~~~~~~~~~~~~~
+
+HTTP client that tells what may have run from what has not.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+from urllib.parse import urlsplit
+
+from anyio import CancelScope, fail_after
+from expression import Error, Ok, Result
+from httpcore import (
+    URL,
+    AsyncConnectionPool,
+    NetworkError,
+    ProtocolError,
+    Request,
+    Response,
+    TimeoutException,
+)
+from kingcupdyke.error import Failure, Outcome, Step
+
+__all__ = ["ExchangeError", "HttpAnswer", "HttpClient", "HttpStream"]
+
+#: Seconds that an idle connection is kept. Servers commonly close theirs after
+#: five: closing first avoids a request that meets a connection just closed.
+KEEPALIVE_S = 2.0
+MAX_IDLE_CONNECTIONS = 64
+#: Trace event after which bytes of the request may have left.
+SEND_STARTED = "http11.send_request_headers.started"
+#: What a connection can raise; the built-in time-out comes from the overall limit.
+EXCHANGE_ERRORS = (NetworkError, ProtocolError, TimeoutException, TimeoutError)
+
+
+class HttpAnswer(NamedTuple):
+    """A whole answer."""
+
+    status: int
+    #: Values of the header fields, by name in lower case.
+    headers: dict[str, str]
+    body: bytes
+
+
+class HttpStream(NamedTuple):
+    """An answer whose body is read part by part."""
+
+    status: int
+    #: Values of the header fields, by name in lower case.
+    headers: dict[str, str]
+    #: Parts of the body as they arrive; raises :class:`ExchangeError`.
+    parts: AsyncIterator[bytes]
+
+
+class ExchangeError(Exception):
+    """A streamed exchange broke.
+
+    :param failure: what is known of the request
+    """
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(f"{failure.step} at {failure.peer}: {failure.reason}")
+        self.failure = failure
+
+
+class _Progress:
+    """How far a request came."""
+
+    #: Whether any byte of the request may have left.
+    sent = False
+
+    async def trace(self, event: str, info: dict) -> None:
+        """Take a trace event of httpcore."""
+        if event == SEND_STARTED:
+            self.sent = True
+
+
+class HttpClient:
+    """Requests to one server over a pool of connections.
+
+    A connection is closed, never reused, after a timeout or cancel.
+
+    :param base_url: scheme, address and port
+    :param timeout_s: seconds allowed for a request where it names none
+    :param peer: name of the server in failures; its address by default
+    :param step: step in failures that arise after the connection stood
+    """
+
+    def __init__(
+        self, base_url: str, timeout_s: float, peer: str | None = None, step: Step = Step.RUN
+    ) -> None:
+        parts = urlsplit(base_url)
+        self._scheme = parts.scheme
+        self._host = parts.hostname or ""
+        self._port = parts.port
+        self._timeout_s = timeout_s
+        self._step = step
+        self.peer = peer or parts.netloc
+        self._pool = AsyncConnectionPool(
+            max_connections=None,
+            max_keepalive_connections=MAX_IDLE_CONNECTIONS,
+            keepalive_expiry=KEEPALIVE_S,
+        )
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        timeout_s: float | None = None,
+    ) -> Result[HttpAnswer, Failure]:
+        """Send a request and read the whole answer.
+
+        :param path: path and query, quoted
+        :param timeout_s: seconds for the whole exchange
+        :return: the answer whatever its status; a failure is "not run" while nothing
+            was sent and "unknown" afterwards
+        """
+        progress = _Progress()
+        request = self._build(method, path, headers, body, {"trace": progress.trace})
+        try:
+            with fail_after(self._timeout_s if timeout_s is None else timeout_s):
+                response = await self._pool.handle_async_request(request)
+                try:
+                    content = await response.aread()
+                finally:
+                    await _close(response)
+        except EXCHANGE_ERRORS as error:
+            return Error(self._explain(error, progress))
+        return Ok(HttpAnswer(response.status, _read_headers(response), content))
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        timeout_s: float | None = None,
+    ) -> AsyncIterator[HttpStream]:
+        """Send a request and read the answer part by part.
+
+        Leaving the context before the end closes the connection.
+
+        :param path: path and query, quoted
+        :param timeout_s: seconds until the answer begins, and between its parts
+        :raises ExchangeError: when the exchange breaks, here or in the parts
+        """
+        progress = _Progress()
+        limit_s = self._timeout_s if timeout_s is None else timeout_s
+        extensions = {"trace": progress.trace, "timeout": {"read": limit_s}}
+        request = self._build(method, path, headers, body, extensions)
+        try:
+            with fail_after(limit_s):
+                response = await self._pool.handle_async_request(request)
+        except EXCHANGE_ERRORS as error:
+            raise ExchangeError(self._explain(error, progress)) from error
+        try:
+            parts = self._read_parts(response, progress)
+            yield HttpStream(response.status, _read_headers(response), parts)
+        finally:
+            await _close(response)
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    def _build(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None,
+        body: bytes,
+        extensions: dict[str, object],
+    ) -> Request:
+        url = URL(scheme=self._scheme, host=self._host, port=self._port, target=path)
+        fields = {"host": f"{self._host}:{self._port}", **(headers or {})}
+        if body or method in ("POST", "PUT"):
+            fields["content-length"] = str(len(body))
+        return Request(
+            method, url, headers=list(fields.items()), content=body, extensions=extensions
+        )
+
+    def _explain(self, error: Exception, progress: _Progress) -> Failure:
+        reason = str(error) or type(error).__name__
+        if progress.sent:
+            return Failure(Outcome.UNKNOWN, self._step, self.peer, reason)
+        return Failure(Outcome.NOT_RUN, Step.CONNECT, self.peer, reason)
+
+    async def _read_parts(self, response: Response, progress: _Progress) -> AsyncIterator[bytes]:
+        try:
+            async for part in response.stream:
+                yield part
+        except EXCHANGE_ERRORS as error:
+            raise ExchangeError(self._explain(error, progress)) from error
+
+
+def _read_headers(response: Response) -> dict[str, str]:
+    return {
+        name.decode("latin-1").lower(): value.decode("latin-1") for name, value in response.headers
+    }
+
+
+async def _close(response: Response) -> None:
+    with CancelScope(shield=True):
+        await response.aclose()
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/store.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/store.py
@@ -5,13 +5,25 @@
 Client of the platform's object store.
 """
 
+from __future__ import annotations
+
 from abc import ABC, abstractmethod
+from base64 import b64decode
 from typing import NamedTuple
+from urllib.parse import quote, urlencode
+
+from expression import Error, Ok, Result
+from kingcupdyke.error import Failure, Outcome, Step
+
+from kingcupdyke_wire.decode import decode, refuse
+from kingcupdyke_wire.http import HttpAnswer, HttpClient
 
-from expression import Result
-from kingcupdyke.error import Failure
+__all__ = ["Conflict", "HttpStoreClient", "StoreClient", "StoreObject", "WatchEvent"]
 
-__all__ = ["Conflict", "StoreClient", "StoreObject", "WatchEvent"]
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_CONFLICT = 409
+STATUS_GONE = 410
 
 
 class StoreObject(NamedTuple):
@@ -84,3 +96,127 @@
         :return: events in order, or a failure; a position that is too old to be
             replayed fails with the reason "compacted"
         """
+
+
+class HttpStoreClient(StoreClient):
+    """Speaks to the store at one address.
+
+    :param base_url: scheme, address and port
+    :param timeout_s: seconds allowed for a call; a watch has its own timeout on top
+    """
+
+    def __init__(self, base_url: str, timeout_s: float = 2.0) -> None:
+        self._http = HttpClient(base_url, timeout_s, step=Step.STORE)
+        self._timeout_s = timeout_s
+
+    async def get(self, kind: str, name: str) -> Result[StoreObject | None, Failure]:
+        answer = await self._http.request("GET", _path(kind, name))
+        return answer.bind(lambda each: self._read_object(kind, name, each))
+
+    async def put(
+        self, kind: str, name: str, value: bytes, if_version: int
+    ) -> Result[StoreObject | Conflict, Failure]:
+        path = f"{_path(kind, name)}?if_version={if_version}"
+        answer = await self._http.request("PUT", path, body=value)
+        return answer.bind(lambda each: self._read_put(kind, name, value, each))
+
+    async def delete(
+        self, kind: str, name: str, if_version: int
+    ) -> Result[None | Conflict, Failure]:
+        path = f"{_path(kind, name)}?if_version={if_version}"
+        answer = await self._http.request("DELETE", path)
+        return answer.bind(lambda each: self._read_delete(kind, name, each))
+
+    async def list(
+        self, kind: str, prefix: str = ""
+    ) -> Result[tuple[int, list[StoreObject]], Failure]:
+        path = f"/v1/objects/{quote(kind, safe='')}?{urlencode({'prefix': prefix})}"
+        answer = await self._http.request("GET", path)
+        return answer.bind(
+            lambda each: decode(each, Step.STORE, self._http.peer, lambda d: _read_list(kind, d))
+        )
+
+    async def watch(
+        self, kind: str, position: int, timeout_s: float
+    ) -> Result[list[WatchEvent], Failure]:
+        query = urlencode({"position": position, "timeout": timeout_s})
+        path = f"/v1/watch/{quote(kind, safe='')}?{query}"
+        answer = await self._http.request("GET", path, timeout_s=timeout_s + self._timeout_s)
+        return answer.bind(lambda each: self._read_watch(kind, each))
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._http.aclose()
+
+    def _read_object(
+        self, kind: str, name: str, answer: HttpAnswer
+    ) -> Result[StoreObject | None, Failure]:
+        if answer.status == STATUS_NOT_FOUND:
+            return Ok(None)
+        if answer.status != STATUS_OK:
+            return Error(refuse(answer, Step.STORE, self._http.peer))
+        return self._read_version(answer).map(
+            lambda version: StoreObject(kind, name, version, answer.body)
+        )
+
+    def _read_put(
+        self, kind: str, name: str, value: bytes, answer: HttpAnswer
+    ) -> Result[StoreObject | Conflict, Failure]:
+        if answer.status == STATUS_CONFLICT:
+            return self._read_conflict(kind, name, answer)
+        if answer.status != STATUS_OK:
+            return Error(refuse(answer, Step.STORE, self._http.peer))
+        return self._read_version(answer).map(
+            lambda version: StoreObject(kind, name, version, value)
+        )
+
+    def _read_delete(
+        self, kind: str, name: str, answer: HttpAnswer
+    ) -> Result[None | Conflict, Failure]:
+        if answer.status == STATUS_CONFLICT:
+            return self._read_conflict(kind, name, answer)
+        if answer.status != STATUS_OK:
+            return Error(refuse(answer, Step.STORE, self._http.peer))
+        return Ok(None)
+
+    def _read_conflict(self, kind: str, name: str, answer: HttpAnswer) -> Result[Conflict, Failure]:
+        return self._read_version(answer).map(
+            lambda version: Conflict(
+                StoreObject(kind, name, version, answer.body) if version else None
+            )
+        )
+
+    def _read_version(self, answer: HttpAnswer) -> Result[int, Failure]:
+        try:
+            return Ok(int(answer.headers["x-version"]))
+        except (KeyError, ValueError):
+            reason = "answer without X-Version"
+            return Error(Failure(Outcome.UNKNOWN, Step.STORE, self._http.peer, reason))
+
+    def _read_watch(self, kind: str, answer: HttpAnswer) -> Result[list[WatchEvent], Failure]:
+        if answer.status == STATUS_GONE:
+            return Error(Failure(Outcome.FAILED, Step.STORE, self._http.peer, "compacted"))
+        return decode(answer, Step.STORE, self._http.peer, lambda d: _read_events(kind, d))
+
+
+def _path(kind: str, name: str) -> str:
+    return f"/v1/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
+
+
+def _read_entry(kind: str, entry: dict) -> StoreObject:
+    return StoreObject(kind, entry["name"], int(entry["version"]), b64decode(entry["value"]))
+
+
+def _read_list(kind: str, data: dict) -> tuple[int, list[StoreObject]]:
+    return int(data["position"]), [_read_entry(kind, entry) for entry in data["objects"]]
+
+
+def _read_events(kind: str, data: dict) -> list[WatchEvent]:
+    return [
+        WatchEvent(
+            int(entry["position"]),
+            None if entry["value"] is None else _read_entry(kind, entry),
+            entry["name"],
+        )
+        for entry in data["events"]
+    ]
