--- /dev/null
+++ b/packages/kingcupdyke/kingcupdyke/routers/__init__.py
@@ -0,0 +1,28 @@
+"""
+kingcupdyke.routers
+~~~~~~~~~~~~~~~~~~~
+
+Routers by name.
+"""
+
+from kingcupdyke.routers.baseline import LeastLoadRouter, RandomRouter, RoundRobinRouter
+from kingcupdyke.routers.cost import CostRouter
+from kingcupdyke.routing import Router
+from kingcupdyke.util import get_choice_opt
+
+__all__ = ["ROUTERS_BY_NAME", "get_router"]
+
+#: Classes of routers by the name that settings use.
+ROUTERS_BY_NAME: dict[str, type[Router]] = {
+    each.name: each for each in (CostRouter, RandomRouter, RoundRobinRouter, LeastLoadRouter)
+}
+
+
+def get_router(name: str, **options: object) -> Router:
+    """:return: a new router
+
+    :param name: a key of :data:`ROUTERS_BY_NAME`
+    :param options: see the router's class
+    :raises OptionError: when the name is unknown or an option is wrong
+    """
+    return ROUTERS_BY_NAME[get_choice_opt({"router": name}, "router", ROUTERS_BY_NAME)](**options)
