Check rules, replicate configuration and keep membership

The daemons need typed rules, a configuration that only moves to higher versions, and a table of who exists, answers and is leaving.

Ruled out: taking any later change (a gap would hide removals), and trusting the host list alone for leaving (it lags). Feasibility uses best fit with the largest model first; an exact packing costs too much at the target size.

util: sizes such as 1.2.3GB and infinite ones raised other errors than OptionError; they are refused as wrong values now.

--- /dev/null
+++ b/packages/kingcupdyke/kingcupdyke/book.py
@@ -0,0 +1,146 @@
+"""
+kingcupdyke.book
+~~~~~~~~~~~~~~~~
+
+The checked rules of one version, in the form that is stored and spread.
+"""
+
+import json
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from kingcupdyke.rule import (
+    AdapterRule,
+    CallerRule,
+    LinkRule,
+    MemoryRule,
+    ModelRule,
+    RuleSet,
+    ServiceRule,
+)
+
+__all__ = [
+    "RULE_CLASSES_BY_KIND",
+    "AnyRule",
+    "BookDelta",
+    "RuleBook",
+    "StoredRule",
+    "apply_delta",
+    "collect_rule_set",
+    "diff_books",
+    "parse_rule",
+    "store_rule",
+    "to_rule_set",
+]
+
+AnyRule = ModelRule | AdapterRule | ServiceRule | CallerRule | MemoryRule | LinkRule
+
+RULE_CLASSES_BY_KIND: dict[str, type[AnyRule]] = {
+    "model": ModelRule,
+    "adapter": AdapterRule,
+    "service": ServiceRule,
+    "caller": CallerRule,
+    "memory": MemoryRule,
+    "link": LinkRule,
+}
+
+
+class StoredRule(NamedTuple):
+    """One checked rule with the comment on who asked for it."""
+
+    #: Kind and name, such as ``model/cs-drafts-7b``.
+    key: str
+    #: Canonical JSON of the checked fields.
+    fields: str
+    comment: str
+
+
+class RuleBook(NamedTuple):
+    """All rules of one version."""
+
+    rules_by_key: dict[str, StoredRule]
+
+    @classmethod
+    def from_rules(cls, rules: Iterable[StoredRule]) -> "RuleBook":
+        """:return: a book of the rules; a later one replaces an earlier one of its key"""
+        return cls({rule.key: rule for rule in rules})
+
+
+class BookDelta(NamedTuple):
+    """What turns one book into another."""
+
+    puts: tuple[StoredRule, ...]
+    #: Keys of the rules that are gone.
+    removes: tuple[str, ...]
+
+
+def store_rule(kind: str, rule: AnyRule, comment: str) -> StoredRule:
+    """:return: the rule in its stored form; equal rules have equal forms"""
+    fields = json.dumps(
+        rule._asdict(), ensure_ascii=False, allow_nan=False, sort_keys=True, separators=(",", ":")
+    )
+    return StoredRule(f"{kind}/{rule.name}", fields, comment)
+
+
+def parse_rule(stored: StoredRule) -> AnyRule | None:
+    """Read a stored rule.
+
+    Fields and kinds that a newer release has added are left out, so that old and new
+    processes can hold the same version.
+
+    :return: the rule, or None where it can't be read here
+    """
+    rule_class = RULE_CLASSES_BY_KIND.get(stored.key.partition("/")[0])
+    if rule_class is None:
+        return None
+    try:
+        fields = json.loads(stored.fields)
+        known = {name: _freeze(fields[name]) for name in rule_class._fields if name in fields}
+        return rule_class(**known)
+    except (TypeError, ValueError):
+        return None
+
+
+def _freeze(value: object) -> object:
+    return tuple(value) if isinstance(value, list) else value
+
+
+def collect_rule_set(rules_by_key: Mapping[str, AnyRule]) -> RuleSet:
+    """:return: the rules sorted by what they are about"""
+    rule_set = RuleSet.empty()
+    rules_by_class = {
+        ModelRule: rule_set.models_by_name,
+        AdapterRule: rule_set.adapters_by_name,
+        ServiceRule: rule_set.services_by_name,
+        MemoryRule: rule_set.memory_by_name,
+        LinkRule: rule_set.links_by_name,
+    }
+    for rule in rules_by_key.values():
+        if isinstance(rule, CallerRule):
+            rule_set.callers_by_digest[rule.token_digest] = rule
+        else:
+            rules_by_class[type(rule)][rule.name] = rule
+    return rule_set
+
+
+def to_rule_set(book: RuleBook) -> RuleSet:
+    """:return: the rules of a book as typed values"""
+    parsed = {key: parse_rule(stored) for key, stored in book.rules_by_key.items()}
+    return collect_rule_set({key: rule for key, rule in parsed.items() if rule is not None})
+
+
+def diff_books(old: RuleBook, new: RuleBook) -> BookDelta:
+    """:return: what turns the old book into the new one, in order of the keys"""
+    puts = [rule for key, rule in new.rules_by_key.items() if old.rules_by_key.get(key) != rule]
+    removes = old.rules_by_key.keys() - new.rules_by_key.keys()
+    return BookDelta(tuple(sorted(puts)), tuple(sorted(removes)))
+
+
+def apply_delta(book: RuleBook, delta: BookDelta) -> RuleBook:
+    """:return: a new book; the given one stays as it is"""
+    rules_by_key = dict(book.rules_by_key)
+    for key in delta.removes:
+        rules_by_key.pop(key, None)
+    for rule in delta.puts:
+        rules_by_key[rule.key] = rule
+    return RuleBook(rules_by_key)
--- /dev/null
+++ b/packages/kingcupdyke/kingcupdyke/changelog.py
@@ -0,0 +1,103 @@
+"""
+kingcupdyke.changelog
+~~~~~~~~~~~~~~~~~~~~~
+
+Names and values of the change log in the platform's store.
+"""
+
+import json
+import zlib
+from collections.abc import Iterable
+
+from kingcupdyke.book import StoredRule
+from kingcupdyke.config import ConfigChange
+
+__all__ = [
+    "CHANGES_KIND",
+    "PAGE_CHANGES",
+    "SNAPSHOTS_KIND",
+    "SNAPSHOT_NAME",
+    "SNAPSHOT_PERIOD_CHANGES",
+    "decode_change",
+    "decode_snapshot",
+    "encode_change",
+    "encode_snapshot",
+    "name_change",
+    "name_page",
+]
+
+#: Kind of the objects that hold one accepted change each.
+CHANGES_KIND = "changes"
+#: Kind of the object that holds a whole version, a shortcut for starting.
+SNAPSHOTS_KIND = "snapshots"
+SNAPSHOT_NAME = "rules"
+#: A snapshot is written each time so many changes were accepted.
+SNAPSHOT_PERIOD_CHANGES = 64
+#: Changes whose names share one prefix, and so are listed by one call.
+PAGE_CHANGES = 100
+
+_NAME_DIGITS = 12
+_PAGE_DIGITS = _NAME_DIGITS - 2
+#: Values above this are compressed: the store holds at most a megabyte.
+_MOST_PLAIN_BYTES = 64_000
+
+
+def name_change(version: int) -> str:
+    """:return: the object's name; names sort as versions do"""
+    return f"{version:0{_NAME_DIGITS}d}"
+
+
+def name_page(version: int) -> str:
+    """:return: the prefix shared by the names of all changes of the version's page"""
+    return name_change(version)[:_PAGE_DIGITS]
+
+
+def encode_change(change: ConfigChange) -> bytes:
+    """:return: the value of the change's object"""
+    return _pack(change._asdict())
+
+
+def decode_change(value: bytes) -> ConfigChange:
+    """:return: the change of an object's value
+    :raises ValueError: when the value is no change
+    """
+    fields = _unpack(value)
+    try:
+        return ConfigChange(
+            version=int(fields["version"]),
+            change_id=str(fields["change_id"]),
+            author=str(fields["author"]),
+            puts=tuple(StoredRule(*rule) for rule in fields["puts"]),
+            removes=tuple(fields["removes"]),
+        )
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"no change: {error}") from error
+
+
+def encode_snapshot(version: int, rules: Iterable[StoredRule]) -> bytes:
+    """:return: the value of the snapshot's object"""
+    return _pack({"version": version, "rules": sorted(rules)})
+
+
+def decode_snapshot(value: bytes) -> tuple[int, tuple[StoredRule, ...]]:
+    """:return: the version and its rules
+    :raises ValueError: when the value is no snapshot
+    """
+    fields = _unpack(value)
+    try:
+        return int(fields["version"]), tuple(StoredRule(*rule) for rule in fields["rules"])
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"no snapshot: {error}") from error
+
+
+def _pack(fields: dict[str, object]) -> bytes:
+    plain = json.dumps(fields, ensure_ascii=False, separators=(",", ":")).encode()
+    return plain if len(plain) <= _MOST_PLAIN_BYTES else zlib.compress(plain)
+
+
+def _unpack(value: bytes) -> dict[str, object]:
+    try:
+        plain = value if value.startswith(b"{") else zlib.decompress(value)
+    except zlib.error as error:
+        raise ValueError(f"neither JSON nor compressed: {error}") from error
+    return json.loads(plain)
--- /dev/null
+++ b/packages/kingcupdyke/kingcupdyke/check.py
@@ -0,0 +1,162 @@
+"""
+kingcupdyke.check
+~~~~~~~~~~~~~~~~~
+
+Checking the lines of a rule file; every mistake is named at once.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from kingcupdyke.book import AnyRule, RuleBook, store_rule
+from kingcupdyke.feasibility import find_misfits
+from kingcupdyke.rule import ANY_CALLER, AdapterRule, CallerRule, MemoryRule, ModelRule
+from kingcupdyke.rulefields import READERS_BY_KIND, FieldReader
+
+__all__ = ["Problem", "RuleLine", "check_rules"]
+
+#: Kinds that callers address by name, so that a name may stand only once among them.
+_TARGET_KINDS = ("model", "adapter", "service")
+
+
+class RuleLine(NamedTuple):
+    """One line of a rule file."""
+
+    #: Number of the line, the first one is 1.
+    line: int
+    #: Field names and values as written, the kind of the rule first.
+    fields: Mapping[str, object]
+    #: Text of the comment without its ``#``.
+    comment: str
+
+
+class Problem(NamedTuple):
+    """A mistake in a rule file."""
+
+    line: int
+    field: str
+    value: object
+    remedy: str
+
+
+class _CheckedLine(NamedTuple):
+    line: RuleLine
+    kind: str
+    rule: AnyRule
+
+
+def check_rules(lines: Sequence[RuleLine]) -> Result[RuleBook, tuple[Problem, ...]]:
+    """Check all lines of a rule file.
+
+    :param lines: the lines in their order
+    :return: the rules, or every mistake in order of the lines
+    """
+    if not lines:
+        # Applying an empty file would take everything away.
+        return Error((Problem(1, "", None, "has no rules; write at least one line"),))
+    problems: list[Problem] = []
+    checked: list[_CheckedLine] = []
+    for line in lines:
+        problems += _check_comment(line)
+        rule, found = _read_line(line)
+        problems += found
+        if rule is not None:
+            checked.append(rule)
+    problems += _find_duplicates(checked)
+    problems += _find_unknown_names(lines, checked)
+    problems += _find_misfits(lines, checked)
+    if problems:
+        return Error(tuple(sorted(problems, key=lambda problem: problem.line)))
+    stored = (store_rule(each.kind, each.rule, each.line.comment) for each in checked)
+    return Ok(RuleBook.from_rules(stored))
+
+
+def _check_comment(line: RuleLine) -> list[Problem]:
+    if line.comment.strip():
+        return []
+    remedy = "end the line in a comment that says who asked for the rule and why"
+    return [Problem(line.line, "#", "", remedy)]
+
+
+def _read_line(line: RuleLine) -> tuple[_CheckedLine | None, list[Problem]]:
+    kind = next(iter(line.fields), "")
+    read = READERS_BY_KIND.get(kind)
+    if read is None:
+        remedy = f"begin the rule with one of {', '.join(READERS_BY_KIND)}"
+        return None, [Problem(line.line, str(kind), line.fields.get(kind), remedy)]
+    reader = FieldReader(line.fields)
+    rule = read(reader)
+    problems = [
+        Problem(line.line, error.option, error.value, error.remedy) for error in reader.finish()
+    ]
+    return (None if problems else _CheckedLine(line, kind, rule)), problems
+
+
+def _find_duplicates(checked: Iterable[_CheckedLine]) -> list[Problem]:
+    problems = []
+    lines_by_key: dict[tuple[str, str], int] = {}
+    for each in checked:
+        keys = [("target" if each.kind in _TARGET_KINDS else each.kind, each.rule.name)]
+        if isinstance(each.rule, CallerRule):
+            keys.append(("token_sha256", each.rule.token_digest))
+        for key in keys:
+            first = lines_by_key.setdefault(key, each.line.line)
+            if first != each.line.line:
+                field = key[0] if key[0] == "token_sha256" else each.kind
+                remedy = f"is already taken by line {first}; take another one or join the lines"
+                problems.append(Problem(each.line.line, field, key[1], remedy))
+    return problems
+
+
+def _names_of(lines: Iterable[RuleLine], kind: str) -> set[object]:
+    # Lines that have mistakes count as well, so that one mistake is named once.
+    firsts = (next(iter(line.fields.items()), ("", "")) for line in lines)
+    return {name for first, name in firsts if first == kind and isinstance(name, str)}
+
+
+def _find_unknown_names(
+    lines: Sequence[RuleLine], checked: Iterable[_CheckedLine]
+) -> list[Problem]:
+    callers = _names_of(lines, "caller") | {ANY_CALLER}
+    models = _names_of(lines, "model")
+    regions = _regions_of(lines)
+    problems = []
+    for each in checked:
+        number = each.line.line
+        for caller in getattr(each.rule, "callers", ()):
+            if caller not in callers:
+                remedy = f"add a caller rule for it, or write {ANY_CALLER} for every caller"
+                problems.append(Problem(number, "callers", caller, remedy))
+        if isinstance(each.rule, AdapterRule) and each.rule.model not in models:
+            remedy = "add a model rule for it, or correct the name"
+            problems.append(Problem(number, "model", each.rule.model, remedy))
+        if isinstance(each.rule, ModelRule):
+            for region in each.rule.regions:
+                if region not in regions:
+                    remedy = "add a memory rule for the region, or correct its name"
+                    problems.append(Problem(number, "regions", region, remedy))
+    return problems
+
+
+def _regions_of(lines: Iterable[RuleLine]) -> set[object]:
+    memory = [line for line in lines if next(iter(line.fields), "") == "memory"]
+    regions = [line.fields.get("region", line.fields["memory"]) for line in memory]
+    return {region for region in regions if isinstance(region, str)}
+
+
+def _find_misfits(lines: Sequence[RuleLine], checked: Sequence[_CheckedLine]) -> list[Problem]:
+    memory = [each.rule for each in checked if isinstance(each.rule, MemoryRule)]
+    if len(memory) != sum(next(iter(line.fields), "") == "memory" for line in lines):
+        # The memory itself is in doubt, so nothing true can be said of what fits.
+        return []
+    lines_by_model = {
+        each.rule.name: each.line.line for each in checked if isinstance(each.rule, ModelRule)
+    }
+    models = [each.rule for each in checked if isinstance(each.rule, ModelRule)]
+    adapters = [each.rule for each in checked if isinstance(each.rule, AdapterRule)]
+    return [
+        Problem(lines_by_model[misfit.model], misfit.field, misfit.value, misfit.remedy)
+        for misfit in find_misfits(models, adapters, memory)
+    ]
--- /dev/null
+++ b/packages/kingcupdyke/kingcupdyke/feasibility.py
@@ -0,0 +1,130 @@
+"""
+kingcupdyke.feasibility
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Whether all models at their least replicas fit the declared memory with one host lost.
+"""
+
+from bisect import bisect_left, insort
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from kingcupdyke.rule import AdapterRule, MemoryRule, ModelRule
+
+__all__ = ["Misfit", "find_misfits"]
+
+_GB = 10**9
+
+
+class Misfit(NamedTuple):
+    """A model that found no room, or the field that asks for too much."""
+
+    model: str
+    field: str
+    value: object
+    remedy: str
+
+
+class _FreeHost(NamedTuple):
+    """A host by its free memory, so that hosts sort by it."""
+
+    free_bytes: int
+    name: str
+
+
+def find_misfits(
+    models: Sequence[ModelRule], adapters: Iterable[AdapterRule], memory: Sequence[MemoryRule]
+) -> list[Misfit]:
+    """Try the loss of one host of each memory rule in turn.
+
+    A replica takes its weights, its KV cache and the largest adapter of its model; no
+    two replicas of a model share a host. Best fit with the largest first is near to
+    the optimum, so that rare tight sets are refused although another layout fits.
+
+    :return: one misfit a model, of the first loss at which it does not fit
+    """
+    largest_by_model: dict[str, int] = {}
+    for adapter in adapters:
+        largest = largest_by_model.get(adapter.model, 0)
+        largest_by_model[adapter.model] = max(largest, adapter.adapter_bytes)
+    sizes_by_model = {
+        model.name: model.weights_bytes + model.kv_bytes + largest_by_model.get(model.name, 0)
+        for model in models
+    }
+    misfits_by_model: dict[str, Misfit] = {}
+    for lost in memory:
+        for misfit in _place_all(models, sizes_by_model, memory, lost):
+            misfits_by_model.setdefault(misfit.model, misfit)
+    return list(misfits_by_model.values())
+
+
+def _place_all(
+    models: Iterable[ModelRule],
+    sizes_by_model: dict[str, int],
+    memory: Iterable[MemoryRule],
+    lost: MemoryRule,
+) -> list[Misfit]:
+    free_by_region = _free_hosts(memory, lost)
+    misfits = []
+    # Models that can go to few regions come first: the others have more ways out.
+    order = sorted(models, key=lambda each: (len(each.regions), -sizes_by_model[each.name]))
+    for model in order:
+        pools = [free_by_region[region] for region in model.regions if region in free_by_region]
+        if len(pools) < len(model.regions):
+            continue
+        placed = _place_model(model, sizes_by_model[model.name], pools)
+        if placed < model.replicas:
+            misfits.append(_describe(model, sizes_by_model[model.name], pools, placed, lost))
+    return misfits
+
+
+def _free_hosts(memory: Iterable[MemoryRule], lost: MemoryRule) -> dict[str, list[_FreeHost]]:
+    free_by_region: dict[str, list[_FreeHost]] = {}
+    for rule in memory:
+        pool = free_by_region.setdefault(rule.region, [])
+        for index in range(rule.hosts - (rule is lost)):
+            insort(pool, _FreeHost(rule.bytes_per_host, f"{rule.name}/{index}"))
+    return free_by_region
+
+
+def _place_model(model: ModelRule, size_bytes: int, pools: Sequence[list[_FreeHost]]) -> int:
+    """:return: replicas placed, each on a host of its own; the pools shrink"""
+    taken: list[tuple[list[_FreeHost], _FreeHost]] = []
+    for _ in range(model.replicas):
+        fits = [(pool, bisect_left(pool, (size_bytes, ""))) for pool in pools]
+        fits = [(pool[index], pool) for pool, index in fits if index < len(pool)]
+        if not fits:
+            break
+        host, pool = min(fits, key=lambda fit: fit[0])
+        # Hosts that hold a replica stay out of the pool until all are placed.
+        pool.remove(host)
+        taken.append((pool, host))
+    for pool, host in taken:
+        insort(pool, host._replace(free_bytes=host.free_bytes - size_bytes))
+    return len(taken)
+
+
+def _describe(
+    model: ModelRule,
+    size_bytes: int,
+    pools: Sequence[list[_FreeHost]],
+    placed: int,
+    lost: MemoryRule,
+) -> Misfit:
+    hosts = sum(len(pool) for pool in pools)
+    if model.replicas > hosts:
+        remedy = f"with one host of {lost.name} lost, {hosts} hosts remain; lower the replicas"
+        return Misfit(model.name, "replicas", model.replicas, remedy)
+    most_free = max((pool[-1].free_bytes for pool in pools if pool), default=0)
+    missing = model.replicas - placed
+    remedy = (
+        f"with one host of {lost.name} lost, {missing} of {model.replicas} replicas find no room: "
+        f"{_format_gb(size_bytes)} are needed, {_format_gb(most_free)} are free on the emptiest "
+        f"host that is left, {_format_gb(max(size_bytes - most_free, 0))} are missing; "
+        "ask for less KV cache or fewer replicas, allow another region or add a host"
+    )
+    return Misfit(model.name, "weights", model.weights_bytes, remedy)
+
+
+def _format_gb(size_bytes: int) -> str:
+    return f"{size_bytes / _GB:.2f}GB"
--- /dev/null
+++ b/packages/kingcupdyke/kingcupdyke/membership.py
@@ -0,0 +1,190 @@
+"""
+kingcupdyke.membership
+~~~~~~~~~~~~~~~~~~~~~~
+
+Who exists, who answers and who is leaving.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from kingcupdyke.host import Host
+from kingcupdyke.spreading import choose_push_targets, choose_watchers, pick_peers
+
+__all__ = [
+    "LeavingNews",
+    "MembershipTable",
+    "choose_push_targets",
+    "choose_watchers",
+    "pick_peers",
+]
+
+#: A host is forgotten when so many list readings in a row did not name it.
+MOST_MISSED_READINGS = 3
+#: Seconds for which news is passed on to peers.
+NEWS_LIFETIME_S = 600.0
+
+
+class LeavingNews(NamedTuple):
+    """What a host said of itself.
+
+    Incarnations of one host compare as strings in the order of their starts; within
+    one, the sequence rises with each thing said.
+    """
+
+    host: str
+    incarnation: str
+    sequence: int
+    leaving: bool
+
+
+class _HeardNews(NamedTuple):
+    news: LeavingNews
+    heard_s: float
+    #: Whether peers may need it.
+    passed_on: bool
+
+
+class _Contact:
+    """What own traffic tells of a host."""
+
+    def __init__(self, now_s: float) -> None:
+        self.last_answer_s = now_s
+        self.silent = False
+        #: What its last answer said.
+        self.leaving = False
+
+
+class MembershipTable:
+    """Joins the lagging host list, the hosts' own news and own traffic.
+
+    The list only proposes who exists. Leaving in either source stops new work.
+
+    :param silence_s: seconds without an answer after which a host counts as silent
+    """
+
+    def __init__(self, silence_s: float) -> None:
+        self._silence_s = silence_s
+        self._now_s = 0.0
+        self._hosts_by_name: dict[str, Host] = {}
+        self._missed_by_name: dict[str, int] = {}
+        self._contacts_by_name: dict[str, _Contact] = {}
+        self._heard_by_name: dict[str, _HeardNews] = {}
+
+    def update_list(self, hosts: Iterable[Host], now_s: float) -> None:
+        """Take a reading of the platform's list.
+
+        An empty reading is a fault of the list and changes nothing.
+
+        :param hosts: all entries of the reading
+        :param now_s: time in seconds of the timer service
+        """
+        self._advance(now_s)
+        listed_by_name = {host.host: host for host in hosts}
+        if not listed_by_name:
+            return
+        self._hosts_by_name |= listed_by_name
+        for name in list(self._hosts_by_name):
+            missed = 0 if name in listed_by_name else self._missed_by_name.get(name, 0) + 1
+            self._missed_by_name[name] = missed
+            if missed >= MOST_MISSED_READINGS and not self._answers(name):
+                self._forget(name)
+        self._drop_old_news()
+
+    def hear_leaving(
+        self, host: str, incarnation: str, sequence: int, leaving: bool, now_s: float
+    ) -> bool:
+        """Take what a host said of itself, from the host or passed on by a peer.
+
+        :return: whether it is news; news is passed on
+        """
+        self._advance(now_s)
+        known = self._find_news(host)
+        if known is not None:
+            if (incarnation, sequence) <= (known.incarnation, known.sequence):
+                return False
+            if incarnation > known.incarnation:
+                self._contacts_by_name.pop(host, None)
+        self._keep_news(LeavingNews(host, incarnation, sequence, leaving), True)
+        return True
+
+    def hear_answer(self, host: str, incarnation: str, now_s: float, leaving: bool = False) -> None:
+        """Take an answer of the host itself; one of an older incarnation is ignored.
+
+        :param leaving: whether the answer says that the host is leaving
+        """
+        self._advance(now_s)
+        known = self._find_news(host)
+        if known is not None and incarnation < known.incarnation:
+            return
+        if known is None or incarnation > known.incarnation:
+            # A new process answers, so what was said of the one before it is over.
+            returned = known is not None and known.leaving
+            self._keep_news(LeavingNews(host, incarnation, 0, False), returned)
+        contact = self._contacts_by_name.setdefault(host, _Contact(now_s))
+        contact.last_answer_s = max(contact.last_answer_s, now_s)
+        contact.silent = False
+        contact.leaving = leaving
+
+    def hear_silence(self, host: str, now_s: float) -> None:
+        """Note that a request or heartbeat got no answer by now."""
+        self._advance(now_s)
+        contact = self._contacts_by_name.setdefault(host, _Contact(now_s))
+        if now_s - contact.last_answer_s >= self._silence_s:
+            contact.silent = True
+
+    def routable(self, kind: str | None = None) -> list[Host]:
+        """:return: hosts that take new work, in order of their names"""
+        return [
+            host
+            for name, host in sorted(self._hosts_by_name.items())
+            if kind in (None, host.kind) and not self.is_leaving(name) and not self._silent(name)
+        ]
+
+    def is_leaving(self, host: str) -> bool:
+        """:return: whether the list, the host's news or its last answer says so"""
+        listed = self._hosts_by_name.get(host)
+        news = self._find_news(host)
+        contact = self._contacts_by_name.get(host)
+        return (
+            (listed is not None and listed.state == "leaving")
+            or (news is not None and news.leaving)
+            or (contact is not None and contact.leaving)
+        )
+
+    def leaving_news(self) -> tuple[LeavingNews, ...]:
+        """:return: news young enough to be passed on to peers"""
+        return tuple(
+            heard.news
+            for heard in self._heard_by_name.values()
+            if heard.passed_on and self._now_s - heard.heard_s <= NEWS_LIFETIME_S
+        )
+
+    def _advance(self, now_s: float) -> None:
+        self._now_s = max(self._now_s, now_s)
+
+    def _find_news(self, name: str) -> LeavingNews | None:
+        heard = self._heard_by_name.get(name)
+        return None if heard is None else heard.news
+
+    def _keep_news(self, news: LeavingNews, passed_on: bool) -> None:
+        self._heard_by_name[news.host] = _HeardNews(news, self._now_s, passed_on)
+
+    def _silent(self, name: str) -> bool:
+        contact = self._contacts_by_name.get(name)
+        return contact is not None and contact.silent
+
+    def _answers(self, name: str) -> bool:
+        contact = self._contacts_by_name.get(name)
+        return contact is not None and self._now_s - contact.last_answer_s < self._silence_s
+
+    def _forget(self, name: str) -> None:
+        del self._hosts_by_name[name]
+        del self._missed_by_name[name]
+        self._contacts_by_name.pop(name, None)
+
+    def _drop_old_news(self) -> None:
+        # News of listed hosts stays, so that a late repeat of older news finds it.
+        for name, heard in list(self._heard_by_name.items()):
+            if name not in self._hosts_by_name and self._now_s - heard.heard_s > NEWS_LIFETIME_S:
+                del self._heard_by_name[name]
--- a/packages/kingcupdyke/kingcupdyke/util.py
+++ b/packages/kingcupdyke/kingcupdyke/util.py
@@ -114,7 +114,7 @@
     if isinstance(value, bool):
         return None
     if isinstance(value, int | float):
-        return value if value >= 0 else None
+        return value if 0 <= value < float("inf") else None
     match = re.fullmatch(pattern, value.strip()) if isinstance(value, str) else None
     if match is None or match[2] not in scales:
         return None
@@ -127,7 +127,7 @@
     """
     value = _get(options, name, default)
     upper = value.upper() if isinstance(value, str) else value
-    size = _get_scaled(upper, _BYTES_BY_UNIT, r"([0-9.]+)\s*([A-Z]*)")
+    size = _get_scaled(upper, _BYTES_BY_UNIT, r"([0-9]+(?:\.[0-9]+)?)\s*([A-Z]*)")
     if size is None:
         raise OptionError(name, value, "give a size such as 14GB or 80GiB")
     return int(size)
@@ -138,7 +138,7 @@
     :raises OptionError: when it is missing or no duration
     """
     value = _get(options, name, default)
-    seconds = _get_scaled(value, _SECONDS_BY_UNIT, r"([0-9.]+)\s*([a-z]*)")
+    seconds = _get_scaled(value, _SECONDS_BY_UNIT, r"([0-9]+(?:\.[0-9]+)?)\s*([a-z]*)")
     if seconds is None:
         raise OptionError(name, value, "give a duration such as 400ms, 2s or 1h")
     return float(seconds)
