--- a/packages/kingcupdyke/kingcupdyke/host.py
+++ b/packages/kingcupdyke/kingcupdyke/host.py
@@ -23,3 +23,5 @@
     data_centre: str
     #: "live" or "leaving".
     state: str
+    #: Port for peers of a gateway, whose ``port`` is for callers; 0 where both are one.
+    peer_port: int = 0
