--- /dev/null
+++ b/packages/kingcupdyke/kingcupdyke/keyworker.py
@@ -0,0 +1,213 @@
+"""
+kingcupdyke.keyworker
+~~~~~~~~~~~~~~~~~~~~~
+
+Grouping the claims and settlements of a sidecar, one update in flight a bucket.
+"""
+
+from kingcupdyke.error import Failure
+from kingcupdyke.idempotency import (
+    RUNNING_BOUND_S,
+    BucketMachine,
+    ClaimResult,
+    StillRunning,
+    StoreCommand,
+    Unclaimed,
+)
+from kingcupdyke.keyrecord import (
+    KEY_BUCKETS,
+    RETENTION_S,
+    KeyBucket,
+    KeyRecord,
+    bucket_name,
+    truncate_record,
+)
+
+__all__ = ["KeyWorker"]
+
+#: Seconds between tries to settle records while the store is away.
+SETTLE_RETRY_S = 1.0
+#: Most bytes of answers that wait to be recorded; beyond, the oldest keep only their digest.
+WAITING_MOST_BYTES = 8_000_000
+
+
+class KeyWorker:
+    """Carries all claims and settlements that wait for a bucket in one update.
+
+    The shell carries out each command and reports how it ended by the method of that name,
+    which may give the next command for the same bucket. After each report it takes the results
+    that have come, and asks for the commands that became due.
+
+    :param buckets: number of buckets, the same in all processes
+    :param retention_s: seconds for which records are kept
+    :param running_bound_s: seconds after which a claim without an outcome counts as unknown
+    :param retry_s: seconds between tries to settle while the store is away
+    :param waiting_most_bytes: most bytes of answers that wait to be recorded
+    """
+
+    def __init__(
+        self,
+        buckets: int = KEY_BUCKETS,
+        retention_s: float = RETENTION_S,
+        running_bound_s: float = RUNNING_BOUND_S,
+        retry_s: float = SETTLE_RETRY_S,
+        waiting_most_bytes: int = WAITING_MOST_BYTES,
+    ) -> None:
+        self._buckets = buckets
+        self._retention_s = retention_s
+        self._running_bound_s = running_bound_s
+        self._retry_s = retry_s
+        self._waiting_most_bytes = waiting_most_bytes
+        self._claims_by_attempt: dict[str, KeyRecord] = {}
+        self._settlements_by_attempt: dict[str, KeyRecord] = {}
+        self._machines_by_bucket: dict[str, BucketMachine] = {}
+        self._retry_at_by_bucket: dict[str, float] = {}
+        self._past_by_attempt: dict[str, tuple[float, Failure | None]] = {}
+        self._results_by_attempt: dict[str, ClaimResult] = {}
+        #: Incarnations known to have ended; their claims count as unknown at once.
+        self.gone_incarnations: frozenset[str] = frozenset()
+
+    @property
+    def unsettled(self) -> int:
+        """Number of records that the store has not taken yet."""
+        carried = sum(len(each.unsettled) for each in self._machines_by_bucket.values())
+        return len(self._settlements_by_attempt) + carried
+
+    def claim(self, record: KeyRecord, now_s: float) -> None:
+        """Let a claim wait for the next update of its bucket; its result comes exactly once.
+
+        An attempt that was given here before never gets the key by being given again.
+
+        :param record: the claim, in state "claimed"
+        :param now_s: time in seconds of the timer service
+        """
+        if record.attempt_id in self._past_by_attempt:
+            failure = self._past_by_attempt[record.attempt_id][1]
+            result = StillRunning(record) if failure is None else Unclaimed(failure)
+            self._results_by_attempt.setdefault(record.attempt_id, result)
+            return
+        self._past_by_attempt[record.attempt_id] = (now_s, None)
+        self._claims_by_attempt[record.attempt_id] = record
+
+    def settle(self, record: KeyRecord) -> None:
+        """Let a record wait until the store takes it.
+
+        :param record: the claim with the state and the answer in which its attempt ended
+        """
+        self._settlements_by_attempt[record.attempt_id] = record
+        self._limit_waiting()
+
+    def commands(self, now_s: float, now_unix_s: float) -> list[StoreCommand]:
+        """Start an update for each idle bucket that has something due.
+
+        :param now_s: time in seconds of the timer service
+        :param now_unix_s: time in seconds since the epoch
+        :return: the first command of each update
+        """
+        self._forget_past(now_s)
+        due = {self._bucket(each) for each in self._claims_by_attempt.values()}
+        for record in self._settlements_by_attempt.values():
+            if now_s >= self._retry_at_by_bucket.get(self._bucket(record), now_s):
+                due.add(self._bucket(record))
+        return [
+            self._start(name, now_unix_s)
+            for name in sorted(due)
+            if name not in self._machines_by_bucket
+        ]
+
+    def bucket_read(
+        self, name: str, bucket: KeyBucket | None, version: int, now_s: float
+    ) -> StoreCommand | None:
+        """:return: the next command for a bucket that was read, or None"""
+        machine = self._machines_by_bucket[name]
+        return self._go_on(machine, machine.bucket_read(bucket, version), now_s)
+
+    def bucket_written(self, name: str, version: int, now_s: float) -> StoreCommand | None:
+        """:return: the next command for a bucket that was written, or None"""
+        machine = self._machines_by_bucket[name]
+        return self._go_on(machine, machine.bucket_written(version), now_s)
+
+    def bucket_conflict(
+        self, name: str, bucket: KeyBucket | None, version: int, now_s: float
+    ) -> StoreCommand | None:
+        """:return: the next command for a bucket whose write lost, or None"""
+        machine = self._machines_by_bucket[name]
+        return self._go_on(machine, machine.bucket_conflict(bucket, version), now_s)
+
+    def store_failed(self, name: str, unknown: bool, now_s: float) -> StoreCommand | None:
+        """:return: the next command for a bucket whose command failed, or None"""
+        machine = self._machines_by_bucket[name]
+        return self._go_on(machine, machine.store_failed(unknown), now_s)
+
+    def take_results(self) -> dict[str, ClaimResult]:
+        """:return: the results that have come since the last call, by attempt id"""
+        results_by_attempt = self._results_by_attempt
+        self._results_by_attempt = {}
+        return results_by_attempt
+
+    def _bucket(self, record: KeyRecord) -> str:
+        return bucket_name(record.caller, record.key, self._buckets)
+
+    def _start(self, name: str, now_unix_s: float) -> StoreCommand:
+        machine = BucketMachine(
+            name,
+            self._take(self._claims_by_attempt, name),
+            self._take(self._settlements_by_attempt, name),
+            now_unix_s=now_unix_s,
+            gone_incarnations=self.gone_incarnations,
+            running_bound_s=self._running_bound_s,
+            retention_s=self._retention_s,
+        )
+        self._machines_by_bucket[name] = machine
+        return machine.start()
+
+    def _take(self, records_by_attempt: dict[str, KeyRecord], name: str) -> list[KeyRecord]:
+        taken = [each for each in records_by_attempt.values() if self._bucket(each) == name]
+        for record in taken:
+            del records_by_attempt[record.attempt_id]
+        return taken
+
+    def _go_on(
+        self, machine: BucketMachine, command: StoreCommand | None, now_s: float
+    ) -> StoreCommand | None:
+        self._collect_results(machine, now_s)
+        if command is None:
+            self._end(machine, now_s)
+        return command
+
+    def _collect_results(self, machine: BucketMachine, now_s: float) -> None:
+        for attempt_id, result in machine.results_by_attempt.items():
+            failure = result.failure if isinstance(result, Unclaimed) else None
+            self._past_by_attempt[attempt_id] = (now_s, failure)
+            self._results_by_attempt[attempt_id] = result
+        machine.results_by_attempt.clear()
+
+    def _end(self, machine: BucketMachine, now_s: float) -> None:
+        del self._machines_by_bucket[machine.bucket]
+        waiting = machine.unsettled + machine.to_settle
+        for record in waiting:
+            # A later settlement of the same attempt knows more.
+            self._settlements_by_attempt.setdefault(record.attempt_id, record)
+        self._retry_at_by_bucket.pop(machine.bucket, None)
+        if waiting:
+            self._retry_at_by_bucket[machine.bucket] = now_s + self._retry_s
+        self._limit_waiting()
+
+    def _limit_waiting(self) -> None:
+        waiting = self._settlements_by_attempt
+        excess_bytes = sum(len(each.answer) for each in waiting.values())
+        excess_bytes -= self._waiting_most_bytes
+        for attempt_id, record in list(waiting.items()):
+            if excess_bytes <= 0:
+                return
+            if record.answer:
+                excess_bytes -= len(record.answer)
+                waiting[attempt_id] = truncate_record(record)
+
+    def _forget_past(self, now_s: float) -> None:
+        oldest_s = now_s - self._running_bound_s
+        while self._past_by_attempt:
+            attempt_id = next(iter(self._past_by_attempt))
+            if self._past_by_attempt[attempt_id][0] >= oldest_s:
+                return
+            del self._past_by_attempt[attempt_id]
