--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/keys.py
@@ -0,0 +1,139 @@
+"""
+kingcupdyke_daemon.sidecar.keys
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Claims and settlements of idempotency keys, carried to the platform's store.
+"""
+
+import time
+from hashlib import blake2b
+
+from anyio import Event
+from anyio.abc import TaskGroup
+
+from kingcupdyke.error import Outcome
+from kingcupdyke.idempotency import ClaimResult, ReadBucket, StoreCommand, WriteBucket
+from kingcupdyke.keyrecord import KeyBucket, KeyRecord, decode_bucket, encode_bucket
+from kingcupdyke.keyworker import KeyWorker
+from kingcupdyke.timer import TimerService
+from kingcupdyke_wire.sidecar_pb2 import RunRequest
+from kingcupdyke_wire.store import Conflict, StoreClient
+
+__all__ = ["KEYS_KIND", "KeyDesk"]
+
+#: Kind of the objects that hold buckets of key records.
+KEYS_KIND = "keys"
+#: Seconds between looks for settlements that are due again.
+_PUMP_S = 0.25
+
+
+class KeyDesk:
+    """Claims keys before work is sent, and records how it ended.
+
+    :param worker: the decisions
+    :param store: the platform's store
+    :param endpoint: name of this endpoint
+    :param incarnation: this start of the sidecar
+    :param tasks: the task group that carries updates
+    :param timer: the timer service
+    """
+
+    def __init__(
+        self,
+        worker: KeyWorker,
+        store: StoreClient,
+        endpoint: str,
+        incarnation: str,
+        tasks: TaskGroup,
+        timer: TimerService,
+    ) -> None:
+        self._worker = worker
+        self._store = store
+        self._endpoint = endpoint
+        self._incarnation = incarnation
+        self._tasks = tasks
+        self._timer = timer
+        self._waiting_by_attempt: dict[str, Event] = {}
+        self._results_by_attempt: dict[str, ClaimResult] = {}
+        timer.subscribe("keys", _PUMP_S, lambda _: self._pump())
+
+    @property
+    def unsettled(self) -> int:
+        """Number of records that the store has not taken yet."""
+        return self._worker.unsettled
+
+    def make_record(self, request: RunRequest) -> KeyRecord:
+        """:return: the claim of an attempt"""
+        subject = b"\0".join(
+            (request.target.encode(), request.method.encode(), request.path.encode(), request.body)
+        )
+        return KeyRecord(
+            request.caller,
+            request.idempotency_key,
+            blake2b(subject, digest_size=16).hexdigest(),
+            request.attempt_id,
+            self._endpoint,
+            self._incarnation,
+            claimed_unix_s=time.time(),
+        )
+
+    async def claim(self, record: KeyRecord) -> ClaimResult:
+        """:return: the result of a claim, once the store has decided"""
+        decided = Event()
+        self._waiting_by_attempt[record.attempt_id] = decided
+        self._worker.claim(record, self._timer.now())
+        self._pump()
+        await decided.wait()
+        return self._results_by_attempt.pop(record.attempt_id)
+
+    def settle(self, record: KeyRecord) -> None:
+        """Record how an attempt ended, as soon as the store takes it."""
+        self._worker.settle(record)
+        self._pump()
+
+    def _pump(self) -> None:
+        self._take_results()
+        for command in self._worker.commands(self._timer.now(), time.time()):
+            self._tasks.start_soon(self._carry, command)
+
+    def _take_results(self) -> None:
+        for attempt_id, result in self._worker.take_results().items():
+            self._results_by_attempt[attempt_id] = result
+            waiting = self._waiting_by_attempt.pop(attempt_id, None)
+            if waiting is not None:
+                waiting.set()
+
+    async def _carry(self, first: StoreCommand) -> None:
+        command: StoreCommand | None = first
+        while command is not None:
+            if isinstance(command, ReadBucket):
+                command = await self._read(command)
+            else:
+                command = await self._write(command)
+            self._take_results()
+        self._pump()
+
+    async def _read(self, command: ReadBucket) -> StoreCommand | None:
+        read = await self._store.get(KEYS_KIND, command.name)
+        now_s = self._timer.now()
+        if read.is_error():
+            return self._worker.store_failed(command.name, False, now_s)
+        if read.ok is None:
+            return self._worker.bucket_read(command.name, None, 0, now_s)
+        bucket = decode_bucket(read.ok.value)
+        return self._worker.bucket_read(command.name, bucket, read.ok.version, now_s)
+
+    async def _write(self, command: WriteBucket) -> StoreCommand | None:
+        value = encode_bucket(command.bucket)
+        written = await self._store.put(KEYS_KIND, command.name, value, command.if_version)
+        now_s = self._timer.now()
+        if written.is_error():
+            unknown = written.error.outcome is not Outcome.NOT_RUN
+            return self._worker.store_failed(command.name, unknown, now_s)
+        answer = written.ok
+        if isinstance(answer, Conflict):
+            current = answer.current
+            bucket = decode_bucket(current.value) if current else KeyBucket.empty()
+            version = current.version if current else 0
+            return self._worker.bucket_conflict(command.name, bucket, version, now_s)
+        return self._worker.bucket_written(command.name, answer.version, now_s)
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/seat.py
@@ -0,0 +1,191 @@
+"""
+kingcupdyke_daemon.sidecar.seat
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The endpoint's object in the store: taking it over, and recording intents in it.
+"""
+
+import logging
+from collections.abc import Iterable
+from uuid import uuid4
+
+from anyio import Lock, sleep
+from expression import Error, Ok, Result
+
+from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke.fence import (
+    EndpointGuard,
+    EndpointRecord,
+    RaiseFence,
+    ReadEndpoint,
+    ReadInventory,
+    Ready,
+    TakeoverCommand,
+    TakeoverMachine,
+    WriteEndpoint,
+)
+from kingcupdyke.intent import Intent
+from kingcupdyke.inventory import EngineInventory
+from kingcupdyke.placement import OrderKind
+from kingcupdyke_wire.engine import EngineClient
+from kingcupdyke_wire.store import Conflict, StoreClient, StoreObject
+
+__all__ = ["ENDPOINTS_KIND", "EndpointSeat"]
+
+_LOGGER = logging.getLogger(__name__)
+#: Kind of the objects that say which sidecar runs an endpoint.
+ENDPOINTS_KIND = "endpoints"
+#: Seconds between tries while the store or the engine is away.
+_RETRY_S = 0.5
+_FENCE_ORDER_LIFETIME_S = 5.0
+#: Times that an intent is written before its order is refused.
+_MOST_TRIES = 4
+
+
+class EndpointSeat:
+    """Holds the endpoint's object for one sidecar.
+
+    :param endpoint: name of the endpoint
+    :param incarnation: this start of the sidecar
+    :param checks_fence: whether the engine refuses old fencing numbers
+    :param store: the platform's store
+    :param engine: the engine
+    """
+
+    def __init__(
+        self,
+        endpoint: str,
+        incarnation: str,
+        checks_fence: bool,
+        store: StoreClient,
+        engine: EngineClient,
+    ) -> None:
+        self._endpoint = endpoint
+        self._incarnation = incarnation
+        self._store = store
+        self._engine = engine
+        self._machine = TakeoverMachine(endpoint, incarnation, checks_fence)
+        self._inventory: EngineInventory | None = None
+        self._version = 0
+        self._lock = Lock()
+        self.guard = EndpointGuard(incarnation)
+        #: Fencing number of this sidecar, 0 before the takeover.
+        self.fence = 0
+
+    async def take_over(self) -> tuple[EngineInventory, tuple[Intent, ...]]:
+        """Take the endpoint over, however long the store or the engine is away.
+
+        :return: the engine's inventory and the intents of the sidecar before
+        """
+        command = self._machine.start()
+        while not isinstance(command, Ready):
+            following = await self._carry(command)
+            if following is None:
+                await sleep(_RETRY_S)
+                continue
+            command = following
+        self.fence = command.fence
+        self._version = self._machine.version
+        _LOGGER.info(
+            "endpoint taken over: step=order peer=%s fence=%d", self._endpoint, self.fence
+        )
+        return self._inventory, command.intents
+
+    async def record(self, intents: Iterable[Intent]) -> Result[None, Failure]:
+        """Write the intents that may still take effect at the engine.
+
+        :return: nothing once they are stored, or why they may not be relied on
+        """
+        record = EndpointRecord(self._endpoint, self._incarnation, self.fence, tuple(intents))
+        async with self._lock:
+            for _ in range(_MOST_TRIES):
+                checked = self.guard.check(Step.ORDER)
+                if checked.is_error():
+                    return checked
+                written = await self._store.put(
+                    ENDPOINTS_KIND, self._endpoint, record.encode(), self._version
+                )
+                if written.is_error():
+                    if written.error.outcome is Outcome.NOT_RUN:
+                        return Error(written.error)
+                    await self.check_superseded()
+                elif isinstance(written.ok, Conflict):
+                    self._judge(written.ok.current)
+                else:
+                    self._version = written.ok.version
+                    return Ok(None)
+        return Error(
+            Failure(Outcome.NOT_RUN, Step.STORE, self._endpoint, "the intent was not stored", 1.0)
+        )
+
+    async def check_superseded(self) -> bool:
+        """Read the object, as after a pause of this process.
+
+        :return: whether a later sidecar runs the endpoint
+        """
+        read = await self._store.get(ENDPOINTS_KIND, self._endpoint)
+        if read.is_ok() and self.fence:
+            self._judge(read.ok)
+        return self.guard.superseded
+
+    def _judge(self, current: StoreObject | None) -> None:
+        record = EndpointRecord.decode(current.value) if current else None
+        version = current.version if current else 0
+        if self.guard.endpoint_conflict(record, version):
+            _LOGGER.warning("superseded: step=order peer=%s", self._endpoint)
+        else:
+            self._version = version
+
+    async def _carry(self, command: TakeoverCommand) -> TakeoverCommand | None:
+        if isinstance(command, ReadEndpoint):
+            return await self._read()
+        if isinstance(command, WriteEndpoint):
+            return await self._write(command)
+        if isinstance(command, RaiseFence):
+            return await self._raise_fence(command)
+        if isinstance(command, ReadInventory):
+            return await self._read_inventory()
+        return command
+
+    async def _read(self) -> TakeoverCommand | None:
+        read = await self._store.get(ENDPOINTS_KIND, self._endpoint)
+        if read.is_error():
+            return None
+        if read.ok is None:
+            return self._machine.endpoint_read(None, 0)
+        return self._machine.endpoint_read(EndpointRecord.decode(read.ok.value), read.ok.version)
+
+    async def _write(self, command: WriteEndpoint) -> TakeoverCommand | None:
+        written = await self._store.put(
+            ENDPOINTS_KIND, self._endpoint, command.value.encode(), command.if_version
+        )
+        if written.is_error():
+            if written.error.outcome is Outcome.NOT_RUN:
+                return None
+            return self._machine.endpoint_unknown()
+        if isinstance(written.ok, Conflict):
+            current = written.ok.current
+            record = EndpointRecord.decode(current.value) if current else None
+            return self._machine.endpoint_conflict(record, current.version if current else 0)
+        return self._machine.endpoint_written(written.ok.version)
+
+    async def _raise_fence(self, command: RaiseFence) -> TakeoverCommand | None:
+        answer = await self._engine.order(
+            f"fence-{uuid4().hex}",
+            command.fence,
+            OrderKind.UNLOAD_ADAPTER,
+            "",
+            "no-such-adapter",
+            "",
+            "",
+            0,
+            _FENCE_ORDER_LIFETIME_S,
+        )
+        return None if answer.is_error() else self._machine.fence_raised()
+
+    async def _read_inventory(self) -> TakeoverCommand | None:
+        read = await self._engine.inventory()
+        if read.is_error():
+            return None
+        self._inventory = read.ok
+        return self._machine.inventory_read(read.ok)
