--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/orders.py
@@ -0,0 +1,313 @@
+"""
+kingcupdyke_daemon.sidecar.orders
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Orders to the engine, within its memory and behind the fences.
+"""
+
+import logging
+import time
+from collections.abc import Callable
+from uuid import uuid4
+
+from anyio import CapacityLimiter, Event, sleep
+from anyio.abc import TaskGroup
+from expression import Error, Ok, Result
+
+from kingcupdyke.drain import DrainMachine
+from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke.fence import FenceGuard
+from kingcupdyke.intent import Intent, may_send
+from kingcupdyke.inventory import EngineInventory, OrderState
+from kingcupdyke.ledger import MemoryLedger
+from kingcupdyke.placement import Order, OrderKind
+from kingcupdyke.timer import TimerService
+from kingcupdyke_daemon.sidecar.holdings import HoldingDesk
+from kingcupdyke_daemon.sidecar.seat import EndpointSeat
+from kingcupdyke_wire.engine import EngineClient
+from kingcupdyke_wire.sidecar_pb2 import OrderRequest
+
+__all__ = ["OrderDesk"]
+
+_LOGGER = logging.getLogger(__name__)
+#: Adapters loaded by one endpoint at once: its share of what all may have in flight.
+_ADAPTER_LOADS = 5
+#: Seconds between looks whether a model's last request has ended before it is unloaded.
+_QUIET_S = 0.05
+
+
+class OrderDesk:
+    """Carries out orders: reserve, record the intent, send, settle.
+
+    :param seat: the endpoint's object
+    :param ledger: memory of the engine
+    :param engine: the engine
+    :param holdings: the store's record of who holds which model
+    :param drain: the planned stop of this sidecar
+    :param checks_fence: whether the engine refuses old fencing numbers
+    :param lifetime_s: seconds after which the engine drops an order
+    :param tasks: the task group that carries orders
+    :param timer: the timer service
+    :param in_use: tells how many requests run at a model
+    """
+
+    def __init__(
+        self,
+        seat: EndpointSeat,
+        ledger: MemoryLedger,
+        engine: EngineClient,
+        holdings: HoldingDesk,
+        drain: DrainMachine,
+        checks_fence: bool,
+        lifetime_s: float,
+        tasks: TaskGroup,
+        timer: TimerService,
+        in_use: Callable[[str], int],
+    ) -> None:
+        self._seat = seat
+        self._ledger = ledger
+        self._engine = engine
+        self._holdings = holdings
+        self._drain = drain
+        self._checks_fence = checks_fence
+        self._lifetime_s = lifetime_s
+        self._tasks = tasks
+        self._timer = timer
+        self._in_use = in_use
+        self._fences = FenceGuard()
+        self._intents_by_id: dict[str, Intent] = {}
+        self._unloading: set[str] = set()
+        self._loading_by_adapter: dict[str, Event] = {}
+        self._adapter_limiter = CapacityLimiter(_ADAPTER_LOADS)
+        self._used_by_adapter: dict[str, float] = {}
+        self.inventory: EngineInventory | None = None
+        #: Whether the endpoint is taken over and orders may be sent.
+        self.ready = False
+
+    @property
+    def models(self) -> frozenset[str]:
+        """Models that take requests."""
+        return self._ledger.models - self._unloading
+
+    @property
+    def adapters(self) -> frozenset[str]:
+        """Adapters that are resident."""
+        return self._ledger.adapters
+
+    @property
+    def pending(self) -> tuple[str, ...]:
+        """Ids of orders that are not settled."""
+        return self._ledger.pending
+
+    @property
+    def reserved_bytes(self) -> int:
+        """Memory in use or reserved."""
+        return self._ledger.used_bytes
+
+    @property
+    def capacity_bytes(self) -> int:
+        """Memory of the engine."""
+        return self._ledger.capacity_bytes
+
+    async def begin(self) -> None:
+        """Take the endpoint over; until then requests run and orders are refused."""
+        inventory, intents = await self._seat.take_over()
+        self._intents_by_id = {each.order_id: each for each in intents}
+        self._ledger.adopt(inventory, intents, self._timer.now())
+        self.inventory = inventory
+        self.ready = True
+        for model in inventory.models:
+            await self._holdings.add(model)
+
+    async def observe_forever(self, period_s: float) -> None:
+        """Read the engine's inventory again and again."""
+        while True:
+            read = await self._engine.inventory()
+            if read.is_ok():
+                await self._observe(read.ok)
+            await sleep(period_s)
+
+    def give(self, message: OrderRequest) -> Result[None, Failure]:
+        """Check a planner's order and carry it out in a task of its own.
+
+        :param message: the order with its lease and fencing number
+        :return: nothing when it began, or why it is refused
+        """
+        checked = self._check(message)
+        if checked.is_error():
+            return checked
+        order = Order(
+            message.order_id,
+            "",
+            message.kind,
+            message.model,
+            message.adapter,
+            message.model_version,
+            message.role,
+            message.bytes,
+        )
+        if order.order_id in self._ledger.pending:
+            return Ok(None)
+        if order.kind != OrderKind.UNLOAD:
+            reserved = self._ledger.reserve(order, self._timer.now(), self._lifetime_s)
+            if reserved.is_error():
+                return reserved.map(lambda _: None)
+        held = self._drain.hold(order.order_id)
+        if held.is_error():
+            self._ledger.answered(order.order_id, OrderState.FAILED, self._timer.now())
+            return held
+        self._tasks.start_soon(self._carry, order)
+        return Ok(None)
+
+    async def ensure_adapter(
+        self, model: str, adapter: str, size_bytes: int
+    ) -> Result[None, Failure]:
+        """Load an adapter if it is not resident, making room among unused ones.
+
+        :return: nothing once it is resident, or a failure "not run"
+        """
+        self._used_by_adapter[adapter] = self._timer.now()
+        while adapter not in self._ledger.adapters:
+            loading = self._loading_by_adapter.get(adapter)
+            if loading is not None:
+                await loading.wait()
+                continue
+            self._loading_by_adapter[adapter] = Event()
+            try:
+                async with self._adapter_limiter:
+                    loaded = await self._load_adapter(model, adapter, size_bytes)
+            finally:
+                self._loading_by_adapter.pop(adapter).set()
+            if loaded.is_error():
+                return loaded
+        return Ok(None)
+
+    def _check(self, message: OrderRequest) -> Result[None, Failure]:
+        if not self.ready:
+            return Error(self._refuse("the endpoint is not taken over yet"))
+        checked = self._seat.guard.check(Step.ORDER)
+        if checked.is_error():
+            return checked
+        return self._fences.accept(message.lease, message.fence)
+
+    def _refuse(self, reason: str) -> Failure:
+        return Failure(Outcome.NOT_RUN, Step.ORDER, self._seat.guard.incarnation, reason, 1.0)
+
+    async def _observe(self, inventory: EngineInventory) -> None:
+        before = self.inventory
+        self.inventory = inventory
+        self._ledger.observe(inventory, self._timer.now())
+        self._forget_settled()
+        if before is not None and before.incarnation != inventory.incarnation and self.ready:
+            _LOGGER.warning("engine restarted: step=order incarnation=%s", inventory.incarnation)
+            for model in before.models.keys() - inventory.models.keys():
+                await self._holdings.drop(model)
+
+    async def _carry(self, order: Order) -> None:
+        try:
+            if order.kind == OrderKind.UNLOAD:
+                await self._unload(order)
+                return
+            done = await self._send(order)
+            if done and order.kind == OrderKind.LOAD:
+                await self._holdings.add(order.model)
+        finally:
+            self._drain.release(order.order_id)
+
+    async def _unload(self, order: Order) -> None:
+        removed = await self._holdings.remove(order.model)
+        if removed.is_error():
+            _LOGGER.info("unload refused: step=order reason=%s", removed.error.reason)
+            return
+        self._unloading.add(order.model)
+        while self._in_use(order.model):
+            await sleep(_QUIET_S)
+        self._ledger.reserve(order, self._timer.now(), self._lifetime_s)
+        await self._send(order)
+        self._unloading.discard(order.model)
+
+    async def _send(self, order: Order) -> bool:
+        """Record the intent of a reserved order, send it and settle it.
+
+        :return: whether the engine confirmed it
+        """
+        if not await self._record(order):
+            self._ledger.answered(order.order_id, OrderState.FAILED, self._timer.now())
+            return False
+        answer = await self._engine.order(
+            order.order_id,
+            self._seat.fence,
+            order.kind,
+            order.model,
+            order.adapter,
+            order.model_version,
+            order.role,
+            order.order_bytes,
+            self._lifetime_s,
+        )
+        now_s = self._timer.now()
+        if answer.is_ok():
+            self._ledger.answered(order.order_id, answer.ok.state, now_s)
+        elif answer.error.outcome is Outcome.NOT_RUN:
+            self._ledger.answered(order.order_id, OrderState.FAILED, now_s)
+            await self._seat.check_superseded()
+        else:
+            self._ledger.unanswered(order.order_id, now_s)
+        self._forget_settled()
+        return answer.is_ok() and answer.ok.state == OrderState.DONE
+
+    async def _record(self, order: Order) -> bool:
+        """:return: whether the order may be sent now"""
+        if self._checks_fence:
+            return self._seat.guard.check(Step.ORDER).is_ok()
+        intent = Intent(
+            order.order_id,
+            order.kind,
+            order.model,
+            order.adapter,
+            order.order_bytes,
+            self._seat.fence,
+            time.time(),
+            self._lifetime_s,
+        )
+        self._intents_by_id[order.order_id] = intent
+        recorded = await self._seat.record(self._intents_by_id.values())
+        return recorded.is_ok() and may_send(intent, time.time())
+
+    async def _load_adapter(
+        self, model: str, adapter: str, size_bytes: int
+    ) -> Result[None, Failure]:
+        if adapter in self._ledger.adapters:
+            return Ok(None)
+        if not self.ready:
+            return Error(self._refuse("the endpoint is not taken over yet"))
+        order = Order(
+            f"adapter-{uuid4().hex}",
+            "",
+            OrderKind.LOAD_ADAPTER,
+            model,
+            adapter,
+            order_bytes=size_bytes,
+        )
+        reserved = self._ledger.reserve(order, self._timer.now(), self._lifetime_s)
+        while reserved.is_error() and await self._evict_adapter():
+            reserved = self._ledger.reserve(order, self._timer.now(), self._lifetime_s)
+        if reserved.is_error():
+            return reserved.map(lambda _: None)
+        if await self._send(order):
+            return Ok(None)
+        return Error(self._refuse(f"adapter {adapter} could not be loaded"))
+
+    async def _evict_adapter(self) -> bool:
+        """:return: whether the adapter unused for longest, if any, was unloaded"""
+        idle = [name for name in self._ledger.adapters if not self._in_use(name)]
+        if not idle:
+            return False
+        oldest = min(idle, key=lambda name: self._used_by_adapter.get(name, 0.0))
+        order = Order(f"evict-{uuid4().hex}", "", OrderKind.UNLOAD_ADAPTER, "", oldest)
+        self._ledger.reserve(order, self._timer.now(), self._lifetime_s)
+        return await self._send(order)
+
+    def _forget_settled(self) -> None:
+        for order_id in self._ledger.settled_order_ids():
+            self._intents_by_id.pop(order_id, None)
