--- /dev/null
+++ b/packages/kingcupdyke/features/fake_engine.py
@@ -0,0 +1,156 @@
+"""
+fake_engine
+~~~~~~~~~~~
+
+A model engine as the truth about memory, and a store with conditional updates.
+"""
+
+from typing import NamedTuple
+
+from kingcupdyke.intent import Intent
+from kingcupdyke.inventory import EngineInventory
+from kingcupdyke.placement import Order, OrderKind
+
+UNLOADS = (OrderKind.UNLOAD, OrderKind.UNLOAD_ADAPTER)
+
+
+class FakeStore:
+    """Versioned values by name, with conditional updates."""
+
+    def __init__(self):
+        self.objects = {}
+        self.is_down = False
+        self.loses_answers = False
+
+    def get(self, name):
+        return self.objects.get(name, (None, 0))
+
+    def put(self, name, value, if_version):
+        """:return: what happened ("written", "conflict", "unknown", "down"), value, version"""
+        if self.is_down:
+            return "down", None, 0
+        current, version = self.get(name)
+        if version != if_version:
+            return "conflict", current, version
+        self.objects[name] = (value, version + 1)
+        if self.loses_answers:
+            self.loses_answers = False
+            return "unknown", None, 0
+        return "written", value, version + 1
+
+
+class Message(NamedTuple):
+    """An order on its way, on a connection to one process of the engine."""
+
+    order: Order
+    fence: int
+    sent_s: float
+    lifetime_s: float
+    incarnation: str
+
+
+class FakeEngine:
+    """Carries out every order that it may, whether memory allows it or not, and remembers.
+
+    :param capacity_bytes: memory
+    :param role_bytes: working memory of the first role
+    :param checks_fence: whether old fencing numbers are refused
+    :param is_eager: whether a load takes its memory at its start rather than at its end
+    """
+
+    def __init__(self, capacity_bytes, role_bytes=10, checks_fence=False, is_eager=True):
+        self.capacity_bytes = capacity_bytes
+        self.checks_fence = checks_fence
+        self.is_eager = is_eager
+        self.first_role_bytes = role_bytes
+        self.fence = 0
+        self.starts = 0
+        self.most_bytes = 0
+        self.restart()
+
+    def restart(self):
+        self.starts += 1
+        self.incarnation = f"engine-{self.starts}"
+        self.role_bytes = self.first_role_bytes
+        self.held = {}
+        self.kv = {}
+        self.running = {}
+        self.states = {}
+
+    @property
+    def used_bytes(self):
+        taken = sum(self.held.values()) + sum(self.kv.values()) + self.role_bytes
+        return taken + (sum(map(self.extra, self.running.values())) if self.is_eager else 0)
+
+    def extra(self, order):
+        if order.kind in UNLOADS:
+            return 0
+        if order.kind == OrderKind.ROLE:
+            return max(0, order.order_bytes - self.role_bytes)
+        return order.order_bytes
+
+    def arrive(self, message, now_s):
+        """:return: the order's state, "late" or "fenced"; None when the connection is gone"""
+        if message.incarnation != self.incarnation:
+            return None
+        if now_s - message.sent_s >= message.lifetime_s:
+            return "late"
+        if self.checks_fence and message.fence < self.fence:
+            return "fenced"
+        self.fence = max(self.fence, message.fence)
+        order_id = message.order.order_id
+        if order_id not in self.states:
+            self.states[order_id] = "running"
+            self.running[order_id] = message.order
+            self.note()
+        return self.states[order_id]
+
+    def end(self, order_id, state="done"):
+        order = self.running.pop(order_id)
+        self.states[order_id] = state
+        key = (order.kind in (OrderKind.LOAD, OrderKind.UNLOAD), order.model, order.adapter)
+        if state == "done" and order.kind in UNLOADS:
+            self.held.pop(key, None)
+        elif state == "done" and order.kind == OrderKind.ROLE:
+            self.role_bytes = order.order_bytes
+        elif state == "done":
+            # The older version goes only after the newer one is in place.
+            self.most_bytes = max(self.most_bytes, self.used_bytes + order.order_bytes)
+            self.held[key] = order.order_bytes
+        self.note()
+
+    def import_kv(self, request_id, size_bytes):
+        self.kv[request_id] = size_bytes
+        self.note()
+
+    def note(self):
+        self.most_bytes = max(self.most_bytes, self.used_bytes)
+
+    def inventory(self):
+        models = {name: size for (is_model, name, _), size in self.held.items() if is_model}
+        adapters = {name: size for (is_model, _, name), size in self.held.items() if not is_model}
+        return EngineInventory(
+            self.incarnation,
+            "",
+            self.fence,
+            self.capacity_bytes,
+            self.used_bytes,
+            models,
+            adapters,
+            dict(self.kv),
+            dict(self.states),
+        )
+
+
+def make_intent(order, fence, now_s, lifetime_s):
+    """:return: the intent that a sidecar records for an order"""
+    return Intent(
+        order.order_id,
+        order.kind,
+        order.model,
+        order.adapter,
+        order.order_bytes,
+        fence,
+        now_s,
+        lifetime_s,
+    )
--- a/packages/kingcupdyke/kingcupdyke/fence.py
+++ b/packages/kingcupdyke/kingcupdyke/fence.py
@@ -12,7 +12,7 @@
 
 from kingcupdyke.error import Failure, OptionError, Outcome, Step
 from kingcupdyke.intent import MAX_VALUE_BYTES, Intent, decode_intents, encode_intents
-from kingcupdyke.inventory import EngineInventory
+from kingcupdyke.inventory import EngineInventory, OrderState
 
 __all__ = [
     "EndpointGuard",
@@ -189,6 +189,9 @@
     def inventory_read(self, inventory: EngineInventory) -> TakeoverCommand:
         """Finish, or raise the number above one that the engine has seen.
 
+        A :class:`ReadInventory` that this returns is carried out after a pause: an order that no
+        intent tells the size of is still running.
+
         :param inventory: a reading asked for after the last command
         """
         record = self._record
@@ -199,6 +202,8 @@
         ):
             self._least_fence = inventory.fence + 1
             return self.endpoint_read(record, self._version)
+        if self._has_unknown_order(inventory):
+            return ReadInventory()
         return Ready(record.fence, record.intents)
 
     def _is_taken(self) -> bool:
@@ -207,6 +212,11 @@
             return False
         return record.fence >= self._least_fence
 
+    def _has_unknown_order(self, inventory: EngineInventory) -> bool:
+        known = {intent.order_id for intent in self._record.intents}
+        orders = inventory.orders.items()
+        return any(state == OrderState.RUNNING for name, state in orders if name not in known)
+
     def _show_fence(self) -> TakeoverCommand:
         if self._checks_fence:
             return RaiseFence(self._record.fence)
--- a/packages/kingcupdyke/kingcupdyke/hand_over.py
+++ b/packages/kingcupdyke/kingcupdyke/hand_over.py
@@ -59,6 +59,8 @@
         self._bound_s = bound_s
         self._poll_s = poll_s
         self._open_models = set(needed_by_model)
+        #: Models whose removal was sent to the store.
+        self._removing_models: set[str] = set()
         self._due_by_model: dict[str, float] = {}
         self._ends_s = float("inf")
         self._has_ended = False
@@ -107,12 +109,16 @@
         marked = mark_leaving(record, self._host)
         if marked != record:
             return [WriteResidency(marked, version)]
+        is_holder = self._endpoint in record.holders_by_endpoint
+        if not is_holder and model in self._removing_models:
+            return self._hand_over(model)
         needed = max(1, self._needed_by_model[model])
         missing = needed - count_staying(record, (), without=self._endpoint)
         if missing > 0:
             return [RequestLoad(model, missing)]
-        if self._endpoint not in record.holders_by_endpoint:
+        if not is_holder:
             return self._hand_over(model)
+        self._removing_models.add(model)
         removal = remove_holder(record, self._endpoint, needed, ())
         return [WriteResidency(removal.ok, version)]
 
--- a/packages/kingcupdyke/kingcupdyke/ledger.py
+++ b/packages/kingcupdyke/kingcupdyke/ledger.py
@@ -124,7 +124,7 @@
         if checked.is_error():
             return checked
         reservation = Reservation(order.order_id, order.kind, extra_bytes, now_s + lifetime_s)
-        opened = OpenOrder(order, reservation, self._held_by_name.get(get_target(order), 0))
+        opened = OpenOrder(order, reservation)
         opened.contested = order.order_id in self._known_ids | self._ended_by_id.keys()
         self._open_by_id[order.order_id] = opened
         return Ok(reservation)
@@ -247,11 +247,8 @@
 
     def _reserved(self, opened: OpenOrder) -> int:
         """:return: bytes that an open order may take beyond what is counted as resident"""
-        extra_bytes = self._extra(opened.order)
-        if opened.order.kind == OrderKind.ROLE:
-            return extra_bytes
-        grown_bytes = self._held_by_name.get(opened.name, 0) - opened.held_bytes
-        return max(0, extra_bytes - max(0, grown_bytes))
+        is_counted = opened.state == OrderState.DONE and opened.order.kind != OrderKind.ROLE
+        return 0 if is_counted else self._extra(opened.order)
 
     def _begin_incarnation(self, inventory: EngineInventory) -> None:
         self._incarnation = inventory.incarnation
@@ -260,8 +257,7 @@
         self._role_bytes = 0
         self._doubtful.clear()
         for opened in self._open_by_id.values():
-            is_done = inventory.orders.get(opened.order.order_id) == OrderState.DONE
-            opened.held_bytes = 0 if is_done else self._held_by_name.get(opened.name, 0)
+            opened.state = ""
 
     def _believe_more(self, inventory: EngineInventory, is_fresh: bool) -> None:
         named = self._named(inventory)
@@ -322,8 +318,10 @@
 
     def _apply_load(self, opened: OpenOrder) -> None:
         name = opened.name
-        size_bytes = opened.held_bytes + opened.order.order_bytes
-        self._held_by_name[name] = max(size_bytes, self._held_by_name.get(name, 0))
+        if opened.state != OrderState.DONE:
+            # An older version may stay beside the new one until a reading shows that it is gone.
+            held_bytes = self._held_by_name.get(name, 0)
+            self._held_by_name[name] = held_bytes + opened.order.order_bytes
         if opened.contested:
             self._doubtful.add(name)
         else:
--- a/packages/kingcupdyke/kingcupdyke/reservation.py
+++ b/packages/kingcupdyke/kingcupdyke/reservation.py
@@ -30,16 +30,12 @@
 
     :param order: the order
     :param reservation: what was set aside for it
-    :param held_bytes: bytes of the same name that were resident when it was reserved
     :param adopted: whether an earlier sidecar recorded it, which may be paused and still send it
     """
 
-    def __init__(
-        self, order: Order, reservation: Reservation, held_bytes: int, adopted: bool = False
-    ) -> None:
+    def __init__(self, order: Order, reservation: Reservation, adopted: bool = False) -> None:
         self.order = order
         self.reservation = reservation
-        self.held_bytes = held_bytes
         self.adopted = adopted
         #: Time after which no sending of it can arrive, in seconds of the timer service.
         self.expires_s = reservation.expires_s
@@ -69,7 +65,7 @@
         expires_s = now_s + intent.lifetime_s
         size_bytes = 0 if is_unload(intent.kind) else intent.order_bytes
         reservation = Reservation(intent.order_id, intent.kind, size_bytes, expires_s)
-        return cls(order, reservation, 0, adopted=True)
+        return cls(order, reservation, adopted=True)
 
     @property
     def name(self) -> tuple[str, str]:
@@ -84,6 +80,7 @@
         """
         self.expires_s = max(self.expires_s, expires_s)
         self.bound_incarnation = ""
+        self.state = ""
         self.closed_at = event
 
     @property
