--- /dev/null
+++ b/packages/kingcupdyke/features/steps/ledger_steps.py
@@ -0,0 +1,195 @@
+"""
+ledger_steps
+~~~~~~~~~~~~
+
+Steps for the memory ledger: short events against an engine that does whatever reaches it.
+"""
+
+import os
+
+from behave import given, then, when
+from fake_engine import FakeEngine, FakeStore
+from fake_sidecar import FakeSidecar
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import run_state_machine_as_test
+from kingcupdyke.ledger import MemoryLedger
+from kingcupdyke.placement import Order
+from ledger_machine import LedgerMachine
+
+
+class Story:
+    """Runs events on one engine and the sidecars that ran it, the last one being in charge."""
+
+    def __init__(self, checks_fence, is_eager=True):
+        self.engine = FakeEngine(100, 10, checks_fence, is_eager)
+        self.store = FakeStore()
+        self.now_s = 0.0
+        self.messages = {}
+        self.sidecars = []
+        self.successor()
+
+    @property
+    def ledger(self):
+        return self.sidecars[-1].ledger
+
+    def run(self, events):
+        for event in events.split(";"):
+            name, *arguments = event.split()
+            getattr(self, name)(*arguments)
+            most_bytes = self.engine.most_bytes
+            assert most_bytes <= 100, f"overcommitted: {most_bytes} bytes after {event}"
+
+    def _prepare(self, sidecar, order_id, kind, name="", size="0"):
+        names = ("", name) if "adapter" in kind else (name, "")
+        order = Order(order_id, "e", kind, *names, order_bytes=int(size))
+        return sidecar.prepare(order, self.now_s)
+
+    def order(self, *words):
+        assert self._prepare(self.sidecars[-1], *words), f"refused: {words}"
+
+    def refuse(self, *words):
+        assert not self._prepare(self.sidecars[-1], *words), f"accepted: {words}"
+
+    def stale(self, *words):
+        assert not self._prepare(self.sidecars[-2], *words), f"accepted: {words}"
+        assert self.sidecars[-2].guard.superseded
+
+    def send(self, order_id):
+        self.messages[order_id] = self.sidecars[-1].send(order_id, self.now_s)
+
+    def wake(self, order_id):
+        self.messages[order_id] = self.sidecars[-2].send(order_id, self.now_s)
+
+    def lose(self, order_id):
+        del self.messages[order_id]
+
+    def arrive(self, order_id):
+        self.engine.arrive(self.messages[order_id], self.now_s)
+
+    def end(self, order_id):
+        self.engine.end(order_id)
+
+    def fail(self, order_id):
+        self.engine.end(order_id, "failed")
+
+    def answer(self, order_id, state=None):
+        state = state or self.engine.states[order_id]
+        self.ledger.answered(order_id, state, self.now_s)
+
+    def close(self, order_id):
+        self.ledger.unanswered(order_id, self.now_s)
+
+    def go(self, *words):
+        self.order(*words)
+        for step in (self.send, self.arrive, self.end, self.answer):
+            step(words[0])
+
+    def consume(self, order_id):
+        self.engine.states[order_id] = "done"
+
+    def take(self):
+        self.reading = self.engine.inventory()
+
+    def hand(self):
+        self.ledger.observe(self.reading, self.now_s)
+
+    def read(self):
+        self.take()
+        self.hand()
+
+    def wait(self, seconds):
+        self.now_s += float(seconds)
+
+    def restart(self):
+        self.engine.restart()
+
+    def sneak(self, name, size):
+        self.engine.held[(True, name, "")] = int(size)
+
+    def vanish(self, name):
+        del self.engine.held[(True, name, "")]
+
+    def kv(self, request_id, size):
+        assert self.ledger.reserve_kv(request_id, int(size)).is_ok()
+        self.engine.import_kv(request_id, int(size))
+
+    def nokv(self, request_id, size):
+        assert self.ledger.reserve_kv(request_id, int(size)).is_error()
+
+    def endkv(self, request_id):
+        self.engine.kv.pop(request_id, None)
+        self.ledger.release_kv(request_id)
+
+    def successor(self):
+        sidecar = FakeSidecar(f"s{len(self.sidecars)}", self.engine, self.store)
+        assert sidecar.take_over(self.now_s)
+        self.sidecars.append(sidecar)
+
+    def nosuccessor(self):
+        assert not FakeSidecar("late", self.engine, self.store).take_over(self.now_s)
+
+
+@given("ledger: an engine of 100 bytes with a role of 10 that {checks} fencing numbers")
+def give_engine(context, checks):
+    context.story = Story(checks == "checks")
+
+
+@given("ledger: an engine that takes memory only at the end of a load and checks fencing numbers")
+def give_lazy_engine(context):
+    context.story = Story(True, is_eager=False)
+
+
+@when('ledger: "{events}" happens')
+def run_events(context, events):
+    context.story.run(events)
+
+
+@then("ledger: {free:d} bytes are free, {pending} is pending and {models} is resident")
+def check_ledger(context, free, pending, models):
+    ledger = context.story.ledger
+    seen = (ledger.free_bytes, ",".join(ledger.pending) or "-", ",".join(sorted(ledger.models)))
+    assert seen == (free, pending, models.strip("-")), seen
+    assert ledger.used_bytes >= context.story.engine.used_bytes
+
+
+@then("ledger: the intents of {ended} may be removed, once")
+def check_settled(context, ended):
+    assert ",".join(context.story.ledger.settled_order_ids()) == ended
+    assert context.story.ledger.settled_order_ids() == []
+
+
+@then("ledger: {order_id} is pending and no inventory has shown it")
+def check_unseen(context, order_id):
+    assert context.story.ledger.unseen == (order_id,)
+
+
+@when("ledger: a new one of {capacity:d} bytes with a margin of {margin:d} reads {reported:d} bytes")
+def make_ledger(context, capacity, margin, reported):
+    context.ledger = MemoryLedger(capacity, margin)
+    order = Order("o", "e", "load", "a", order_bytes=1)
+    assert context.ledger.reserve(order, 0.0, 10.0).is_error()
+    assert context.ledger.reserve_kv("r", 1).is_error()
+    context.ledger.observe(FakeEngine(reported).inventory(), 0.0)
+
+
+@then("ledger: a load of {fits:d} bytes fits and one of {exceeds:d} does not")
+def check_fit(context, fits, exceeds):
+    refused = context.ledger.reserve(Order("x", "e", "load", "a", order_bytes=exceeds), 0.0, 10.0)
+    assert refused.is_error(), refused
+    assert (refused.error.outcome, refused.error.step) == ("not_run", "order")
+    reserved = context.ledger.reserve(Order("y", "e", "load", "a", order_bytes=fits), 0.0, 10.0)
+    assert reserved.is_ok(), reserved
+
+
+@then("ledger: no random order of events overcommits the engine")
+def run_machine(context):
+    examples = int(os.environ.get("KINGCUPDYKE_FUZZ_EXAMPLES", "60"))
+    chosen = settings(
+        max_examples=examples,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        stateful_step_count=50,
+        suppress_health_check=list(HealthCheck),
+    )
+    run_state_machine_as_test(LedgerMachine, settings=chosen)
--- a/packages/kingcupdyke/kingcupdyke/ledger.py
+++ b/packages/kingcupdyke/kingcupdyke/ledger.py
@@ -270,7 +270,12 @@
         begun = [each for each in self._open_by_id.values() if each.has_begun]
         known_bytes = self._other_bytes + sum(self._reserved(each) for each in begun)
         known_bytes += sum(self._kv_by_request.values())
-        self._other_bytes += max(0, self._unnamed(inventory) - known_bytes)
+        shown_bytes = self._unnamed(inventory)
+        if not is_fresh:
+            # What was running in an older reading may have been answered and named since.
+            known_bytes += sum(self._held_by_name.values())
+            shown_bytes = inventory.used_bytes
+        self._other_bytes += max(0, shown_bytes - known_bytes)
 
     def _believe_less(self, inventory: EngineInventory) -> None:
         self._held_by_name = self._named(inventory)
