--- a/packages/kingcupdyke/features/steps/ledger_steps.py
+++ b/packages/kingcupdyke/features/steps/ledger_steps.py
@@ -106,6 +106,9 @@
     def sneak(self, name, size):
         self.engine.held[(True, name, "")] = int(size)
 
+    def leak(self, size):
+        self.engine.role_bytes += int(size)
+
     def vanish(self, name):
         del self.engine.held[(True, name, "")]
 
@@ -129,14 +132,10 @@
         assert not FakeSidecar("late", self.engine, self.store).take_over(self.now_s)
 
 
-@given("ledger: an engine of 100 bytes with a role of 10 that {checks} fencing numbers")
-def give_engine(context, checks):
-    context.story = Story(checks == "checks")
-
-
-@given("ledger: an engine that takes memory only at the end of a load and checks fencing numbers")
-def give_lazy_engine(context):
-    context.story = Story(True, is_eager=False)
+@given("ledger: an engine of 100 bytes with a role of 10 that {kind}")
+def give_engine(context, kind):
+    """A lazy engine takes memory only at the end of a load; others take it at the start."""
+    context.story = Story(kind.startswith("checks"), is_eager="laz" not in kind)
 
 
 @when('ledger: "{events}" happens')
@@ -163,7 +162,9 @@
     assert context.story.ledger.unseen == (order_id,)
 
 
-@when("ledger: a new one of {capacity:d} bytes with a margin of {margin:d} reads {reported:d} bytes")
+@when(
+    "ledger: a new one of {capacity:d} bytes with a margin of {margin:d} reads {reported:d} bytes"
+)
 def make_ledger(context, capacity, margin, reported):
     context.ledger = MemoryLedger(capacity, margin)
     order = Order("o", "e", "load", "a", order_bytes=1)
--- a/packages/kingcupdyke/kingcupdyke/fence.py
+++ b/packages/kingcupdyke/kingcupdyke/fence.py
@@ -154,7 +154,7 @@
         self._record = record
         self._version = version
         if self._is_taken():
-            return self._show_fence()
+            return ReadInventory()
         fence = max(record.fence + 1 if record else 1, self._least_fence)
         intents = record.intents if record else ()
         value = EndpointRecord(self._endpoint, self._incarnation, fence, intents)
@@ -168,7 +168,7 @@
         """
         self._record = self._pending
         self._version = version
-        return self._show_fence()
+        return ReadInventory()
 
     def endpoint_conflict(self, record: EndpointRecord | None, version: int) -> TakeoverCommand:
         """The write lost: start again from what is there, with the intents added since.
@@ -217,11 +217,6 @@
         orders = inventory.orders.items()
         return any(state == OrderState.RUNNING for name, state in orders if name not in known)
 
-    def _show_fence(self) -> TakeoverCommand:
-        if self._checks_fence:
-            return RaiseFence(self._record.fence)
-        return ReadInventory()
-
 
 class EndpointGuard:
     """Tells a sidecar that a later one has taken its endpoint over.
--- a/packages/kingcupdyke/kingcupdyke/ledger.py
+++ b/packages/kingcupdyke/kingcupdyke/ledger.py
@@ -182,8 +182,8 @@
         if inventory.incarnation != self._incarnation:
             self._begin_incarnation(inventory)
         for opened in self._open_by_id.values():
-            opened.observe(inventory, opened.closed_at <= self._asked_at)
-        self._settle_closed(inventory)
+            opened.observe(inventory, self._asked_at)
+        self._settle_closed()
         is_fresh = self._answered_at <= self._asked_at
         self._believe_more(inventory, is_fresh)
         if is_fresh and not self._open_by_id:
@@ -281,26 +281,18 @@
         self._held_by_name = self._named(inventory)
         self._doubtful.clear()
         self._other_bytes = min(self._other_bytes, self._unnamed(inventory))
-        if not self._kv_by_request:
-            self._role_bytes = max(0, self._other_bytes - sum(inventory.kv_bytes.values()))
+        kv_bytes = sum(inventory.kv_bytes.values())
+        self._role_bytes = max(0, self._unnamed(inventory) - kv_bytes)
 
-    def _settle_closed(self, inventory: EngineInventory) -> None:
-        named = self._named(inventory)
+    def _settle_closed(self) -> None:
         for order_id, opened in list(self._open_by_id.items()):
             if opened.is_stranded(self._incarnation):
                 self._settle(order_id)
             elif opened.is_over(self._asked_s):
                 self._settle(order_id)
-                if opened.state == OrderState.DONE and self._is_shown(opened, named):
+                if opened.state == OrderState.DONE:
                     self._apply(opened)
 
-    @staticmethod
-    def _is_shown(opened: OpenOrder, named: dict[tuple[str, str], int]) -> bool:
-        """:return: whether a reading shows an effect that :meth:`_believe_more` does not take"""
-        if opened.order.kind == OrderKind.ROLE:
-            return True
-        return is_unload(opened.order.kind) and opened.name not in named
-
     def _settle(self, order_id: str) -> OpenOrder:
         opened = self._open_by_id.pop(order_id)
         self._ended_by_id[order_id] = opened.order
--- a/packages/kingcupdyke/kingcupdyke/reservation.py
+++ b/packages/kingcupdyke/kingcupdyke/reservation.py
@@ -45,8 +45,9 @@
         self.state = ""
         #: An incarnation of the engine after which the order can no longer arrive.
         self.bound_incarnation = ""
-        #: Count of events at which the connection was closed.
+        #: Counts of events at which the connection was closed and the order last repeated.
         self.closed_at = 0
+        self.sent_at = 0
         #: Whether the engine's "done" may be older than what is resident now: the id is a repeat,
         #: or another order for the same name ended meanwhile.
         self.contested = False
@@ -80,29 +81,30 @@
         """
         self.expires_s = max(self.expires_s, expires_s)
         self.bound_incarnation = ""
-        self.state = ""
-        self.closed_at = event
+        self.sent_at = event
 
     @property
     def has_begun(self) -> bool:
         """:return: whether memory that an inventory shows may be this order's"""
         return self.state in (OrderState.RUNNING, OrderState.DONE)
 
-    def observe(self, inventory: EngineInventory, is_after_close: bool) -> None:
+    def observe(self, inventory: EngineInventory, asked_at: int) -> None:
         """Take over what an inventory shows of the order.
 
-        :param is_after_close: whether the inventory was asked for after the connection closed
+        :param asked_at: count of events when the inventory was asked for
         """
+        if asked_at < self.sent_at:
+            return
         state = inventory.orders.get(self.order.order_id, "")
         if state:
             self.state = state
-            self.bound_incarnation = inventory.incarnation
-        elif self.closed and not self.adopted and is_after_close and not self.bound_incarnation:
+        was_closed = self.closed and self.closed_at <= asked_at and not self.adopted
+        if state or (was_closed and not self.bound_incarnation):
             self.bound_incarnation = inventory.incarnation
 
     def is_stranded(self, incarnation: str) -> bool:
         """:return: whether the engine that it was sent to is gone"""
-        return self.closed and self.bound_incarnation not in ("", incarnation)
+        return self.bound_incarnation not in ("", incarnation)
 
     def is_over(self, asked_s: float) -> bool:
         """Tell whether an inventory shows the order's outcome for good.
