Add the stand-ins of platform, engine and service

Each is a process of its own that prints where it listens, so that tests start as many as they need on ports of the system. One table of switches serves all of them. Connections are dropped and frozen at uvicorn's protocol: an application alone can't leave a request without an answer, since uvicorn answers 500 in its place.

--- /dev/null
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/asgi.py
@@ -0,0 +1,158 @@
+"""
+kingcupdyke_standins.asgi
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What all stand-ins have in common: requests, replies and the calls that set faults.
+"""
+
+import json
+from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+from urllib.parse import parse_qsl, unquote
+
+from anyio import sleep_forever
+from anyio.abc import TaskGroup
+from kingcupdyke.error import OptionError
+
+from kingcupdyke_standins.faults import Faults
+from kingcupdyke_standins.protocol import StandinProtocol
+
+__all__ = ["HttpRequest", "Reply", "StandinApp"]
+
+
+class HttpRequest(NamedTuple):
+    """A request that was read whole."""
+
+    method: str
+    #: Parts of the path, unquoted.
+    path: tuple[str, ...]
+    query: dict[str, str]
+    #: Values of the header fields, by name in lower case.
+    headers: dict[str, str]
+    body: bytes
+
+    def data(self) -> dict:
+        """:return: the body read as JSON
+        :raises ValueError: when it is none
+        """
+        return json.loads(self.body)
+
+
+class Reply:
+    """Sends the answer to one request, or does worse."""
+
+    def __init__(self, client: tuple[str, int], receive: Callable, send: Callable) -> None:
+        self._client = client
+        self._receive = receive
+        self._send = send
+
+    async def json(self, status: int, data: object, headers: dict[str, str] | None = None) -> None:
+        """Send a whole answer in JSON."""
+        fields = {"content-type": "application/json", **(headers or {})}
+        await self.whole(status, json.dumps(data).encode(), fields)
+
+    async def whole(
+        self, status: int, body: bytes = b"", headers: dict[str, str] | None = None
+    ) -> None:
+        """Send a whole answer."""
+        await self.begin(status, {"content-length": str(len(body)), **(headers or {})})
+        await self.part(body)
+        await self.end()
+
+    async def begin(self, status: int, headers: dict[str, str]) -> None:
+        """Send the head of an answer."""
+        fields = [(name.encode(), value.encode("latin-1")) for name, value in headers.items()]
+        await self._pass({"type": "http.response.start", "status": status, "headers": fields})
+
+    async def part(self, body: bytes) -> None:
+        """Send a part of the body."""
+        await self._pass({"type": "http.response.body", "body": body, "more_body": True})
+
+    async def end(self) -> None:
+        """End the answer."""
+        await self._pass({"type": "http.response.body", "body": b"", "more_body": False})
+
+    async def drop(self) -> None:
+        """Drop the connection, whatever was sent."""
+        StandinProtocol.abort(self._client)
+        await self.stay_silent()
+
+    async def stay_silent(self) -> None:
+        """Send nothing until the other end has gone."""
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+
+    def send_again(self, body: bytes) -> None:
+        """Send bytes that belong to no request, after the answer has ended."""
+        StandinProtocol.write(self._client, body)
+
+    async def _pass(self, message: dict) -> None:
+        if StandinProtocol.is_frozen(self._client):
+            await sleep_forever()
+        await self._send(message)
+
+
+class StandinApp(ABC):
+    """An ASGI application that can be told to fail.
+
+    :param standin: name of the stand-in in the table of switches
+    """
+
+    def __init__(self, standin: str) -> None:
+        self.faults = Faults(standin)
+        #: What must never be and was seen here.
+        self.violations: list[str] = []
+
+    async def __call__(
+        self,
+        scope: dict,
+        receive: Callable[[], Awaitable[dict]],
+        send: Callable[[dict], Awaitable[None]],
+    ) -> None:
+        request = await _read_request(scope, receive)
+        reply = Reply(scope["client"], receive, send)
+        if request.path == ("faults",):
+            await self._handle_faults(request, reply)
+        elif request.path == ("violations",):
+            await reply.json(200, self.report())
+        else:
+            await self.handle(request, reply)
+
+    async def begin(self, tasks: TaskGroup) -> None:  # noqa: B027
+        """Start what runs beside the requests."""
+
+    @abstractmethod
+    async def handle(self, request: HttpRequest, reply: Reply) -> None:
+        """Answer a request, or don't."""
+
+    async def apply_faults(self) -> None:  # noqa: B027
+        """Act on switches that stand for an action."""
+
+    def report(self) -> dict[str, list]:
+        """:return: what is answered to ``GET /violations``"""
+        return {"violations": self.violations}
+
+    async def _handle_faults(self, request: HttpRequest, reply: Reply) -> None:
+        if request.method == "PUT":
+            try:
+                self.faults.set(request.data())
+            except (OptionError, ValueError) as error:
+                return await reply.json(400, {"error": str(error)})
+        await reply.json(200, self.faults.values_by_name)
+        await self.apply_faults()
+        return None
+
+
+async def _read_request(scope: dict, receive: Callable[[], Awaitable[dict]]) -> HttpRequest:
+    body = b""
+    more = True
+    while more:
+        message = await receive()
+        body += message.get("body", b"")
+        more = message.get("more_body", False)
+    raw_path = scope["raw_path"].decode("latin-1").strip("/")
+    path = tuple(unquote(part) for part in raw_path.split("/"))
+    query = dict(parse_qsl(scope["query_string"].decode("latin-1")))
+    headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in scope["headers"]}
+    return HttpRequest(scope["method"], path, query, headers, body)
--- /dev/null
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/kv.py
@@ -0,0 +1,56 @@
+"""
+kingcupdyke_standins.kv
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Export and import of the KV cache of a request.
+"""
+
+from base64 import b64decode, b64encode
+from hashlib import sha256
+
+from kingcupdyke_standins.batch import RunRequest
+from kingcupdyke_standins.memory import MemoryBook
+
+__all__ = ["KvShelf"]
+
+#: Memory of the KV cache of one character of a prompt.
+KV_BYTES_PER_CHAR = 1000
+
+
+class KvShelf:
+    """KV caches that were imported and wait for their requests."""
+
+    def __init__(self, memory: MemoryBook, violations: list[str]) -> None:
+        self._memory = memory
+        self._violations = violations
+        self._content_by_request: dict[str, bytes] = {}
+
+    def export(self, request: RunRequest) -> dict:
+        """:return: the body that another engine imports"""
+        size_bytes = KV_BYTES_PER_CHAR * len(request.prompt)
+        return {"kv": b64encode(_digest(request)).decode(), "bytes": size_bytes}
+
+    def put(self, data: dict) -> bool:
+        """:return: whether there was memory for an import"""
+        request_id = data["request_id"]
+        if request_id in self._content_by_request:
+            return True
+        if not self._memory.fits(data["bytes"]):
+            return False
+        self._memory.kv_by_request[request_id] = data["bytes"]
+        self._content_by_request[request_id] = b64decode(data["kv"])
+        return True
+
+    def take(self, request: RunRequest) -> bool:
+        """:return: whether the KV cache of a request was there; it joins that of its model"""
+        content = self._content_by_request.pop(request.request_id, None)
+        self._memory.kv_by_request.pop(request.request_id, None)
+        if content is None:
+            return False
+        if content != _digest(request):
+            self._violations.append(f"request {request.request_id}: KV cache of another one")
+        return True
+
+
+def _digest(request: RunRequest) -> bytes:
+    return sha256(f"{request.model}\0{request.adapter}\0{request.prompt}".encode()).digest()
--- /dev/null
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/order.py
@@ -0,0 +1,217 @@
+"""
+kingcupdyke_standins.order
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Carrying out the orders that an engine gets.
+"""
+
+import json
+from random import Random
+from typing import NamedTuple
+
+from anyio import Event, sleep
+from anyio.abc import TaskGroup
+from kingcupdyke.placement import OrderKind
+from kingcupdyke_wire.http import HttpClient
+
+from kingcupdyke_standins.batch import Batcher
+from kingcupdyke_standins.memory import MemoryBook, Resident
+
+__all__ = ["EngineOrder", "OrderRecord", "OrderRunner", "OrderSettings", "WeightsClient"]
+
+#: Seconds of a load where there is no weight store, of an unload and of a role change.
+LOCAL_LOAD_S = 0.05
+UNLOAD_S = 0.005
+ROLE_S = 0.05
+#: Range of the seconds that an adapter takes below the knee.
+ADAPTER_LOAD_S = (0.005, 0.015)
+FETCH_TIMEOUT_S = 600.0
+MIN_RETRY_S = 0.01
+
+
+class EngineOrder(NamedTuple):
+    """An order as it came in."""
+
+    order_id: str
+    fence: int
+    kind: str
+    model: str
+    adapter: str
+    model_version: str
+    role: str
+    order_bytes: int
+    lifetime_s: float
+
+    @classmethod
+    def read(cls, data: dict) -> "EngineOrder":
+        """:raises KeyError: for a missing field"""
+        names = ("order_id", "fence", "kind", "model", "adapter", "model_version", "role")
+        return cls(*(data[name] for name in names), data["bytes"], data["lifetime"])
+
+
+class OrderRecord:
+    """An order's state, kept for repeats."""
+
+    def __init__(self) -> None:
+        self.state = "running"
+        self.reason = ""
+        self._ended = Event()
+
+    def end(self, reason: str) -> None:
+        """End the order.
+
+        :param reason: why it failed; the empty string when it was done
+        """
+        self.state = "failed" if reason else "done"
+        self.reason = reason
+        self._ended.set()
+
+    async def wait_end(self) -> None:
+        """Wait until the order has ended."""
+        await self._ended.wait()
+
+
+class OrderSettings(NamedTuple):
+    """What orders depend on."""
+
+    region: str
+    #: Adapter loads in flight beyond which each takes proportionally longer.
+    adapter_knee: int
+    #: Base address of the weight store, or the empty string.
+    weights_url: str
+
+
+class WeightsClient:
+    """Fetches weights, as often as it takes.
+
+    :param base_url: scheme, address and port
+    """
+
+    def __init__(self, base_url: str) -> None:
+        self._http = HttpClient(base_url, FETCH_TIMEOUT_S)
+
+    async def fetch(self, order: EngineOrder, region: str) -> str:
+        """:return: the empty string, or why it failed"""
+        while True:
+            answer = await self._http.request(
+                "POST", "/v1/fetches", body=_fetch_body(order, region)
+            )
+            if answer.is_error():
+                return answer.error.reason
+            if answer.ok.status == 200:
+                return ""
+            if answer.ok.status != 429:
+                return f"weight store answered {answer.ok.status}"
+            wait_s = float(answer.ok.headers.get("retry-after", MIN_RETRY_S))
+            await sleep(max(MIN_RETRY_S, wait_s))
+
+
+class OrderRunner:
+    """Carries out each order once."""
+
+    def __init__(
+        self,
+        settings: OrderSettings,
+        memory: MemoryBook,
+        batcher: Batcher,
+        violations: list[str],
+    ) -> None:
+        self.records_by_id: dict[str, OrderRecord] = {}
+        self._settings = settings
+        self._memory = memory
+        self._batcher = batcher
+        self._violations = violations
+        self._adapters_in_flight = 0
+        self._rng = Random(0)
+        url = settings.weights_url
+        self._weights = WeightsClient(url) if url else None
+
+    def start(self, order: EngineOrder, tasks: TaskGroup) -> OrderRecord:
+        """:return: the order's record; a repeat gives the first one's"""
+        record = self.records_by_id.get(order.order_id)
+        if record is None:
+            record = self.records_by_id[order.order_id] = OrderRecord()
+            tasks.start_soon(self._run, order, record)
+        return record
+
+    def stop(self) -> None:
+        """End what runs, as a restart does."""
+        for record in self.records_by_id.values():
+            if record.state == "running":
+                record.end("engine restarted")
+
+    async def _run(self, order: EngineOrder, record: OrderRecord) -> None:
+        run_by_kind = {
+            OrderKind.LOAD: self._load,
+            OrderKind.UNLOAD: self._unload,
+            OrderKind.LOAD_ADAPTER: self._load_adapter,
+            OrderKind.UNLOAD_ADAPTER: self._unload_adapter,
+            OrderKind.ROLE: self._change_role,
+        }
+        run = run_by_kind.get(order.kind)
+        reason = await run(order) if run else f"unknown kind {order.kind}"
+        record.end(reason)
+
+    async def _load(self, order: EngineOrder) -> str:
+        resident = self._memory.models_by_name.get(order.model)
+        if resident is not None and resident.version == order.model_version:
+            return ""
+        if not self._memory.begin_load(order.order_id, order.order_bytes):
+            return "out of memory"
+        reason = await self._fetch(order)
+        size_bytes = self._memory.end_load(order.order_id)
+        if not reason:
+            resident = Resident(order.model_version, size_bytes)
+            self._memory.models_by_name[order.model] = resident
+        return reason
+
+    async def _fetch(self, order: EngineOrder) -> str:
+        if self._weights is not None:
+            return await self._weights.fetch(order, self._settings.region)
+        await sleep(LOCAL_LOAD_S)
+        return ""
+
+    async def _unload(self, order: EngineOrder) -> str:
+        self._check_unused(order)
+        await sleep(UNLOAD_S)
+        self._memory.models_by_name.pop(order.model, None)
+        return ""
+
+    async def _load_adapter(self, order: EngineOrder) -> str:
+        if order.adapter in self._memory.adapters_by_name:
+            return ""
+        if order.model not in self._memory.models_by_name:
+            return f"model {order.model} is not resident"
+        if not self._memory.begin_load(order.order_id, order.order_bytes):
+            return "out of memory"
+        self._adapters_in_flight += 1
+        slowdown = max(1.0, self._adapters_in_flight / self._settings.adapter_knee)
+        await sleep(self._rng.uniform(*ADAPTER_LOAD_S) * slowdown)
+        self._adapters_in_flight -= 1
+        size_bytes = self._memory.end_load(order.order_id)
+        self._memory.adapters_by_name[order.adapter] = size_bytes
+        return ""
+
+    async def _unload_adapter(self, order: EngineOrder) -> str:
+        self._check_unused(order)
+        await sleep(UNLOAD_S)
+        self._memory.adapters_by_name.pop(order.adapter, None)
+        return ""
+
+    async def _change_role(self, order: EngineOrder) -> str:
+        if not self._memory.begin_role(order.order_id, order.order_bytes):
+            return "out of memory"
+        await sleep(ROLE_S)
+        self._memory.end_role(order.order_id, order.role, order.order_bytes)
+        return ""
+
+    def _check_unused(self, order: EngineOrder) -> None:
+        users = self._batcher.count_users(order.model, order.adapter)
+        if users:
+            what = f"{order.kind} {order.model} {order.adapter}".rstrip()
+            self._violations.append(f"order {order.order_id}: {what} under {users} requests")
+
+
+def _fetch_body(order: EngineOrder, region: str) -> bytes:
+    fetch = {"model": order.model, "version": order.model_version}
+    return json.dumps(fetch | {"bytes": order.order_bytes, "region": region}).encode()
--- /dev/null
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/process.py
@@ -0,0 +1,169 @@
+"""
+kingcupdyke_standins.process
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Starting and stopping processes in tests and demos.
+"""
+
+import json
+import os
+import signal
+import sys
+from abc import ABC, abstractmethod
+from http.client import HTTPConnection
+from pathlib import Path
+from select import select
+from subprocess import PIPE, Popen, TimeoutExpired
+from typing import Self
+
+__all__ = ["DaemonProcess", "ListeningProcess", "StandinProcess"]
+
+#: First word of the line that a process prints once it listens.
+LISTENING = "listening"
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
+CALL_TIMEOUT_S = 5.0
+
+
+class ListeningProcess(ABC):
+    """A process that says where it listens.
+
+    Ends with the ``with`` block that it is used in.
+
+    :param arguments: what the process is told
+    """
+
+    def __init__(self, *arguments: str) -> None:
+        command = [sys.executable, "-m", self.module(), *arguments]
+        self._process = Popen(command, stdout=PIPE, text=True)
+        self._is_frozen = False
+        line = self._read_line().split()
+        if not line or line[0] != LISTENING:
+            self.kill()
+            raise RuntimeError(f"{' '.join(command)}: did not start")
+        self.address, port = line[1].rsplit(":", 1)
+        self.port = int(port)
+
+    @abstractmethod
+    def module(self) -> str:
+        """:return: name of the module that is run"""
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    @property
+    def url(self) -> str:
+        """Base address."""
+        return f"http://{self.address}:{self.port}"
+
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        return self._process.pid
+
+    def is_running(self) -> bool:
+        """:return: whether the process has not ended"""
+        return self._process.poll() is None
+
+    def resident_bytes(self) -> int:
+        """:return: memory of the process"""
+        pages = int(Path(f"/proc/{self.pid}/statm").read_text().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE")
+
+    def freeze(self) -> None:
+        """Pause the process."""
+        self._signal(signal.SIGSTOP)
+        self._is_frozen = True
+
+    def thaw(self) -> None:
+        """Let a paused process go on."""
+        self._signal(signal.SIGCONT)
+        self._is_frozen = False
+
+    def terminate(self) -> None:
+        """Ask for a planned stop and don't wait for it."""
+        self._signal(signal.SIGTERM)
+
+    def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """:return: the exit status
+        :raises TimeoutExpired: when the process goes on
+        """
+        return self._process.wait(timeout_s)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self._signal(signal.SIGKILL)
+        self._process.wait()
+        self._process.stdout.close()
+
+    def stop(self) -> int:
+        """End the process, by a planned stop where it obeys.
+
+        :return: the exit status
+        """
+        if self._is_frozen:
+            self.thaw()
+        self.terminate()
+        try:
+            self.wait()
+        except TimeoutExpired:
+            self.kill()
+        self._process.stdout.close()
+        return self._process.returncode
+
+    def call(self, method: str, path: str, data: object = None) -> dict:
+        """Call the process with JSON and wait for the answer.
+
+        :raises RuntimeError: for another status than 200
+        """
+        connection = HTTPConnection(self.address, self.port, timeout=CALL_TIMEOUT_S)
+        try:
+            body = None if data is None else json.dumps(data)
+            connection.request(method, path, body)
+            answer = connection.getresponse()
+            content = answer.read()
+        finally:
+            connection.close()
+        if answer.status != 200:
+            raise RuntimeError(f"{method} {path}: {answer.status} {content.decode()}")
+        return json.loads(content) if content else {}
+
+    def _read_line(self) -> str:
+        ready, _, _ = select([self._process.stdout], [], [], START_TIMEOUT_S)
+        return self._process.stdout.readline() if ready else ""
+
+    def _signal(self, number: int) -> None:
+        if self.is_running():
+            self._process.send_signal(number)
+
+
+class StandinProcess(ListeningProcess):
+    """A stand-in; the first argument is its name, the others are options."""
+
+    def module(self) -> str:
+        return "kingcupdyke_standins"
+
+    def set_faults(self, **values: bool | float) -> None:
+        """Set switches by name."""
+        self.call("PUT", "/faults", values)
+
+    def violations(self) -> list[str]:
+        """:return: what was seen that must never be"""
+        return self.call("GET", "/violations")["violations"]
+
+
+class DaemonProcess(ListeningProcess):
+    """A daemon.
+
+    :param subcommand: "gateway" or "sidecar"
+    :param settings: file of its settings
+    """
+
+    def __init__(self, subcommand: str, settings: Path | str) -> None:
+        super().__init__(subcommand, "--settings", str(settings))
+
+    def module(self) -> str:
+        return "kingcupdyke_daemon"
