--- a/packages/kingcupdyke/kingcupdyke/inventory.py
+++ b/packages/kingcupdyke/kingcupdyke/inventory.py
@@ -2,18 +2,28 @@
 kingcupdyke.inventory
 ~~~~~~~~~~~~~~~~~~~~~
 
-What an engine says is in its memory.
+What an engine reports of its own memory.
 """
 
 from typing import NamedTuple
 
-__all__ = ["EngineInventory"]
+__all__ = ["EngineInventory", "OrderState"]
+
+
+class OrderState:
+    """Names of the states of an order at an engine."""
+
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+    #: The states after which an order takes no further effect.
+    ENDED = (DONE, FAILED)
 
 
 class EngineInventory(NamedTuple):
-    """The state of an engine, from its own books."""
+    """One reading of an engine's inventory."""
 
-    #: Changes whenever the engine restarts.
+    #: Changes at each restart of the engine.
     incarnation: str
     role: str
     #: Highest fencing number that the engine has seen.
@@ -24,7 +34,6 @@
     models: dict[str, int]
     #: Bytes of each resident adapter, by name.
     adapters: dict[str, int]
-    #: Bytes of KV cache that was imported or stays for exports, by name.
     kv_bytes: dict[str, int]
-    #: "running", "done" or "failed", by order id.
+    #: State of each order that the engine has begun, by order id.
     orders: dict[str, str]
