Serve each engine request over its own connection

A trial with the switch "double" gave the second copy of an answer to the next request: httpcore keeps a connection whose parser still holds bytes, and looks only at the socket. Comparing ids would notice it, but only for answers that carry one. A connection per request is the default now; store, host list and engine orders, which double nothing, keep theirs.

The same trial showed 44 ms a request on a reused connection: asyncio leaves Nagle's algorithm on for a listener made without naming the protocol.

--- a/packages/kingcupdyke-standins/kingcupdyke_standins/asgi.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/asgi.py
@@ -13,8 +13,8 @@
 
 from anyio import sleep_forever
 from anyio.abc import TaskGroup
-from kingcupdyke.error import OptionError
 
+from kingcupdyke.error import OptionError
 from kingcupdyke_standins.faults import Faults
 from kingcupdyke_standins.protocol import StandinProtocol
 
@@ -57,8 +57,7 @@
     ) -> None:
         """Send a whole answer."""
         await self.begin(status, {"content-length": str(len(body)), **(headers or {})})
-        await self.part(body)
-        await self.end()
+        await self._pass({"type": "http.response.body", "body": body, "more_body": False})
 
     async def begin(self, status: int, headers: dict[str, str]) -> None:
         """Send the head of an answer."""
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/server.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/server.py
@@ -50,8 +50,17 @@
         timeout_keep_alive=KEEP_ALIVE_S,
         timeout_graceful_shutdown=STOP_S,
     )
-    listener = socket.create_server((address, port), backlog=BACKLOG)
+    listener = _listen(address, port)
     async with create_task_group() as tasks:
         await app.begin(tasks)
         await _Server(config).serve(sockets=[listener])
         tasks.cancel_scope.cancel()
+
+
+def _listen(address: str, port: int) -> socket.socket:
+    # asyncio turns Nagle's algorithm off only where the protocol is named.
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((address, port))
+    listener.listen(BACKLOG)
+    return listener
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/engine.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/engine.py
@@ -14,9 +14,9 @@
 from urllib.parse import quote, urlencode
 
 from expression import Error, Ok, Result
+
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke.inventory import EngineInventory
-
 from kingcupdyke_wire.decode import decode, refuse
 from kingcupdyke_wire.http import HttpAnswer, HttpClient
 from kingcupdyke_wire.sse import split_events
@@ -191,7 +191,7 @@
     """
 
     def __init__(self, base_url: str, timeout_s: float, run_timeout_s: float = 60.0) -> None:
-        self._http = HttpClient(base_url, timeout_s, step=Step.ORDER)
+        self._http = HttpClient(base_url, timeout_s, step=Step.ORDER, reuse=True)
         self._run_http = HttpClient(base_url, run_timeout_s, step=Step.RUN)
         self._timeout_s = timeout_s
 
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/hostlist.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/hostlist.py
@@ -6,9 +6,9 @@
 """
 
 from expression import Result
+
 from kingcupdyke.error import Failure, Step
 from kingcupdyke.host import Host
-
 from kingcupdyke_wire.decode import decode
 from kingcupdyke_wire.http import HttpClient
 
@@ -25,7 +25,7 @@
     """
 
     def __init__(self, base_url: str) -> None:
-        self._http = HttpClient(base_url, TIMEOUT_S, step=Step.CONFIGURE)
+        self._http = HttpClient(base_url, TIMEOUT_S, step=Step.CONFIGURE, reuse=True)
 
     async def hosts(self) -> Result[list[Host], Failure]:
         """:return: the hosts as listed now"""
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/http.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/http.py
@@ -21,6 +21,7 @@
     Response,
     TimeoutException,
 )
+
 from kingcupdyke.error import Failure, Outcome, Step
 
 __all__ = ["ExchangeError", "HttpAnswer", "HttpClient", "HttpStream"]
@@ -86,10 +87,17 @@
     :param timeout_s: seconds allowed for a request where it names none
     :param peer: name of the server in failures; its address by default
     :param step: step in failures that arise after the connection stood
+    :param reuse: whether a connection serves further requests; if so, a server that sends
+        an answer twice gives the second one to the next request
     """
 
     def __init__(
-        self, base_url: str, timeout_s: float, peer: str | None = None, step: Step = Step.RUN
+        self,
+        base_url: str,
+        timeout_s: float,
+        peer: str | None = None,
+        step: Step = Step.RUN,
+        reuse: bool = False,
     ) -> None:
         parts = urlsplit(base_url)
         self._scheme = parts.scheme
@@ -100,7 +108,7 @@
         self.peer = peer or parts.netloc
         self._pool = AsyncConnectionPool(
             max_connections=None,
-            max_keepalive_connections=MAX_IDLE_CONNECTIONS,
+            max_keepalive_connections=MAX_IDLE_CONNECTIONS if reuse else 0,
             keepalive_expiry=KEEPALIVE_S,
         )
 
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/store.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/store.py
@@ -13,8 +13,8 @@
 from urllib.parse import quote, urlencode
 
 from expression import Error, Ok, Result
-from kingcupdyke.error import Failure, Outcome, Step
 
+from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke_wire.decode import decode, refuse
 from kingcupdyke_wire.http import HttpAnswer, HttpClient
 
@@ -106,7 +106,7 @@
     """
 
     def __init__(self, base_url: str, timeout_s: float = 2.0) -> None:
-        self._http = HttpClient(base_url, timeout_s, step=Step.STORE)
+        self._http = HttpClient(base_url, timeout_s, step=Step.STORE, reuse=True)
         self._timeout_s = timeout_s
 
     async def get(self, kind: str, name: str) -> Result[StoreObject | None, Failure]:
