--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/orders.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/orders.py
@@ -116,6 +116,8 @@
         self._ledger.adopt(inventory, intents, self._timer.now())
         self.inventory = inventory
         self.ready = True
+        for order_id in self._ledger.unseen:
+            await self._end_unseen(order_id)
         for model in inventory.models:
             await self._holdings.add(model)
 
@@ -191,7 +193,7 @@
         return self._fences.accept(message.lease, message.fence)
 
     def _refuse(self, reason: str) -> Failure:
-        return Failure(Outcome.NOT_RUN, Step.ORDER, self._seat.guard.incarnation, reason, 1.0)
+        return Failure(Outcome.NOT_RUN, Step.ORDER, self._seat.endpoint, reason, 1.0)
 
     async def _observe(self, inventory: EngineInventory) -> None:
         before = self.inventory
@@ -201,7 +203,7 @@
         if before is not None and before.incarnation != inventory.incarnation and self.ready:
             _LOGGER.warning("engine restarted: step=order incarnation=%s", inventory.incarnation)
             for model in before.models.keys() - inventory.models.keys():
-                await self._holdings.drop(model)
+                await self._holdings.drop(model, before.incarnation)
 
     async def _carry(self, order: Order) -> None:
         try:
@@ -308,6 +310,23 @@
         self._ledger.reserve(order, self._timer.now(), self._lifetime_s)
         return await self._send(order)
 
+    async def _end_unseen(self, order_id: str) -> None:
+        """Use up the id of an order that an earlier sidecar may still send."""
+        answer = await self._engine.order(
+            order_id,
+            self._seat.fence,
+            OrderKind.UNLOAD_ADAPTER,
+            "",
+            "no-such-adapter",
+            "",
+            "",
+            0,
+            self._lifetime_s,
+        )
+        if answer.is_ok():
+            self._ledger.answered(order_id, answer.ok.state, self._timer.now())
+        self._forget_settled()
+
     def _forget_settled(self) -> None:
         for order_id in self._ledger.settled_order_ids():
             self._intents_by_id.pop(order_id, None)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/seat.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/seat.py
@@ -60,7 +60,8 @@
         store: StoreClient,
         engine: EngineClient,
     ) -> None:
-        self._endpoint = endpoint
+        #: Name of the endpoint.
+        self.endpoint = endpoint
         self._incarnation = incarnation
         self._store = store
         self._engine = engine
@@ -87,7 +88,7 @@
         self.fence = command.fence
         self._version = self._machine.version
         _LOGGER.info(
-            "endpoint taken over: step=order peer=%s fence=%d", self._endpoint, self.fence
+            "endpoint taken over: step=order peer=%s fence=%d", self.endpoint, self.fence
         )
         return self._inventory, command.intents
 
@@ -96,14 +97,14 @@
 
         :return: nothing once they are stored, or why they may not be relied on
         """
-        record = EndpointRecord(self._endpoint, self._incarnation, self.fence, tuple(intents))
+        record = EndpointRecord(self.endpoint, self._incarnation, self.fence, tuple(intents))
         async with self._lock:
             for _ in range(_MOST_TRIES):
                 checked = self.guard.check(Step.ORDER)
                 if checked.is_error():
                     return checked
                 written = await self._store.put(
-                    ENDPOINTS_KIND, self._endpoint, record.encode(), self._version
+                    ENDPOINTS_KIND, self.endpoint, record.encode(), self._version
                 )
                 if written.is_error():
                     if written.error.outcome is Outcome.NOT_RUN:
@@ -115,7 +116,7 @@
                     self._version = written.ok.version
                     return Ok(None)
         return Error(
-            Failure(Outcome.NOT_RUN, Step.STORE, self._endpoint, "the intent was not stored", 1.0)
+            Failure(Outcome.NOT_RUN, Step.STORE, self.endpoint, "the intent was not stored", 1.0)
         )
 
     async def check_superseded(self) -> bool:
@@ -123,7 +124,7 @@
 
         :return: whether a later sidecar runs the endpoint
         """
-        read = await self._store.get(ENDPOINTS_KIND, self._endpoint)
+        read = await self._store.get(ENDPOINTS_KIND, self.endpoint)
         if read.is_ok() and self.fence:
             self._judge(read.ok)
         return self.guard.superseded
@@ -132,7 +133,7 @@
         record = EndpointRecord.decode(current.value) if current else None
         version = current.version if current else 0
         if self.guard.endpoint_conflict(record, version):
-            _LOGGER.warning("superseded: step=order peer=%s", self._endpoint)
+            _LOGGER.warning("superseded: step=order peer=%s", self.endpoint)
         else:
             self._version = version
 
@@ -148,7 +149,7 @@
         return command
 
     async def _read(self) -> TakeoverCommand | None:
-        read = await self._store.get(ENDPOINTS_KIND, self._endpoint)
+        read = await self._store.get(ENDPOINTS_KIND, self.endpoint)
         if read.is_error():
             return None
         if read.ok is None:
@@ -157,7 +158,7 @@
 
     async def _write(self, command: WriteEndpoint) -> TakeoverCommand | None:
         written = await self._store.put(
-            ENDPOINTS_KIND, self._endpoint, command.value.encode(), command.if_version
+            ENDPOINTS_KIND, self.endpoint, command.value.encode(), command.if_version
         )
         if written.is_error():
             if written.error.outcome is Outcome.NOT_RUN:
