--- a/packages/kingcupdyke/kingcupdyke/admission.py
+++ b/packages/kingcupdyke/kingcupdyke/admission.py
@@ -38,7 +38,7 @@
 
 
 class Queued(NamedTuple):
-    """The request waits; it comes back from ``finished``, ``cancelled``, ``admit`` or ``expire``."""
+    """The request waits; a later call such as ``finished`` or ``expire`` returns it."""
 
     request: Request
     #: Estimated seconds until it is sent.
--- a/packages/kingcupdyke/kingcupdyke/estimate.py
+++ b/packages/kingcupdyke/kingcupdyke/estimate.py
@@ -15,6 +15,7 @@
     "DEFAULT_TOKEN_INTERVAL_S",
     "PREFILL_BLOCK_S",
     "estimate_adapter",
+    "estimate_crowding",
     "estimate_prefill",
     "estimate_service",
     "estimate_staleness",
@@ -70,6 +71,12 @@
     return _get_service(view, request, joined)
 
 
+def estimate_crowding(view: EndpointView, request: Request) -> float:
+    """:return: seconds of delay that the request causes to those that run beside it"""
+    beside = view.running + view.waiting + view.dispatched_since
+    return beside * BATCH_GROWTH * _get_service(view, request, 0) / 2
+
+
 def estimate_staleness(view: EndpointView) -> float:
     """:return: seconds that the age of the last report adds, for what may have changed since"""
     late_s = max(0.0, view.report_age_s - FRESH_REPORT_S)
--- /dev/null
+++ b/packages/kingcupdyke/kingcupdyke/placements/__init__.py
@@ -0,0 +1,29 @@
+"""
+kingcupdyke.placements
+~~~~~~~~~~~~~~~~~~~~~~
+
+Placement policies by name.
+"""
+
+from kingcupdyke.placement import PlacementPolicy
+from kingcupdyke.placements.greedy import GreedyPlacement
+from kingcupdyke.placements.static import StaticPlacement
+from kingcupdyke.util import get_choice_opt
+
+__all__ = ["PLACEMENTS_BY_NAME", "get_placement"]
+
+#: Classes of placement policies by the name that settings use.
+PLACEMENTS_BY_NAME: dict[str, type[PlacementPolicy]] = {
+    each.name: each for each in (GreedyPlacement, StaticPlacement)
+}
+
+
+def get_placement(name: str, **options: object) -> PlacementPolicy:
+    """:return: a new placement policy
+
+    :param name: a key of :data:`PLACEMENTS_BY_NAME`
+    :param options: see the policy's class
+    :raises OptionError: when the name is unknown or an option is wrong
+    """
+    choice = get_choice_opt({"placement": name}, "placement", PLACEMENTS_BY_NAME)
+    return PLACEMENTS_BY_NAME[choice](**options)
--- a/packages/kingcupdyke/kingcupdyke/routers/cost.py
+++ b/packages/kingcupdyke/kingcupdyke/routers/cost.py
@@ -14,7 +14,7 @@
 
 from kingcupdyke.budget import ByteBudget
 from kingcupdyke.error import Failure, OptionError
-from kingcupdyke.estimate import estimate_wait
+from kingcupdyke.estimate import estimate_crowding, estimate_wait
 from kingcupdyke.request import Request
 from kingcupdyke.routers.refusal import NO_ENDPOINT_RETRY_S, refuse_route
 from kingcupdyke.routing import Choice, EndpointView, Router
@@ -47,6 +47,8 @@
 
     view: EndpointView
     estimate_s: float
+    #: Seconds of delay to all requests, those in progress there included.
+    cost_s: float
 
 
 def count_crossing_bytes(request: Request) -> int:
@@ -135,7 +137,7 @@
         best = self._choose_cheapest(request, self._sample(request, views, rng), rng)
         if not self._is_late(best, request, now_s):
             return best
-        priced = [Priced(view, self._price(view, request)) for view in views]
+        priced = [self._price(view, request) for view in views]
         in_time = [each.view for each in priced if not self._is_late(each, request, now_s)]
         if not in_time:
             return best
@@ -169,11 +171,12 @@
     def _choose_cheapest(
         self, request: Request, views: Sequence[EndpointView], rng: Random
     ) -> Priced:
-        priced = [Priced(view, self._price(view, request)) for view in views]
-        return min(priced, key=lambda each: (each.estimate_s, rng.random()))
+        priced = [self._price(view, request) for view in views]
+        return min(priced, key=lambda each: (each.cost_s, rng.random()))
 
-    def _price(self, view: EndpointView, request: Request) -> float:
-        return estimate_wait(view, request) + self._get_distance(view)
+    def _price(self, view: EndpointView, request: Request) -> Priced:
+        estimate_s = estimate_wait(view, request) + self._get_distance(view)
+        return Priced(view, estimate_s, estimate_s + estimate_crowding(view, request))
 
     def _get_distance(self, view: EndpointView) -> float:
         if self._crosses(view):
