--- /dev/null
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/configlog.py
@@ -0,0 +1,228 @@
+"""
+kingcupdyke_wire.configlog
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The configuration's change log in the platform's store.
+"""
+
+from typing import NamedTuple
+
+import anyio
+from expression import Error, Ok, Result
+from kingcupdyke.acceptance import (
+    AcceptCommand,
+    AcceptMachine,
+    AcceptResult,
+    Applied,
+    CreateChange,
+    ReadBack,
+    ReadHead,
+)
+from kingcupdyke.book import BookDelta, RuleBook, StoredRule, apply_delta
+from kingcupdyke.changelog import (
+    CHANGES_KIND,
+    PAGE_CHANGES,
+    SNAPSHOT_NAME,
+    SNAPSHOT_PERIOD_CHANGES,
+    SNAPSHOTS_KIND,
+    decode_change,
+    decode_snapshot,
+    encode_change,
+    encode_snapshot,
+    name_change,
+    name_page,
+)
+from kingcupdyke.config import ConfigChange
+from kingcupdyke.error import Failure, Outcome, Step
+
+from kingcupdyke_wire.store import Conflict, StoreClient, StoreObject
+
+__all__ = [
+    "LogPage",
+    "apply_change",
+    "find_change",
+    "read_changes",
+    "read_config",
+    "read_log",
+    "watch_changes",
+    "write_snapshot",
+]
+
+#: Seconds before the second reading back; each later one waits as much longer.
+READ_BACK_PAUSE_S = 0.2
+
+StoredRules = tuple[StoredRule, ...]
+
+
+class LogPage(NamedTuple):
+    """The end of the log."""
+
+    #: Position in the store from which a watch misses nothing.
+    position: int
+    #: Highest version in the log; 0 when it is empty.
+    head_version: int
+    changes: tuple[ConfigChange, ...]
+
+
+async def read_config(store: StoreClient) -> Result[tuple[int, StoredRules], Failure]:
+    """Read the whole configuration: the snapshot, and the changes after it.
+
+    :return: the highest version and its rules; version 0 has none
+    """
+    read = await store.get(SNAPSHOTS_KIND, SNAPSHOT_NAME)
+    if read.is_error():
+        return Error(read.error)
+    version, rules = 0, ()
+    if read.ok is not None:
+        decoded = _decode(decode_snapshot, read.ok)
+        if decoded.is_error():
+            return Error(decoded.error)
+        version, rules = decoded.ok
+    changes = await read_changes(store, version)
+    if changes.is_error():
+        return Error(changes.error)
+    book = RuleBook.from_rules(rules)
+    for change in changes.ok:
+        book = apply_delta(book, BookDelta(change.puts, change.removes))
+        version = change.version
+    return Ok((version, tuple(book.rules_by_key.values())))
+
+
+async def read_changes(
+    store: StoreClient, after_version: int
+) -> Result[tuple[ConfigChange, ...], Failure]:
+    """:return: all changes after a version, in order and without a gap"""
+    page = await read_log(store, after_version)
+    return page.map(lambda read: read.changes)
+
+
+async def read_log(store: StoreClient, after_version: int) -> Result[LogPage, Failure]:
+    """Read the log after a version, one call for each hundred changes.
+
+    :return: the changes in order and without a gap, and where to watch from
+    """
+    changes_by_version: dict[int, ConfigChange] = {}
+    page_version = after_version
+    while True:
+        listed = await store.list(CHANGES_KIND, name_page(page_version))
+        if listed.is_error():
+            return Error(listed.error)
+        position, objects = listed.ok
+        for each in objects:
+            change = _decode(decode_change, each)
+            if change.is_error():
+                return Error(change.error)
+            changes_by_version[change.ok.version] = change.ok
+        page_version += PAGE_CHANGES - page_version % PAGE_CHANGES
+        if page_version - 1 not in changes_by_version:
+            break
+    head_version = after_version if after_version in changes_by_version else 0
+    head_version = max(changes_by_version, default=head_version)
+    changes = []
+    while (version := after_version + len(changes) + 1) in changes_by_version:
+        changes.append(changes_by_version[version])
+    return Ok(LogPage(position, head_version, tuple(changes)))
+
+
+async def watch_changes(
+    store: StoreClient, position: int, timeout_s: float
+) -> Result[tuple[int, tuple[ConfigChange, ...]], Failure]:
+    """Wait for changes that were accepted after a position.
+
+    :param timeout_s: seconds to wait; no changes are returned when there were none
+    :return: the position to go on from, and the changes
+    """
+    watched = await store.watch(CHANGES_KIND, position, timeout_s)
+    if watched.is_error():
+        return Error(watched.error)
+    changes = []
+    for event in watched.ok:
+        position = max(position, event.position)
+        if event.current is None:
+            continue
+        change = _decode(decode_change, event.current)
+        if change.is_error():
+            return Error(change.error)
+        changes.append(change.ok)
+    return Ok((position, tuple(changes)))
+
+
+async def find_change(store: StoreClient, version: int) -> Result[ConfigChange | None, Failure]:
+    """:return: the change that made a version; None where there is none"""
+    read = await store.get(CHANGES_KIND, name_change(version))
+    if read.is_error():
+        return Error(read.error)
+    return Ok(None) if read.ok is None else _decode(decode_change, read.ok)
+
+
+async def apply_change(
+    store: StoreClient,
+    change_id: str,
+    author: str,
+    base_version: int,
+    delta: BookDelta,
+    pause_s: float = READ_BACK_PAUSE_S,
+) -> AcceptResult:
+    """Have one change accepted against the version that its operator read.
+
+    :param change_id: unique id of the change
+    :param pause_s: seconds before the second reading back; later ones wait longer
+    :return: what is known for certain, or an unknown outcome
+    """
+    machine = AcceptMachine(change_id, author, base_version, delta)
+    step: AcceptCommand | AcceptResult = machine.start()
+    while isinstance(step, AcceptCommand):
+        if isinstance(step, ReadBack):
+            await anyio.sleep(pause_s * (step.tries - 1))
+        step = await _carry_out(store, machine, step)
+    if isinstance(step, Applied) and step.version % SNAPSHOT_PERIOD_CHANGES == 0:
+        # Only a shortcut for starting, so that its failure changes nothing.
+        await write_snapshot(store)
+    return step
+
+
+async def write_snapshot(store: StoreClient) -> Result[int, Failure]:
+    """Write the configuration as one object unless a later one is there.
+
+    :return: the version that the snapshot holds now
+    """
+    held = await store.get(SNAPSHOTS_KIND, SNAPSHOT_NAME)
+    read = await read_config(store)
+    if held.is_error() or read.is_error():
+        return Error(held.error if held.is_error() else read.error)
+    version, rules = read.ok
+    held_object_version = 0 if held.ok is None else held.ok.version
+    value = encode_snapshot(version, rules)
+    written = await store.put(SNAPSHOTS_KIND, SNAPSHOT_NAME, value, held_object_version)
+    return written.map(lambda _: version)
+
+
+async def _carry_out(
+    store: StoreClient, machine: AcceptMachine, command: AcceptCommand
+) -> AcceptCommand | AcceptResult:
+    if isinstance(command, ReadHead | ReadBack):
+        page = await read_log(store, command.after_version)
+        if page.is_error():
+            return machine.hear_failure(page.error)
+        return machine.hear_log(page.ok.head_version, page.ok.changes)
+    return await _create(store, machine, command)
+
+
+async def _create(
+    store: StoreClient, machine: AcceptMachine, command: CreateChange
+) -> AcceptCommand | AcceptResult:
+    name = name_change(command.change.version)
+    written = await store.put(CHANGES_KIND, name, encode_change(command.change), 0)
+    if written.is_error():
+        return machine.hear_failure(written.error)
+    if isinstance(written.ok, Conflict):
+        return machine.hear_taken()
+    return machine.hear_created()
+
+
+def _decode(decode, stored: StoreObject) -> Result:
+    try:
+        return Ok(decode(stored.value))
+    except ValueError as error:
+        reason = f"{stored.kind}/{stored.name}: {error}"
+        return Error(Failure(Outcome.FAILED, Step.CONFIGURE, "store", reason))
--- /dev/null
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/convert.py
@@ -0,0 +1,102 @@
+"""
+kingcupdyke_wire.convert
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Configuration and membership news to and from the messages between peers.
+"""
+
+from collections.abc import Iterable
+
+from kingcupdyke.book import StoredRule
+from kingcupdyke.config import ConfigChange, ConfigReplica
+from kingcupdyke.membership import LeavingNews
+
+from kingcupdyke_wire.peer_pb2 import Change, Leaving, News, Rule, Snapshot
+
+__all__ = [
+    "accept_news",
+    "make_news",
+    "read_change",
+    "read_leaving",
+    "read_rule",
+    "write_change",
+    "write_leaving",
+    "write_rule",
+]
+
+
+def write_rule(rule: StoredRule) -> Rule:
+    """:return: the rule as a message"""
+    return Rule(key=rule.key, fields=rule.fields, comment=rule.comment)
+
+
+def read_rule(message: Rule) -> StoredRule:
+    """:return: the rule of a message"""
+    return StoredRule(message.key, message.fields, message.comment)
+
+
+def write_change(change: ConfigChange) -> Change:
+    """:return: the change as a message"""
+    return Change(
+        version=change.version,
+        change_id=change.change_id,
+        author=change.author,
+        puts=[write_rule(rule) for rule in change.puts],
+        removes=change.removes,
+    )
+
+
+def read_change(message: Change) -> ConfigChange:
+    """:return: the change of a message"""
+    return ConfigChange(
+        message.version,
+        message.change_id,
+        message.author,
+        tuple(read_rule(rule) for rule in message.puts),
+        tuple(message.removes),
+    )
+
+
+def write_leaving(news: LeavingNews) -> Leaving:
+    """:return: what a host said of itself as a message"""
+    return Leaving(**news._asdict())
+
+
+def read_leaving(message: Leaving) -> LeavingNews:
+    """:return: what a host said of itself"""
+    return LeavingNews(message.host, message.incarnation, message.sequence, message.leaving)
+
+
+def make_news(
+    replica: ConfigReplica, peer_version: int, leaving: Iterable[LeavingNews] = ()
+) -> News:
+    """Make what brings a peer up to date.
+
+    :param replica: the configuration held here
+    :param peer_version: version that the peer holds
+    :param leaving: membership news to pass on
+    :return: the changes that the peer lacks, or a snapshot where they are no longer held
+    """
+    news = News(version=replica.version, leaving=[write_leaving(each) for each in leaving])
+    changes = replica.changes_since(peer_version)
+    if changes is None:
+        rules = [write_rule(rule) for rule in replica.book.rules_by_key.values()]
+        news.snapshot.CopyFrom(Snapshot(version=replica.version, rules=rules))
+    else:
+        news.changes.extend(write_change(change) for change in changes)
+    return news
+
+
+def accept_news(replica: ConfigReplica, news: News) -> bool:
+    """Let a replica take what is new to it; whether it needs a pull then is up to it.
+
+    :return: whether a new version is in force
+    """
+    before = replica.version
+    replica.hear_version(news.version)
+    if news.HasField("snapshot"):
+        rules = [read_rule(rule) for rule in news.snapshot.rules]
+        replica.accept_snapshot(news.snapshot.version, rules)
+    for change in news.changes:
+        replica.accept_change(read_change(change))
+    return replica.version > before
--- /dev/null
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/ruletext.py
@@ -0,0 +1,96 @@
+"""
+kingcupdyke_wire.ruletext
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Writing rules back as the text of a rule file.
+"""
+
+import json
+import re
+from collections.abc import Iterable
+
+from kingcupdyke.book import (
+    RULE_CLASSES_BY_KIND,
+    AnyRule,
+    StoredRule,
+    parse_rule,
+)
+from kingcupdyke.util import get_bytes_opt, get_seconds_opt
+
+__all__ = ["write_rule_file", "write_rule_line"]
+
+#: Names in the rule file, by the names of the fields that they are read into.
+_FILE_NAMES = {
+    "weights_bytes": "weights",
+    "kv_bytes": "kv",
+    "service_class": "class",
+    "deadline_s": "deadline",
+    "adapter_bytes": "size",
+    "idempotent_methods": "idempotent",
+    "token_digest": "token_sha256",
+    "bytes_per_host": "per_host",
+    "bytes_per_s": "budget",
+}
+#: Words that need no quotes in YAML of any version.
+_PLAIN_PATTERN = re.compile(
+    r"(?!(?:true|false|null|yes|no|on|off|y|n)$)[A-Za-z][A-Za-z0-9._-]*", re.I
+)
+_BYTE_UNITS = (("TB", 10**12), ("GB", 10**9), ("MB", 10**6), ("KB", 10**3))
+
+
+def write_rule_file(version: int, rules: Iterable[StoredRule]) -> str:
+    """Write a file that reads back as the same rules.
+
+    :param version: version of the rules, kept in the header for the next apply
+    :return: the text, sorted by kind and name
+    """
+    kinds = list(RULE_CLASSES_BY_KIND)
+    by_kind: dict[str, list[str]] = {kind: [] for kind in reversed(kinds)}
+    for rule in sorted(rules):
+        by_kind.setdefault(rule.key.partition("/")[0], []).append(write_rule_line(rule))
+    parts = ["\n".join(lines) for lines in by_kind.values() if lines]
+    return "\n\n".join([f"# version: {version}", *parts]) + "\n"
+
+
+def write_rule_line(stored: StoredRule) -> str:
+    """:return: one rule as a line of a rule file"""
+    kind = stored.key.partition("/")[0]
+    rule = parse_rule(stored)
+    if rule is None:
+        return f"# {stored.key} is not known to this release: {stored.fields}  # {stored.comment}"
+    fields = ", ".join(f"{name}: {value}" for name, value in _write_fields(kind, rule))
+    return f"- {{{fields}}}  # {stored.comment}"
+
+
+def _write_fields(kind: str, rule: AnyRule) -> Iterable[tuple[str, str]]:
+    for field, value in rule._asdict().items():
+        name = kind if field == "name" else _FILE_NAMES.get(field, field)
+        if "bytes" in field:
+            yield name, _write_bytes(value)
+        elif field == "deadline_s":
+            yield name, _write_seconds(value)
+        else:
+            yield name, _write_value(value)
+
+
+def _write_value(value: object) -> str:
+    if isinstance(value, tuple):
+        return f"[{', '.join(_write_value(each) for each in value)}]"
+    if isinstance(value, str) and _PLAIN_PATTERN.fullmatch(value):
+        return value
+    return json.dumps(value, ensure_ascii=False)
+
+
+def _write_bytes(size: int) -> str:
+    for unit, scale in _BYTE_UNITS:
+        text = f"{size / scale:.3f}".rstrip("0").rstrip(".") + unit
+        if size >= scale and get_bytes_opt({"size": text}, "size") == size:
+            return text
+    return str(size)
+
+
+def _write_seconds(seconds: float) -> str:
+    text = f"{seconds:g}s"
+    if "e" not in text and get_seconds_opt({"time": text}, "time") == seconds:
+        return text
+    return json.dumps(seconds)
