--- a/packages/kingcupdyke/kingcupdyke/host.py
+++ b/packages/kingcupdyke/kingcupdyke/host.py
@@ -2,7 +2,7 @@
 kingcupdyke.host
 ~~~~~~~~~~~~~~~~
 
-A host of the system as the platform's list names it.
+Hosts as the platform lists them.
 """
 
 from typing import NamedTuple
@@ -11,9 +11,10 @@
 
 
 class Host(NamedTuple):
-    """An entry of the platform's host list."""
+    """An entry of the platform's host list, which lags behind the truth."""
 
     host: str
+    #: IP number.
     address: str
     port: int
     #: "gateway" or "sidecar".
@@ -22,3 +23,5 @@
     data_centre: str
     #: "live" or "leaving".
     state: str
+    #: Port for peers of a gateway, whose ``port`` is for callers; 0 where both are one.
+    peer_port: int = 0
--- a/packages/kingcupdyke/kingcupdyke/membership.py
+++ b/packages/kingcupdyke/kingcupdyke/membership.py
@@ -133,6 +133,11 @@
         if now_s - contact.last_answer_s >= self._silence_s:
             contact.silent = True
 
+    def known(self, kind: str | None = None) -> list[Host]:
+        """:return: hosts that exist, leaving and silent ones too, in order of their names"""
+        hosts = sorted(self._hosts_by_name.items())
+        return [host for _, host in hosts if kind in (None, host.kind)]
+
     def routable(self, kind: str | None = None) -> list[Host]:
         """:return: hosts that take new work, in order of their names"""
         return [
