--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/app.py
@@ -0,0 +1,307 @@
+"""
+kingcupdyke_daemon.gateway.app
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What callers reach over HTTP.
+"""
+
+import json
+from collections.abc import Awaitable, Callable
+from hashlib import sha256
+from typing import NamedTuple
+from uuid import uuid4
+
+from anyio import create_task_group
+from expression import Error, Ok, Result
+
+from kingcupdyke.demand import DemandTracker
+from kingcupdyke.drain import DrainMachine
+from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke.prefix import hash_prefixes
+from kingcupdyke.request import Request
+from kingcupdyke.rule import ANY_CALLER, CallerRule, RuleSet
+from kingcupdyke.timer import TimerService
+from kingcupdyke_daemon.gateway.admin import AdminApp
+from kingcupdyke_daemon.gateway.body import parse_body
+from kingcupdyke_daemon.gateway.call import Call, CallHandler
+from kingcupdyke_daemon.gateway.reply import Rejection, Send, reject, send_json, send_rejection
+from kingcupdyke_daemon.gateway.sink import CallerSink
+from kingcupdyke_daemon.metrics import DaemonMetrics
+from kingcupdyke_daemon.process import StatusApp
+
+__all__ = ["AppParts", "GatewayApp"]
+
+Receive = Callable[[], Awaitable[dict]]
+
+_MODEL_PATHS = frozenset({"/v1/completions", "/v1/chat/completions"})
+_SERVICE_PREFIX = "/services/"
+_DEADLINE_HEADER = "x-deadline-ms"
+_KEY_HEADER = "idempotency-key"
+_REQUEST_ID_HEADER = "x-request-id"
+_MOST_KEY_CHARACTERS = 200
+_MOST_ID_CHARACTERS = 128
+_MOST_DEADLINE_S = 3600.0
+
+
+class AppParts(NamedTuple):
+    """What the application needs."""
+
+    calls: CallHandler
+    status: StatusApp
+    admin: AdminApp
+    drain: DrainMachine
+    demand: DemandTracker
+    metrics: DaemonMetrics
+    timer: TimerService
+    get_rules: Callable[[], RuleSet]
+    host: str
+    region: str
+    most_body_bytes: int
+
+
+class _Arrival(NamedTuple):
+    """A request of an authenticated caller, read in full."""
+
+    caller: CallerRule
+    method: str
+    path: str
+    query: str
+    headers: dict[str, str]
+    body: bytes
+    arrived_s: float
+
+
+class GatewayApp:
+    """The ASGI application of a gateway.
+
+    :param parts: what it needs
+    """
+
+    def __init__(self, parts: AppParts) -> None:
+        self._parts = parts
+
+    async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
+        if scope["type"] != "http":
+            return
+        path = scope["path"]
+        if path.startswith(self._parts.status.paths):
+            await self._parts.status(scope, receive, send)
+        elif path.startswith("/admin/"):
+            await self._parts.admin(scope, receive, send)
+        else:
+            await self._answer(scope, receive, send)
+
+    async def _answer(self, scope: dict, receive: Receive, send: Send) -> None:
+        headers = {
+            name.decode("latin-1"): value.decode("latin-1") for name, value in scope["headers"]
+        }
+        caller_id = headers.get(_REQUEST_ID_HEADER, "")[:_MOST_ID_CHARACTERS] or uuid4().hex
+        reply_headers = ((b"x-request-id", caller_id.encode("latin-1")),)
+        arrived = await self._read(scope, headers, receive)
+        if arrived.is_error():
+            if arrived.error is not None:
+                await send_rejection(send, arrived.error, reply_headers)
+            return
+        arrival = arrived.ok
+        if arrival.path == "/v1/models" and arrival.method == "GET":
+            await send_json(send, self._list_models(arrival.caller), headers=reply_headers)
+            return
+        made = self._make_call(arrival)
+        if made.is_error():
+            await send_rejection(send, made.error, reply_headers)
+            return
+        await self._carry(made.ok, receive, CallerSink(send, reply_headers, made.ok.stream))
+
+    async def _carry(self, call: Call, receive: Receive, sink: CallerSink) -> None:
+        parts = self._parts
+        request = call.request
+        admitted = parts.drain.admit(request.request_id)
+        if admitted.is_error():
+            await sink.fail(reject(admitted.error._replace(retry_after_s=1.0)))
+            return
+        if not call.service:
+            parts.demand.arrived(request.target, parts.region, request.arrived_s)
+        outcome = "abandoned"
+        try:
+            async with create_task_group() as tasks:
+                tasks.start_soon(_cancel_on_disconnect, receive, tasks.cancel_scope)
+                outcome = await parts.calls.run(call, sink)
+                tasks.cancel_scope.cancel()
+        finally:
+            parts.drain.finished(request.request_id)
+            whole_s = parts.timer.now() - request.arrived_s
+            parts.metrics.record_whole(request.caller, request.service_class, whole_s, outcome)
+
+    async def _read(
+        self, scope: dict, headers: dict[str, str], receive: Receive
+    ) -> Result[_Arrival, Rejection | None]:
+        arrived_s = self._parts.timer.now()
+        caller = self._authenticate(headers)
+        if caller is None:
+            return Error(self._refuse(Step.AUTHENTICATE, 401, "invalid_token", "unknown token"))
+        body = bytearray()
+        more = True
+        while more:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return Error(None)
+            body += message.get("body", b"")
+            more = message.get("more_body", False)
+            if len(body) > self._parts.most_body_bytes:
+                reason = f"the body is over {self._parts.most_body_bytes} bytes"
+                return Error(self._refuse(Step.PARSE, 413, "body_too_large", reason))
+        query = scope["query_string"].decode("latin-1")
+        return Ok(
+            _Arrival(caller, scope["method"], scope["path"], query, headers, bytes(body), arrived_s)
+        )
+
+    def _authenticate(self, headers: dict[str, str]) -> CallerRule | None:
+        scheme, _, token = headers.get("authorization", "").partition(" ")
+        if scheme.lower() != "bearer":
+            return None
+        digest = sha256(token.strip().encode()).hexdigest()
+        return self._parts.get_rules().callers_by_digest.get(digest)
+
+    def _refuse(
+        self, step: Step, status: int, code: str, reason: str, param: str = ""
+    ) -> Rejection:
+        failure = Failure(Outcome.NOT_RUN, step, self._parts.host, reason)
+        return Rejection(status, code, failure, param)
+
+    def _list_models(self, caller: CallerRule) -> dict:
+        rules = self._parts.get_rules()
+        named = (*rules.models_by_name.values(), *rules.adapters_by_name.values())
+        names = sorted(each.name for each in named if _is_allowed(each.callers, caller))
+        models = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "kingcupdyke"}
+            for name in names
+        ]
+        return {"object": "list", "data": models}
+
+    def _make_call(self, arrival: _Arrival) -> Result[Call, Rejection]:
+        if arrival.path in _MODEL_PATHS:
+            if arrival.method != "POST":
+                return Error(self._refuse(Step.PARSE, 405, "method_not_allowed", "use POST"))
+            return self._make_model_call(arrival)
+        if arrival.path.startswith(_SERVICE_PREFIX):
+            return self._make_service_call(arrival)
+        reason = f"no such path: {arrival.path}"
+        return Error(self._refuse(Step.PARSE, 404, "not_found", reason))
+
+    def _make_model_call(self, arrival: _Arrival) -> Result[Call, Rejection]:
+        parsed = parse_body(arrival.path, arrival.body)
+        if parsed.is_error():
+            problem = parsed.error
+            return Error(
+                self._refuse(Step.PARSE, 400, "invalid_request", problem.message, problem.field)
+            )
+        body = parsed.ok
+        rules = self._parts.get_rules()
+        adapter = rules.adapters_by_name.get(body.model)
+        model = rules.models_by_name.get(adapter.model if adapter else body.model)
+        if model is None:
+            reason = f"the model {body.model!r} does not exist"
+            return Error(self._refuse(Step.PARSE, 404, "model_not_found", reason, "model"))
+        if not _is_allowed((adapter or model).callers, arrival.caller):
+            reason = f"the model {body.model!r} is not for {arrival.caller.name}"
+            return Error(self._refuse(Step.AUTHENTICATE, 403, "forbidden", reason, "model"))
+        deadline = self._read_deadline(arrival, model.deadline_s)
+        if deadline.is_error():
+            return deadline
+        name = adapter.name if adapter else ""
+        request = Request(
+            uuid4().hex,
+            arrival.caller.name,
+            model.service_class,
+            model.name,
+            name,
+            arrival.arrived_s,
+            deadline.ok,
+            True,
+            "",
+            hash_prefixes(model.name, name, body.prompt),
+            len(arrival.body),
+            body.max_tokens,
+        )
+        sent = _replace_model(arrival.body, model.name) if adapter else arrival.body
+        return Ok(
+            Call(
+                request,
+                False,
+                arrival.method,
+                arrival.path,
+                "application/json",
+                sent,
+                body.stream,
+                arrival.caller.weight,
+            )
+        )
+
+    def _make_service_call(self, arrival: _Arrival) -> Result[Call, Rejection]:
+        name, _, path = arrival.path.removeprefix(_SERVICE_PREFIX).partition("/")
+        rule = self._parts.get_rules().services_by_name.get(name)
+        if rule is None:
+            reason = f"the service {name!r} does not exist"
+            return Error(self._refuse(Step.PARSE, 404, "service_not_found", reason))
+        if not _is_allowed(rule.callers, arrival.caller):
+            reason = f"the service {name!r} is not for {arrival.caller.name}"
+            return Error(self._refuse(Step.AUTHENTICATE, 403, "forbidden", reason))
+        deadline = self._read_deadline(arrival, rule.deadline_s)
+        if deadline.is_error():
+            return deadline
+        key = arrival.headers.get(_KEY_HEADER, "")
+        if len(key) > _MOST_KEY_CHARACTERS:
+            reason = f"the key is over {_MOST_KEY_CHARACTERS} characters"
+            return Error(self._refuse(Step.PARSE, 400, "invalid_request", reason, _KEY_HEADER))
+        idempotent = arrival.method in rule.idempotent_methods
+        request = Request(
+            uuid4().hex,
+            arrival.caller.name,
+            rule.service_class,
+            rule.name,
+            "",
+            arrival.arrived_s,
+            deadline.ok,
+            idempotent,
+            "" if idempotent else key,
+            body_bytes=len(arrival.body),
+        )
+        target = f"/{path}?{arrival.query}" if arrival.query else f"/{path}"
+        content_type = arrival.headers.get("content-type", "")
+        return Ok(
+            Call(
+                request,
+                True,
+                arrival.method,
+                target,
+                content_type,
+                arrival.body,
+                False,
+                arrival.caller.weight,
+            )
+        )
+
+    def _read_deadline(self, arrival: _Arrival, default_s: float) -> Result[float, Rejection]:
+        text = arrival.headers.get(_DEADLINE_HEADER)
+        if text is None:
+            return Ok(arrival.arrived_s + default_s)
+        if not text.isdecimal() or not 0 < int(text) <= _MOST_DEADLINE_S * 1000:
+            reason = f"{_DEADLINE_HEADER}: give whole milliseconds above zero"
+            return Error(self._refuse(Step.PARSE, 400, "invalid_request", reason, _DEADLINE_HEADER))
+        return Ok(arrival.arrived_s + int(text) / 1000)
+
+
+async def _cancel_on_disconnect(receive: Receive, scope: object) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        continue
+    scope.cancel()
+
+
+def _is_allowed(callers: tuple[str, ...], caller: CallerRule) -> bool:
+    return ANY_CALLER in callers or caller.name in callers
+
+
+def _replace_model(body: bytes, model: str) -> bytes:
+    fields = json.loads(body)
+    fields["model"] = model
+    return json.dumps(fields).encode()
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/call.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/call.py
@@ -13,6 +13,7 @@
 from expression import Error, Ok, Result
 
 from kingcupdyke.answer import AnswerAssembler
+from kingcupdyke.budget import RetryBudget
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke.request import Request
 from kingcupdyke.retry import GiveUp, RetryPolicy
@@ -54,6 +55,7 @@
     router: Router
     admission: AdmissionDesk
     retry: RetryPolicy
+    budget: RetryBudget
     metrics: DaemonMetrics
     timer: TimerService
     rng: Random
@@ -102,9 +104,7 @@
         if chosen.is_error():
             return chosen.map(lambda _: None)
         capacity = max(1, len(links)) * parts.endpoint_slots
-        return await parts.admission.enter(
-            request, capacity, chosen.ok.estimate_s, call.weight
-        )
+        return await parts.admission.enter(request, capacity, chosen.ok.estimate_s, call.weight)
 
     def _choose(
         self, call: Call, links: list[SidecarLink], tried: set[str]
@@ -120,7 +120,7 @@
         request = call.request
         tried: set[str] = set()
         outcome: Failure | None = None
-        parts.retry.first_attempt(request, parts.timer.now())
+        parts.budget.first_attempt(parts.timer.now())
         while True:
             links = parts.directory.links_for(request.target, call.service)
             chosen = self._choose(call, links, tried)
@@ -159,9 +159,13 @@
                         ended = True
                         return reply
                     self._hear_load(name, reply)
-                    taken = await self._take(reply, assembler, sink)
+                    taken = await self._take(message, reply, assembler, sink)
                     if taken.is_error():
-                        ended = reply.WhichOneof("kind") == "refusal"
+                        ended = (
+                            reply.WhichOneof("kind") == "refusal" and reply.attempt_id == attempt_id
+                        )
+                        if not ended:
+                            link.replace()
                         return taken.error
                     if assembler.complete:
                         ended = True
@@ -177,12 +181,10 @@
         if not reply.HasField("load"):
             return
         load = reply.load
-        self._parts.directory.hear_load(
-            name, load.running, load.waiting, load.token_interval_ms
-        )
+        self._parts.directory.hear_load(name, load.running, load.waiting, load.token_interval_ms)
 
     async def _take(
-        self, reply: RunReply, assembler: AnswerAssembler, sink: CallerSink
+        self, message: RunRequest, reply: RunReply, assembler: AnswerAssembler, sink: CallerSink
     ) -> Result[None, Failure]:
         ids = (reply.request_id, reply.attempt_id)
         kind = reply.WhichOneof("kind")
@@ -199,6 +201,8 @@
             return Ok(None)
         if kind == "end":
             return assembler.end(*ids, reply.end.count)
+        if ids != (message.request_id, message.attempt_id):
+            return Error(Failure(Outcome.UNKNOWN, Step.RELAY, "", "reply to another request"))
         if kind == "refusal":
             return Error(_decode_refusal(reply))
         return Ok(None)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/directory.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/directory.py
@@ -27,8 +27,6 @@
 _LOGGER = logging.getLogger(__name__)
 #: Prefix blocks that are remembered over all endpoints.
 _MOST_PREFIXES = 200_000
-#: Seconds between tokens where an endpoint has reported none yet.
-_DEFAULT_TOKEN_INTERVAL_S = 0.01
 
 
 class EndpointDirectory:
@@ -73,6 +71,23 @@
         for name in set(self.links_by_host) - set(hosts_by_name):
             self._close(name)
 
+    def close(self) -> None:
+        """Close all links."""
+        for name in list(self.links_by_host):
+            self._close(name)
+
+    def is_leaving(self, name: str) -> bool:
+        """:return: whether a host is known to leave"""
+        return self._membership.is_leaving(name)
+
+    def is_usable(self, link: SidecarLink) -> bool:
+        """:return: whether a sidecar answers and takes new work"""
+        return link.usable and not self.is_leaving(link.host.host)
+
+    def cancel_attempt(self, link: SidecarLink, attempt_id: str) -> None:
+        """Tell a sidecar, in the background, that nobody waits for an attempt."""
+        self._tasks.start_soon(link.cancel, attempt_id)
+
     def links_for(self, target: str, service: bool) -> list[SidecarLink]:
         """:return: links to the sidecars that hold a model or service and take work"""
         return [link for link in self._usable_links() if _holds(link, target, service)]
@@ -86,27 +101,22 @@
     def _view(self, request: Request, link: SidecarLink, now_s: float) -> EndpointView:
         beat = link.last_beat
         host = link.host
-        load = self.loads.view(host.host, now_s)
-        interval_s = beat.load.token_interval_ms / 1000 or _DEFAULT_TOKEN_INTERVAL_S
+        load = self.loads.parts(host.host, now_s)
         return EndpointView(
             host.host,
             host.region,
             host.data_centre,
-            beat.load.running,
-            beat.load.waiting,
+            load.running,
+            load.waiting,
             load.report_age_s,
             load.dispatched_since,
-            interval_s,
+            load.token_interval_s,
             not request.adapter or request.adapter in beat.adapters,
             self.prefixes.cached_blocks(host.host, request.prefixes),
         )
 
     def _usable_links(self) -> list[SidecarLink]:
-        return [
-            link
-            for name, link in self.links_by_host.items()
-            if link.usable and not self._membership.is_leaving(name)
-        ]
+        return [link for link in self.links_by_host.values() if self.is_usable(link)]
 
     def _open(self, host: Host) -> None:
         settings = self._settings
@@ -132,6 +142,7 @@
         link = self.links_by_host.pop(name)
         self._scopes_by_host.pop(name).cancel()
         self.prefixes.forget(name)
+        self.loads.forget(name)
         link.close()
         _LOGGER.info("link closed: step=connect peer=%s host=%s", link.peer, name)
 
@@ -139,7 +150,7 @@
         now_s = self._timer.now()
         name = link.host.host
         self.hear_load(name, beat.load.running, beat.load.waiting, beat.load.token_interval_ms)
-        self._membership.hear_answer(name, beat.load.incarnation, now_s)
+        self._membership.hear_answer(name, beat.load.incarnation, now_s, beat.load.leaving)
         link.config_version = self.config_version
         for event in beat.cache_events:
             self.prefixes.hear(
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/link.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/link.py
@@ -19,6 +19,8 @@
     BeatReply,
     BeatRequest,
     CancelRequest,
+    DescribeReply,
+    DescribeRequest,
     OrderReply,
     OrderRequest,
     RunReply,
@@ -83,6 +85,10 @@
         """Close the connection."""
         self._channel.close()
 
+    def replace(self) -> None:
+        """Give up the connection, as after a reply that belongs to nothing."""
+        self._replace_channel()
+
     async def beat_forever(self) -> None:
         """Send heartbeats; replace the connection when it goes silent."""
         while True:
@@ -101,10 +107,12 @@
         :return: replies in order as sent; the last item is an end, a refusal or a failure
         """
         request.incarnation = self.incarnation
+        begun_s = current_time()
         sent = False
         reason = ""
         for attempt in range(_MOST_RESUMES + 1):
             request.resume = sent
+            request.age_ms = int((current_time() - begun_s) * 1000)
             channel = self._channel
             try:
                 async with SidecarStub(channel).Run.open() as stream:
@@ -136,6 +144,12 @@
         with move_on_after(_CANCEL_S), suppress(*LINK_ERRORS):
             await SidecarStub(self._channel).Cancel(CancelRequest(attempt_id=attempt_id))
 
+    async def describe(self) -> DescribeReply:
+        """:return: the state of the endpoint
+        :raises LINK_ERRORS: when the sidecar does not answer
+        """
+        return await SidecarStub(self._channel).Describe(DescribeRequest())
+
     async def order(self, order: OrderRequest, timeout_s: float) -> OrderReply | Failure:
         """Give a planner's order.
 
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
@@ -0,0 +1,192 @@
+"""
+kingcupdyke_daemon.gateway.planner
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The planner of a region: a lease, a view of the endpoints, and proposed orders.
+"""
+
+import logging
+from collections.abc import Callable
+
+from anyio import create_task_group, fail_after, sleep
+
+from kingcupdyke.demand import DemandTracker
+from kingcupdyke.lease import LeaseCommand, LeaseMachine, LeaseRecord, ReadLease
+from kingcupdyke.placement import EndpointInventory, Order, PlacementPolicy, PlacementView
+from kingcupdyke.rule import RuleSet
+from kingcupdyke.timer import TimerService
+from kingcupdyke_daemon.gateway.directory import EndpointDirectory
+from kingcupdyke_daemon.gateway.link import LINK_ERRORS, SidecarLink
+from kingcupdyke_daemon.metrics import DaemonMetrics
+from kingcupdyke_wire.sidecar_pb2 import DescribeReply, OrderRequest
+from kingcupdyke_wire.store import Conflict, StoreClient
+
+__all__ = ["LEASES_KIND", "RegionPlanner"]
+
+_LOGGER = logging.getLogger(__name__)
+#: Kind of the objects that are leases.
+LEASES_KIND = "leases"
+_DESCRIBE_S = 1.0
+_ORDER_S = 2.0
+
+
+class RegionPlanner:
+    """Proposes orders for the endpoints of its region while it holds the region's lease.
+
+    :param region: name of the region
+    :param lease: the lease's decisions
+    :param policy: the placement policy
+    :param directory: links to all endpoints
+    :param demand: demand for each model and region
+    :param store: the platform's store
+    :param metrics: counters
+    :param timer: the timer service
+    :param get_rules: gives the rules in force
+    """
+
+    def __init__(
+        self,
+        region: str,
+        lease: LeaseMachine,
+        policy: PlacementPolicy,
+        directory: EndpointDirectory,
+        demand: DemandTracker,
+        store: StoreClient,
+        metrics: DaemonMetrics,
+        timer: TimerService,
+        get_rules: Callable[[], RuleSet],
+    ) -> None:
+        self._region = region
+        self._lease_name = f"planner-{region}"
+        self._lease = lease
+        self._policy = policy
+        self._directory = directory
+        self._demand = demand
+        self._store = store
+        self._metrics = metrics
+        self._timer = timer
+        self._get_rules = get_rules
+
+    @property
+    def fence(self) -> int | None:
+        """Fencing number of the lease, or None while another holds it."""
+        return self._lease.fence_at(self._timer.now())
+
+    async def plan_forever(self, period_s: float) -> None:
+        """Plan a round each period while the lease is held."""
+        while True:
+            await sleep(period_s)
+            await self._keep_lease()
+            if self.fence is not None:
+                await self._plan()
+
+    async def give_back(self) -> None:
+        """Give the lease back at a planned stop, so that nobody waits for its expiry."""
+        command = self._lease.release(self._timer.now())
+        if command is not None:
+            await self._carry(command)
+
+    async def _keep_lease(self) -> None:
+        command = self._lease.tick(self._timer.now())
+        while command is not None:
+            command = await self._carry(command)
+
+    async def _carry(self, command: LeaseCommand) -> LeaseCommand | None:
+        if isinstance(command, ReadLease):
+            answer = await self._store.get(LEASES_KIND, command.name)
+        else:
+            answer = await self._store.put(
+                LEASES_KIND, self._lease_name, command.record.encode(), command.if_version
+            )
+        now_s = self._timer.now()
+        if answer.is_error():
+            unknown = answer.error.outcome.value != "not_run"
+            return self._lease.store_failed(now_s, unknown)
+        found = answer.ok
+        is_conflict = isinstance(found, Conflict)
+        if is_conflict:
+            found = found.current
+        elif not isinstance(command, ReadLease):
+            return self._lease.lease_written(found.version, now_s)
+        record = LeaseRecord.decode(found.value) if found else None
+        version = found.version if found else 0
+        if is_conflict:
+            return self._lease.lease_conflict(record, version, now_s)
+        return self._lease.lease_read(record, version, now_s)
+
+    async def _plan(self) -> None:
+        inventory = await self._describe()
+        now_s = self._timer.now()
+        view = PlacementView(self._get_rules(), inventory, self._demand.rates(now_s))
+        own = self._own_links()
+        for order in self._policy.plan(view, now_s):
+            link = own.get(order.endpoint)
+            fence = self.fence
+            if link is not None and fence is not None:
+                await self._propose(link, order, fence)
+
+    def _own_links(self) -> dict[str, SidecarLink]:
+        return {
+            name: link
+            for name, link in self._directory.links_by_host.items()
+            if link.host.region == self._region
+        }
+
+    async def _describe(self) -> dict[str, EndpointInventory]:
+        """:return: what each endpoint with an engine says of itself, asked at the same time"""
+        inventory_by_endpoint: dict[str, EndpointInventory] = {}
+        async with create_task_group() as tasks:
+            for name, link in self._directory.links_by_host.items():
+                tasks.start_soon(self._describe_one, name, link, inventory_by_endpoint)
+        return inventory_by_endpoint
+
+    async def _describe_one(
+        self, name: str, link: SidecarLink, inventory_by_endpoint: dict[str, EndpointInventory]
+    ) -> None:
+        try:
+            with fail_after(_DESCRIBE_S):
+                reply = await link.describe()
+        except LINK_ERRORS:
+            return
+        if reply.capacity_bytes:
+            leaving = reply.load.leaving or self._directory.is_leaving(name)
+            inventory_by_endpoint[name] = _make_inventory(name, reply, leaving)
+
+    async def _propose(self, link: SidecarLink, order: Order, fence: int) -> None:
+        message = OrderRequest(
+            order_id=order.order_id,
+            kind=order.kind,
+            model=order.model,
+            adapter=order.adapter,
+            model_version=order.model_version,
+            role=order.role,
+            bytes=order.order_bytes,
+            lease=self._lease_name,
+            fence=fence,
+        )
+        reply = await link.order(message, _ORDER_S)
+        state = getattr(reply, "state", "unknown")
+        self._metrics.count(f"order_{order.kind}_{state}")
+        _LOGGER.info(
+            "order: step=order peer=%s kind=%s model=%s adapter=%s state=%s reason=%s",
+            link.peer,
+            order.kind,
+            order.model,
+            order.adapter,
+            state,
+            reply.reason,
+        )
+
+
+def _make_inventory(name: str, reply: DescribeReply, leaving: bool) -> EndpointInventory:
+    return EndpointInventory(
+        name,
+        reply.region,
+        reply.data_centre,
+        reply.capacity_bytes,
+        reply.reserved_bytes,
+        frozenset(reply.models),
+        frozenset(reply.adapters),
+        leaving,
+        frozenset(reply.pending_orders),
+    )
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
@@ -0,0 +1,291 @@
+"""
+kingcupdyke_daemon.gateway.process
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+A gateway from its start to its planned stop.
+"""
+
+import logging
+from collections.abc import Iterable
+from random import Random
+
+from anyio import Event, create_task_group, current_time, sleep
+from anyio.abc import TaskGroup
+from grpclib.server import Server
+
+from kingcupdyke.budget import RetryBudget
+from kingcupdyke.demand import DemandDelta, DemandTracker
+from kingcupdyke.drain import DrainMachine, DrainState
+from kingcupdyke.lease import LeaseMachine
+from kingcupdyke.placements import get_placement
+from kingcupdyke.retry import RetryPolicy
+from kingcupdyke.routers import get_router
+from kingcupdyke.routing import Router
+from kingcupdyke.util import rank_rendezvous
+from kingcupdyke_daemon.gateway.admin import AdminApp, AdminParts
+from kingcupdyke_daemon.gateway.app import AppParts, GatewayApp
+from kingcupdyke_daemon.gateway.call import CallHandler, CallParts
+from kingcupdyke_daemon.gateway.directory import EndpointDirectory
+from kingcupdyke_daemon.gateway.limits import AdmissionDesk
+from kingcupdyke_daemon.gateway.planner import RegionPlanner
+from kingcupdyke_daemon.metrics import DaemonMetrics
+from kingcupdyke_daemon.process import (
+    StatusApp,
+    make_incarnation,
+    print_address,
+    watch_signals,
+)
+from kingcupdyke_daemon.server import HttpServer, open_socket
+from kingcupdyke_daemon.settings import GatewaySettings
+from kingcupdyke_daemon.spread import NewsSpreader, PeerService
+from kingcupdyke_daemon.timer import LoopTimer
+from kingcupdyke_wire.hostlist import HostListClient
+from kingcupdyke_wire.peer_pb2 import Demand, News
+from kingcupdyke_wire.store import HttpStoreClient, StoreClient
+
+__all__ = ["run_gateway"]
+
+_LOGGER = logging.getLogger(__name__)
+_STORE_TIMEOUT_S = 2.0
+_DEMAND_WINDOW_S = 10.0
+_DEMAND_S = 1.0
+_REFRESH_S = 0.5
+_STOP_LOOK_S = 0.05
+#: Gateways of a region that may hold its planner's lease and are told of demand.
+_PLANNERS = 3
+
+
+class GatewayProcess:
+    """Wires the parts of a gateway together.
+
+    :param settings: the checked settings
+    :param tasks: the task group that carries everything
+    """
+
+    def __init__(self, settings: GatewaySettings, tasks: TaskGroup) -> None:
+        common = settings.common
+        self._settings = settings
+        self._tasks = tasks
+        self._timer = LoopTimer(tasks)
+        self._rng = Random()
+        self._incarnation = make_incarnation()
+        self._stop = Event()
+        self._store = HttpStoreClient(common.store_url, _STORE_TIMEOUT_S)
+        self._spreader = NewsSpreader(
+            common,
+            self._incarnation,
+            self._store,
+            HostListClient(common.hosts_url),
+            tasks,
+            self._timer,
+            self._rng,
+        )
+        self._metrics = DaemonMetrics(common.host, "gateway")
+        self._drain = DrainMachine(common.host, common.farewell_s)
+        self._demand = DemandTracker(_DEMAND_WINDOW_S)
+        self._directory = EndpointDirectory(common, self._spreader.membership, tasks, self._timer)
+        self._admission = AdmissionDesk(
+            settings.most_waiting, self._timer, settings.admission == "deadline"
+        )
+        self._router = self._make_router()
+        self._planner = self._make_planner(self._store)
+        self._spreader.on_hosts = self._directory.refresh
+        self._spreader.on_demand = self._hear_demand
+
+    async def run(self) -> int:
+        """Run until a planned stop has ended.
+
+        :return: the exit status
+        """
+        common = self._settings.common
+        listener = open_socket(common.address, self._settings.port)
+        peer_listener = open_socket(common.address, self._settings.peer_port)
+        peers = Server([PeerService(self._spreader)])
+        await peers.start(sock=peer_listener)
+        http = HttpServer(self._make_app())
+        served = Event()
+        self._tasks.start_soon(_serve, http, listener, served)
+        self._start_loops()
+        print_address("listening", listener)
+        print_address("peers", peer_listener)
+        await self._stop.wait()
+        await self._leave()
+        http.stop()
+        await served.wait()
+        peers.close()
+        self._spreader.close()
+        self._directory.close()
+        self._tasks.cancel_scope.cancel()
+        return 0
+
+    def _begin_stop(self) -> None:
+        self._stop.set()
+
+    async def _leave(self) -> None:
+        """Refuse new requests, tell peers, give the lease back, finish what runs."""
+        _LOGGER.info("leaving: step=admit host=%s", self._settings.common.host)
+        self._drain.stop(current_time())
+        self._tasks.start_soon(self._tell)
+        if self._planner is not None:
+            await self._planner.give_back()
+        # The balancer needs time to see that this process is no longer ready.
+        await sleep(self._settings.common.farewell_s)
+        while not self._drain.may_exit(current_time()):
+            await sleep(_STOP_LOOK_S)
+        _LOGGER.info("left: step=admit host=%s", self._settings.common.host)
+
+    async def _tell(self) -> None:
+        while not await self._spreader.tell_leaving(True):
+            await sleep(_STOP_LOOK_S)
+        self._drain.told(current_time())
+
+    def _make_router(self) -> Router:
+        settings = self._settings
+        if settings.router != "cost":
+            return get_router(settings.router)
+        return get_router(
+            "cost",
+            home_region=settings.common.region,
+            home_data_centre=settings.common.data_centre,
+            affinity=settings.affinity,
+            two_choices=settings.two_choices,
+            region_link_bytes_per_s=float(settings.region_link_bytes_per_s),
+            lean=settings.lean,
+        )
+
+    def _make_planner(self, store: StoreClient) -> RegionPlanner | None:
+        settings = self._settings
+        if settings.placement == "none":
+            return None
+        region = settings.common.region
+        lease = LeaseMachine(
+            f"planner-{region}",
+            f"{settings.common.host}/{self._incarnation}",
+            settings.lease_s,
+            settings.lease_s / 3,
+        )
+        return RegionPlanner(
+            region,
+            lease,
+            get_placement(settings.placement, **self._get_placement_options()),
+            self._directory,
+            self._demand,
+            store,
+            self._metrics,
+            self._timer,
+            lambda: self._spreader.replica.rule_set,
+        )
+
+    def _get_placement_options(self) -> dict[str, object]:
+        settings = self._settings
+        if settings.placement != "greedy":
+            return {}
+        return {"lean": settings.lean}
+
+    def _make_app(self) -> GatewayApp:
+        settings = self._settings
+        common = settings.common
+        budget = RetryBudget(settings.retry_share)
+        calls = CallHandler(
+            CallParts(
+                self._directory,
+                self._router,
+                self._admission,
+                RetryPolicy(budget),
+                budget,
+                self._metrics,
+                self._timer,
+                self._rng,
+                common.host,
+                settings.endpoint_slots,
+            )
+        )
+        admin = AdminApp(
+            AdminParts(
+                common.host,
+                common.region,
+                common.data_centre,
+                self._incarnation,
+                settings.operator_digest,
+                self._directory,
+                self._admission,
+                self._router,
+                self._planner,
+                self._drain,
+                self._metrics,
+                self._timer,
+                lambda: self._spreader.replica.rule_set,
+                lambda: self._spreader.replica.version,
+                self._begin_stop,
+            )
+        )
+        return GatewayApp(
+            AppParts(
+                calls,
+                StatusApp(self._is_ready),
+                admin,
+                self._drain,
+                self._demand,
+                self._metrics,
+                self._timer,
+                lambda: self._spreader.replica.rule_set,
+                common.host,
+                common.region,
+                settings.most_body_bytes,
+            )
+        )
+
+    def _is_ready(self) -> bool:
+        return self._drain.state is DrainState.RUNNING and self._spreader.replica.version > 0
+
+    def _start_loops(self) -> None:
+        tasks = self._tasks
+        tasks.start_soon(watch_signals, self._begin_stop)
+        tasks.start_soon(self._spreader.run)
+        self._timer.subscribe("refresh", _REFRESH_S, self._refresh)
+        tasks.start_soon(self._tell_demand_forever)
+        if self._planner is not None:
+            tasks.start_soon(self._planner.plan_forever, self._settings.plan_s)
+
+    def _refresh(self, now_s: float) -> None:
+        self._directory.config_version = self._spreader.replica.version
+
+    def _hear_demand(self, demand: Iterable[Demand]) -> None:
+        self._demand.merge(DemandDelta(each.model, each.region, each.requests) for each in demand)
+
+    async def _tell_demand_forever(self) -> None:
+        """Tell the gateways that may plan what arrived here."""
+        own = self._settings.common.host
+        while True:
+            await sleep(_DEMAND_S)
+            deltas = self._demand.take_deltas()
+            if not deltas:
+                continue
+            demand = [Demand(model=m, region=r, requests=n) for m, r, n in deltas]
+            news = News(version=self._spreader.replica.version, demand=demand)
+            for name in self._get_planners():
+                if name != own:
+                    await self._spreader.send(name, news)
+
+    def _get_planners(self) -> list[str]:
+        membership = self._spreader.membership
+        by_region: dict[str, list[str]] = {}
+        for host in membership.routable("gateway"):
+            by_region.setdefault(host.region, []).append(host.host)
+        return [
+            name
+            for region, names in by_region.items()
+            for name in rank_rendezvous(f"planner/{region}", names)[:_PLANNERS]
+        ]
+
+
+async def _serve(http: HttpServer, listener: object, served: Event) -> None:
+    await http.serve([listener])
+    served.set()
+
+
+async def run_gateway(settings: GatewaySettings) -> int:
+    """:return: the exit status of ``kingcupdyked gateway``"""
+    async with create_task_group() as tasks:
+        return await GatewayProcess(settings, tasks).run()
+    return 0
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/metrics.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/metrics.py
@@ -9,7 +9,6 @@
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from opentelemetry.sdk.resources import Resource
-from prometheus_client import make_asgi_app
 
 __all__ = ["DaemonMetrics"]
 
@@ -32,8 +31,6 @@
             views=[View(instrument_name="*_seconds", aggregation=bounds)],
         )
         meter = provider.get_meter("kingcupdyke")
-        #: An ASGI application that serves the metrics.
-        self.app = make_asgi_app()
         self._first = meter.create_histogram("time_to_first_part_seconds", "s")
         self._between = meter.create_histogram("time_between_parts_seconds", "s")
         self._whole = meter.create_histogram("whole_time_seconds", "s")
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/settings.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/settings.py
@@ -79,6 +79,8 @@
 
     common: HostSettings
     port: int
+    #: Port for health checks and metrics.
+    http_port: int
     #: Name of the endpoint, unique over all hosts.
     endpoint: str
     engine_url: str
@@ -162,6 +164,7 @@
 }
 _SIDECAR_READERS: dict[str, Reader] = {
     "port": lambda o, n: get_int_opt(o, n, 0),
+    "http_port": lambda o, n: get_int_opt(o, n, 0),
     "endpoint": get_str_opt,
     "engine_url": lambda o, n: _get_url(o, n, ""),
     "services_by_name": _get_services,
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
@@ -0,0 +1,294 @@
+"""
+kingcupdyke_daemon.sidecar.process
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+A sidecar from its start to its planned stop.
+"""
+
+import logging
+from random import Random
+
+from anyio import Event, create_task_group, current_time, sleep
+from anyio.abc import TaskGroup
+from grpclib.server import Server
+
+from kingcupdyke.drain import DrainMachine
+from kingcupdyke.fence import EndpointGuard
+from kingcupdyke.keyworker import KeyWorker
+from kingcupdyke.ledger import MemoryLedger
+from kingcupdyke.residency import Holder
+from kingcupdyke_daemon.process import (
+    StatusApp,
+    make_incarnation,
+    print_address,
+    watch_signals,
+)
+from kingcupdyke_daemon.server import HttpServer, open_socket
+from kingcupdyke_daemon.settings import SidecarSettings
+from kingcupdyke_daemon.sidecar.backend import EngineBackend, ServiceBackend
+from kingcupdyke_daemon.sidecar.holdings import HoldingDesk
+from kingcupdyke_daemon.sidecar.keys import KeyDesk
+from kingcupdyke_daemon.sidecar.orders import OrderDesk
+from kingcupdyke_daemon.sidecar.run import RunTable
+from kingcupdyke_daemon.sidecar.seat import EndpointSeat
+from kingcupdyke_daemon.sidecar.service import EndpointState, ServiceParts, SidecarService
+from kingcupdyke_daemon.sidecar.work import WorkDesk, WorkParts
+from kingcupdyke_daemon.spread import NewsSpreader, PeerService
+from kingcupdyke_daemon.timer import LoopTimer
+from kingcupdyke_wire.engine import HttpEngineClient
+from kingcupdyke_wire.hostlist import HostListClient
+from kingcupdyke_wire.sidecar_pb2 import CacheEvent
+from kingcupdyke_wire.store import HttpStoreClient
+
+__all__ = ["run_sidecar"]
+
+_LOGGER = logging.getLogger(__name__)
+_STORE_TIMEOUT_S = 2.0
+_ENGINE_TIMEOUT_S = 5.0
+_INVENTORY_S = 0.25
+_LOAD_S = 0.25
+_CACHE_WAIT_S = 5.0
+_SWEEP_S = 0.5
+_STOP_LOOK_S = 0.05
+#: A pause of the loop this long may have let a successor begin.
+_PAUSE_S = 2.0
+#: Seconds that a leaving sidecar waits for its last replicas to be loaded elsewhere.
+_HAND_OVER_S = 5.0
+
+
+class SidecarProcess:
+    """Wires the parts of a sidecar together.
+
+    :param settings: the checked settings
+    :param tasks: the task group that carries everything
+    """
+
+    def __init__(self, settings: SidecarSettings, tasks: TaskGroup) -> None:
+        common = settings.common
+        self._settings = settings
+        self._tasks = tasks
+        self._timer = LoopTimer(tasks)
+        self._incarnation = make_incarnation()
+        self._stop = Event()
+        self._handed_over = False
+        store = HttpStoreClient(common.store_url, _STORE_TIMEOUT_S)
+        hosts = HostListClient(common.hosts_url)
+        self._spreader = NewsSpreader(
+            common, self._incarnation, store, hosts, tasks, self._timer, Random()
+        )
+        self._drain = DrainMachine(common.host, common.farewell_s)
+        self._table = RunTable(tasks, settings.tick_s, settings.resume_s)
+        self._keys = KeyDesk(
+            KeyWorker(settings.key_buckets, settings.key_retention_s),
+            store,
+            settings.endpoint,
+            self._incarnation,
+            tasks,
+            self._timer,
+        )
+        self._engine: HttpEngineClient | None = None
+        self._orders: OrderDesk | None = None
+        self._seat: EndpointSeat | None = None
+        self._holdings: HoldingDesk | None = None
+        if settings.engine_url:
+            self._make_engine(store)
+        guard = self._seat.guard if self._seat else EndpointGuard(self._incarnation)
+        self._work = WorkDesk(self._make_work_parts(guard), tasks)
+        self._state = EndpointState(
+            settings,
+            self._incarnation,
+            self._table,
+            self._orders,
+            lambda: self._spreader.replica.version,
+            lambda: self._handed_over or guard.superseded,
+        )
+
+    async def run(self) -> int:
+        """Run until a planned stop has ended.
+
+        :return: the exit status
+        """
+        settings = self._settings
+        listener = open_socket(settings.common.address, settings.port)
+        http_listener = open_socket(settings.common.address, settings.http_port)
+        service = SidecarService(self._make_service_parts())
+        server = Server([service, PeerService(self._spreader)])
+        await server.start(sock=listener)
+        http_server = HttpServer(StatusApp(lambda: not self._handed_over))
+        self._tasks.start_soon(http_server.serve, [http_listener])
+        self._start_loops()
+        print_address("listening", listener)
+        print_address("http", http_listener)
+        await self._stop.wait()
+        await self._leave()
+        http_server.stop()
+        server.close()
+        self._spreader.close()
+        self._tasks.cancel_scope.cancel()
+        return 0
+
+    def _begin_stop(self) -> None:
+        self._stop.set()
+
+    async def _leave(self) -> None:
+        """Hand the models over, refuse new work, finish what runs."""
+        _LOGGER.info("leaving: step=admit host=%s", self._settings.common.host)
+        await self._hand_over()
+        self._handed_over = True
+        self._drain.stop(current_time())
+        self._tasks.start_soon(self._tell)
+        while not self._drain.may_exit(current_time()) or self._keys.unsettled:
+            await sleep(_STOP_LOOK_S)
+        await sleep(self._settings.common.beat_s)
+        _LOGGER.info("left: step=admit host=%s", self._settings.common.host)
+
+    async def _tell(self) -> None:
+        while not await self._spreader.tell_leaving(True):
+            await sleep(_STOP_LOOK_S)
+        self._drain.told(current_time())
+
+    async def _hand_over(self) -> None:
+        """Let planners load this endpoint's last replicas elsewhere, within a bound of time."""
+        if self._orders is None or not self._orders.ready:
+            return
+        end_s = current_time() + _HAND_OVER_S
+        for model in self._orders.models:
+            self._tasks.start_soon(self._holdings.mark_leaving, model, True)
+        while current_time() < end_s:
+            await sleep(_HAND_OVER_S / 20)
+            if await self._is_replaced():
+                return
+        _LOGGER.warning("left without hand-over: step=order models=%s", sorted(self._orders.models))
+
+    async def _is_replaced(self) -> bool:
+        leaving = self._get_leaving()
+        for model in self._orders.models:
+            read = await self._holdings.read(model)
+            if read.is_error():
+                return False
+            holders = read.ok.holders_by_endpoint.values()
+            if all(each.leaving or each.host in leaving for each in holders):
+                return False
+        return True
+
+    def _get_leaving(self) -> frozenset[str]:
+        membership = self._spreader.membership
+        return frozenset(
+            each.host for each in membership.known() if membership.is_leaving(each.host)
+        )
+
+    def _get_needed(self, model: str) -> int:
+        rule = self._spreader.replica.rule_set.models_by_name.get(model)
+        return rule.replicas if rule else 0
+
+    def _make_holder(self) -> Holder:
+        common = self._settings.common
+        incarnation = self._orders.inventory.incarnation
+        return Holder(incarnation, common.host, common.data_centre, common.region)
+
+    def _make_engine(self, store: HttpStoreClient) -> None:
+        settings = self._settings
+        self._engine = HttpEngineClient(settings.engine_url, _ENGINE_TIMEOUT_S)
+        self._seat = EndpointSeat(
+            settings.endpoint, self._incarnation, settings.checks_fence, store, self._engine
+        )
+        self._holdings = HoldingDesk(
+            store, settings.endpoint, self._make_holder, self._get_needed, self._get_leaving
+        )
+        self._orders = OrderDesk(
+            self._seat,
+            MemoryLedger(1 << 62),
+            self._engine,
+            self._holdings,
+            self._drain,
+            settings.checks_fence,
+            settings.order_lifetime_s,
+            self._tasks,
+            self._timer,
+            lambda name: self._work.in_use[name],
+        )
+
+    def _make_work_parts(self, guard: EndpointGuard) -> WorkParts:
+        settings = self._settings
+        engine = EngineBackend(self._engine, settings.engine_url) if self._engine else None
+        return WorkParts(
+            self._table,
+            self._keys,
+            self._orders,
+            engine,
+            ServiceBackend(settings.services_by_name),
+            frozenset(settings.services_by_name),
+            self._drain,
+            guard,
+            settings.most_in_flight,
+            self._incarnation,
+            settings.common.host,
+            lambda: self._spreader.replica.rule_set,
+        )
+
+    def _make_service_parts(self) -> ServiceParts:
+        return ServiceParts(
+            self._state,
+            self._work,
+            self._table,
+            self._orders,
+            lambda: self._seat.fence if self._seat else 0,
+            self._begin_stop,
+            self._settings.common.beat_s,
+        )
+
+    def _start_loops(self) -> None:
+        tasks = self._tasks
+        tasks.start_soon(watch_signals, self._begin_stop)
+        tasks.start_soon(self._spreader.run)
+        tasks.start_soon(self._table.flush_forever)
+        self._timer.subscribe("sweep", _SWEEP_S, self._table.sweep)
+        if self._orders is not None:
+            tasks.start_soon(self._begin_orders)
+            tasks.start_soon(self._read_load_forever)
+            tasks.start_soon(self._read_cache_forever)
+            tasks.start_soon(self._watch_pauses)
+
+    async def _begin_orders(self) -> None:
+        self._tasks.start_soon(self._orders.observe_forever, _INVENTORY_S)
+        await self._orders.begin()
+
+    async def _read_load_forever(self) -> None:
+        while True:
+            read = await self._engine.load()
+            if read.is_ok():
+                self._state.engine_load = read.ok
+            await sleep(_LOAD_S)
+
+    async def _read_cache_forever(self) -> None:
+        position = 0
+        while True:
+            read = await self._engine.cache_events(position, _CACHE_WAIT_S)
+            if read.is_error():
+                await sleep(_LOAD_S)
+                continue
+            batch = read.ok
+            if batch.incarnation != self._state.cache_incarnation:
+                self._state.cache_events.clear()
+                self._state.cache_incarnation = batch.incarnation
+                position = 0
+            for event in batch.events:
+                position = max(position, event.sequence)
+                self._state.cache_events.append(CacheEvent(**event._asdict()))
+
+    async def _watch_pauses(self) -> None:
+        """After a pause of this process, ask the store whether a successor has begun."""
+        before_s = current_time()
+        while True:
+            await sleep(_SWEEP_S)
+            now_s = current_time()
+            if now_s - before_s > _PAUSE_S:
+                await self._seat.check_superseded()
+            before_s = now_s
+
+
+async def run_sidecar(settings: SidecarSettings) -> int:
+    """:return: the exit status of ``kingcupdyked sidecar``"""
+    async with create_task_group() as tasks:
+        return await SidecarProcess(settings, tasks).run()
+    return 0
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/run.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/run.py
@@ -5,18 +5,25 @@
 The attempts that a sidecar runs, kept apart from the connections that carry them.
 """
 
+from contextlib import aclosing
+
 from anyio import CancelScope, Event, current_time, sleep
 from anyio.abc import TaskGroup
 
 from kingcupdyke.answer import AnswerBuffer
 from kingcupdyke.error import Failure, Outcome, Step
-from kingcupdyke_daemon.sidecar.backend import Backend, BackendHead, BackendPart
+from kingcupdyke_daemon.sidecar.backend import Backend, BackendHead
 from kingcupdyke_wire.sidecar_pb2 import RunRequest
 
 __all__ = ["Run", "RunTable"]
 
 #: Bytes of an answer that are kept for a resume.
 _MOST_BUFFER_BYTES = 4 << 20
+#: Seconds past its deadline that non-idempotent work may go on, so that its answer is recorded.
+_RECORD_GRACE_S = 30.0
+_CANCELLED = Failure(
+    Outcome.UNKNOWN, Step.RUN, "", "the attempt was cancelled or passed its deadline"
+)
 
 
 class Run:
@@ -109,36 +116,35 @@
         self.runs_by_attempt[request.attempt_id] = run
         return run
 
-    def start(self, run: Run, backend: Backend) -> None:
-        """Run an attempt at a back end, in a task of its own."""
-        self.running += 1
-        self._tasks.start_soon(self._execute, run, backend)
+    async def execute(self, run: Run, backend: Backend) -> Failure | None:
+        """Run an attempt at a back end until its deadline.
 
-    async def _execute(self, run: Run, backend: Backend) -> None:
-        failure: Failure | None = Failure(
-            Outcome.UNKNOWN, Step.RUN, "", "the attempt was cancelled or passed its deadline"
-        )
-        run.scope.deadline = run.deadline_s
+        :return: nothing when the answer is whole, else how it failed
+        """
+        self.running += 1
+        failure: Failure | None = _CANCELLED
+        grace_s = 0.0 if run.request.idempotent else _RECORD_GRACE_S
+        run.scope.deadline = run.deadline_s + grace_s
         try:
             with run.scope:
                 failure = await self._collect(run, backend)
             if run.scope.cancelled_caught:
-                await backend.cancel(run.request)
+                self._tasks.start_soon(backend.cancel, run.request)
         finally:
             self.running -= 1
-            run.finish(failure, current_time())
+        run.flush(current_time())
+        return failure
 
     async def _collect(self, run: Run, backend: Backend) -> Failure | None:
-        async for item in backend.run(run.request):
-            if isinstance(item, Failure):
-                return item
-            if isinstance(item, BackendHead):
-                run.head = item
-                run.notify()
-            elif isinstance(item, BackendPart) and run.add(
-                item.data, current_time(), self._tick_s
-            ):
-                self._due.add(run)
+        async with aclosing(backend.run(run.request)) as items:
+            async for item in items:
+                if isinstance(item, Failure):
+                    return item
+                if isinstance(item, BackendHead):
+                    run.head = item
+                    run.notify()
+                elif run.add(item.data, current_time(), self._tick_s):
+                    self._due.add(run)
         return None
 
     async def flush_forever(self) -> None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/seat.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/seat.py
@@ -87,9 +87,7 @@
             command = following
         self.fence = command.fence
         self._version = self._machine.version
-        _LOGGER.info(
-            "endpoint taken over: step=order peer=%s fence=%d", self.endpoint, self.fence
-        )
+        _LOGGER.info("endpoint taken over: step=order peer=%s fence=%d", self.endpoint, self.fence)
         return self._inventory, command.intents
 
     async def record(self, intents: Iterable[Intent]) -> Result[None, Failure]:
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/service.py
@@ -0,0 +1,269 @@
+"""
+kingcupdyke_daemon.sidecar.service
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The calls that gateways, planners and operators make to a sidecar.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+from anyio import current_time, move_on_after
+from grpclib.server import Stream
+
+from kingcupdyke.error import Failure
+from kingcupdyke.placement import OrderKind
+from kingcupdyke_daemon.settings import SidecarSettings
+from kingcupdyke_daemon.sidecar.orders import OrderDesk
+from kingcupdyke_daemon.sidecar.run import RunTable
+from kingcupdyke_daemon.sidecar.work import WorkDesk
+from kingcupdyke_wire.engine import EngineLoad
+from kingcupdyke_wire.sidecar_grpc import SidecarBase
+from kingcupdyke_wire.sidecar_pb2 import (
+    BeatReply,
+    BeatRequest,
+    CacheEvent,
+    CancelReply,
+    CancelRequest,
+    DescribeReply,
+    DescribeRequest,
+    DrainReply,
+    DrainRequest,
+    End,
+    KeepAlive,
+    Load,
+    OrderReply,
+    OrderRequest,
+    Part,
+    Refusal,
+    RunReply,
+    RunRequest,
+    Start,
+)
+
+__all__ = ["EndpointState", "ServiceParts", "SidecarService"]
+
+#: Cache events that are kept for gateways that have not heard them.
+_MOST_CACHE_EVENTS = 4096
+#: Cache events in one heartbeat at most.
+_EVENTS_A_BEAT = 512
+
+
+class EndpointState:
+    """What a sidecar tells of its endpoint.
+
+    :param settings: settings of the sidecar
+    :param incarnation: this start of the sidecar
+    :param table: the attempts
+    :param orders: the engine's orders, or None without an engine
+    :param get_version: gives the version of the configuration in force here
+    :param is_leaving: tells whether a planned stop has begun
+    """
+
+    def __init__(
+        self,
+        settings: SidecarSettings,
+        incarnation: str,
+        table: RunTable,
+        orders: OrderDesk | None,
+        get_version: Callable[[], int],
+        is_leaving: Callable[[], bool],
+    ) -> None:
+        self._settings = settings
+        self._table = table
+        self._orders = orders
+        self._get_version = get_version
+        self._is_leaving = is_leaving
+        self.incarnation = incarnation
+        self.engine_load: EngineLoad | None = None
+        self.cache_incarnation = ""
+        self.cache_events: deque[CacheEvent] = deque(maxlen=_MOST_CACHE_EVENTS)
+
+    def make_load(self) -> Load:
+        """:return: the load now; what waits inside the engine lags"""
+        load = self.engine_load
+        return Load(
+            running=self._table.running,
+            waiting=load.waiting if load else 0,
+            token_interval_ms=load.token_interval_ms if load else 0.0,
+            leaving=self._is_leaving(),
+            incarnation=self.incarnation,
+        )
+
+    def make_beat(self, sequence: int, after_event: int) -> BeatReply:
+        """:return: the answer to a heartbeat, with cache events after a sequence number"""
+        events = [each for each in self.cache_events if each.sequence > after_event]
+        return BeatReply(
+            sequence=sequence,
+            load=self.make_load(),
+            config_version=self._get_version(),
+            models=sorted(self._orders.models) if self._orders else [],
+            adapters=sorted(self._orders.adapters) if self._orders else [],
+            services=sorted(self._settings.services_by_name),
+            cache_events=events[:_EVENTS_A_BEAT],
+            cache_incarnation=self.cache_incarnation,
+        )
+
+    def describe(self, fence: int) -> DescribeReply:
+        """:return: all that planners and operators ask for"""
+        common = self._settings.common
+        orders = self._orders
+        inventory = orders.inventory if orders else None
+        return DescribeReply(
+            endpoint=self._settings.endpoint,
+            host=common.host,
+            region=common.region,
+            data_centre=common.data_centre,
+            incarnation=self.incarnation,
+            fence=fence,
+            capacity_bytes=orders.capacity_bytes if orders and orders.ready else 0,
+            reserved_bytes=orders.reserved_bytes if orders else 0,
+            models=sorted(orders.models) if orders else [],
+            adapters=sorted(orders.adapters) if orders else [],
+            services=sorted(self._settings.services_by_name),
+            load=self.make_load(),
+            config_version=self._get_version(),
+            role=inventory.role if inventory else "",
+            pending_orders=orders.pending if orders else (),
+            engine_incarnation=inventory.incarnation if inventory else "",
+        )
+
+
+class ServiceParts(NamedTuple):
+    """What the calls need."""
+
+    state: EndpointState
+    work: WorkDesk
+    table: RunTable
+    orders: OrderDesk | None
+    get_fence: Callable[[], int]
+    begin_stop: Callable[[], None]
+    keep_alive_s: float
+
+
+class SidecarService(SidecarBase):
+    """Answers gateways, planners and operators.
+
+    :param parts: what the calls need
+    """
+
+    def __init__(self, parts: ServiceParts) -> None:
+        self._parts = parts
+
+    async def Run(self, stream: Stream[RunRequest, RunReply]) -> None:  # noqa: N802
+        request = await stream.recv_message()
+        if request is None:
+            return
+        run = self._parts.work.take(request)
+        if isinstance(run, Failure):
+            await stream.send_message(self._refuse(request, run))
+            return
+        run.attached += 1
+        try:
+            await self._relay(run, request.resume_offset, stream)
+        finally:
+            run.attached -= 1
+            run.detached_s = current_time()
+
+    async def Cancel(self, stream: Stream[CancelRequest, CancelReply]) -> None:  # noqa: N802
+        request = await stream.recv_message()
+        if request is not None:
+            self._parts.table.cancel(request.attempt_id)
+            await stream.send_message(CancelReply())
+
+    async def Order(self, stream: Stream[OrderRequest, OrderReply]) -> None:  # noqa: N802
+        request = await stream.recv_message()
+        if request is None:
+            return
+        if self._parts.orders is None or request.kind not in _ORDER_KINDS:
+            reply = OrderReply(state="refused", reason=f"no order of kind {request.kind} here")
+        else:
+            given = self._parts.orders.give(request)
+            reason = given.error.reason if given.is_error() else ""
+            reply = OrderReply(state="refused" if given.is_error() else "pending", reason=reason)
+        await stream.send_message(reply)
+
+    async def Beat(self, stream: Stream[BeatRequest, BeatReply]) -> None:  # noqa: N802
+        after_event = 0
+        incarnation = ""
+        while (request := await stream.recv_message()) is not None:
+            state = self._parts.state
+            if state.cache_incarnation != incarnation:
+                incarnation = state.cache_incarnation
+                after_event = 0
+            reply = state.make_beat(request.sequence, after_event)
+            if reply.cache_events:
+                after_event = reply.cache_events[-1].sequence
+            await stream.send_message(reply)
+
+    async def Describe(self, stream: Stream[DescribeRequest, DescribeReply]) -> None:  # noqa: N802
+        await stream.recv_message()
+        await stream.send_message(self._parts.state.describe(self._parts.get_fence()))
+
+    async def Drain(self, stream: Stream[DrainRequest, DrainReply]) -> None:  # noqa: N802
+        await stream.recv_message()
+        self._parts.begin_stop()
+        await stream.send_message(DrainReply(in_flight=self._parts.table.running))
+
+    async def _relay(self, run: Run, offset: int, stream: Stream[RunRequest, RunReply]) -> None:
+        head_sent = False
+        while True:
+            if run.head is not None and not head_sent:
+                head_sent = True
+                head = Start(
+                    status=run.head.status,
+                    content_type=run.head.content_type,
+                    replayed=run.replayed,
+                )
+                await stream.send_message(self._reply(run.request, start=head))
+            for index, data in run.buffer.parts_from(offset):
+                await stream.send_message(
+                    self._reply(run.request, part=Part(offset=index, data=data))
+                )
+                offset = index + 1
+            if run.done and offset == run.buffer.next_offset:
+                break
+            await self._wait(run, offset, head_sent, stream)
+        if run.failure is not None:
+            await stream.send_message(self._refuse(run.request, run.failure))
+        else:
+            end = End(count=run.buffer.next_offset)
+            await stream.send_message(self._reply(run.request, end=end))
+
+    async def _wait(
+        self, run: Run, offset: int, head_sent: bool, stream: Stream[RunRequest, RunReply]
+    ) -> None:
+        if run.done or run.buffer.next_offset > offset or (run.head and not head_sent):
+            return
+        with move_on_after(self._parts.keep_alive_s) as waiting:
+            await run.wait()
+        if waiting.cancelled_caught:
+            await stream.send_message(self._reply(run.request, keep_alive=KeepAlive()))
+
+    def _reply(self, request: RunRequest, **kind: object) -> RunReply:
+        load = None if "part" in kind else self._parts.state.make_load()
+        return RunReply(
+            request_id=request.request_id, attempt_id=request.attempt_id, load=load, **kind
+        )
+
+    def _refuse(self, request: RunRequest, failure: Failure) -> RunReply:
+        refusal = Refusal(
+            outcome=failure.outcome.value,
+            step=failure.step.value,
+            peer=failure.peer,
+            reason=failure.reason,
+            retry_after_ms=int((failure.retry_after_s or 0.0) * 1000),
+        )
+        return self._reply(request, refusal=refusal)
+
+
+_ORDER_KINDS = frozenset(
+    {
+        OrderKind.LOAD,
+        OrderKind.UNLOAD,
+        OrderKind.LOAD_ADAPTER,
+        OrderKind.UNLOAD_ADAPTER,
+        OrderKind.ROLE,
+    }
+)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/work.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/work.py
@@ -141,9 +141,7 @@
     async def _carry(self, run: Run) -> None:
         request = run.request
         needs_claim = bool(request.idempotency_key) and not request.idempotent
-        machine = AttemptMachine(
-            request.attempt_id, self._parts.peer, needs_claim, run.deadline_s
-        )
+        machine = AttemptMachine(request.attempt_id, self._parts.peer, needs_claim, run.deadline_s)
         record: KeyRecord | None = None
         try:
             failure = await self._prepare(request)
@@ -195,9 +193,7 @@
             machine.ended()
             return None
         if failure.outcome is Outcome.NOT_RUN:
-            # The back end was not reached, so the claim may be given back as not run.
-            machine.unsent(failure.reason)
-            return failure._replace(peer=self._parts.peer)
+            return machine.unsent(failure.step, failure.reason, _RETRY_AFTER_S)
         return machine.failure(failure.step, failure.reason)
 
 
@@ -218,9 +214,10 @@
 
 
 def _settle(record: KeyRecord, state: str, run: Run) -> KeyRecord:
-    if state != KeyState.ANSWERED or run.head is None:
-        state = KeyState.UNKNOWN if state == KeyState.ANSWERED else state
+    if state != KeyState.ANSWERED:
         return record._replace(state=state)
+    if run.head is None or run.buffer.first_offset:
+        return record._replace(state=state, truncated=True)
     answer = b"".join(data for _, data in run.buffer.parts_from(run.buffer.first_offset))
     return record._replace(
         state=state, status=run.head.status, content_type=run.head.content_type, answer=answer
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/spread.py
@@ -0,0 +1,298 @@
+"""
+kingcupdyke_daemon.spread
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Configuration and membership news: from the store, from peers, and on to peers.
+"""
+
+import logging
+from collections.abc import Callable, Iterable
+from contextlib import suppress
+from random import Random
+
+from anyio import fail_after, sleep
+from anyio.abc import TaskGroup
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Stream
+
+from kingcupdyke.config import ConfigReplica
+from kingcupdyke.host import Host
+from kingcupdyke.membership import (
+    LeavingNews,
+    MembershipTable,
+    choose_push_targets,
+    choose_watchers,
+    pick_peers,
+)
+from kingcupdyke.timer import TimerService
+from kingcupdyke_daemon.settings import HostSettings
+from kingcupdyke_wire.configlog import read_config, read_log, watch_changes
+from kingcupdyke_wire.convert import accept_news, make_news, read_leaving
+from kingcupdyke_wire.hostlist import HostListClient
+from kingcupdyke_wire.peer_grpc import PeerBase, PeerStub
+from kingcupdyke_wire.peer_pb2 import Demand, News, NewsReply, PullRequest
+from kingcupdyke_wire.store import StoreClient
+
+__all__ = ["NewsSpreader", "PeerService"]
+
+_LOGGER = logging.getLogger(__name__)
+_PEER_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
+_PEER_TIMEOUT_S = 1.0
+#: Peers that are asked at once while no configuration is held.
+_START_PEERS = 5
+_START_RETRY_S = 0.3
+#: Seconds after which a watcher reads the log again, in case its watch went silent.
+_RELIST_S = 4.0
+_RETRY_S = 0.5
+#: Watchers of the store in one data centre.
+_WATCHERS = 3
+
+
+class NewsSpreader:
+    """Keeps this process's configuration and membership up to date, and its peers'.
+
+    :param settings: settings of this host
+    :param incarnation: this start of the process; later starts sort after earlier ones
+    :param store: the platform's store
+    :param hosts: the platform's host list
+    :param tasks: the task group that carries pushes
+    :param timer: the timer service
+    :param rng: source of chance
+    """
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        incarnation: str,
+        store: StoreClient,
+        hosts: HostListClient,
+        tasks: TaskGroup,
+        timer: TimerService,
+        rng: Random,
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._store = store
+        self._hosts = hosts
+        self._tasks = tasks
+        self._timer = timer
+        self._rng = rng
+        self._channels_by_host: dict[str, tuple[Host, Channel]] = {}
+        self._sequence = 0
+        self.replica = ConfigReplica()
+        self.membership = MembershipTable(settings.silence_s)
+        #: Called after each reading of the host list.
+        self.on_hosts: Callable[[], None] = lambda: None
+        #: Called with demand that peers tell of.
+        self.on_demand: Callable[[Iterable[Demand]], None] = lambda _: None
+
+    async def run(self) -> None:
+        """Read the host list, start from the store or from peers, then stay up to date."""
+        await self._read_hosts()
+        self._tasks.start_soon(self._read_hosts_forever)
+        await self._start()
+        self._tasks.start_soon(self._watch_forever)
+        self._tasks.start_soon(self._pull_forever)
+
+    def accept(self, news: News) -> None:
+        """Take news of a peer; what is new is passed on."""
+        accepted = accept_news(self.replica, news)
+        now_s = self._timer.now()
+        fresh = [
+            each
+            for each in map(read_leaving, news.leaving)
+            if each.host != self._settings.host and self.membership.hear_leaving(*each, now_s)
+        ]
+        if news.demand:
+            self.on_demand(news.demand)
+        if accepted:
+            self._log_version("peer")
+        if accepted or fresh:
+            self._push(fresh)
+
+    def make_reply(self, version: int) -> News:
+        """:return: what a peer lacks that holds ``version``"""
+        return make_news(self.replica, version, self.membership.leaving_news())
+
+    async def tell_leaving(self, leaving: bool) -> bool:
+        """Say of this host that it is leaving, or that it stays after all.
+
+        :return: whether a peer has taken the news
+        """
+        self._sequence += 1
+        own = LeavingNews(self._settings.host, self._incarnation, self._sequence, leaving)
+        self.membership.hear_leaving(*own, self._timer.now())
+        news = make_news(self.replica, self.replica.version, [own])
+        told = False
+        for name in self._targets():
+            told = await self.send(name, news) is not None or told
+        return told
+
+    async def send(self, name: str, news: News) -> NewsReply | None:
+        """Push news to one peer.
+
+        :return: its reply, or None when it did not answer
+        """
+        channel = self._channel(name)
+        if channel is None:
+            return None
+        with suppress(*_PEER_ERRORS), fail_after(_PEER_TIMEOUT_S):
+            return await PeerStub(channel).Push(news)
+        self._drop_channel(name)
+        return None
+
+    def peers(self, data_centre: str | None = None) -> list[str]:
+        """:return: names of live hosts, this one among them"""
+        return [
+            each.host
+            for each in self.membership.routable()
+            if data_centre in (None, each.data_centre)
+        ]
+
+    def close(self) -> None:
+        """Close the connections to peers."""
+        for _, channel in self._channels_by_host.values():
+            channel.close()
+
+    def _targets(self) -> list[str]:
+        """:return: peers in the own data centre, and one in each other one"""
+        own = self._settings.data_centre
+        by_data_centre: dict[str, list[str]] = {}
+        for host in self.membership.routable():
+            by_data_centre.setdefault(host.data_centre, []).append(host.host)
+        targets = choose_push_targets(
+            by_data_centre.get(own, []) + [self._settings.host],
+            self._settings.host,
+            own,
+            self.replica.version,
+        )
+        targets += pick_peers(by_data_centre.get(own, []), self._settings.host, 2, self._rng)
+        for name, hosts in by_data_centre.items():
+            if name != own:
+                targets += pick_peers(hosts, self._settings.host, 1, self._rng)
+        return list(dict.fromkeys(targets))
+
+    def _push(self, leaving: Iterable[LeavingNews] = ()) -> None:
+        news = make_news(self.replica, max(0, self.replica.version - 1), leaving)
+        for name in self._targets():
+            self._tasks.start_soon(self.send, name, news)
+
+    def _channel(self, name: str) -> Channel | None:
+        host = next((each for each in self.membership.known() if each.host == name), None)
+        if host is None:
+            return None
+        held = self._channels_by_host.get(name)
+        if held is not None and held[0].address == host.address and held[0].port == host.port:
+            return held[1]
+        self._drop_channel(name)
+        channel = Channel(host.address, host.peer_port or host.port)
+        self._channels_by_host[name] = (host, channel)
+        return channel
+
+    def _drop_channel(self, name: str) -> None:
+        held = self._channels_by_host.pop(name, None)
+        if held is not None:
+            held[1].close()
+
+    def _log_version(self, source: str) -> None:
+        version = self.replica.version
+        _LOGGER.info("configuration in force: step=configure from=%s version=%d", source, version)
+
+    async def _read_hosts(self) -> None:
+        read = await self._hosts.hosts()
+        if read.is_ok():
+            self.membership.update_list(read.ok, self._timer.now())
+            self.on_hosts()
+
+    async def _read_hosts_forever(self) -> None:
+        while True:
+            await sleep(self._settings.list_s)
+            await self._read_hosts()
+
+    async def _start(self) -> None:
+        """Hold a configuration: the store's, or the highest that peers hold while it is away."""
+        while True:
+            read = await read_config(self._store)
+            if read.is_ok():
+                self.replica.accept_snapshot(*read.ok)
+                self._log_version("store")
+                return
+            for name in pick_peers(self.peers(), self._settings.host, _START_PEERS, self._rng):
+                await self._pull(name)
+            if self.replica.version:
+                return
+            await sleep(_START_RETRY_S)
+
+    async def _pull_forever(self) -> None:
+        while True:
+            hurried = self.replica.needs_pull
+            await sleep(self._settings.pull_s * (0.1 if hurried else 0.5 + self._rng.random()))
+            for name in pick_peers(self.peers(), self._settings.host, 1, self._rng):
+                await self._pull(name)
+
+    async def _pull(self, name: str) -> None:
+        channel = self._channel(name)
+        if channel is None:
+            return
+        with suppress(*_PEER_ERRORS), fail_after(_PEER_TIMEOUT_S):
+            news = await PeerStub(channel).Pull(PullRequest(version=self.replica.version))
+            self.accept(news)
+            return
+        self._drop_channel(name)
+
+    def _is_watcher(self) -> bool:
+        data_centre = self._settings.data_centre
+        hosts = {*self.peers(data_centre), self._settings.host}
+        return self._settings.host in choose_watchers(hosts, data_centre, _WATCHERS)
+
+    async def _watch_forever(self) -> None:
+        while True:
+            if not self._is_watcher() or not await self._watch_log():
+                await sleep(_RETRY_S)
+
+    async def _watch_log(self) -> bool:
+        """Read the log and watch it for a while.
+
+        :return: False when the store did not answer
+        """
+        page = await read_log(self._store, self.replica.version)
+        if page.is_error():
+            return False
+        self._take(page.ok.changes)
+        position = page.ok.position
+        end_s = self._timer.now() + _RELIST_S
+        while (left_s := end_s - self._timer.now()) > 0:
+            watched = await watch_changes(self._store, position, left_s)
+            if watched.is_error():
+                return False
+            position, changes = watched.ok
+            self._take(changes)
+        return True
+
+    def _take(self, changes: Iterable[object]) -> None:
+        accepted = [self.replica.accept_change(change) for change in changes]
+        if any(accepted):
+            self._log_version("store")
+            self._push()
+
+
+class PeerService(PeerBase):
+    """Answers peers.
+
+    :param spreader: what this process holds
+    """
+
+    def __init__(self, spreader: NewsSpreader) -> None:
+        self._spreader = spreader
+
+    async def Push(self, stream: Stream[News, NewsReply]) -> None:  # noqa: N802
+        news = await stream.recv_message()
+        if news is not None:
+            self._spreader.accept(news)
+            await stream.send_message(NewsReply(version=self._spreader.replica.version))
+
+    async def Pull(self, stream: Stream[PullRequest, News]) -> None:  # noqa: N802
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(self._spreader.make_reply(request.version))
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/asgi.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/asgi.py
@@ -13,8 +13,8 @@
 
 from anyio import sleep_forever
 from anyio.abc import TaskGroup
-from kingcupdyke.error import OptionError
 
+from kingcupdyke.error import OptionError
 from kingcupdyke_standins.faults import Faults
 from kingcupdyke_standins.protocol import StandinProtocol
 
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/cmdline.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/cmdline.py
@@ -10,8 +10,8 @@
 
 import cappa
 from cappa import Arg, Subcommands
-from kingcupdyke.util import get_bytes_opt
 
+from kingcupdyke.util import get_bytes_opt
 from kingcupdyke_standins.asgi import StandinApp
 from kingcupdyke_standins.batch import Speed
 from kingcupdyke_standins.engine import EngineApp, EngineOptions
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/hosts.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/hosts.py
@@ -8,8 +8,8 @@
 from typing import NamedTuple
 
 from anyio import current_time
-from kingcupdyke.host import Host
 
+from kingcupdyke.host import Host
 from kingcupdyke_standins.asgi import HttpRequest, Reply, StandinApp
 
 __all__ = ["HostsApp"]
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/order.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/order.py
@@ -11,11 +11,11 @@
 
 from anyio import Event, sleep
 from anyio.abc import TaskGroup
-from kingcupdyke.placement import OrderKind
-from kingcupdyke_wire.http import HttpClient
 
+from kingcupdyke.placement import OrderKind
 from kingcupdyke_standins.batch import Batcher
 from kingcupdyke_standins.memory import MemoryBook, Resident
+from kingcupdyke_wire.http import HttpClient
 
 __all__ = ["EngineOrder", "OrderRecord", "OrderRunner", "OrderSettings", "WeightsClient"]
 
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/store.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/store.py
@@ -8,11 +8,11 @@
 from base64 import b64encode
 
 from anyio import Event, current_time, move_on_after, sleep
-from kingcupdyke_wire.objecttable import ObjectTable
-from kingcupdyke_wire.store import Conflict, StoreObject, WatchEvent
 
 from kingcupdyke_standins.asgi import HttpRequest, Reply, StandinApp
 from kingcupdyke_standins.rate import TokenBucket
+from kingcupdyke_wire.objecttable import ObjectTable
+from kingcupdyke_wire.store import Conflict, StoreObject, WatchEvent
 
 __all__ = ["StoreApp"]
 
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/rulefile.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/rulefile.py
@@ -9,11 +9,12 @@
 from typing import NamedTuple
 
 from expression import Error, Ok, Result
-from kingcupdyke.check import Problem, RuleLine
 from ruamel.yaml import YAML
 from ruamel.yaml.comments import CommentedMap, CommentedSeq
 from ruamel.yaml.error import MarkedYAMLError, YAMLError
 
+from kingcupdyke.check import Problem, RuleLine
+
 __all__ = ["RuleFile", "read_rule_file"]
 
 _VERSION_PATTERN = re.compile(r"#\s*version:\s*([0-9]+)\s*")
--- a/packages/kingcupdyke/kingcupdyke/attempt.py
+++ b/packages/kingcupdyke/kingcupdyke/attempt.py
@@ -119,6 +119,15 @@
                 self.state = _STATE_BY_OUTCOME[outcome]
         return self._failure
 
+    def unsent(self, step: Step, reason: str, retry_after_s: float | None = None) -> Failure:
+        """End the attempt because the back end was not reached: no byte left after ``send``.
+
+        :return: a failure "not run", or the failure with which the attempt ended before
+        """
+        if self.state == AttemptState.SENT:
+            self.state = AttemptState.CLAIMED if self._was_claimed else AttemptState.RECEIVED
+        return self.failure(step, reason, retry_after_s)
+
     @property
     def key_state(self) -> str | None:
         """State in which the key's record is to be settled, or None while that is open."""
