--- /dev/null
+++ b/packages/kingcupdyke/features/steps/cache_steps.py
@@ -0,0 +1,45 @@
+"""
+cache_steps
+~~~~~~~~~~~
+
+Steps for the index of cached prefixes.
+"""
+
+import re
+
+from behave import given, then, when
+from kingcupdyke.cache import PrefixIndex
+
+
+@given("a cache index of {most:d} prefixes")
+def make_index(context, most):
+    context.index = PrefixIndex(most)
+
+
+@when("the cache index hears {count:d} prefixes of {endpoints:d} endpoints")
+def hear_many(context, count, endpoints):
+    for number in range(count):
+        endpoint = f"e{number % endpoints}"
+        context.index.hear(endpoint, "x", number // endpoints, True, f"p{number}")
+
+
+@when("the cache index hears {events:S} {more}")
+def hear_events(context, events, more):
+    for event in (events, *more.split()):
+        fields = re.fullmatch(r"(\w+)/(\w+)/(\d+)([+-])(\w+)", event)
+        stored = fields[4] == "+"
+        context.index.hear(fields[1], fields[2], int(fields[3]), stored, fields[5])
+
+
+@then("the cache index counts {blocks:d} of the blocks a b c at e1, with {gaps:d} gaps")
+def check_blocks(context, blocks, gaps):
+    assert context.index.cached_blocks("e1", ("a", "b", "c")) == blocks
+    assert context.index.gaps == gaps
+
+
+@then("the cache index holds {most:d} prefixes, and none once the endpoints are forgotten")
+def check_bound(context, most):
+    assert len(context.index) == most
+    for number in range(10):
+        context.index.forget(f"e{number}")
+    assert len(context.index) == 0
--- a/packages/kingcupdyke/kingcupdyke/budget.py
+++ b/packages/kingcupdyke/kingcupdyke/budget.py
@@ -2,68 +2,77 @@
 kingcupdyke.budget
 ~~~~~~~~~~~~~~~~~~
 
-Budgets of bytes on a paid link and of retries.
+Rates and budgets: bytes on a paid link, loads, retries.
 """
 
 from math import inf
 
 from kingcupdyke.util import get_float_opt
 
-__all__ = ["ByteBudget", "RetryBudget"]
+__all__ = ["ByteBudget", "RetryBudget", "TokenBucket"]
 
 
-class ByteBudget:
-    """A token bucket: in any window of T seconds at most ``burst_bytes + T * bytes_per_s``.
+class TokenBucket:
+    """In any window of T seconds gives at most ``burst + T * rate_per_s``.
 
-    :param bytes_per_s: sustained rate
-    :param burst_bytes: bytes that may go at once after a pause
+    :param rate_per_s: what is given a second in the long run
+    :param burst: what can be given at once after a pause
     :raises OptionError: when a number is below zero
     """
 
-    def __init__(self, bytes_per_s: float, burst_bytes: float) -> None:
-        options = {"bytes_per_s": bytes_per_s, "burst_bytes": burst_bytes}
-        self._bytes_per_s = get_float_opt(options, "bytes_per_s")
-        self._burst_bytes = get_float_opt(options, "burst_bytes")
-        self._left_bytes = self._burst_bytes
+    def __init__(self, rate_per_s: float, burst: float) -> None:
+        self._rate_per_s = get_float_opt({"rate_per_s": rate_per_s}, "rate_per_s")
+        self._burst = get_float_opt({"burst": burst}, "burst")
+        self._left = self._burst
         self._filled_s: float | None = None
 
-    def take(self, size_bytes: float, now_s: float, keep_bytes: float = 0.0) -> bool:
-        """Take bytes when there are enough.
+    def take(self, count: float, now_s: float, keep: float = 0.0) -> bool:
+        """Take when there is enough.
 
-        :param size_bytes: bytes that will cross the link
+        :param count: how much
         :param now_s: time in seconds
-        :param keep_bytes: bytes that must be left for more urgent uses
-        :return: whether the bytes were taken; nothing is taken otherwise
+        :param keep: what must be left for more urgent uses
+        :return: whether it was taken; nothing is taken otherwise
         """
         self._fill(now_s)
-        if size_bytes + keep_bytes > self._left_bytes:
+        if count + keep > self._left:
             return False
-        self._left_bytes -= size_bytes
+        self._left -= count
         return True
 
-    def refund(self, size_bytes: float) -> None:
-        """Give back bytes that were taken and not sent."""
-        self._left_bytes = min(self._burst_bytes, self._left_bytes + size_bytes)
+    def refund(self, count: float) -> None:
+        """Give back what was taken and not used."""
+        self._left = min(self._burst, self._left + count)
 
-    def wait_s(self, size_bytes: float, now_s: float) -> float:
-        """:return: seconds until ``size_bytes`` can be taken; infinite when they never can"""
+    def wait_s(self, count: float, now_s: float) -> float:
+        """:return: seconds until ``count`` can be taken; infinite when it never can"""
         self._fill(now_s)
-        missing_bytes = size_bytes - self._left_bytes
-        if missing_bytes <= 0:
+        missing = count - self._left
+        if missing <= 0:
             return 0.0
-        if size_bytes > self._burst_bytes or not self._bytes_per_s:
+        if count > self._burst or not self._rate_per_s:
             return inf
-        return missing_bytes / self._bytes_per_s
+        return missing / self._rate_per_s
 
     def _fill(self, now_s: float) -> None:
         if self._filled_s is None:
             self._filled_s = now_s
         passed_s = max(0.0, now_s - self._filled_s)
-        earned_bytes = passed_s * self._bytes_per_s
-        self._left_bytes = min(self._burst_bytes, self._left_bytes + earned_bytes)
+        self._left = min(self._burst, self._left + passed_s * self._rate_per_s)
         self._filled_s = max(self._filled_s, now_s)
 
 
+class ByteBudget(TokenBucket):
+    """Bytes on a paid link; counts are bytes.
+
+    :param bytes_per_s: sustained rate
+    :param burst_bytes: bytes that may go at once after a pause
+    """
+
+    def __init__(self, bytes_per_s: float, burst_bytes: float) -> None:
+        super().__init__(bytes_per_s, burst_bytes)
+
+
 class RetryBudget:
     """Retries as a share of first attempts.
 
--- a/packages/kingcupdyke/kingcupdyke/placements/fleet.py
+++ b/packages/kingcupdyke/kingcupdyke/placements/fleet.py
@@ -40,6 +40,7 @@
             name: each.capacity_bytes - each.reserved_bytes
             for name, each in self.inventory_by_endpoint.items()
         }
+        self.regions = sorted({each.region for each in self.inventory_by_endpoint.values()})
         #: Endpoints that hold a model, will not lose it by an order, and are not leaving.
         self.holders_by_model: dict[str, set[str]] = defaultdict(set)
         #: Endpoints to which a load of the model is under way.
--- a/packages/kingcupdyke/kingcupdyke/placements/greedy.py
+++ b/packages/kingcupdyke/kingcupdyke/placements/greedy.py
@@ -81,28 +81,35 @@
         wanted = [
             each
             for rule in fleet.rules.models_by_name.values()
-            for each in self._list_wanted(fleet, demand, rule)
+            for region in rule.regions or fleet.regions
+            if (each := self._want(fleet, demand, rule, region)) is not None
         ]
         for each in sorted(wanted, key=lambda each: (-each.score, each.rule.name, each.region)):
-            targets = fleet.list_targets(each.rule)
-            targets = [target for target in targets if target.region == each.region]
-            most_loss = each.gain / self._swap_margin
-            self._place(fleet, demand, each.rule, targets, now_s, most_loss)
+            self._place_wanted(fleet, demand, each, now_s)
 
-    def _list_wanted(self, fleet: Fleet, demand: DemandModel, rule: ModelRule) -> list[Wanted]:
+    def _place_wanted(
+        self, fleet: Fleet, demand: DemandModel, wanted: Wanted, now_s: float
+    ) -> None:
+        # An order of this round may have met the demand already.
+        current = self._want(fleet, demand, wanted.rule, wanted.region)
+        if current is None:
+            return
+        targets = fleet.list_targets(wanted.rule)
+        targets = [each for each in targets if each.region == wanted.region]
+        most_loss = current.gain / self._swap_margin
+        self._place(fleet, demand, wanted.rule, targets, now_s, most_loss)
+
+    def _want(
+        self, fleet: Fleet, demand: DemandModel, rule: ModelRule, region: str
+    ) -> Wanted | None:
+        """:return: one replica more in the region, if that is worth its bytes"""
         if len(fleet.get_replicas(rule.name)) < fleet.get_needed(rule.name):
-            return []
-        replicas = fleet.count_by_region(rule.name)
-        regions = rule.regions or sorted({e.region for e in fleet.inventory_by_endpoint.values()})
-        wanted = []
-        for region in regions:
-            gain = demand.get_gain(rule.name, replicas, region)
-            crosses = fleet.crosses(rule.name, region)
-            price = self._link_price if crosses else 1.0
-            score = gain / (price * get_model_bytes(rule) / GIB)
-            if gain > 0 and score >= self._threshold:
-                wanted.append(Wanted(score, rule, region, gain))
-        return wanted
+            return None
+        gain = demand.get_gain(rule.name, fleet.count_by_region(rule.name), region)
+        price = self._link_price if fleet.crosses(rule.name, region) else 1.0
+        score = gain / (price * get_model_bytes(rule) / GIB)
+        worth = gain > 0 and score >= self._threshold
+        return Wanted(score, rule, region, gain) if worth else None
 
     def _load(self, fleet: Fleet, rule: ModelRule, endpoint: str, now_s: float) -> bool:
         loaded = super()._load(fleet, rule, endpoint, now_s)
--- a/packages/kingcupdyke/kingcupdyke/placements/planner.py
+++ b/packages/kingcupdyke/kingcupdyke/placements/planner.py
@@ -8,7 +8,7 @@
 from math import inf
 from typing import NamedTuple
 
-from kingcupdyke.budget import ByteBudget
+from kingcupdyke.budget import TokenBucket
 from kingcupdyke.placement import (
     EndpointInventory,
     Order,
@@ -68,7 +68,7 @@
     ) -> None:
         options = {"loads_per_s": loads_per_s, "replica_requests_per_s": replica_requests_per_s}
         loads_per_s = get_float_opt(options, "loads_per_s")
-        self._load_rate = ByteBudget(loads_per_s, max(1.0, loads_per_s))
+        self._load_rate = TokenBucket(loads_per_s, max(1.0, loads_per_s))
         self._loads_at_once = get_int_opt({"loads_at_once": loads_at_once}, "loads_at_once")
         self._adapter_knee = get_int_opt({"adapter_knee": adapter_knee}, "adapter_knee", least=2)
         self._replica_rate = get_float_opt(options, "replica_requests_per_s", least=0.001)
@@ -95,11 +95,18 @@
         self._room_by_model = {
             model: room
             for model, room in self._room_by_model.items()
-            if room.until_s > now_s and room.endpoint in fleet.free_by_endpoint
+            if room.until_s > now_s and self._comes_true(fleet, room)
         }
         for room in self._room_by_model.values():
             fleet.free_by_endpoint[room.endpoint] -= room.room_bytes
 
+    @staticmethod
+    def _comes_true(fleet: Fleet, room: Room) -> bool:
+        free_bytes = fleet.free_by_endpoint.get(room.endpoint)
+        if free_bytes is None:
+            return False
+        return free_bytes >= room.room_bytes or fleet.unloads_by_endpoint[room.endpoint] > 0
+
     def _plan_needed(self, fleet: Fleet, demand: DemandModel, now_s: float) -> None:
         lacking = [
             (len(fleet.holders_by_model[name]), len(fleet.get_replicas(name)), name)
@@ -133,7 +140,7 @@
             size = get_model_bytes(rule)
             held = most_loss < inf
             found = [self._find_room(fleet, demand, each, size, now_s, held) for each in targets]
-            cheap = [each for each in found if each is not None and each.loss <= most_loss]
+            cheap = [each for each in found if each is not None and each.loss < most_loss]
             self._make_room(fleet, demand, rule, cheap, now_s)
 
     def _find_room(
