--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/call.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/call.py
@@ -102,9 +102,7 @@
         if chosen.is_error():
             return chosen.map(lambda _: None)
         capacity = max(1, len(links)) * parts.endpoint_slots
-        return await parts.admission.enter(
-            request, capacity, chosen.ok.estimate_s, call.weight
-        )
+        return await parts.admission.enter(request, capacity, chosen.ok.estimate_s, call.weight)
 
     def _choose(
         self, call: Call, links: list[SidecarLink], tried: set[str]
@@ -177,9 +175,7 @@
         if not reply.HasField("load"):
             return
         load = reply.load
-        self._parts.directory.hear_load(
-            name, load.running, load.waiting, load.token_interval_ms
-        )
+        self._parts.directory.hear_load(name, load.running, load.waiting, load.token_interval_ms)
 
     async def _take(
         self, reply: RunReply, assembler: AnswerAssembler, sink: CallerSink
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/reply.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/reply.py
@@ -12,7 +12,16 @@
 
 from kingcupdyke.error import Failure, Outcome, Step
 
-__all__ = ["Headers", "Rejection", "Send", "encode_error", "reject", "send_body", "send_json", "send_rejection"]
+__all__ = [
+    "Headers",
+    "Rejection",
+    "Send",
+    "encode_error",
+    "reject",
+    "send_body",
+    "send_json",
+    "send_rejection",
+]
 
 Send = Callable[[dict], Awaitable[None]]
 Headers = Iterable[tuple[bytes, bytes]]
@@ -94,6 +103,4 @@
     if rejection.failure.retry_after_s is not None:
         seconds = max(1, ceil(rejection.failure.retry_after_s))
         head.append((b"retry-after", str(seconds).encode()))
-    await send_body(
-        send, rejection.status, "application/json", encode_error(rejection), head
-    )
+    await send_body(send, rejection.status, "application/json", encode_error(rejection), head)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/run.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/run.py
@@ -135,9 +135,7 @@
             if isinstance(item, BackendHead):
                 run.head = item
                 run.notify()
-            elif isinstance(item, BackendPart) and run.add(
-                item.data, current_time(), self._tick_s
-            ):
+            elif isinstance(item, BackendPart) and run.add(item.data, current_time(), self._tick_s):
                 self._due.add(run)
         return None
 
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/configlog.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/configlog.py
@@ -9,6 +9,7 @@
 
 import anyio
 from expression import Error, Ok, Result
+
 from kingcupdyke.acceptance import (
     AcceptCommand,
     AcceptMachine,
@@ -34,7 +35,6 @@
 )
 from kingcupdyke.config import ConfigChange
 from kingcupdyke.error import Failure, Outcome, Step
-
 from kingcupdyke_wire.store import Conflict, StoreClient, StoreObject
 
 __all__ = [
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/convert.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/convert.py
@@ -10,7 +10,6 @@
 from kingcupdyke.book import StoredRule
 from kingcupdyke.config import ConfigChange, ConfigReplica
 from kingcupdyke.membership import LeavingNews
-
 from kingcupdyke_wire.peer_pb2 import Change, Leaving, News, Rule, Snapshot
 
 __all__ = [
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/decode.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/decode.py
@@ -10,8 +10,8 @@
 from typing import Any, TypeVar
 
 from expression import Error, Ok, Result
-from kingcupdyke.error import Failure, Outcome, Step
 
+from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke_wire.http import HttpAnswer
 
 __all__ = ["decode", "refuse"]
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/engine.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/engine.py
@@ -14,9 +14,9 @@
 from urllib.parse import quote, urlencode
 
 from expression import Error, Ok, Result
+
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke.inventory import EngineInventory
-
 from kingcupdyke_wire.decode import decode, refuse
 from kingcupdyke_wire.http import HttpAnswer, HttpClient
 from kingcupdyke_wire.sse import split_events
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/hostlist.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/hostlist.py
@@ -6,9 +6,9 @@
 """
 
 from expression import Result
+
 from kingcupdyke.error import Failure, Step
 from kingcupdyke.host import Host
-
 from kingcupdyke_wire.decode import decode
 from kingcupdyke_wire.http import HttpClient
 
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/http.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/http.py
@@ -21,6 +21,7 @@
     Response,
     TimeoutException,
 )
+
 from kingcupdyke.error import Failure, Outcome, Step
 
 __all__ = ["ExchangeError", "HttpAnswer", "HttpClient", "HttpStream"]
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/memorystore.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/memorystore.py
@@ -9,8 +9,8 @@
 
 from anyio import Event, move_on_after
 from expression import Error, Ok, Result
-from kingcupdyke.error import Failure, Outcome, Step
 
+from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke_wire.objecttable import ObjectTable
 from kingcupdyke_wire.store import Conflict, StoreClient, StoreObject, WatchEvent
 
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/rulefile.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/rulefile.py
@@ -8,33 +8,54 @@
 import re
 from typing import NamedTuple
 
-from expression import Error, Ok, Result
-from kingcupdyke.check import Problem, RuleLine
+from expression import Error, Result
 from ruamel.yaml import YAML
 from ruamel.yaml.comments import CommentedMap, CommentedSeq
 from ruamel.yaml.error import MarkedYAMLError, YAMLError
 
-__all__ = ["RuleFile", "read_rule_file"]
+from kingcupdyke.book import RuleBook
+from kingcupdyke.check import Problem, RuleLine, check_lines, check_rules
+
+__all__ = ["CheckedFile", "RuleFile", "check_rule_file", "read_rule_file"]
 
 _VERSION_PATTERN = re.compile(r"#\s*version:\s*([0-9]+)\s*")
 _SHAPE_REMEDY = "write each rule on one line, as - {KIND: NAME, FIELD: VALUE, ...}  # WHO: WHY"
+_BARE_STAR_PATTERN = re.compile(r"[\[,:\s]\*[\],}\s]")
 
 
 class RuleFile(NamedTuple):
     """The lines of a rule file."""
 
     lines: tuple[RuleLine, ...]
+    #: What is no rule at all.
+    problems: tuple[Problem, ...]
     #: Version that the file was read from, of its header ``# version: N``; or None.
     base_version: int | None
 
 
-def read_rule_file(text: str) -> Result[RuleFile, tuple[Problem, ...]]:
+class CheckedFile(NamedTuple):
+    """A rule file without a mistake."""
+
+    book: RuleBook
+    base_version: int | None
+
+
+def check_rule_file(text: str) -> Result[CheckedFile, tuple[Problem, ...]]:
+    """:return: the rules of a file's text, or every mistake in order of the lines"""
+    file = read_rule_file(text)
+    if file.problems:
+        # With lines missing, what the others say of each other would mislead.
+        problems = file.problems + check_lines(file.lines)
+        return Error(tuple(sorted(problems, key=lambda problem: problem.line)))
+    return check_rules(file.lines).map(lambda book: CheckedFile(book, file.base_version))
+
+
+def read_rule_file(text: str) -> RuleFile:
     """Read the text of a rule file.
 
     Each line is read by itself, so that one syntax error does not hide the next.
 
     :param text: the whole file
-    :return: the lines, or every line that is no rule
     """
     yaml = YAML(typ="rt")
     lines: list[RuleLine] = []
@@ -51,15 +72,15 @@
                 problems.append(read)
             else:
                 lines.append(read)
-    if problems:
-        return Error(tuple(problems))
-    return Ok(RuleFile(tuple(lines), base_version))
+    return RuleFile(tuple(lines), tuple(problems), base_version)
 
 
 def _read_line(yaml: YAML, number: int, line: str) -> RuleLine | Problem:
     try:
         document = yaml.load(line)
     except MarkedYAMLError as error:
+        if _BARE_STAR_PATTERN.search(line):
+            return Problem(number, "", line.strip(), 'write "*" with its quotes')
         return Problem(number, "", line.strip(), f"{error.problem}; {_SHAPE_REMEDY}")
     except (YAMLError, ValueError) as error:
         return Problem(number, "", line.strip(), f"{str(error).splitlines()[0]}; {_SHAPE_REMEDY}")
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/store.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/store.py
@@ -13,8 +13,8 @@
 from urllib.parse import quote, urlencode
 
 from expression import Error, Ok, Result
-from kingcupdyke.error import Failure, Outcome, Step
 
+from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke_wire.decode import decode, refuse
 from kingcupdyke_wire.http import HttpAnswer, HttpClient
 
--- a/packages/kingcupdyke/features/steps/util_steps.py
+++ b/packages/kingcupdyke/features/steps/util_steps.py
@@ -8,6 +8,7 @@
 import json
 
 from behave import given, then, when
+
 from kingcupdyke.error import OptionError
 from kingcupdyke.util import get_bytes_opt, get_seconds_opt, rank_rendezvous
 
--- a/packages/kingcupdyke/kingcupdyke/acceptance.py
+++ b/packages/kingcupdyke/kingcupdyke/acceptance.py
@@ -127,9 +127,7 @@
             return Conflict(tuple(changes))
         if head_version < self._base_version:
             # Writing on would leave a hole in the log that no process gets over.
-            return self.hear_failure(
-                _fail(f"version {self._base_version} does not exist; the head is {head_version}")
-            )
+            return self.hear_failure(_fail(f"there is no version {self._base_version}"))
         return self._ask(CreateChange(self._change))
 
     def hear_created(self) -> AcceptResult:
--- a/packages/kingcupdyke/kingcupdyke/check.py
+++ b/packages/kingcupdyke/kingcupdyke/check.py
@@ -15,7 +15,7 @@
 from kingcupdyke.rule import ANY_CALLER, AdapterRule, CallerRule, MemoryRule, ModelRule
 from kingcupdyke.rulefields import READERS_BY_KIND, FieldReader
 
-__all__ = ["Problem", "RuleLine", "check_rules"]
+__all__ = ["Problem", "RuleLine", "check_lines", "check_rules"]
 
 #: Kinds that callers address by name, so that a name may stand only once among them.
 _TARGET_KINDS = ("model", "adapter", "service")
@@ -56,6 +56,22 @@
     if not lines:
         # Applying an empty file would take everything away.
         return Error((Problem(1, "", None, "has no rules; write at least one line"),))
+    checked, problems = _read_lines(lines)
+    problems += _find_duplicates(checked)
+    problems += _find_unknown_names(lines, checked)
+    problems += _find_misfits(lines, checked)
+    if problems:
+        return Error(tuple(sorted(problems, key=lambda problem: problem.line)))
+    stored = (store_rule(each.kind, each.rule, each.line.comment) for each in checked)
+    return Ok(RuleBook.from_rules(stored))
+
+
+def check_lines(lines: Sequence[RuleLine]) -> tuple[Problem, ...]:
+    """:return: the mistakes within the lines, without what they say of each other"""
+    return tuple(_read_lines(lines)[1])
+
+
+def _read_lines(lines: Sequence[RuleLine]) -> tuple[list[_CheckedLine], list[Problem]]:
     problems: list[Problem] = []
     checked: list[_CheckedLine] = []
     for line in lines:
@@ -64,13 +80,7 @@
         problems += found
         if rule is not None:
             checked.append(rule)
-    problems += _find_duplicates(checked)
-    problems += _find_unknown_names(lines, checked)
-    problems += _find_misfits(lines, checked)
-    if problems:
-        return Error(tuple(sorted(problems, key=lambda problem: problem.line)))
-    stored = (store_rule(each.kind, each.rule, each.line.comment) for each in checked)
-    return Ok(RuleBook.from_rules(stored))
+    return checked, problems
 
 
 def _check_comment(line: RuleLine) -> list[Problem]:
--- a/packages/kingcupdyke/kingcupdyke/feasibility.py
+++ b/packages/kingcupdyke/kingcupdyke/feasibility.py
@@ -6,7 +6,7 @@
 """
 
 from bisect import bisect_left, insort
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
 from kingcupdyke.rule import AdapterRule, MemoryRule, ModelRule
@@ -38,8 +38,9 @@
     """Try the loss of one host of each memory rule in turn.
 
     A replica takes its weights, its KV cache and the largest adapter of its model; no
-    two replicas of a model share a host. Best fit with the largest first is near to
-    the optimum, so that rare tight sets are refused although another layout fits.
+    two replicas of a model share a host. The largest model goes first, once to the
+    emptiest and once to the tightest host; a rare tight set is refused although another
+    layout would fit.
 
     :return: one misfit a model, of the first loss at which it does not fit
     """
@@ -53,7 +54,8 @@
     }
     misfits_by_model: dict[str, Misfit] = {}
     for lost in memory:
-        for misfit in _place_all(models, sizes_by_model, memory, lost):
+        tries = [_place_all(models, sizes_by_model, memory, lost, choose) for choose in (max, min)]
+        for misfit in min(tries, key=len):
             misfits_by_model.setdefault(misfit.model, misfit)
     return list(misfits_by_model.values())
 
@@ -63,6 +65,7 @@
     sizes_by_model: dict[str, int],
     memory: Iterable[MemoryRule],
     lost: MemoryRule,
+    choose: Callable,
 ) -> list[Misfit]:
     free_by_region = _free_hosts(memory, lost)
     misfits = []
@@ -72,7 +75,7 @@
         pools = [free_by_region[region] for region in model.regions if region in free_by_region]
         if len(pools) < len(model.regions):
             continue
-        placed = _place_model(model, sizes_by_model[model.name], pools)
+        placed = _place_model(model, sizes_by_model[model.name], pools, choose)
         if placed < model.replicas:
             misfits.append(_describe(model, sizes_by_model[model.name], pools, placed, lost))
     return misfits
@@ -87,15 +90,20 @@
     return free_by_region
 
 
-def _place_model(model: ModelRule, size_bytes: int, pools: Sequence[list[_FreeHost]]) -> int:
+def _place_model(
+    model: ModelRule, size_bytes: int, pools: Sequence[list[_FreeHost]], choose: Callable
+) -> int:
     """:return: replicas placed, each on a host of its own; the pools shrink"""
     taken: list[tuple[list[_FreeHost], _FreeHost]] = []
     for _ in range(model.replicas):
-        fits = [(pool, bisect_left(pool, (size_bytes, ""))) for pool in pools]
-        fits = [(pool[index], pool) for pool, index in fits if index < len(pool)]
+        fits = []
+        for pool in pools:
+            first = bisect_left(pool, (size_bytes, ""))
+            if first < len(pool):
+                fits.append((choose(pool[first], pool[-1]), pool))
         if not fits:
             break
-        host, pool = min(fits, key=lambda fit: fit[0])
+        host, pool = choose(fits, key=lambda fit: fit[0])
         # Hosts that hold a replica stay out of the pool until all are placed.
         pool.remove(host)
         taken.append((pool, host))
