Prove at most once, whole answers, silent connections and planned stops

Cause: the decisions stood without tests. Before: eight modules, no feature. Ruled out: reading a claim's lost answer back for ever, since a caller waits; three lost answers end in a true refusal whose record is settled later.

--- /dev/null
+++ b/packages/kingcupdyke/features/steps/attempt_steps.py
@@ -0,0 +1,56 @@
+"""
+attempt_steps
+~~~~~~~~~~~~~
+
+Steps for the life of an attempt.
+"""
+
+from behave import then, when
+from kingcupdyke.attempt import AttemptMachine
+from kingcupdyke.error import Step
+
+
+def play(context, script, needs_claim):
+    machine = context.machine = AttemptMachine("a1", "engine", needs_claim, 10.0)
+    context.outcomes, context.sent = [], 0
+    for word in script.split():
+        name, _, argument = word.partition("=")
+        if name in ("fail", "said"):
+            failure = machine.failure(Step.RUN, "test", said_by_back_end=name == "said")
+            context.outcomes.append(failure.outcome.value)
+            continue
+        result = machine.send(float(argument or 0)) if name == "send" else getattr(machine, name)()
+        if result is not None and result.is_error():
+            context.outcomes.append(result.error.outcome.value)
+        elif name == "send":
+            context.sent += 1
+
+
+@when('attempt plays "{script}"')
+def play_claimed(context, script):
+    play(context, script, needs_claim=True)
+
+
+@when('attempt without a claim plays "{script}"')
+def play_unclaimed(context, script):
+    play(context, script, needs_claim=False)
+
+
+@then('attempt gave "{outcomes}", sent {sent:d} times, and settles its key as "{key}"')
+def check_outcomes(context, outcomes, sent, key):
+    assert (" ".join(context.outcomes) or "none") == outcomes, context.outcomes
+    assert context.sent == sent, context.sent
+    assert (context.machine.key_state or "open") == key, context.machine.key_state
+
+
+@when('attempt fails at step "{step}" with {seconds:d} s to wait')
+def fail_at(context, step, seconds):
+    machine = AttemptMachine("a1", "engine", True)
+    context.failure = machine.failure(Step(step), "test", float(seconds))
+
+
+@then('attempt\'s failure is "{outcome}" at "{step}" of "{peer}" with {seconds:d} s to wait')
+def check_failure(context, outcome, step, peer, seconds):
+    failure = context.failure
+    found = (failure.outcome, failure.step, failure.peer, failure.retry_after_s)
+    assert found == (outcome, step, peer, seconds), found
--- /dev/null
+++ b/packages/kingcupdyke/features/steps/drain_steps.py
@@ -0,0 +1,112 @@
+"""
+drain_steps
+~~~~~~~~~~~
+
+Steps for planned stops.
+"""
+
+from collections import Counter
+from random import Random
+
+from behave import then, when
+from kingcupdyke.attempt import AttemptMachine
+from kingcupdyke.drain import DrainMachine
+from kingcupdyke.error import Step
+
+
+def play(machine, word, now_s):
+    """:return: the result of admitting or holding, or None"""
+    if word.startswith("-"):
+        machine.finished(word[1:])
+    elif word in ("stop", "told"):
+        getattr(machine, word)(now_s)
+    elif word == "release":
+        machine.release("load")
+    else:
+        return machine.hold("load") if word == "hold" else machine.admit(word)
+    return None
+
+
+@when('drain plays "{script}"')
+def play_script(context, script):
+    context.machine = DrainMachine("g1", 5.0)
+    context.failures_by_word = {}
+    context.now_s = 100.0
+    for word in script.split():
+        if word.startswith("+"):
+            context.now_s += float(word)
+            continue
+        result = play(context.machine, word, context.now_s)
+        if result is not None and result.is_error():
+            context.failures_by_word[word] = result.error
+
+
+@then('drain refused "{refused}", is "{state}" with {count:d} in flight and may exit: {exit}')
+def check_script(context, refused, state, count, exit):
+    machine = context.machine
+    found = " ".join(context.failures_by_word) or "none"
+    assert found == refused, found
+    assert (machine.state, machine.in_flight) == (state, count), machine.state
+    assert machine.may_exit(context.now_s) == (exit == "yes")
+
+
+@then('drain failed as "{outcome}" at "{steps}" of "{peer}" with {seconds:d} s to wait')
+def check_failures(context, outcome, steps, peer, seconds):
+    failures = list(context.failures_by_word.values())
+    assert [each.step for each in failures] == steps.split(), failures
+    assert {each.outcome for each in failures} == {outcome}
+    assert {(each.peer, each.retry_after_s) for each in failures} == {(peer, seconds)}
+
+
+@when("drain stops {count:d} gateways in turn under a request every 0.1 s that goes to any gateway")
+def stop_in_turn(context, count):
+    rng = Random(5)
+    context.runs, context.cut_off, context.replaced = Counter(), [], 0
+    gateways = [DrainMachine(f"g{index}") for index in range(count)]
+    ends_by_request = {}
+    for tick in range(600):
+        now_s = tick / 10
+        for request_id, (gateway, end_s) in list(ends_by_request.items()):
+            if now_s >= end_s:
+                gateway.finished(request_id)
+                del ends_by_request[request_id]
+        for gateway in rng.sample(gateways, count):
+            if gateway.admit(f"r{tick}").is_ok():
+                ends_by_request[f"r{tick}"] = (gateway, now_s + rng.uniform(0.0, 3.0))
+                context.runs[f"r{tick}"] += 1
+                break
+        leaving = gateways[context.replaced % count]
+        leaving.stop(now_s)
+        if now_s % 10 > 1:
+            leaving.told(now_s)
+        if context.replaced < count and leaving.may_exit(now_s):
+            context.cut_off += [each for each, (g, _) in ends_by_request.items() if g is leaving]
+            gateways[context.replaced] = DrainMachine(f"g{context.replaced}-new")
+            context.replaced += 1
+
+
+@then("drain ran every request once, cut off none, and all {count:d} gateways were replaced")
+def check_in_turn(context, count):
+    assert len(context.runs) == 600, len(context.runs)
+    assert set(context.runs.values()) == {1}
+    assert context.cut_off == []
+    assert context.replaced == count, context.replaced
+
+
+@when("drain kills a process that refused a request and holds another")
+def kill_after_stop(context):
+    leaving, other = DrainMachine("g1"), DrainMachine("g2")
+    held = AttemptMachine("a1", "g1", needs_claim=False)
+    assert leaving.admit("r1").is_ok()
+    held.send(0.0)
+    leaving.stop(0.0)
+    context.refusal = leaving.admit("r2").error
+    context.elsewhere = other.admit("r2")
+    context.held = held.failure(Step.RELAY, "connection closed")
+
+
+@then('drain\'s refused request runs once elsewhere and the held one is "{outcome}"')
+def check_kill(context, outcome):
+    assert context.refusal.outcome == "not_run"
+    assert context.elsewhere.is_ok()
+    assert context.held.outcome == outcome
--- /dev/null
+++ b/packages/kingcupdyke/features/steps/idempotency_steps.py
@@ -0,0 +1,215 @@
+"""
+idempotency_steps
+~~~~~~~~~~~~~~~~~
+
+Steps for claiming and settling idempotency keys.
+"""
+
+import os
+
+from behave import then, when
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+from hypothesis.strategies import integers, sampled_from
+from key_fakes import FATES, FakeSidecar, World
+from kingcupdyke.claimresult import Unclaimed, WriteBucket
+from kingcupdyke.idempotency import BucketMachine, ClaimMachine, SettleMachine
+from kingcupdyke.keyrecord import KeyBucket, KeyRecord, KeyState, record_key
+
+FUZZ_SETTINGS = settings(
+    max_examples=int(os.environ.get("KINGCUPDYKE_FUZZ_EXAMPLES", "60")),
+    derandomize=True,
+    database=None,
+    deadline=None,
+    stateful_step_count=60,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def make_record(key="k", attempt_id="A1", **fields):
+    return KeyRecord("secretary", key, "b", attempt_id, "A", "A-1", **fields)
+
+
+def play(world, sidecars, word):
+    name, _, argument = word.partition("=")
+    if name == "late":
+        world.store.let_late_arrive()
+        return
+    if name == "wait":
+        world.now_s += float(argument)
+        return
+    sidecar, verb = sidecars[name[0]], name[2:]
+    actions_by_verb = {
+        "submit": lambda: sidecar.submit(body=argument or "b"),
+        "again": lambda: sidecar.submit_again(argument),
+        "all": sidecar.step_all,
+        "run": lambda: sidecar.run(argument),
+        "finish": lambda: sidecar.finish(argument),
+        "failed": lambda: sidecar.fail(argument, said=True),
+        "lose": lambda: sidecar.fail(argument),
+        "die": sidecar.die,
+        "gone": lambda: setattr(sidecar.worker, "gone_incarnations", frozenset([argument])),
+    }
+    if verb in FATES:
+        assert sidecar.step(verb), f"{word}: no store call is due"
+    else:
+        actions_by_verb[verb]()
+
+
+@when('idempotency plays "{script}"')
+def play_script(context, script):
+    context.world = World()
+    sidecars = {name: FakeSidecar(name, context.world) for name in "AB"}
+    for word in script.split():
+        play(context.world, sidecars, word)
+
+
+@then('idempotency gave "{results}"')
+def check_results(context, results):
+    given = context.world.results_by_attempt
+    found = {attempt_id: type(result).__name__ for attempt_id, result in given.items()}
+    assert found == dict(word.split("=") for word in results.split()), found
+
+
+@then("idempotency ran {runs}")
+def check_runs(context, runs):
+    found = [attempt_id for attempt_id, _ in context.world.runs]
+    assert found == [each for each in runs.split() if each != "none"], found
+
+
+@then('idempotency replays status {status:d} with "{answer}" to {attempt_id}')
+def check_replay(context, status, answer, attempt_id):
+    record = context.world.results_by_attempt[attempt_id].record
+    found = (record.status, record.content_type, record.answer, record.truncated)
+    assert found == (status, "text/plain", answer.encode(), False), found
+
+
+@then('idempotency refuses {attempt_id} as "{outcome}" at "{step}" with a time to come back')
+def check_refusal(context, attempt_id, outcome, step):
+    failure = context.world.results_by_attempt[attempt_id].failure
+    assert (failure.outcome, failure.step) == (outcome, step), failure
+    assert failure.retry_after_s > 0, failure
+
+
+@when("idempotency loses {count:d} races for a claim")
+def lose_races(context, count):
+    context.machine = ClaimMachine("0", [make_record()])
+    context.machine.start()
+    context.command = context.machine.bucket_read(None, 0)
+    for version in range(1, count + 1):
+        assert isinstance(context.command, WriteBucket), context.command
+        context.command = context.machine.bucket_conflict(KeyBucket.empty(), version)
+
+
+@then("idempotency refuses the claim with nothing to settle")
+def check_given_up(context):
+    assert context.command is None, context.command
+    assert isinstance(context.machine.results_by_attempt["A1"], Unclaimed)
+    assert context.machine.to_settle == []
+
+
+@when("idempotency claims in a bucket that is full and settles a record there")
+def claim_in_full(context):
+    records = [make_record(f"key-{index:05}" + "x" * 200, "C1") for index in range(1225)]
+    bucket = KeyBucket({record_key(each.caller, each.key): each for each in records})
+    settlement = records[0]._replace(state=KeyState.UNKNOWN)
+    context.machine = BucketMachine("0", [make_record()], [settlement])
+    context.machine.start()
+    context.command = context.machine.bucket_read(bucket, 7)
+
+
+@then("idempotency refuses the claim and writes the settlement")
+def check_full(context):
+    assert isinstance(context.machine.results_by_attempt["A1"], Unclaimed)
+    records = context.command.bucket.records_by_key.values()
+    assert [each.state for each in records].count(KeyState.UNKNOWN) == 1
+    assert len(records) == 1225
+    assert context.machine.bucket_written(8) is None
+    assert context.machine.unsettled == []
+
+
+@when('idempotency settles a record in state "{stored}" of {holder} attempt as "{settled}"')
+def settle_record(context, stored, holder, settled):
+    record = make_record(attempt_id="A1" if holder == "its own" else "A2", state=stored)
+    bucket = KeyBucket({record_key(record.caller, record.key): record})
+    machine = SettleMachine("0", [make_record(state=settled)])
+    machine.start()
+    command = machine.bucket_read(bucket, 3)
+    context.bucket = command.bucket if command else bucket
+
+
+@then('idempotency leaves it in state "{kept}"')
+def check_settled(context, kept):
+    (record,) = context.bucket.records_by_key.values()
+    assert record.state == kept, record
+
+
+class AtMostOnceMachine(RuleBasedStateMachine):
+    """Sidecars that share one store, with every fault at any moment."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = World()
+        self.sidecars = [FakeSidecar(name, self.world) for name in "ABC"]
+
+    @rule(index=integers(0, 2), key=sampled_from(["k", "l", "m"]), body=sampled_from("bbbc"))
+    def submit(self, index, key, body):
+        self.sidecars[index].submit(key, body)
+
+    @rule(index=integers(0, 2), fate=sampled_from(("ok", "ok", "ok", *FATES)))
+    def step(self, index, fate):
+        self.sidecars[index].step(fate)
+
+    @rule(index=integers(0, 2))
+    def step_all(self, index):
+        self.sidecars[index].step_all()
+
+    @rule(index=integers(0, 2), verb=sampled_from(["run", "finish", "fail", "submit_again"]))
+    def act(self, index, verb):
+        for attempt_id in list(self.sidecars[index].machines)[-2:]:
+            getattr(self.sidecars[index], verb)(attempt_id)
+
+    @rule(index=integers(0, 2))
+    def run_claimed(self, index):
+        sidecar = self.sidecars[index]
+        for attempt_id in sorted(sidecar.machines.keys() & set(self.world.claims)):
+            sidecar.run(attempt_id)
+
+    @rule(index=integers(0, 2))
+    def die(self, index):
+        self.sidecars[index].die()
+
+    @rule()
+    def late(self):
+        self.world.store.let_late_arrive()
+
+    @rule(seconds=sampled_from([1.0, 30.0, 700.0]))
+    def wait(self, seconds):
+        self.world.now_s += seconds
+
+    @invariant()
+    def runs_at_most_once(self):
+        keys = [key for _, key in self.world.runs]
+        assert len(keys) == len(set(keys)), self.world.runs
+
+    @invariant()
+    def claims_once(self):
+        assert len(self.world.claims) == len(set(self.world.claims)), self.world.claims
+
+    @invariant()
+    def refusals_are_true(self):
+        ran = {attempt_id for attempt_id, _ in self.world.runs}
+        assert not ran & self.world.refused, (ran, self.world.refused)
+
+    def teardown(self):
+        """Once the store is back and all lost writes have come, nothing stays to be settled."""
+        for _ in range(2):
+            self.world.store.let_late_arrive()
+            for sidecar in self.sidecars:
+                sidecar.step_all()
+        assert [each.worker.unsettled for each in self.sidecars] == [0, 0, 0]
+
+
+@then("idempotency keeps its promises in the state machine")
+def run_machine(context):
+    run_state_machine_as_test(AtMostOnceMachine, settings=FUZZ_SETTINGS)
--- a/packages/kingcupdyke/kingcupdyke/attempt.py
+++ b/packages/kingcupdyke/kingcupdyke/attempt.py
@@ -65,11 +65,11 @@
     def claimed(self) -> Result[None, Failure]:
         """The idempotency key was claimed for this attempt.
 
-        :return: nothing, or the failure with which the attempt ended before
+        :return: nothing, or a failure when the attempt has ended or was sent before
         """
         self._was_claimed = True
-        if self.state != AttemptState.RECEIVED:
-            return Error(self.failure(Step.CLAIM, "claimed too late"))
+        if self.state not in _UNSENT:
+            return Error(self._refusal(Step.CLAIM, "claimed too late"))
         self.state = AttemptState.CLAIMED
         return Ok(None)
 
@@ -77,10 +77,11 @@
         """Ask to send to the back end; to be called before the first byte leaves.
 
         :param now_s: time in seconds of the timer service
-        :return: nothing, once at most; else the failure with which the attempt ends
+        :return: nothing, once at most; else the failure with which the attempt ends, or
+            where it is at the back end already, a failure that leaves it as it is
         """
         if self.state not in _UNSENT:
-            return Error(self.failure(Step.RUN, "sent already"))
+            return Error(self._refusal(Step.RUN, "sent before"))
         if self._needs_claim and self.state != AttemptState.CLAIMED:
             return Error(self.failure(Step.CLAIM, "key is not claimed"))
         if now_s >= self._deadline_s:
@@ -128,6 +129,9 @@
             return KeyState.NOT_RUN
         return KeyState.UNKNOWN if self.state == AttemptState.UNKNOWN else KeyState.ANSWERED
 
+    def _refusal(self, step: Step, reason: str) -> Failure:
+        return self._failure or Failure(Outcome.UNKNOWN, step, self._peer, reason)
+
     def _outcome(self, said_by_back_end: bool) -> Outcome:
         if self.state in _UNSENT:
             return Outcome.NOT_RUN
--- a/packages/kingcupdyke/kingcupdyke/connection.py
+++ b/packages/kingcupdyke/kingcupdyke/connection.py
@@ -43,6 +43,23 @@
     SILENT = "silent"
 
 
+class _PauseMeter:
+    """Measures pauses of this process, which are no silence of its peers.
+
+    :param most_s: seconds between two looks at the time of which nothing is discounted
+    """
+
+    def __init__(self, most_s: float) -> None:
+        self._most_s = most_s
+        self._looked_s: float | None = None
+
+    def discount(self, since_s: float, now_s: float) -> float:
+        """:return: seconds to discount from a wait that began at ``since_s``"""
+        looked_s = now_s if self._looked_s is None else self._looked_s
+        self._looked_s = now_s
+        return max(0.0, now_s - max(looked_s, since_s) - self._most_s)
+
+
 class SilenceDetector:
     """Watches one connection by what is sent and heard on it.
 
@@ -53,9 +70,9 @@
     def __init__(self, beat_s: float = BEAT_S, silence_s: float = SILENCE_S) -> None:
         self._beat_s = beat_s
         self._silence_s = silence_s
+        self._pauses = _PauseMeter(silence_s / 2)
         self._sent_s: float | None = None
         self._unanswered_s: float | None = None
-        self._checked_s: float | None = None
 
     def heard(self, now_s: float) -> None:
         """Anything came in on the connection."""
@@ -69,20 +86,16 @@
 
     def check(self, now_s: float) -> ConnectionState:
         """:return: the state of the connection; a pause of this process is no silence"""
-        self._discount_pause(now_s)
-        if self._unanswered_s is not None and now_s - self._unanswered_s >= self._silence_s:
-            return ConnectionState.SILENT
+        since_s = now_s if self._unanswered_s is None else self._unanswered_s
+        discount_s = self._pauses.discount(since_s, now_s)
+        if self._unanswered_s is not None:
+            self._unanswered_s += discount_s
+            if now_s - self._unanswered_s >= self._silence_s:
+                return ConnectionState.SILENT
         if self._sent_s is None or now_s - self._sent_s >= self._beat_s:
             return ConnectionState.PROBE
         return ConnectionState.FINE
 
-    def _discount_pause(self, now_s: float) -> None:
-        if self._checked_s is not None and self._unanswered_s is not None:
-            pause_s = now_s - max(self._checked_s, self._unanswered_s)
-            if pause_s > self._silence_s / 2:
-                self._unanswered_s += pause_s
-        self._checked_s = now_s
-
 
 class OpenNew(NamedTuple):
     """Open a connection; what runs resumes on it once it works."""
@@ -157,6 +170,8 @@
         self._backoff_s = backoff_s
         self._backoff_most_s = backoff_most_s
         self._detector = SilenceDetector(beat_s, silence_s)
+        self._pauses = _PauseMeter(silence_s / 2)
+        self._since_s = float("-inf")
         self._phase = _Phase.DOWN
         self._due_s = float("-inf")
         self._failures = 0
@@ -177,20 +192,23 @@
 
     def tick(self, now_s: float) -> list[ConnectionCommand]:
         """:return: what is to be done at a time in seconds of the timer service"""
+        discount_s = self._pauses.discount(self._since_s, now_s)
         if self._phase == _Phase.DOWN:
             return self._open(now_s) if now_s >= self._due_s else []
-        if self._phase != _Phase.UP and now_s >= self._due_s:
+        if self._phase == _Phase.UP:
+            return self._watch(now_s)
+        self._due_s += discount_s
+        if now_s >= self._due_s:
             return [Close(self.peer, self.generation), *self._go_down(now_s)]
-        if self._phase == _Phase.CONNECTING:
-            return []
-        return self._watch(now_s)
+        return []
 
     def opened(self, generation: int, now_s: float) -> list[ConnectionCommand]:
         """A connection is open; it counts as working once something is heard on it."""
-        if generation != self.generation or self._phase != _Phase.CONNECTING:
-            return [Close(self.peer, generation)] if generation != self.generation else []
-        self._phase = _Phase.PROVING
-        self._due_s = now_s + self._silence_s
+        if generation != self.generation:
+            return [Close(self.peer, generation)]
+        if self._phase != _Phase.CONNECTING:
+            return []
+        self._enter(_Phase.PROVING, now_s)
         return [SendBeat(self.peer, generation)]
 
     def open_failed(self, generation: int, now_s: float) -> list[ConnectionCommand]:
@@ -203,7 +221,8 @@
         """A connection was closed by the other end or broke."""
         if generation != self.generation or self._phase == _Phase.DOWN:
             return []
-        return self._open(now_s) if self._phase == _Phase.UP else self._go_down(now_s)
+        was_useful = self._phase == _Phase.UP and now_s - self._since_s >= self._beat_s
+        return self._open(now_s) if was_useful else self._go_down(now_s)
 
     def sent(self, generation: int, now_s: float) -> None:
         """A message that is to be answered went out on a connection."""
@@ -217,7 +236,7 @@
         self._detector.heard(now_s)
         if self._phase == _Phase.UP:
             return []
-        self._phase = _Phase.UP
+        self._enter(_Phase.UP, now_s)
         self._failures = 0
         return [PeerUp(self.peer, generation)]
 
@@ -235,13 +254,17 @@
 
     def _open(self, now_s: float) -> list[ConnectionCommand]:
         self.generation += 1
-        self._phase = _Phase.CONNECTING
-        self._due_s = now_s + self._silence_s
+        self._enter(_Phase.CONNECTING, now_s)
         self._detector = SilenceDetector(self._beat_s, self._silence_s)
         return [OpenNew(self.peer, self.generation)]
 
+    def _enter(self, phase: _Phase, now_s: float) -> None:
+        self._phase = phase
+        self._since_s = now_s
+        self._due_s = now_s + self._silence_s
+
     def _go_down(self, now_s: float) -> list[ConnectionCommand]:
-        self._phase = _Phase.DOWN
+        self._enter(_Phase.DOWN, now_s)
         backoff_s = min(self._backoff_s * 2**self._failures, self._backoff_most_s)
         retry_after_s = backoff_s * self._rng.uniform(0.5, 1.0)
         self._failures = min(self._failures + 1, 32)
--- a/packages/kingcupdyke/kingcupdyke/drain.py
+++ b/packages/kingcupdyke/kingcupdyke/drain.py
@@ -38,7 +38,7 @@
         self._requests: set[str] = set()
         self._orders: set[str] = set()
         self._stopped_s: float | None = None
-        self._is_told = False
+        self._told_s: float | None = None
 
     @property
     def state(self) -> DrainState:
@@ -93,14 +93,14 @@
 
     def told(self, now_s: float) -> None:
         """The leaving news was told to a peer that passes it on."""
-        if self._stopped_s is not None:
-            self._is_told = True
+        if self._stopped_s is not None and self._told_s is None:
+            self._told_s = now_s
 
     def may_exit(self, now_s: float) -> bool:
         """:return: whether exiting now cuts nothing off"""
         if self.state != DrainState.DRAINED:
             return False
-        return self._is_told or now_s >= self._stopped_s + self._news_bound_s
+        return self._told_s is not None or now_s >= self._stopped_s + self._news_bound_s
 
     def _refuse(self, step: Step) -> Result[None, Failure]:
         return Error(Failure(Outcome.NOT_RUN, step, self._peer, "process is leaving", 0.0))
--- a/packages/kingcupdyke/kingcupdyke/idempotency.py
+++ b/packages/kingcupdyke/kingcupdyke/idempotency.py
@@ -6,12 +6,26 @@
 
 A sidecar runs non-idempotent work only after its claim is known to be stored. A claim whose
 write got no answer is read back; when that is not possible, the attempt is refused and never
-runs, and its record is settled as "not run" once the store is back.
+runs, and its record is settled as "not run" once the store is back. Buckets are never deleted,
+so their versions only rise, and a lost write can no longer take effect once a higher version
+was seen.
 """
 
 from collections.abc import Sequence
-from typing import Any, NamedTuple
-
+from typing import Any
+
+from kingcupdyke.claimresult import (
+    Claimed,
+    ClaimResult,
+    KeyReused,
+    ReadBucket,
+    Replay,
+    StillRunning,
+    StoreCommand,
+    Unclaimed,
+    UnknownRun,
+    WriteBucket,
+)
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke.keyrecord import (
     BUCKET_MOST_BYTES,
@@ -44,8 +58,9 @@
 RUNNING_BOUND_S = 600.0
 #: Seconds after which a refused caller may come back.
 RETRY_AFTER_S = 1.0
-#: Conflicts and lost answers in a row after which an update is given up.
-MOST_TRIES = 16
+#: Conflicts and lost answers after which an update is given up.
+MOST_CONFLICTS = 16
+MOST_LOST = 3
 #: A record is only ever settled to a state that says more of what ran.
 _KNOWLEDGE = {
     KeyState.CLAIMED: 0,
@@ -55,62 +70,6 @@
 }
 
 
-class ReadBucket(NamedTuple):
-    """Read a bucket."""
-
-    name: str
-
-
-class WriteBucket(NamedTuple):
-    """Write a bucket if it still has a version; 0 creates it."""
-
-    name: str
-    bucket: KeyBucket
-    if_version: int
-
-
-StoreCommand = ReadBucket | WriteBucket
-
-
-class Claimed(NamedTuple):
-    """The attempt holds the key and may run once."""
-
-    record: KeyRecord
-
-
-class Replay(NamedTuple):
-    """The work ran before; its record holds the answer, or its digest when truncated."""
-
-    record: KeyRecord
-
-
-class StillRunning(NamedTuple):
-    """Another attempt holds the key and is not known to have ended."""
-
-    record: KeyRecord
-
-
-class UnknownRun(NamedTuple):
-    """The work may have run and is not run again."""
-
-    record: KeyRecord
-
-
-class KeyReused(NamedTuple):
-    """The key came before with another body: an error of the caller, status 422."""
-
-    record: KeyRecord
-
-
-class Unclaimed(NamedTuple):
-    """The key was not claimed; the attempt must never run."""
-
-    failure: Failure
-
-
-ClaimResult = Claimed | Replay | StillRunning | UnknownRun | KeyReused | Unclaimed
-
-
 class BucketMachine:
     """One update of one bucket, carrying claims and settlements.
 
@@ -150,7 +109,8 @@
         self._written_attempts: set[str] = set()
         self._unknown_version: int | None = None
         self._pending: StoreCommand | None = None
-        self._tries = 0
+        self._conflicts = 0
+        self._lost = 0
         #: Name of the bucket.
         self.bucket = bucket
         #: Results known so far, by attempt id.
@@ -172,7 +132,7 @@
         if self._unknown_version is not None and version > self._unknown_version:
             # The lost write is in this bucket or can no longer take effect.
             self._unknown_version = None
-        if self._tries >= MOST_TRIES:
+        if self._conflicts >= MOST_CONFLICTS:
             return self._give_up("too many conflicts")
         return self._update(bucket or KeyBucket.empty(), version)
 
@@ -181,7 +141,7 @@
 
         :return: the next command, or None at the end
         """
-        self._tries += 1
+        self._conflicts += 1
         return self.bucket_read(bucket, version)
 
     def bucket_written(self, version: int) -> StoreCommand | None:
@@ -208,19 +168,14 @@
         :param unknown: whether a write may have taken effect
         :return: a read to settle an unknown write, or None with every claim refused
         """
-        self._tries += 1
-        written = self._pending
-        if isinstance(written, WriteBucket) and unknown:
-            self._unknown_version = written.if_version
-            if self._tries < MOST_TRIES:
+        failed = self._pending
+        if isinstance(failed, WriteBucket) and unknown:
+            self._unknown_version = failed.if_version
+            self._lost += 1
+            if self._lost < MOST_LOST:
                 return self._issue(ReadBucket(self.bucket))
         return self._give_up("store is away")
 
-    @property
-    def ended(self) -> bool:
-        """Whether every claim has its result and no command is out."""
-        return self._pending is None and not self._open_claims
-
     @property
     def unsettled(self) -> list[KeyRecord]:
         """Settlements that the store has not taken yet, to be tried again."""
--- a/packages/kingcupdyke/kingcupdyke/keyworker.py
+++ b/packages/kingcupdyke/kingcupdyke/keyworker.py
@@ -5,15 +5,9 @@
 Grouping the claims and settlements of a sidecar, one update in flight a bucket.
 """
 
+from kingcupdyke.claimresult import ClaimResult, StillRunning, StoreCommand, Unclaimed
 from kingcupdyke.error import Failure
-from kingcupdyke.idempotency import (
-    RUNNING_BOUND_S,
-    BucketMachine,
-    ClaimResult,
-    StillRunning,
-    StoreCommand,
-    Unclaimed,
-)
+from kingcupdyke.idempotency import RUNNING_BOUND_S, BucketMachine
 from kingcupdyke.keyrecord import (
     KEY_BUCKETS,
     RETENTION_S,
@@ -27,7 +21,7 @@
 
 #: Seconds between tries to settle records while the store is away.
 SETTLE_RETRY_S = 1.0
-#: Most bytes of answers that wait to be recorded; beyond, the oldest keep only their digest.
+#: Most bytes of answers that wait to be recorded; beyond, only their digest is kept.
 WAITING_MOST_BYTES = 8_000_000
 
 
@@ -58,8 +52,9 @@
         self._running_bound_s = running_bound_s
         self._retry_s = retry_s
         self._waiting_most_bytes = waiting_most_bytes
-        self._claims_by_attempt: dict[str, KeyRecord] = {}
-        self._settlements_by_attempt: dict[str, KeyRecord] = {}
+        self._claims_by_bucket: dict[str, list[KeyRecord]] = {}
+        self._settlements_by_bucket: dict[str, dict[str, KeyRecord]] = {}
+        self._waiting_bytes = 0
         self._machines_by_bucket: dict[str, BucketMachine] = {}
         self._retry_at_by_bucket: dict[str, float] = {}
         self._past_by_attempt: dict[str, tuple[float, Failure | None]] = {}
@@ -71,7 +66,12 @@
     def unsettled(self) -> int:
         """Number of records that the store has not taken yet."""
         carried = sum(len(each.unsettled) for each in self._machines_by_bucket.values())
-        return len(self._settlements_by_attempt) + carried
+        return carried + sum(len(each) for each in self._settlements_by_bucket.values())
+
+    @property
+    def remembered(self) -> int:
+        """Number of attempts that are not claimed again when they are given again."""
+        return len(self._past_by_attempt)
 
     def claim(self, record: KeyRecord, now_s: float) -> None:
         """Let a claim wait for the next update of its bucket; its result comes exactly once.
@@ -87,15 +87,19 @@
             self._results_by_attempt.setdefault(record.attempt_id, result)
             return
         self._past_by_attempt[record.attempt_id] = (now_s, None)
-        self._claims_by_attempt[record.attempt_id] = record
+        self._claims_by_bucket.setdefault(self._bucket(record), []).append(record)
 
     def settle(self, record: KeyRecord) -> None:
         """Let a record wait until the store takes it.
 
         :param record: the claim with the state and the answer in which its attempt ended
         """
-        self._settlements_by_attempt[record.attempt_id] = record
-        self._limit_waiting()
+        if self._waiting_bytes + len(record.answer) > self._waiting_most_bytes:
+            record = truncate_record(record)
+        waiting = self._settlements_by_bucket.setdefault(self._bucket(record), {})
+        earlier = waiting.get(record.attempt_id)
+        self._waiting_bytes += len(record.answer) - (len(earlier.answer) if earlier else 0)
+        waiting[record.attempt_id] = record
 
     def commands(self, now_s: float, now_unix_s: float) -> list[StoreCommand]:
         """Start an update for each idle bucket that has something due.
@@ -105,15 +109,12 @@
         :return: the first command of each update
         """
         self._forget_past(now_s)
-        due = {self._bucket(each) for each in self._claims_by_attempt.values()}
-        for record in self._settlements_by_attempt.values():
-            if now_s >= self._retry_at_by_bucket.get(self._bucket(record), now_s):
-                due.add(self._bucket(record))
-        return [
-            self._start(name, now_unix_s)
-            for name in sorted(due)
-            if name not in self._machines_by_bucket
-        ]
+        due = set(self._claims_by_bucket)
+        for name in self._settlements_by_bucket:
+            if now_s >= self._retry_at_by_bucket.get(name, now_s):
+                due.add(name)
+        idle = due - self._machines_by_bucket.keys()
+        return [self._start(name, now_unix_s) for name in sorted(idle)]
 
     def bucket_read(
         self, name: str, bucket: KeyBucket | None, version: int, now_s: float
@@ -151,8 +152,8 @@
     def _start(self, name: str, now_unix_s: float) -> StoreCommand:
         machine = BucketMachine(
             name,
-            self._take(self._claims_by_attempt, name),
-            self._take(self._settlements_by_attempt, name),
+            self._claims_by_bucket.pop(name, []),
+            self._take_settlements(name),
             now_unix_s=now_unix_s,
             gone_incarnations=self.gone_incarnations,
             running_bound_s=self._running_bound_s,
@@ -161,10 +162,9 @@
         self._machines_by_bucket[name] = machine
         return machine.start()
 
-    def _take(self, records_by_attempt: dict[str, KeyRecord], name: str) -> list[KeyRecord]:
-        taken = [each for each in records_by_attempt.values() if self._bucket(each) == name]
-        for record in taken:
-            del records_by_attempt[record.attempt_id]
+    def _take_settlements(self, name: str) -> list[KeyRecord]:
+        taken = list(self._settlements_by_bucket.pop(name, {}).values())
+        self._waiting_bytes -= sum(len(each.answer) for each in taken)
         return taken
 
     def _go_on(
@@ -185,24 +185,14 @@
     def _end(self, machine: BucketMachine, now_s: float) -> None:
         del self._machines_by_bucket[machine.bucket]
         waiting = machine.unsettled + machine.to_settle
+        later = self._settlements_by_bucket.get(machine.bucket, {})
         for record in waiting:
-            # A later settlement of the same attempt knows more.
-            self._settlements_by_attempt.setdefault(record.attempt_id, record)
+            # A settlement given in the meantime knows more.
+            if record.attempt_id not in later:
+                self.settle(record)
         self._retry_at_by_bucket.pop(machine.bucket, None)
         if waiting:
             self._retry_at_by_bucket[machine.bucket] = now_s + self._retry_s
-        self._limit_waiting()
-
-    def _limit_waiting(self) -> None:
-        waiting = self._settlements_by_attempt
-        excess_bytes = sum(len(each.answer) for each in waiting.values())
-        excess_bytes -= self._waiting_most_bytes
-        for attempt_id, record in list(waiting.items()):
-            if excess_bytes <= 0:
-                return
-            if record.answer:
-                excess_bytes -= len(record.answer)
-                waiting[attempt_id] = truncate_record(record)
 
     def _forget_past(self, now_s: float) -> None:
         oldest_s = now_s - self._running_bound_s
