--- a/packages/kingcupdyke/features/herd.py
+++ b/packages/kingcupdyke/features/herd.py
@@ -9,6 +9,7 @@
 from random import Random
 
 from builders import make_request, make_view
+
 from kingcupdyke.report import LoadTracker
 from kingcupdyke.routers import get_router
 
--- a/packages/kingcupdyke/features/steps/answer_steps.py
+++ b/packages/kingcupdyke/features/steps/answer_steps.py
@@ -11,6 +11,7 @@
 from hypothesis import HealthCheck, settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 from hypothesis.strategies import integers, sampled_from
+
 from kingcupdyke.answer import AnswerAssembler, AnswerBuffer
 
 FUZZ_SETTINGS = settings(
--- a/packages/kingcupdyke/features/steps/attempt_steps.py
+++ b/packages/kingcupdyke/features/steps/attempt_steps.py
@@ -6,6 +6,7 @@
 """
 
 from behave import then, when
+
 from kingcupdyke.attempt import AttemptMachine
 from kingcupdyke.error import Step
 
--- a/packages/kingcupdyke/features/steps/budget_steps.py
+++ b/packages/kingcupdyke/features/steps/budget_steps.py
@@ -11,6 +11,7 @@
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import settings, strategies
+
 from kingcupdyke.budget import ByteBudget, RetryBudget
 
 EXAMPLES = int(os.environ.get("KINGCUPDYKE_FUZZ_EXAMPLES", "60"))
--- a/packages/kingcupdyke/features/steps/cache_steps.py
+++ b/packages/kingcupdyke/features/steps/cache_steps.py
@@ -8,6 +8,7 @@
 import re
 
 from behave import given, then, when
+
 from kingcupdyke.cache import PrefixIndex
 
 
--- a/packages/kingcupdyke/features/steps/connection_steps.py
+++ b/packages/kingcupdyke/features/steps/connection_steps.py
@@ -8,6 +8,7 @@
 from random import Random
 
 from behave import then, when
+
 from kingcupdyke.connection import ConnectionMachine, PeerDown, SilenceDetector
 
 TICK_S = 0.25
--- a/packages/kingcupdyke/features/steps/demand_steps.py
+++ b/packages/kingcupdyke/features/steps/demand_steps.py
@@ -6,6 +6,7 @@
 """
 
 from behave import given, then
+
 from kingcupdyke.demand import DemandTracker
 
 KEY = ("m", "north")
--- a/packages/kingcupdyke/features/steps/drain_steps.py
+++ b/packages/kingcupdyke/features/steps/drain_steps.py
@@ -9,6 +9,7 @@
 from random import Random
 
 from behave import then, when
+
 from kingcupdyke.attempt import AttemptMachine
 from kingcupdyke.drain import DrainMachine
 from kingcupdyke.error import Step
--- a/packages/kingcupdyke/features/steps/estimate_steps.py
+++ b/packages/kingcupdyke/features/steps/estimate_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 from builders import make_request, make_view
+
 from kingcupdyke.estimate import estimate_wait
 
 
--- a/packages/kingcupdyke/features/steps/idempotency_steps.py
+++ b/packages/kingcupdyke/features/steps/idempotency_steps.py
@@ -12,6 +12,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 from hypothesis.strategies import integers, sampled_from
 from key_fakes import FATES, FakeSidecar, World
+
 from kingcupdyke.claimresult import Unclaimed, WriteBucket
 from kingcupdyke.idempotency import BucketMachine, ClaimMachine, SettleMachine
 from kingcupdyke.keyrecord import KeyBucket, KeyRecord, KeyState, record_key
--- a/packages/kingcupdyke/features/steps/keyrecord_steps.py
+++ b/packages/kingcupdyke/features/steps/keyrecord_steps.py
@@ -8,6 +8,7 @@
 from collections import Counter
 
 from behave import given, then, when
+
 from kingcupdyke.keyrecord import (
     KeyBucket,
     KeyRecord,
--- a/packages/kingcupdyke/features/steps/keyworker_steps.py
+++ b/packages/kingcupdyke/features/steps/keyworker_steps.py
@@ -9,6 +9,7 @@
 
 from behave import then, when
 from key_fakes import FakeSidecar, World
+
 from kingcupdyke.keyrecord import KeyState, bucket_name
 from kingcupdyke.keyworker import KeyWorker
 
--- a/packages/kingcupdyke/features/steps/report_steps.py
+++ b/packages/kingcupdyke/features/steps/report_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 from herd import ENDPOINTS, find_largest_share
+
 from kingcupdyke.report import LoadTracker
 
 
