--- a/packages/kingcupdyke-standins/kingcupdyke_standins/server.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/server.py
@@ -2,37 +2,32 @@
 kingcupdyke_standins.server
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Runs one stand-in as a process.
+Runs a stand-in as a process, or within the loop of a test.
 """
 
+import signal
 import socket
+from asyncio import get_running_loop
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
-from anyio import create_task_group, run
-from uvicorn import Config, Server
+from anyio import create_task_group, open_signal_receiver, run
+from uvicorn import Config
+from uvicorn.server import ServerState
 
 from kingcupdyke_standins.asgi import StandinApp
 from kingcupdyke_standins.protocol import StandinProtocol
 
-__all__ = ["run_standin"]
+__all__ = ["open_standin", "run_standin"]
 
+LOOPBACK = "127.0.0.1"
 BACKLOG = 1024
 #: Long enough that only the other end closes idle connections.
 KEEP_ALIVE_S = 3600
-#: Seconds that a stop waits for answers, some of which never come.
-STOP_S = 1
-
-
-class _Server(Server):
-    """Says on the standard output where it listens."""
-
-    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
-        await super().startup(sockets)
-        address, port = sockets[0].getsockname()
-        print(f"listening {address}:{port}", flush=True)
 
 
 def run_standin(app: StandinApp, address: str, port: int) -> None:
-    """Serve until the process is told to stop.
+    """Serve until the process is told to stop, and say on the standard output where.
 
     :param address: IP number to listen on
     :param port: port, or 0 for one that the system chooses
@@ -40,7 +35,14 @@
     run(_serve, app, address, port)
 
 
-async def _serve(app: StandinApp, address: str, port: int) -> None:
+@asynccontextmanager
+async def open_standin(
+    app: StandinApp, address: str = LOOPBACK, port: int = 0
+) -> AsyncIterator[str]:
+    """Serve in the running loop while the context is open.
+
+    :return: address and port
+    """
     config = Config(
         app,
         http=StandinProtocol,
@@ -48,13 +50,29 @@
         lifespan="off",
         log_level="warning",
         timeout_keep_alive=KEEP_ALIVE_S,
-        timeout_graceful_shutdown=STOP_S,
     )
+    config.load()
+    state = ServerState()
     listener = _listen(address, port)
     async with create_task_group() as tasks:
         await app.begin(tasks)
-        await _Server(config).serve(sockets=[listener])
-        tasks.cancel_scope.cancel()
+        server = await get_running_loop().create_server(
+            lambda: StandinProtocol(config, state, {}), sock=listener
+        )
+        try:
+            yield "{}:{}".format(*listener.getsockname())
+        finally:
+            server.close()
+            StandinProtocol.abort_all()
+            tasks.cancel_scope.cancel()
+
+
+async def _serve(app: StandinApp, address: str, port: int) -> None:
+    with open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with open_standin(app, address, port) as listening:
+            print(f"listening {listening}", flush=True)
+            async for _ in signals:
+                break
 
 
 def _listen(address: str, port: int) -> socket.socket:
--- /dev/null
+++ b/packages/kingcupdyke-wire/features/steps/hostlist_steps.py
@@ -0,0 +1,67 @@
+"""
+hostlist_steps
+~~~~~~~~~~~~~~
+
+Steps for the client of the host list.
+"""
+
+import json
+
+from anyio import run, sleep
+from behave import given, then, when
+
+from kingcupdyke.host import Host
+from kingcupdyke_standins.hosts import HostsApp
+from kingcupdyke_standins.server import open_standin
+from kingcupdyke_standins.service import ServiceApp
+from kingcupdyke_wire.hostlist import HostListClient
+from kingcupdyke_wire.http import HttpClient
+
+ENTRY = Host("s1", "127.0.0.1", 7001, "sidecar", "bohemia", "praha", "live")
+
+
+async def read_hosts(app, calls, delay_s):
+    """:return: what the client reads some time after the calls"""
+    async with open_standin(app) as address:
+        http = HttpClient(f"http://{address}", timeout_s=1.0)
+        for method, path, body in calls:
+            answer = await http.request(method, path, body=body)
+            assert answer.is_ok(), answer
+        await sleep(delay_s)
+        client = HostListClient(f"http://{address}")
+        hosts = await client.hosts()
+        await client.aclose()
+        return hosts
+
+
+@given("the host list lags by {lag_s:g} s")
+def give_lag(context, lag_s):
+    context.lag_s = lag_s
+
+
+@when('hostlist reads it {delay_s:g} s after the host "{name}" was {change}')
+def read_after_change(context, delay_s, name, change):
+    state = "leaving" if change.endswith("leaving") else "live"
+    entry = json.dumps(ENTRY._replace(state=state)._asdict()).encode()
+    calls = [("PUT", f"/v1/hosts/{name}", entry)]
+    if change == "deleted":
+        calls.append(("DELETE", f"/v1/hosts/{name}", b""))
+    context.result = run(read_hosts, HostsApp(context.lag_s), calls, delay_s)
+
+
+@when("hostlist reads an entry without its fields")
+def read_other_form(context):
+    context.result = run(read_hosts, ServiceApp(0.0), [], 0.0)
+
+
+@then('hostlist has seen "{seen}"')
+@then('hostlist has seen ""')
+def check_seen(context, seen=""):
+    hosts = context.result.ok
+    assert " ".join(f"{host.host} {host.state}" for host in hosts) == seen, hosts
+    assert all(host._replace(state="live") == ENTRY for host in hosts), hosts
+
+
+@then('hostlist has failed at step "{step}"')
+def check_failed(context, step):
+    assert context.result.error.step == step, context.result
--- /dev/null
+++ b/packages/kingcupdyke-wire/features/steps/http_steps.py
@@ -0,0 +1,140 @@
+"""
+http_steps
+~~~~~~~~~~
+
+Steps for the HTTP client, against a server that answers as the scenario says.
+"""
+
+from anyio import move_on_after, run, sleep
+from behave import given, then, when
+
+from kingcupdyke.error import Outcome, Step
+from kingcupdyke_standins.asgi import HttpRequest, Reply, StandinApp
+from kingcupdyke_standins.protocol import StandinProtocol
+from kingcupdyke_standins.server import open_standin
+from kingcupdyke_wire.http import ExchangeError, HttpClient
+
+LATE_S = 0.1
+FIRST = b"first half, "
+
+
+class EchoApp(StandinApp):
+    """Answers with the path, or as its behaviour has it."""
+
+    def __init__(self, behaviour):
+        super().__init__("service")
+        self.behaviour = behaviour
+
+    async def handle(self, request: HttpRequest, reply: Reply) -> None:
+        path = "/".join(request.path).encode()
+        match self.behaviour:
+            case "drops the connection":
+                await reply.drop()
+            case "never answers":
+                await reply.stay_silent()
+            case "answers too late":
+                await sleep(LATE_S)
+                await reply.whole(200, path)
+            case "cuts the answer in the middle":
+                await reply.begin(200, {"content-length": "100"})
+                await reply.part(FIRST)
+                await sleep(0.01)
+                await reply.drop()
+            case "goes silent within the answer":
+                await reply.begin(200, {"content-length": "100"})
+                await reply.part(FIRST)
+                await reply.stay_silent()
+            case "answers twice":
+                await reply.whole(200, path)
+                head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(path)}\r\n\r\n"
+                reply.send_again(head.encode() + path)
+            case "goes silent on connections":
+                StandinProtocol.freeze_all()
+                await reply.whole(200, path)
+            case _:
+                await reply.whole(200, path)
+
+
+async def converse(context, requests):
+    """Call ``requests`` with a client of the scenario's server."""
+    app = EchoApp(context.behaviour)
+    async with open_standin(app) as address:
+        if context.behaviour == "refuses connections":
+            address = "127.0.0.1:1"
+        context.address = address
+        client = HttpClient(f"http://{address}", timeout_s=1.0)
+        for request in requests:
+            context.result = await request(app, client)
+        await client.aclose()
+
+
+@given("a server for http that {behaviour}")
+def give_server(context, behaviour):
+    context.behaviour = behaviour
+    context.requests = []
+
+
+@when("http sends a request with {timeout_s:g} s to answer")
+def send_request(context, timeout_s):
+    async def request(app, client):
+        return await client.request("GET", "/first", timeout_s=timeout_s)
+
+    context.requests.append(request)
+    run(converse, context, context.requests)
+
+
+@when("http sends a request that is cancelled after {cancel_s:g} s")
+def send_cancelled(context, cancel_s):
+    async def request(app, client):
+        with move_on_after(cancel_s):
+            await client.request("GET", "/first")
+
+    context.requests.append(request)
+
+
+@when("http sends another request once the server behaves")
+def send_other(context):
+    async def request(app, client):
+        app.behaviour = "behaves"
+        await sleep(LATE_S)
+        return await client.request("GET", "/other")
+
+    run(converse, context, [*context.requests, request])
+
+
+@when("http reads a stream with {timeout_s:g} s between its parts")
+def read_stream(context, timeout_s):
+    async def request(app, client):
+        context.parts = []
+        try:
+            async with client.stream("GET", "/first", timeout_s=timeout_s) as stream:
+                async for part in stream.parts:
+                    context.parts.append(part)
+        except ExchangeError as error:
+            return error.failure
+
+    run(converse, context, [request])
+
+
+def check_failure(context, failure, outcome, step):
+    assert failure.outcome == Outcome(outcome), failure
+    assert failure.step == Step(step), failure
+    assert failure.peer == context.address, failure
+    assert failure.reason, failure
+
+
+@then('http reports "{outcome}" at step "{step}" with the peer\'s address')
+def check_report(context, outcome, step):
+    check_failure(context, context.result.error, outcome, step)
+
+
+@then("http has the answer to the other request")
+def check_other(context):
+    assert context.result.is_ok(), context.result
+    assert context.result.ok.body == b"other", context.result
+
+
+@then('http has read a part and reports "{outcome}" at step "{step}" with the peer\'s address')
+def check_stream(context, outcome, step):
+    assert context.parts == [FIRST], context.parts
+    check_failure(context, context.result, outcome, step)
