--- a/packages/kingcupdyke-standins/kingcupdyke_standins/engine.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/engine.py
@@ -136,7 +136,7 @@
         body = request.data()
         wanted = _read_run_request(request, body)
         if not self._holds(wanted):
-            return await reply.json(404, {"error": {"message": "not resident"}})
+            return await _refuse(reply, wanted.request_id, "not resident")
         run = Run(wanted, self._first_token_s(wanted))
         self._state.batcher.submit(run)
         if body.get("stream"):
@@ -160,7 +160,7 @@
     async def _resume(self, request: HttpRequest, reply: Reply, request_id: str) -> None:
         run = self._state.batcher.find(request_id)
         if run is None:
-            return await reply.whole(404)
+            return await _refuse(reply, request_id, "unknown request")
         return await self._relay.stream(run, reply, int(request.query.get("offset", 0)))
 
     async def _list_models(self, reply: Reply) -> None:
@@ -256,6 +256,10 @@
         self._tasks.start_soon(self._state.run)
 
 
+async def _refuse(reply: Reply, request_id: str, reason: str) -> None:
+    await reply.json(404, {"error": {"message": reason}}, {"x-request-id": request_id})
+
+
 def _read_run_request(request: HttpRequest, body: dict) -> RunRequest:
     return RunRequest(
         request.headers.get("x-request-id", ""),
--- /dev/null
+++ b/packages/kingcupdyke-wire/features/steps/engine_steps.py
@@ -0,0 +1,323 @@
+"""
+engine_steps
+~~~~~~~~~~~~
+
+Steps for the engine client.
+"""
+
+import json
+
+from anyio import create_task_group, run, sleep
+from behave import given, then, when
+from engine_bench import (
+    GB,
+    OPTIONS,
+    build_body,
+    give_order,
+    open_engine,
+    run_request,
+)
+
+from kingcupdyke.error import Outcome
+from kingcupdyke_standins.answer import expected_text
+from kingcupdyke_wire.http import ExchangeError
+from kingcupdyke_wire.sse import DONE_EVENT
+
+PROMPT = "who referees on Monday?"
+
+
+@given('an engine of 10 GB that holds "m" of 2 GB')
+@given('an engine of 10 GB that holds "m" of 2 GB and {checks:w} fences')
+@given('an engine of 10 GB that holds "m" of 2 GB and caches {blocks:d} blocks')
+def give_engine(context, checks="checks", blocks=100):
+    context.options = OPTIONS._replace(checks_fence=checks == "checks", cache_blocks=blocks)
+    context.faults = {}
+
+
+@given("the engine has the faults {faults}")
+def give_faults(context, faults):
+    context.faults = json.loads(faults)
+
+
+def run_job(context, job):
+    """Run ``job`` with the scenario's engine and its client."""
+
+    async def main():
+        async with open_engine(context.options, context.faults) as (app, client):
+            await job(app, client)
+
+    run(main)
+
+
+def describe(result):
+    """:return: the state of an order that ended, or the outcome of one that failed"""
+    return result.ok.state if result.is_ok() else str(result.error.outcome)
+
+
+@when('engine gives the orders "{orders}"')
+def give_orders(context, orders):
+    async def job(app, client):
+        context.results = []
+        for number, order in enumerate(orders.split()):
+            kind, name, size = order.split(":")
+            result = await give_order(client, f"o{number}", 1, kind, name, int(size) * GB)
+            context.results.append(result)
+        context.inventory = (await client.inventory()).ok
+
+    run_job(context, job)
+
+
+@when("engine gives an order of 3 GB with the fences {fences} and a lifetime of {lifetime_s:g} s")
+def give_order_again(context, fences, lifetime_s):
+    async def job(app, client):
+        context.results = []
+        for fence in fences.split():
+            result = await give_order(client, "o", int(fence), "load", "n", 3 * GB, lifetime_s)
+            context.results.append(result)
+        await sleep(0.07)
+        context.inventory = (await client.inventory()).ok
+
+    run_job(context, job)
+
+
+@when("engine gives the orders of two sidecars with the fences {first:d} and {second:d}")
+def give_fenced_orders(context, first, second):
+    async def job(app, client):
+        await give_order(client, "o1", first, "load", "n", GB)
+        context.result = await give_order(client, "o2", second, "load", "k", GB)
+        context.report = app.report()
+
+    run_job(context, job)
+
+
+@then('engine has answered "{answers}"')
+def check_answers(context, answers):
+    assert [describe(each) for each in context.results] == answers.split(), context.results
+
+
+@then('engine has {used:d} GB in use, the models "{models}" and the adapters "{adapters}"')
+@then('engine has {used:d} GB in use, the models "{models}" and the adapters ""')
+def check_inventory(context, used, models, adapters=""):
+    inventory = context.inventory
+    assert inventory.used_bytes == used * GB, inventory
+    assert sorted(inventory.models) == models.split(), inventory
+    assert sorted(inventory.adapters) == adapters.split(), inventory
+
+
+@then('engine has ended "{outcomes}" in turn and the order ran {runs:d} times')
+def check_outcomes(context, outcomes, runs):
+    assert [describe(each) for each in context.results] == outcomes.split(), context.results
+    assert context.inventory.used_bytes == (2 + 3 * runs) * GB, context.inventory
+    assert context.inventory.orders == ({"o": "done"} if runs else {}), context.inventory
+
+
+@then('engine has ended the second "{outcome}" and noted {noted:d} old fences')
+def check_fence(context, outcome, noted):
+    described = describe(context.result)
+    if context.result.is_error():
+        described += f" {context.result.error.reason}"
+    assert described == outcome, context.result
+    assert len(context.report["old_fences"]) == noted, context.report
+
+
+@when("engine runs a {form} request for {tokens:d} tokens, {way}")
+def run_one(context, form, tokens, way):
+    context.tokens = tokens
+    context.chat = form == "chat"
+    path, body = build_body(PROMPT, tokens, context.chat, way == "streamed")
+
+    async def job(app, client):
+        try:
+            context.answer, context.parts = await run_request(client, "r", path, body)
+        except ExchangeError as error:
+            context.answer, context.parts = None, error.failure
+
+    run_job(context, job)
+
+
+def read_text(parts):
+    """:return: the text and the usage of an answer, whole or streamed"""
+    if not parts[0].startswith(b"data: "):
+        chunks = [json.loads(b"".join(parts))]
+    else:
+        assert parts[-1] == DONE_EVENT, parts
+        chunks = [json.loads(part.removeprefix(b"data: ")) for part in parts[:-1]]
+    choices = [chunk["choices"][0] for chunk in chunks]
+    pieces = [each.get("delta") or each.get("message") or each for each in choices]
+    text = "".join(each["content"] if "content" in each else each["text"] for each in pieces)
+    return text, chunks[-1]["usage"]
+
+
+@then("engine has answered it whole with its id, its text and its usage")
+def check_whole(context):
+    text, usage = read_text(context.parts)
+    prompt = f"user: {PROMPT}\n" if context.chat else PROMPT
+    assert context.answer.status == 200, context.answer
+    assert context.answer.request_id == "r", context.answer
+    assert text == expected_text("m", prompt, context.tokens), text
+    assert usage["completion_tokens"] == context.tokens, usage
+
+
+@then("engine shows the answer to be {broken}")
+def check_broken(context, broken):
+    match broken:
+        case "failed":
+            assert context.parts.outcome == Outcome.UNKNOWN, context.parts
+        case "without its end":
+            assert context.answer.request_id == "r", context.answer
+            assert 0 < len(context.parts) < context.tokens, context.parts
+            assert DONE_EVENT not in context.parts, context.parts
+        case "that of another id":
+            assert context.answer.request_id != "r", context.answer
+        case "longer than whole":
+            end = context.parts.index(DONE_EVENT)
+            assert end == context.tokens, context.parts
+            assert len(context.parts) > end + 1, context.parts
+
+
+@when("engine takes a stream of {tokens:d} tokens up at event {offset:d}")
+def resume(context, tokens, offset):
+    path, body = build_body(PROMPT, tokens, stream=True)
+
+    async def job(app, client):
+        _, context.parts = await run_request(client, "r", path, body)
+        _, context.resumed = await run_request(client, "r", path, body, offset=offset)
+
+    run_job(context, job)
+
+
+@then("engine has read its events from {offset:d} on")
+def check_resumed(context, offset):
+    assert context.resumed == context.parts[offset:], context.resumed
+
+
+@when("engine streams {tokens:d} tokens and after the first one {event}")
+def break_stream(context, tokens, event):
+    path, body = build_body(PROMPT, tokens, stream=True)
+
+    async def strike(app, client):
+        if event == "its connections are frozen":
+            app.faults.set({"freeze": True})
+        elif event == "the request is cancelled":
+            await client.cancel("r")
+        else:
+            app.faults.set({"restart": True})
+        await app.apply_faults()
+        if event.endswith("reloads"):
+            await give_order(client, "o", 1, "load", "m", GB)
+
+    async def job(app, client):
+        try:
+            async with client.open_run(path, body, "r", 0, "") as answer:
+                await anext(answer.parts)
+                await strike(app, client)
+                async for _ in answer.parts:
+                    pass
+        except ExchangeError as error:
+            context.failure = error.failure
+        try:
+            context.answer, context.parts = await run_request(client, "r", path, body, offset=0)
+        except ExchangeError as error:
+            context.answer, context.parts = None, error.failure
+
+    context.tokens = tokens
+    run_job(context, job)
+
+
+@then('engine has failed the stream as "{outcome}", and taking it up gives "{resumed}"')
+def check_break(context, outcome, resumed):
+    assert context.failure.outcome == Outcome(outcome), context.failure
+    match resumed:
+        case "the whole answer":
+            text, _ = read_text(context.parts)
+            assert text == expected_text("m", PROMPT, context.tokens), text
+        case "failed":
+            assert context.answer is None, context.parts
+        case "404":
+            assert context.answer.status == 404, context.answer
+
+
+@when('engine asks the model "{model}" with the adapter "{adapter}"')
+@when('engine asks the model "{model}" with the adapter ""')
+def ask_missing(context, model, adapter=""):
+    path, body = build_body(PROMPT, 2, model=model)
+
+    async def job(app, client):
+        context.answer, _ = await run_request(client, "r", path, body, adapter)
+
+    run_job(context, job)
+
+
+@then("engine has found nothing")
+def check_missing(context):
+    assert context.answer.status == 404, context.answer
+    assert context.answer.request_id == "r", context.answer
+
+
+@when("engine moves the KV cache of a request with {free:d} bytes free")
+def move_kv(context, free):
+    context.options = context.options._replace(capacity_bytes=2 * GB + free)
+    path, body = build_body("p" * 300, 2)
+
+    async def job(app, client):
+        await run_request(client, "r", path, body)
+        exported = await client.kv_export("r")
+        context.outcomes = [exported.is_ok()]
+        if exported.is_error():
+            return
+        imported = await client.kv_import(exported.ok)
+        context.outcomes.append(imported.is_ok())
+        context.inventory = (await client.inventory()).ok
+        await run_request(client, "r", path, body)
+        context.after = (await client.inventory()).ok
+        context.violations = app.violations
+
+    run_job(context, job)
+
+
+@then("engine has moved it: {moved}")
+def check_moved(context, moved):
+    assert all(context.outcomes) == (moved == "yes"), context.outcomes
+    if len(context.outcomes) == 2:
+        assert context.inventory.kv_bytes == ({"r": 300_000} if moved == "yes" else {})
+        assert context.after.kv_bytes == {}, context.after
+        assert context.violations == [], context.violations
+
+
+@when("engine runs a prompt of {blocks:d} blocks and reads the cache events after {position:d}")
+def read_cache_events(context, blocks, position):
+    path, body = build_body("b" * 256 * blocks, 1)
+
+    async def job(app, client):
+        await run_request(client, "r", path, body)
+        context.batch = (await client.cache_events(position, 0.03)).ok
+
+    run_job(context, job)
+
+
+@then('engine has seen the cache events "{events}"')
+@then('engine has seen the cache events ""')
+def check_cache_events(context, events=""):
+    seen = [f"{'+' if each.stored else '-'}{each.sequence}" for each in context.batch.events]
+    assert seen == events.split(), context.batch
+    assert context.batch.incarnation == "engine-1", context.batch
+
+
+@when("engine runs {count:d} requests and reads the load after {delay_s:g} s")
+def read_load(context, count, delay_s):
+    path, body = build_body(PROMPT, 100)
+
+    async def job(app, client):
+        async with create_task_group() as tasks:
+            for number in range(count):
+                tasks.start_soon(run_request, client, f"r{number}", path, body)
+            await sleep(delay_s)
+            context.load = (await client.load()).ok
+
+    run_job(context, job)
+
+
+@then("engine reports {running:d} running and an age of at least {age_s:g} s")
+def check_load(context, running, age_s):
+    assert context.load.running == running, context.load
+    assert context.load.age_s >= age_s, context.load
