Serve a request from caller to back end over separate processes

Cause: the decisions had no shell. Ruled out: running the sidecar's attempts inside the gateway's stream, since a silent connection would then end the work it carries.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
@@ -32,7 +32,7 @@
 from kingcupdyke_daemon.process import (
     StatusApp,
     make_incarnation,
-    print_address,
+    print_addresses,
     watch_signals,
 )
 from kingcupdyke_daemon.server import HttpServer, open_socket
@@ -106,8 +106,7 @@
         served = Event()
         self._tasks.start_soon(_serve, http, listener, served)
         self._start_loops()
-        print_address("listening", listener)
-        print_address("peers", peer_listener)
+        print_addresses(listening=listener, peers=peer_listener)
         await self._stop.wait()
         await self._leave()
         http.stop()
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/process.py
@@ -14,7 +14,7 @@
 from anyio import open_signal_receiver
 from prometheus_client import make_asgi_app
 
-__all__ = ["StatusApp", "make_incarnation", "print_address", "watch_signals"]
+__all__ = ["StatusApp", "make_incarnation", "print_addresses", "watch_signals"]
 
 
 def make_incarnation() -> str:
@@ -22,10 +22,16 @@
     return f"{time.time_ns():020d}-{uuid4().hex[:8]}"
 
 
-def print_address(word: str, listener: socket) -> None:
-    """Say where a socket listens, for whoever started the process."""
-    address, port = listener.getsockname()[:2]
-    print(f"{word} {address}:{port}", flush=True)
+def print_addresses(**listeners: socket) -> None:
+    """Say in one line where the process listens, for whoever started it.
+
+    :param listeners: sockets by the word that goes before their address
+    """
+    places = []
+    for word, listener in listeners.items():
+        address, port = listener.getsockname()[:2]
+        places.append(f"{word} {address}:{port}")
+    print(*places, flush=True)
 
 
 async def watch_signals(begin_stop: Callable[[], None]) -> None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
@@ -20,7 +20,7 @@
 from kingcupdyke_daemon.process import (
     StatusApp,
     make_incarnation,
-    print_address,
+    print_addresses,
     watch_signals,
 )
 from kingcupdyke_daemon.server import HttpServer, open_socket
@@ -117,8 +117,7 @@
         http_server = HttpServer(StatusApp(lambda: not self._handed_over))
         self._tasks.start_soon(http_server.serve, [http_listener])
         self._start_loops()
-        print_address("listening", listener)
-        print_address("http", http_listener)
+        print_addresses(listening=listener, http=http_listener)
         await self._stop.wait()
         await self._leave()
         http_server.stop()
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/process.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/process.py
@@ -41,8 +41,12 @@
         if not line or line[0] != LISTENING:
             self.kill()
             raise RuntimeError(f"{' '.join(command)}: did not start")
-        self.address, port = line[1].rsplit(":", 1)
-        self.port = int(port)
+        #: Ports by the word before them in the line.
+        self.ports_by_word = {
+            word: int(place.rsplit(":", 1)[1]) for word, place in zip(line[::2], line[1::2])
+        }
+        self.address = line[1].rsplit(":", 1)[0]
+        self.port = self.ports_by_word[LISTENING]
 
     @abstractmethod
     def module(self) -> str:
--- /dev/null
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/site.py
@@ -0,0 +1,201 @@
+"""
+kingcupdyke_standins.site
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+A small site of separate processes: the platform's stand-ins, engines, services and daemons.
+"""
+
+from contextlib import ExitStack
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+from typing import NamedTuple, Self
+
+from ruamel.yaml import YAML
+
+from kingcupdyke_standins.process import DaemonProcess, StandinProcess
+
+__all__ = ["GatewayPlan", "SidecarPlan", "Site", "SitePlan"]
+
+LOOPBACK = "127.0.0.1"
+
+
+class SidecarPlan(NamedTuple):
+    """An endpoint host: a sidecar before an engine or services."""
+
+    name: str
+    region: str
+    data_centre: str
+    #: Options of the engine's stand-in; None where there is no engine.
+    engine: tuple[str, ...] | None = None
+    #: Options of each service's stand-in, by the service's name.
+    services: tuple[tuple[str, tuple[str, ...]], ...] = ()
+    checks_fence: bool = True
+
+
+class GatewayPlan(NamedTuple):
+    """An entry host."""
+
+    name: str
+    region: str
+    data_centre: str
+
+
+class SitePlan(NamedTuple):
+    """What a site is made of."""
+
+    gateways: tuple[GatewayPlan, ...]
+    sidecars: tuple[SidecarPlan, ...]
+    #: Settings that all gateways have beside their place.
+    gateway_settings: dict[str, object] = {}
+    #: Settings that all sidecars have beside their place.
+    sidecar_settings: dict[str, object] = {}
+    store: tuple[str, ...] = ()
+    hosts: tuple[str, ...] = ()
+    weights: tuple[str, ...] = ()
+
+
+class Site:
+    """Starts the processes of a plan and kills what still runs after the ``with`` block.
+
+    :param plan: what to start
+    """
+
+    def __init__(self, plan: SitePlan) -> None:
+        self._plan = plan
+        self._stack = ExitStack()
+        self._folder = Path()
+        self._settings_by_name: dict[str, Path] = {}
+        self.store: StandinProcess | None = None
+        self.hosts: StandinProcess | None = None
+        self.weights: StandinProcess | None = None
+        self.engines_by_name: dict[str, StandinProcess] = {}
+        self.services_by_name: dict[str, list[StandinProcess]] = {}
+        self.sidecars_by_name: dict[str, DaemonProcess] = {}
+        self.gateways_by_name: dict[str, DaemonProcess] = {}
+
+    def __enter__(self) -> Self:
+        self._folder = Path(self._stack.enter_context(TemporaryDirectory()))
+        try:
+            self.store = self._start_standin("store", *self._plan.store)
+            self.hosts = self._start_standin("hosts", *self._plan.hosts)
+            self.weights = self._start_standin("weights", *self._plan.weights)
+            for sidecar in self._plan.sidecars:
+                self.start_sidecar(sidecar)
+            for gateway in self._plan.gateways:
+                self.start_gateway(gateway)
+        except BaseException:
+            self._stack.close()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for process in (*self.gateways_by_name.values(), *self.sidecars_by_name.values()):
+            process.kill()
+        self._stack.close()
+
+    @property
+    def tool_settings(self) -> Path:
+        """Settings file of the operators' tool."""
+        return self._write_settings(
+            "tool", {"store_url": self.store.url, "hosts_url": self.hosts.url}
+        )
+
+    def gateway(self, name: str | None = None) -> DaemonProcess:
+        """:return: a gateway by name, or any that runs"""
+        if name is not None:
+            return self.gateways_by_name[name]
+        running = [each for each in self.gateways_by_name.values() if each.is_running()]
+        return Random().choice(running)
+
+    def violations(self) -> list[str]:
+        """:return: what the stand-ins saw that must never be"""
+        standins = [*self.engines_by_name.values(), self.weights, self.store]
+        for processes in self.services_by_name.values():
+            standins += processes
+        return [text for each in standins if each.is_running() for text in each.violations()]
+
+    def start_sidecar(self, plan: SidecarPlan) -> DaemonProcess:
+        """Start an endpoint host with what stands behind its sidecar."""
+        settings = self._make_common(plan.name, plan.region, plan.data_centre)
+        settings |= self._plan.sidecar_settings
+        settings |= {"endpoint": plan.name, "checks_fence": plan.checks_fence}
+        if plan.engine is not None:
+            settings["engine_url"] = self._start_engine(plan).url
+        services = {}
+        for name, options in plan.services:
+            process = self._start_standin("service", *options)
+            self.services_by_name.setdefault(name, []).append(process)
+            services[name] = process.url
+        settings["services_by_name"] = services
+        self._write_settings(plan.name, settings)
+        return self.restart_sidecar(plan)
+
+    def restart_sidecar(self, plan: SidecarPlan) -> DaemonProcess:
+        """Start the sidecar of an endpoint host again, beside what stands behind it."""
+        process = self._stack.enter_context(
+            DaemonProcess("sidecar", self._settings_by_name[plan.name])
+        )
+        self.sidecars_by_name[plan.name] = process
+        self.list_host(plan, "sidecar", process.port)
+        return process
+
+    def start_gateway(self, plan: GatewayPlan) -> DaemonProcess:
+        """Start an entry host."""
+        settings = self._make_common(plan.name, plan.region, plan.data_centre)
+        self._write_settings(plan.name, settings | self._plan.gateway_settings)
+        process = self._stack.enter_context(
+            DaemonProcess("gateway", self._settings_by_name[plan.name])
+        )
+        self.gateways_by_name[plan.name] = process
+        self.list_host(plan, "gateway", process.port, process.ports_by_word["peers"])
+        return process
+
+    def list_host(
+        self,
+        plan: SidecarPlan | GatewayPlan,
+        kind: str,
+        port: int,
+        peer_port: int = 0,
+        state: str = "live",
+    ) -> None:
+        """Enter a host in the platform's list."""
+        entry = {
+            "host": plan.name,
+            "address": LOOPBACK,
+            "port": port,
+            "kind": kind,
+            "region": plan.region,
+            "data_centre": plan.data_centre,
+            "state": state,
+            "peer_port": peer_port,
+        }
+        self.hosts.call("PUT", f"/v1/hosts/{plan.name}", entry)
+
+    def _start_standin(self, *arguments: str) -> StandinProcess:
+        return self._stack.enter_context(StandinProcess(*arguments))
+
+    def _start_engine(self, plan: SidecarPlan) -> StandinProcess:
+        options = ["--name", plan.name, "--region", plan.region]
+        options += ["--data-centre", plan.data_centre, "--weights", self.weights.url]
+        options.append("--checks-fence" if plan.checks_fence else "--no-checks-fence")
+        engine = self._start_standin("engine", *options, *plan.engine)
+        self.engines_by_name[plan.name] = engine
+        return engine
+
+    def _make_common(self, name: str, region: str, data_centre: str) -> dict[str, object]:
+        return {
+            "host": name,
+            "address": LOOPBACK,
+            "region": region,
+            "data_centre": data_centre,
+            "store_url": self.store.url,
+            "hosts_url": self.hosts.url,
+        }
+
+    def _write_settings(self, name: str, settings: dict[str, object]) -> Path:
+        path = self._folder / f"{name}.yaml"
+        with path.open("w") as file:
+            YAML().dump(settings, file)
+        self._settings_by_name[name] = path
+        return path
--- a/packages/kingcupdyke/features/admission_machine.py
+++ b/packages/kingcupdyke/features/admission_machine.py
@@ -8,6 +8,7 @@
 from builders import make_request
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
 from kingcupdyke.admission import AdmissionQueue, Admitted, Queued
 from kingcupdyke.error import Outcome, Step
 
--- a/packages/kingcupdyke/features/fake_sidecar.py
+++ b/packages/kingcupdyke/features/fake_sidecar.py
@@ -6,6 +6,7 @@
 """
 
 from fake_engine import Message, make_intent
+
 from kingcupdyke.error import Step
 from kingcupdyke.fence import (
     EndpointGuard,
--- a/packages/kingcupdyke/features/ledger_machine.py
+++ b/packages/kingcupdyke/features/ledger_machine.py
@@ -15,6 +15,7 @@
     precondition,
     rule,
 )
+
 from kingcupdyke.placement import Order
 
 CAPACITY_BYTES = 100
--- a/packages/kingcupdyke/features/steps/admission_steps.py
+++ b/packages/kingcupdyke/features/steps/admission_steps.py
@@ -13,6 +13,7 @@
 from builders import make_request
 from hypothesis import settings
 from hypothesis.stateful import run_state_machine_as_test
+
 from kingcupdyke.admission import AdmissionQueue, Admitted, Queued, Refused
 from kingcupdyke.error import Outcome
 
--- a/packages/kingcupdyke/features/steps/retry_steps.py
+++ b/packages/kingcupdyke/features/steps/retry_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 from builders import make_request
+
 from kingcupdyke.budget import RetryBudget
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke.retry import GiveUp, Retry, RetryPolicy
