--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/call.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/call.py
@@ -148,7 +148,7 @@
         attempt_id = uuid4().hex
         request = call.request
         message = _encode(call, attempt_id, parts.timer.now())
-        assembler = AnswerAssembler(request.request_id, attempt_id, link.peer)
+        assembler = AnswerAssembler(request.request_id, attempt_id, link.host.host)
         name = link.host.host
         parts.directory.loads.dispatched(name, attempt_id)
         ended = False
@@ -190,7 +190,7 @@
         kind = reply.WhichOneof("kind")
         if kind == "start":
             status, content_type = reply.start.status, reply.start.content_type
-            sink.start(status, content_type)
+            sink.start(status, content_type, assembler.peer)
             return assembler.start(*ids, status, content_type)
         if kind == "part":
             taken = assembler.part(*ids, reply.part.offset, reply.part.data)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/reply.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/reply.py
@@ -46,6 +46,7 @@
     (Step.CONNECT, Outcome.NOT_RUN): (503, "endpoint_unreachable"),
     (Step.CLAIM, Outcome.NOT_RUN): (503, "store_away"),
     (Step.CLAIM, Outcome.UNKNOWN): (409, "outcome_unknown"),
+    (Step.CLAIM, Outcome.FAILED): (422, "key_reused"),
 }
 _STATUS_BY_OUTCOME = {
     Outcome.NOT_RUN: (503, "not_run"),
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/sink.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/sink.py
@@ -31,6 +31,7 @@
         self._stream = stream
         self._parts: list[bytes] = []
         self._head: tuple[int, str] | None = None
+        self._endpoint = ""
         #: Whether the caller has received anything, so that no other attempt can answer.
         self.committed = False
 
@@ -39,9 +40,10 @@
         self._parts.clear()
         self._head = None
 
-    def start(self, status: int, content_type: str) -> None:
-        """Take the head of the answer."""
+    def start(self, status: int, content_type: str, endpoint: str) -> None:
+        """Take the head of the answer and the endpoint that gives it."""
         self._head = (status, content_type)
+        self._endpoint = endpoint
 
     async def part(self, data: bytes) -> None:
         """Take a piece of the answer."""
@@ -59,7 +61,9 @@
             return
         self.committed = True
         status, content_type = self._head
-        await send_body(self._send, status, content_type, b"".join(self._parts), self._headers)
+        await send_body(
+            self._send, status, content_type, b"".join(self._parts), self._get_headers()
+        )
 
     async def fail(self, rejection: Rejection) -> None:
         """End with an error; in a stream that has begun, as a last event without an end mark."""
@@ -70,10 +74,13 @@
         event = b"data: " + encode_error(rejection) + b"\n\n"
         await self._send({"type": "http.response.body", "body": event})
 
+    def _get_headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        return (*self._headers, (b"x-endpoint", self._endpoint.encode()))
+
     async def _commit(self) -> None:
         if self.committed:
             return
         self.committed = True
         status, content_type = self._head
-        headers = [(b"content-type", content_type.encode()), *self._headers]
+        headers = [(b"content-type", content_type.encode()), *self._get_headers()]
         await self._send({"type": "http.response.start", "status": status, "headers": headers})
--- /dev/null
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/load.py
@@ -0,0 +1,155 @@
+"""
+kingcupdyke_measure.load
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Open-loop load: requests leave at their time, whatever became of those before.
+"""
+
+import json
+from collections.abc import Sequence
+from random import Random
+from typing import NamedTuple
+
+from anyio import create_task_group, current_time, sleep_until
+
+from kingcupdyke_standins.answer import expected_text, read_prompt
+from kingcupdyke_wire.http import ExchangeError, HttpClient, HttpStream
+
+__all__ = ["Arrival", "ArrivalResult", "run_load"]
+
+#: Seconds past its deadline after which a request is given up by its caller.
+_PATIENCE_S = 5.0
+
+
+class Arrival(NamedTuple):
+    """A request that a caller will make."""
+
+    #: Seconds from the start of the run.
+    at_s: float
+    #: Kind of work, for the report.
+    kind: str
+    token: str
+    path: str
+    body: dict
+    deadline_s: float
+    #: Model that answers, or the empty string for a service.
+    model: str = ""
+    key: str = ""
+    method: str = "POST"
+
+
+class ArrivalResult(NamedTuple):
+    """What became of a request; times run from when it should have left."""
+
+    arrival: Arrival
+    #: HTTP status; 0 where no answer came.
+    status: int
+    first_s: float
+    whole_s: float
+    #: Mean seconds between parts of a stream.
+    between_s: float
+    #: Whether the answer is the caller's own and complete.
+    whole: bool
+    endpoint: str
+    #: The error's code, or the empty string.
+    code: str
+
+    @property
+    def attained(self) -> bool:
+        """Whether the answer came whole and on time."""
+        return self.whole and self.whole_s <= self.arrival.deadline_s
+
+
+async def run_load(
+    arrivals: Sequence[Arrival], addresses: Sequence[str], seed: int
+) -> list[ArrivalResult]:
+    """Send all arrivals at their times, each to a gateway chosen at random.
+
+    :param arrivals: in order of their times
+    :param addresses: base addresses of gateways
+    :param seed: seed of the choice of gateways
+    :return: a result for each arrival, in the order in which they ended
+    """
+    rng = Random(seed)
+    clients = [HttpClient(each, timeout_s=60.0) for each in addresses]
+    results: list[ArrivalResult] = []
+    begun_s = current_time()
+    async with create_task_group() as tasks:
+        for arrival in arrivals:
+            await sleep_until(begun_s + arrival.at_s)
+            client = rng.choice(clients)
+            tasks.start_soon(_send, arrival, client, begun_s + arrival.at_s, results)
+    for client in clients:
+        await client.aclose()
+    return results
+
+
+async def _send(
+    arrival: Arrival, client: HttpClient, due_s: float, results: list[ArrivalResult]
+) -> None:
+    headers = {
+        "authorization": f"Bearer {arrival.token}",
+        "content-type": "application/json",
+        "x-deadline-ms": str(int(arrival.deadline_s * 1000)),
+    }
+    if arrival.key:
+        headers["idempotency-key"] = arrival.key
+    body = json.dumps(arrival.body).encode() if arrival.body else b""
+    timeout_s = arrival.deadline_s + _PATIENCE_S
+    try:
+        async with client.stream(arrival.method, arrival.path, headers, body, timeout_s) as stream:
+            results.append(await _read(arrival, stream, due_s))
+    except ExchangeError as error:
+        whole_s = current_time() - due_s
+        code = error.failure.outcome.value
+        results.append(ArrivalResult(arrival, 0, whole_s, whole_s, 0.0, False, "", code))
+
+
+async def _read(arrival: Arrival, stream: HttpStream, due_s: float) -> ArrivalResult:
+    times_s = []
+    parts = []
+    async for part in stream.parts:
+        times_s.append(current_time() - due_s)
+        parts.append(part)
+    whole_s = current_time() - due_s
+    first_s = times_s[0] if times_s else whole_s
+    between_s = (times_s[-1] - first_s) / (len(times_s) - 1) if len(times_s) > 1 else 0.0
+    body = b"".join(parts)
+    whole = stream.status == 200 and _is_whole(arrival, body)
+    code = "" if stream.status == 200 else _read_code(body)
+    endpoint = stream.headers.get("x-endpoint", "")
+    return ArrivalResult(arrival, stream.status, first_s, whole_s, between_s, whole, endpoint, code)
+
+
+def _is_whole(arrival: Arrival, body: bytes) -> bool:
+    if not arrival.model:
+        return bool(body)
+    text = _read_stream(body) if arrival.body.get("stream") else _read_text(body)
+    tokens = arrival.body["max_tokens"]
+    return text == expected_text(arrival.model, read_prompt(arrival.body), tokens)
+
+
+def _read_text(body: bytes) -> str:
+    choice = json.loads(body)["choices"][0]
+    return choice["message"]["content"] if "message" in choice else choice["text"]
+
+
+def _read_stream(body: bytes) -> str:
+    events = body.split(b"\n\n")
+    if b"data: [DONE]" not in events:
+        return ""
+    texts = []
+    for event in events:
+        if event.startswith(b"data: {"):
+            choice = json.loads(event[6:]).get("choices", [{}])[0]
+            texts.append(
+                choice["delta"]["content"] if "delta" in choice else choice.get("text", "")
+            )
+    return "".join(texts)
+
+
+def _read_code(body: bytes) -> str:
+    try:
+        return json.loads(body)["error"]["code"]
+    except (ValueError, KeyError, TypeError):
+        return "unreadable"
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/process.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/process.py
@@ -43,7 +43,8 @@
             raise RuntimeError(f"{' '.join(command)}: did not start")
         #: Ports by the word before them in the line.
         self.ports_by_word = {
-            word: int(place.rsplit(":", 1)[1]) for word, place in zip(line[::2], line[1::2])
+            word: int(place.rsplit(":", 1)[1])
+            for word, place in zip(line[::2], line[1::2], strict=True)
         }
         self.address = line[1].rsplit(":", 1)[0]
         self.port = self.ports_by_word[LISTENING]
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/site.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/site.py
@@ -5,6 +5,7 @@
 A small site of separate processes: the platform's stand-ins, engines, services and daemons.
 """
 
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
 from pathlib import Path
 from random import Random
@@ -18,6 +19,8 @@
 __all__ = ["GatewayPlan", "SidecarPlan", "Site", "SitePlan"]
 
 LOOPBACK = "127.0.0.1"
+#: Processes that are started at once.
+MOST_STARTS = 6
 
 
 class SidecarPlan(NamedTuple):
@@ -80,10 +83,9 @@
             self.store = self._start_standin("store", *self._plan.store)
             self.hosts = self._start_standin("hosts", *self._plan.hosts)
             self.weights = self._start_standin("weights", *self._plan.weights)
-            for sidecar in self._plan.sidecars:
-                self.start_sidecar(sidecar)
-            for gateway in self._plan.gateways:
-                self.start_gateway(gateway)
+            with ThreadPoolExecutor(MOST_STARTS) as pool:
+                list(pool.map(self.start_sidecar, self._plan.sidecars))
+                list(pool.map(self.start_gateway, self._plan.gateways))
         except BaseException:
             self._stack.close()
             raise
--- a/packages/kingcupdyke/kingcupdyke/answer.py
+++ b/packages/kingcupdyke/kingcupdyke/answer.py
@@ -28,7 +28,8 @@
     def __init__(self, request_id: str, attempt_id: str, peer: str = "") -> None:
         self._request_id = request_id
         self._attempt_id = attempt_id
-        self._peer = peer
+        #: Endpoint that sends the answer.
+        self.peer = peer
         self._head: tuple[int, str] | None = None
         #: Offset of the part that is due, which is the number of parts delivered.
         self.next_offset = 0
@@ -97,7 +98,7 @@
         return request_id == self._request_id and attempt_id == self._attempt_id
 
     def _fail(self, reason: str) -> Result:
-        return Error(Failure(Outcome.UNKNOWN, Step.RELAY, self._peer, reason))
+        return Error(Failure(Outcome.UNKNOWN, Step.RELAY, self.peer, reason))
 
 
 class AnswerBuffer:
