--- /dev/null
+++ b/packages/kingcupdyke-standins/features/batch.feature
@@ -0,0 +1,16 @@
+Feature: Requests run together, the most urgent first
+
+  Scenario: Where slots are short, the lowest priority number goes first
+    Given a batch of 1 slot with 1 ms a token
+    When batch runs the priorities "1 5 0 5 0"
+    Then batch has ended them in the order "1 0 0 5 5"
+
+  Scenario Outline: A token takes longer the larger the batch is
+    Given a batch of 8 slots with 2 ms a token and 4 ms more for each other request
+    When batch runs <requests> requests of 5 tokens
+    Then batch has taken at least <least> s
+
+    Examples:
+      | requests | least |
+      | 1        | 0.010 |
+      | 8        | 0.150 |
--- /dev/null
+++ b/packages/kingcupdyke-standins/features/steps/batch_steps.py
@@ -0,0 +1,67 @@
+"""
+batch_steps
+~~~~~~~~~~~
+
+Steps for continuous batching.
+"""
+
+from anyio import create_task_group, current_time, run
+from behave import given, then, when
+
+from kingcupdyke_standins.batch import Batcher, Run, RunRequest, Speed
+
+
+@given("a batch of {slots:d} slot with {token_ms:g} ms a token")
+def give_slot(context, slots, token_ms):
+    context.speed = Speed(token_ms, 0.0, 0.0, slots)
+
+
+@given(
+    "a batch of {slots:d} slots with {token_ms:g} ms a token "
+    "and {slope_ms:g} ms more for each other request"
+)
+def give_slots(context, slots, token_ms, slope_ms):
+    context.speed = Speed(token_ms, slope_ms, 0.0, slots)
+
+
+async def run_batch(speed, priorities, tokens):
+    """:return: the priorities in the order in which they ended, and the seconds it took"""
+    ended = []
+    batcher = Batcher(speed)
+
+    async def run_one(number, priority):
+        request = RunRequest(f"r{number}", "m", "", "prompt", tokens, priority, False)
+        each = Run(request, first_token_s=0.0)
+        batcher.submit(each)
+        await each.wait_end()
+        ended.append(priority)
+
+    async with create_task_group() as outer:
+        outer.start_soon(batcher.step_forever)
+        began_s = current_time()
+        async with create_task_group() as tasks:
+            for number, priority in enumerate(priorities):
+                tasks.start_soon(run_one, number, priority)
+        took_s = current_time() - began_s
+        outer.cancel_scope.cancel()
+    return ended, took_s
+
+
+@when('batch runs the priorities "{priorities}"')
+def run_priorities(context, priorities):
+    context.ended, _ = run(run_batch, context.speed, [int(p) for p in priorities.split()], 2)
+
+
+@when("batch runs {requests:d} requests of {tokens:d} tokens")
+def run_requests(context, requests, tokens):
+    _, context.took_s = run(run_batch, context.speed, [0] * requests, tokens)
+
+
+@then('batch has ended them in the order "{priorities}"')
+def check_order(context, priorities):
+    assert context.ended == [int(p) for p in priorities.split()], context.ended
+
+
+@then("batch has taken at least {least_s:g} s")
+def check_time(context, least_s):
+    assert least_s <= context.took_s, context.took_s
--- /dev/null
+++ b/packages/kingcupdyke-standins/features/steps/order_steps.py
@@ -0,0 +1,124 @@
+"""
+order_steps
+~~~~~~~~~~~
+
+Steps for the orders that an engine carries out.
+"""
+
+from contextlib import asynccontextmanager
+
+from anyio import create_task_group, current_time, run
+from behave import given, then, when
+
+from kingcupdyke.placement import OrderKind
+from kingcupdyke_standins.batch import Batcher, Run, RunRequest, Speed
+from kingcupdyke_standins.memory import MemoryBook, Resident
+from kingcupdyke_standins.order import EngineOrder, OrderRunner, OrderSettings
+from kingcupdyke_standins.server import open_standin
+from kingcupdyke_standins.weights import WeightsApp
+
+SPEED = Speed(token_ms=1.0, batch_slope_ms=0.0, first_token_ms=0.0, slots=32)
+
+
+@given("an engine for order with a knee of {knee:d}")
+def give_engine(context, knee):
+    context.knee = knee
+    context.weights = None
+
+
+@given("an engine for order with a weight store of {per_s:g} loads a second, the first at once")
+def give_engine_and_store(context, per_s):
+    context.knee = 10
+    context.weights = WeightsApp(per_s, full_speed_fetches=100, bytes_per_s=1e9)
+
+
+@asynccontextmanager
+async def open_runner(context):
+    """Yield a runner over a memory with the model "m"."""
+    context.violations = []
+    context.memory = MemoryBook(10**6, context.violations)
+    context.memory.models_by_name["m"] = Resident("1", 1)
+    context.batcher = Batcher(SPEED)
+    if context.weights is None:
+        settings = OrderSettings("", context.knee, "")
+        yield OrderRunner(settings, context.memory, context.batcher, context.violations)
+        return
+    async with open_standin(context.weights) as address:
+        settings = OrderSettings("", context.knee, f"http://{address}")
+        yield OrderRunner(settings, context.memory, context.batcher, context.violations)
+
+
+async def give_all(runner, orders):
+    """:return: seconds that each order took"""
+    seconds = []
+
+    async def give(order):
+        began_s = current_time()
+        record = runner.start(order, tasks)
+        await record.wait_end()
+        assert record.state == "done", record.reason
+        seconds.append(current_time() - began_s)
+
+    async with create_task_group() as tasks:
+        for order in orders:
+            tasks.start_soon(give, order)
+    return seconds
+
+
+def make_order(kind, number, model="m", adapter=""):
+    """:return: an order of one byte"""
+    return EngineOrder(f"o{number}", 1, kind, model, adapter, "1", "", 1, 10.0)
+
+
+@when("order loads {count:d} adapters at once")
+def load_adapters(context, count):
+    orders = [
+        make_order(OrderKind.LOAD_ADAPTER, number, adapter=f"a{number}") for number in range(count)
+    ]
+
+    async def job():
+        async with open_runner(context) as runner:
+            context.seconds = await give_all(runner, orders)
+
+    run(job)
+
+
+@when("order loads {count:d} models at once")
+def load_models(context, count):
+    orders = [make_order(OrderKind.LOAD, number, model=f"n{number}") for number in range(count)]
+
+    async def job():
+        async with open_runner(context) as runner:
+            context.seconds = await give_all(runner, orders)
+
+    run(job)
+
+
+@when('order is to {kind:w} while {running:d} requests of the adapter "a" run')
+def unload(context, kind, running):
+    async def job():
+        async with open_runner(context) as runner:
+            for number in range(running):
+                request = RunRequest(f"r{number}", "m", "a", "prompt", 100, 0, False)
+                context.batcher.submit(Run(request, first_token_s=0.0))
+            await give_all(runner, [make_order(kind, 0, adapter="a" if "adapter" in kind else "")])
+
+    run(job)
+
+
+@then("order has taken at least {first_s:g} s for the first and {last_s:g} s for the last")
+def check_seconds(context, first_s, last_s):
+    assert min(context.seconds) >= first_s, context.seconds
+    assert max(context.seconds) >= last_s, context.seconds
+
+
+@then("order has noted {count:d} violations")
+def check_violations(context, count):
+    assert len(context.violations) == count, context.violations
+
+
+@then("order has loaded {models:d} models with {fetches:d} fetches in at least {least_s:g} s")
+def check_models(context, models, fetches, least_s):
+    assert len(context.memory.models_by_name) == models + 1
+    assert len(context.weights.fetches) == fetches
+    assert max(context.seconds) >= least_s, context.seconds
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/weights.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/weights.py
@@ -30,14 +30,15 @@
         self._full_speed_fetches = full_speed_fetches
         self._bytes_per_s = bytes_per_s
         self._running = 0
-        self._fetches: list[dict] = []
+        #: Transfers that were begun, as they were asked for.
+        self.fetches: list[dict] = []
 
     async def handle(self, request: HttpRequest, reply: Reply) -> None:
         match request.method, request.path:
             case "POST", ("v1", "fetches"):
                 return await self._fetch(request, reply)
             case "GET", ("v1", "fetches"):
-                return await reply.json(200, {"fetches": self._fetches})
+                return await reply.json(200, {"fetches": self.fetches})
         return await reply.whole(404)
 
     async def _fetch(self, request: HttpRequest, reply: Reply) -> None:
@@ -47,7 +48,7 @@
             wait_s = self._starts.wait_s(current_time())
             return await reply.whole(429, headers={"retry-after": f"{wait_s:.3f}"})
         fetch = request.data()
-        self._fetches.append(fetch)
+        self.fetches.append(fetch)
         await self._transfer(fetch["bytes"])
         return await reply.json(200, {})
 
