--- a/packages/kingcupdyke-standins/kingcupdyke_standins/cmdline.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/cmdline.py
@@ -16,6 +16,7 @@
 from kingcupdyke_standins.batch import Speed
 from kingcupdyke_standins.engine import EngineApp, EngineOptions
 from kingcupdyke_standins.hosts import HostsApp
+from kingcupdyke_standins.link import LinkApp
 from kingcupdyke_standins.order import OrderSettings
 from kingcupdyke_standins.server import run_standin
 from kingcupdyke_standins.service import ServiceApp
@@ -129,12 +130,27 @@
         return ServiceApp(self.work_ms / 1000)
 
 
+@cappa.command(name="link")
+@dataclass
+class LinkCommand(_ListenOptions):
+    """The link between two regions."""
+
+    #: Milliseconds one way.
+    delay_ms: Number = 0.0
+    #: Rate of each direction; 0 is without bound.
+    bytes_per_s: Number = 0.0
+
+    def build(self) -> StandinApp:
+        """:return: the application"""
+        return LinkApp(self.delay_ms / 1000, self.bytes_per_s)
+
+
 @dataclass
 class Standins:
     """Stand-ins for what the system meets outside."""
 
     command: Subcommands[
-        StoreCommand | HostsCommand | WeightsCommand | EngineCommand | ServiceCommand
+        StoreCommand | HostsCommand | WeightsCommand | EngineCommand | ServiceCommand | LinkCommand
     ]
 
 
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/faults.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/faults.py
@@ -37,6 +37,10 @@
     "hosts": {
         "lag_s": Switch(0.0, "changes show after this time"),
     },
+    "link": {
+        "cut": Switch(False, "nothing gets through, in silence"),
+        "freeze": Switch(False, "connections that are open now go silent for good"),
+    },
     "weights": {
         "down": Switch(False, "fetches answer 503"),
     },
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/site.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/site.py
@@ -7,6 +7,7 @@
 
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
+from itertools import permutations
 from pathlib import Path
 from random import Random
 from tempfile import TemporaryDirectory
@@ -56,6 +57,8 @@
     store: tuple[str, ...] = ()
     hosts: tuple[str, ...] = ()
     weights: tuple[str, ...] = ()
+    #: Options of the link between regions; None: regions reach each other directly.
+    link: tuple[str, ...] | None = None
 
 
 class Site:
@@ -70,7 +73,10 @@
         self._folder = Path()
         self._settings_by_name: dict[str, Path] = {}
         self.store: StandinProcess | None = None
-        self.hosts: StandinProcess | None = None
+        #: The host list as each region sees it.
+        self.hosts_by_region: dict[str, StandinProcess] = {}
+        #: The way from one region into another.
+        self.links_by_way: dict[tuple[str, str], StandinProcess] = {}
         self.weights: StandinProcess | None = None
         self.engines_by_name: dict[str, StandinProcess] = {}
         self.services_by_name: dict[str, list[StandinProcess]] = {}
@@ -81,7 +87,11 @@
         self._folder = Path(self._stack.enter_context(TemporaryDirectory()))
         try:
             self.store = self._start_standin("store", *self._plan.store)
-            self.hosts = self._start_standin("hosts", *self._plan.hosts)
+            for region in self._regions:
+                self.hosts_by_region[region] = self._start_standin("hosts", *self._plan.hosts)
+            for way in permutations(self._regions, 2):
+                if self._plan.link is not None:
+                    self.links_by_way[way] = self._start_standin("link", *self._plan.link)
             self.weights = self._start_standin("weights", *self._plan.weights)
             with ThreadPoolExecutor(MOST_STARTS) as pool:
                 list(pool.map(self.start_sidecar, self._plan.sidecars))
@@ -96,12 +106,15 @@
             process.kill()
         self._stack.close()
 
+    @property
+    def _regions(self) -> list[str]:
+        return sorted({each.region for each in (*self._plan.gateways, *self._plan.sidecars)})
+
     @property
     def tool_settings(self) -> Path:
         """Settings file of the operators' tool."""
-        return self._write_settings(
-            "tool", {"store_url": self.store.url, "hosts_url": self.hosts.url}
-        )
+        hosts = self.hosts_by_region[self._regions[0]]
+        return self._write_settings("tool", {"store": self.store.url, "hosts": hosts.url})
 
     def gateway(self, name: str | None = None) -> DaemonProcess:
         """:return: a gateway by name, or any that runs"""
@@ -161,18 +174,26 @@
         peer_port: int = 0,
         state: str = "live",
     ) -> None:
-        """Enter a host in the platform's list."""
-        entry = {
-            "host": plan.name,
-            "address": LOOPBACK,
-            "port": port,
-            "kind": kind,
-            "region": plan.region,
-            "data_centre": plan.data_centre,
-            "state": state,
-            "peer_port": peer_port,
-        }
-        self.hosts.call("PUT", f"/v1/hosts/{plan.name}", entry)
+        """Enter a host in the platform's list, as each region reaches it."""
+        for region, hosts in self.hosts_by_region.items():
+            way = (region, plan.region)
+            entry = {
+                "host": plan.name,
+                "address": LOOPBACK,
+                "port": self._reach(way, port),
+                "kind": kind,
+                "region": plan.region,
+                "data_centre": plan.data_centre,
+                "state": state,
+                "peer_port": self._reach(way, peer_port),
+            }
+            hosts.call("PUT", f"/v1/hosts/{plan.name}", entry)
+
+    def _reach(self, way: tuple[str, str], port: int) -> int:
+        link = self.links_by_way.get(way)
+        if link is None or not port:
+            return port
+        return link.call("PUT", f"/targets/{LOOPBACK}/{port}")["port"]
 
     def _start_standin(self, *arguments: str) -> StandinProcess:
         return self._stack.enter_context(StandinProcess(*arguments))
@@ -192,7 +213,7 @@
             "region": region,
             "data_centre": data_centre,
             "store_url": self.store.url,
-            "hosts_url": self.hosts.url,
+            "hosts_url": self.hosts_by_region[region].url,
         }
 
     def _write_settings(self, name: str, settings: dict[str, object]) -> Path:
--- a/packages/kingcupdyke/features/fleet_fake.py
+++ b/packages/kingcupdyke/features/fleet_fake.py
@@ -9,6 +9,7 @@
 from random import Random
 
 from builders import make_inventory
+
 from kingcupdyke.placement import OrderKind, PlacementView
 from kingcupdyke.placements.fleet import get_model_bytes
 
--- a/packages/kingcupdyke/features/steps/ledger_steps.py
+++ b/packages/kingcupdyke/features/steps/ledger_steps.py
@@ -12,9 +12,10 @@
 from fake_sidecar import FakeSidecar
 from hypothesis import HealthCheck, settings
 from hypothesis.stateful import run_state_machine_as_test
+from ledger_machine import LedgerMachine
+
 from kingcupdyke.ledger import MemoryLedger
 from kingcupdyke.placement import Order
-from ledger_machine import LedgerMachine
 
 
 class Story:
@@ -163,7 +164,9 @@
     assert context.story.ledger.unseen == (order_id,)
 
 
-@when("ledger: a new one of {capacity:d} bytes with a margin of {margin:d} reads {reported:d} bytes")
+@when(
+    "ledger: a new one of {capacity:d} bytes with a margin of {margin:d} reads {reported:d} bytes"
+)
 def make_ledger(context, capacity, margin, reported):
     context.ledger = MemoryLedger(capacity, margin)
     order = Order("o", "e", "load", "a", order_bytes=1)
--- a/packages/kingcupdyke/features/steps/placements_steps.py
+++ b/packages/kingcupdyke/features/steps/placements_steps.py
@@ -10,6 +10,7 @@
 from behave import given, then, when
 from builders import make_model, make_rules
 from fleet_fake import FleetFake
+
 from kingcupdyke.placements import get_placement
 from kingcupdyke.placements.share import TURN_S, AdapterShare
 from kingcupdyke.rule import AdapterRule
--- a/packages/kingcupdyke/features/steps/routers_steps.py
+++ b/packages/kingcupdyke/features/steps/routers_steps.py
@@ -10,6 +10,7 @@
 
 from behave import given, then, use_step_matcher, when
 from builders import make_request, make_view
+
 from kingcupdyke.error import OptionError, Outcome, Step
 from kingcupdyke.routers import get_router
 from kingcupdyke.routers.cost import count_crossing_bytes
