--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/reply.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/reply.py
@@ -12,7 +12,16 @@
 
 from kingcupdyke.error import Failure, Outcome, Step
 
-__all__ = ["Headers", "Rejection", "Send", "encode_error", "reject", "send_body", "send_json", "send_rejection"]
+__all__ = [
+    "Headers",
+    "Rejection",
+    "Send",
+    "encode_error",
+    "reject",
+    "send_body",
+    "send_json",
+    "send_rejection",
+]
 
 Send = Callable[[dict], Awaitable[None]]
 Headers = Iterable[tuple[bytes, bytes]]
@@ -37,6 +46,7 @@
     (Step.CONNECT, Outcome.NOT_RUN): (503, "endpoint_unreachable"),
     (Step.CLAIM, Outcome.NOT_RUN): (503, "store_away"),
     (Step.CLAIM, Outcome.UNKNOWN): (409, "outcome_unknown"),
+    (Step.CLAIM, Outcome.FAILED): (422, "key_reused"),
 }
 _STATUS_BY_OUTCOME = {
     Outcome.NOT_RUN: (503, "not_run"),
@@ -94,6 +104,4 @@
     if rejection.failure.retry_after_s is not None:
         seconds = max(1, ceil(rejection.failure.retry_after_s))
         head.append((b"retry-after", str(seconds).encode()))
-    await send_body(
-        send, rejection.status, "application/json", encode_error(rejection), head
-    )
+    await send_body(send, rejection.status, "application/json", encode_error(rejection), head)
--- a/packages/kingcupdyke/features/steps/ledger_steps.py
+++ b/packages/kingcupdyke/features/steps/ledger_steps.py
@@ -12,9 +12,10 @@
 from fake_sidecar import FakeSidecar
 from hypothesis import HealthCheck, settings
 from hypothesis.stateful import run_state_machine_as_test
+from ledger_machine import LedgerMachine
+
 from kingcupdyke.ledger import MemoryLedger
 from kingcupdyke.placement import Order
-from ledger_machine import LedgerMachine
 
 
 class Story:
