--- /dev/null
+++ b/packages/kingcupdyke/features/fake_fleet.py
@@ -0,0 +1,140 @@
+"""
+fake_fleet
+~~~~~~~~~~
+
+Endpoints that truly hold models, and rival planners that change one residency record.
+"""
+
+from fake_engine import FakeStore
+
+from kingcupdyke.hand_over import HandOverMachine, MayGo, RequestLoad
+from kingcupdyke.removal import (
+    ReadResidency,
+    RemovalMachine,
+    RemovalRefused,
+    Removed,
+    WriteResidency,
+)
+from kingcupdyke.residency import (
+    Holder,
+    ResidencyRecord,
+    add_holder,
+    count_staying,
+    drop_incarnation,
+)
+
+
+class FakeFleet:
+    """The truth about one model: which endpoints hold it, and the record in the store.
+
+    :param needed: holders that the rules ask for
+    :param names: endpoints; each runs on the host of the same name
+    """
+
+    def __init__(self, needed, names):
+        self.needed = needed
+        self.store = FakeStore()
+        #: Incarnation of each endpoint's engine; an endpoint that is gone has none.
+        self.incarnations = dict.fromkeys(names, 1)
+        self.resident = set()
+        #: Hosts that are known to leave, as a lagging list shows them.
+        self.listed_leaving = set()
+        self.removals = {}
+        self.hand_overs = {}
+        self.requested = 0
+
+    @property
+    def record(self):
+        return self.store.get("m")[0] or ResidencyRecord("m", {})
+
+    def holder(self, name):
+        return Holder(str(self.incarnations[name]), name, "dc", "region")
+
+    def load(self, name):
+        """Load the model and add the holder, as a sidecar does after the engine confirmed."""
+        self.resident.add(name)
+        return self.change(lambda record: add_holder(record, name, self.holder(name)))
+
+    def change(self, decide):
+        """:return: whether the change is in the store"""
+        _, version = self.store.get("m")
+        return self.store.put("m", decide(self.record), version)[0] == "written"
+
+    def kill(self, name):
+        """The endpoint's engine loses its memory; the record does not know it yet."""
+        self.resident.discard(name)
+
+    def notice(self, name, is_gone):
+        """The end of an incarnation is noticed and written to the record."""
+        ended = str(self.incarnations[name])
+        if self.change(lambda record: drop_incarnation(record, name, ended)):
+            self.incarnations[name] += 1
+            if is_gone:
+                del self.incarnations[name]
+            return True
+        return False
+
+    def begin_unload(self, planner, name):
+        machine = RemovalMachine("m", name, self.needed, frozenset(self.listed_leaving))
+        self.removals[planner] = (machine, machine.start(), name)
+
+    def step_unload(self, planner):
+        """:return: what the planner was told: "pending", "unloaded", "refused" or "down" """
+        machine, command, name = self.removals[planner]
+        if isinstance(command, ReadResidency):
+            record, version = self.store.get("m")
+            following = machine.residency_read(record, version)
+        elif isinstance(command, WriteResidency):
+            following = self._write_removal(machine, command)
+        if isinstance(following, Removed):
+            self.resident.discard(name)
+        if following is None or isinstance(following, Removed | RemovalRefused):
+            del self.removals[planner]
+            return {Removed: "unloaded", RemovalRefused: "refused"}.get(type(following), "down")
+        self.removals[planner] = (machine, following, name)
+        return "pending"
+
+    def _write_removal(self, machine, command):
+        happened, value, version = self.store.put("m", command.record, command.if_version)
+        if happened == "conflict":
+            return machine.residency_conflict(value, version)
+        if happened == "unknown":
+            return machine.residency_unknown()
+        return machine.residency_written() if happened == "written" else None
+
+    def begin_hand_over(self, name, bound_s, now_s):
+        needed = {"m": self.needed} if name in self.resident else {}
+        machine = HandOverMachine(name, name, needed, bound_s)
+        self.hand_overs[name] = (machine, machine.start(now_s))
+
+    def step_hand_over(self, name, now_s):
+        """:return: the end of the hand-over, or None"""
+        machine, commands = self.hand_overs[name]
+        following = []
+        for command in commands or machine.tick(now_s):
+            if isinstance(command, MayGo):
+                del self.hand_overs[name]
+                self.kill(name)
+                self.incarnations.pop(name)
+                return command
+            if isinstance(command, RequestLoad):
+                self.requested = command.replicas
+            elif isinstance(command, ReadResidency):
+                following += machine.residency_read("m", *self.store.get("m"), now_s)
+            else:
+                following += self._write_hand_over(machine, command, now_s)
+        self.hand_overs[name] = (machine, following)
+        return None
+
+    def _write_hand_over(self, machine, command, now_s):
+        happened, value, version = self.store.put("m", command.record, command.if_version)
+        if happened == "conflict":
+            return machine.residency_conflict("m", value, version, now_s)
+        if happened == "unknown":
+            return machine.residency_unknown("m", now_s)
+        return machine.residency_written("m", now_s) if happened == "written" else []
+
+    @property
+    def staying(self):
+        """:return: confirmed holders that stay, as the record has them"""
+        return count_staying(self.record, ())
--- /dev/null
+++ b/packages/kingcupdyke/features/fence.feature
@@ -0,0 +1,56 @@
+Feature: Fencing numbers keep late planners and paused sidecars out
+
+  Scenario: An older number of the same lease is refused
+    When fence: the numbers "south 3; south 3; north 1; south 2; south 4; south 3" come in
+    Then fence: the answers are "yes yes yes no yes no" and a refusal says not run
+
+  Scenario Outline: A sidecar that starts, <case>
+    Given fence: a sidecar s2 starts beside an engine that <checks>
+    When fence: the events "<events>" come in
+    Then fence: the commands are "<commands>"
+
+    Examples:
+      | case | checks | events | commands |
+      | first of all | ignores | read -; written; inventory 0 | read; write 1 -; inventory; ready 1 - |
+      | after another | ignores | read s1 4 L,M; written; inventory 0 | read; write 5 L,M; inventory; ready 5 L,M |
+      | intent recorded meanwhile | ignores | read s1 4 L; conflict s1 4 L,M; written; inventory 4 | read; write 5 L; write 5 L,M; inventory; ready 5 L,M |
+      | rival starts meanwhile | ignores | read s1 4 L; conflict s3 5 L; written; inventory 4 | read; write 5 L; write 6 L; inventory; ready 6 L |
+      | answer lost, write took effect | ignores | read s1 4 L; unknown; read s2 5 L; inventory 4 | read; write 5 L; read; inventory; ready 5 L |
+      | answer lost, write did not | ignores | read s1 4 L; unknown; read s1 4 L,M; written; inventory 4 | read; write 5 L; read; write 5 L,M; inventory; ready 5 L,M |
+      | answer lost, rival since | ignores | read s1 4 L; unknown; read s3 6 L; written; inventory 4 | read; write 5 L; read; write 7 L; inventory; ready 7 L |
+      | object lost, engine remembers | ignores | read -; written; inventory 7; written; inventory 7 | read; write 1 -; inventory; write 8 -; inventory; ready 8 - |
+      | object lost, number equal | ignores | read -; written; inventory 1; written; inventory 1 | read; write 1 -; inventory; write 2 -; inventory; ready 2 - |
+      | raised, then answer lost | ignores | read -; written; inventory 7; unknown; read s2 1; written; inventory 7 | read; write 1 -; inventory; write 8 -; read; write 8 -; inventory; ready 8 - |
+      | engine must see the number | checks | read s1 4 -; written; inventory 4; raised; inventory 5 | read; write 5 -; inventory; raise 5; inventory; ready 5 - |
+      | engine has not seen it yet | checks | read s1 4 -; written; inventory 4; raised; inventory 4; raised; inventory 5 | read; write 5 -; inventory; raise 5; inventory; raise 5; inventory; ready 5 - |
+      | order of unknown size runs | ignores | read s1 4 L; written; inventory 4 L,X; inventory 4 L | read; write 5 L; inventory; inventory; ready 5 L |
+
+  Scenario Outline: A sidecar that meets its own endpoint's object, <case>
+    When fence: sidecar s1 finds the objects "<found>"
+    Then fence: it <may> send orders and accept work
+
+    Examples:
+      | case | found | may |
+      | as it wrote it | s1 4 L | may |
+      | written by its successor | s2 5 L | may not |
+      | gone | - | may not |
+      | after it was superseded | s2 5 L; s1 6 L | may not |
+
+  Scenario Outline: An endpoint's object is read back as it was written, <case>
+    When fence: the object "<object>" is written and read back
+    Then fence: it is the same
+
+    Examples:
+      | case | object |
+      | without intents | s1 4 |
+      | with intents | s1 4 L,M |
+
+  Scenario Outline: An endpoint's object that is none is refused
+    Then fence: reading "<value>" is refused
+
+    Examples:
+      | value |
+      | no JSON |
+      | [] |
+      | {"endpoint": "e"} |
+      | {"endpoint": "e", "incarnation": "i", "fence": 1, "intents": [{"a": 1}]} |
--- /dev/null
+++ b/packages/kingcupdyke/features/residency_machine.py
@@ -0,0 +1,90 @@
+"""
+residency_machine
+~~~~~~~~~~~~~~~~~
+
+Rival planners, leaving hosts and a failing store against the true holders of a model.
+"""
+
+from fake_fleet import FakeFleet
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+NAMES = ("a", "b", "c", "d")
+PLANNERS = ("p", "q", "r")
+INDEXES = st.integers(0, 1000)
+#: Longer than any example runs, so that no hand-over ends by its bound.
+BOUND_S = 10**6
+
+
+class ResidencyMachine(RuleBasedStateMachine):
+    """Nothing but planned changes happens, so the model must stay reachable at each moment."""
+
+    @initialize(needed=st.integers(0, 2), count=st.integers(1, 4))
+    def begin(self, needed, count):
+        self.now_s = 0.0
+        self.fleet = FakeFleet(needed, NAMES)
+        for name in NAMES[: max(needed, count)]:
+            self.fleet.load(name)
+
+    def _choose(self, names, index):
+        names = sorted(names)
+        return names[index % len(names)]
+
+    @rule(planner=st.sampled_from(PLANNERS), index=INDEXES)
+    def begin_unload(self, planner, index):
+        held = self.fleet.resident - {name for _, _, name in self.fleet.removals.values()}
+        if planner not in self.fleet.removals and held:
+            self.fleet.begin_unload(planner, self._choose(held, index))
+
+    @precondition(lambda self: self.fleet.removals)
+    @rule(index=INDEXES)
+    def step_unload(self, index):
+        self.fleet.step_unload(self._choose(self.fleet.removals, index))
+
+    @rule(index=INDEXES)
+    def load(self, index):
+        unloading = {name for _, _, name in self.fleet.removals.values()}
+        free = self.fleet.incarnations.keys() - self.fleet.hand_overs.keys() - unloading
+        if free:
+            self.fleet.load(self._choose(free, index))
+
+    @rule(index=INDEXES)
+    def leave(self, index):
+        unloading = {name for _, _, name in self.fleet.removals.values()}
+        free = self.fleet.resident - self.fleet.hand_overs.keys() - unloading
+        if free:
+            self.fleet.begin_hand_over(self._choose(free, index), BOUND_S, self.now_s)
+
+    @precondition(lambda self: self.fleet.hand_overs)
+    @rule(index=INDEXES, wait_s=st.integers(0, 2))
+    def step_hand_over(self, index, wait_s):
+        self.now_s += wait_s
+        self.fleet.step_hand_over(self._choose(self.fleet.hand_overs, index), self.now_s)
+
+    @rule(index=INDEXES)
+    def list_leaving(self, index):
+        self.fleet.listed_leaving ^= {self._choose(NAMES, index)}
+
+    @rule(is_down=st.booleans())
+    def change_store(self, is_down):
+        self.fleet.store.is_down = is_down
+
+    @rule()
+    def lose_answer(self):
+        self.fleet.store.loses_answers = True
+
+    @invariant()
+    def model_is_reachable(self):
+        assert self.fleet.resident, "no endpoint holds the model"
+
+    @invariant()
+    def record_names_no_other_holder(self):
+        leaving = {name for _, _, name in self.fleet.removals.values()}
+        wrong = self.fleet.record.holders_by_endpoint.keys() - self.fleet.resident - leaving
+        assert not wrong, wrong
--- /dev/null
+++ b/packages/kingcupdyke/features/steps/fence_steps.py
@@ -0,0 +1,141 @@
+"""
+fence_steps
+~~~~~~~~~~~
+
+Steps for fencing numbers and the takeover of an endpoint.
+"""
+
+from behave import given, then, when
+from fake_engine import FakeEngine, make_intent
+
+from kingcupdyke.error import OptionError, Step
+from kingcupdyke.fence import (
+    EndpointGuard,
+    EndpointRecord,
+    FenceGuard,
+    RaiseFence,
+    ReadEndpoint,
+    ReadInventory,
+    Ready,
+    TakeoverMachine,
+    WriteEndpoint,
+)
+from kingcupdyke.placement import Order
+
+
+def read_record(words):
+    """:return: a record written as "INCARNATION FENCE INTENTS", None for "-" """
+    if words[0] == "-":
+        return None
+    names = words[2].split(",") if len(words) > 2 and words[2] != "-" else []
+    orders = [Order(name, "e", "load", "a", order_bytes=5) for name in names]
+    intents = tuple(make_intent(order, int(words[1]), 0.0, 10.0) for order in orders)
+    return EndpointRecord("e", words[0], int(words[1]), intents)
+
+
+def show(command):
+    """:return: a command as the tables write it"""
+    if isinstance(command, ReadEndpoint):
+        return "read"
+    if isinstance(command, ReadInventory):
+        return "inventory"
+    if isinstance(command, RaiseFence):
+        return f"raise {command.fence}"
+    name = "ready" if isinstance(command, Ready) else "write"
+    record = command.value if isinstance(command, WriteEndpoint) else command
+    return f"{name} {record.fence} {','.join(each.order_id for each in record.intents) or '-'}"
+
+
+def give_event(context, name, words):
+    """:return: the machine's next command"""
+    machine = context.machine
+    if name == "unknown":
+        return machine.endpoint_unknown()
+    if name == "raised":
+        return machine.fence_raised()
+    if name == "inventory":
+        inventory = FakeEngine(100).inventory()
+        running = words[1].split(",") if len(words) > 1 else []
+        orders = dict.fromkeys(running, "running") | {"ended": "done"}
+        return machine.inventory_read(inventory._replace(fence=int(words[0]), orders=orders))
+    context.version += 1
+    if name == "written":
+        return machine.endpoint_written(context.version)
+    given_event = machine.endpoint_read if name == "read" else machine.endpoint_conflict
+    return given_event(read_record(words), context.version)
+
+
+@when('fence: the numbers "{numbers}" come in')
+def accept_numbers(context, numbers):
+    guard = FenceGuard()
+    pairs = [each.split() for each in numbers.split(";")]
+    context.answers = [guard.accept(lease, int(number)) for lease, number in pairs]
+
+
+@then('fence: the answers are "{expected}" and a refusal says not run')
+def check_numbers(context, expected):
+    assert " ".join("yes" if each.is_ok() else "no" for each in context.answers) == expected
+    refused = [each.error for each in context.answers if each.is_error()]
+    assert all((each.outcome, each.step) == ("not_run", "order") for each in refused)
+
+
+@given("fence: a sidecar s2 starts beside an engine that {checks}")
+def start_sidecar(context, checks):
+    context.machine = TakeoverMachine("e", "s2", checks == "checks")
+    context.commands = [context.machine.start()]
+    context.version = 0
+
+
+@when('fence: the events "{events}" come in')
+def run_takeover(context, events):
+    for event in events.split(";"):
+        name, *words = event.split()
+        command = give_event(context, name, words)
+        if isinstance(command, WriteEndpoint):
+            assert command.value.incarnation == "s2"
+            assert command.if_version == context.version
+        context.commands.append(command)
+
+
+@then('fence: the commands are "{expected}"')
+def check_commands(context, expected):
+    seen = "; ".join(show(each) for each in context.commands)
+    assert seen == expected, seen
+    assert context.machine.version == context.version
+
+
+@when('fence: sidecar s1 finds the objects "{found}"')
+def find_objects(context, found):
+    context.guard = EndpointGuard("s1")
+    for version, each in enumerate(found.split(";")):
+        context.guard.endpoint_conflict(read_record(each.split()), version)
+
+
+@then("fence: it {may} send orders and accept work")
+def check_guard(context, may):
+    superseded = may == "may not"
+    assert context.guard.superseded == superseded
+    checks = [context.guard.check(step) for step in (Step.ORDER, Step.ADMIT)]
+    assert [each.is_error() for each in checks] == [superseded, superseded]
+    assert all(each.error.outcome == "not_run" for each in checks if each.is_error())
+
+
+@when('fence: the object "{words}" is written and read back')
+def write_record(context, words):
+    context.record = read_record(words.split())
+    context.read_back = EndpointRecord.decode(context.record.encode())
+
+
+@then("fence: it is the same")
+def check_record(context):
+    assert context.read_back == context.record, context.read_back
+
+
+@then('fence: reading "{value}" is refused')
+def check_refusal(context, value):
+    try:
+        EndpointRecord.decode(value.encode())
+    except OptionError as error:
+        assert error.option == "endpoint", error
+    else:
+        raise AssertionError("accepted")
--- /dev/null
+++ b/packages/kingcupdyke/features/steps/residency_steps.py
@@ -0,0 +1,158 @@
+"""
+residency_steps
+~~~~~~~~~~~~~~~
+
+Steps for residency records, removals and hand-overs.
+"""
+
+import os
+
+from behave import given, then, when
+from fake_fleet import FakeFleet
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import run_state_machine_as_test
+from residency_machine import ResidencyMachine
+
+from kingcupdyke.error import OptionError
+from kingcupdyke.residency import (
+    Holder,
+    ResidencyRecord,
+    add_holder,
+    decode_residency,
+    drop_incarnation,
+    encode_residency,
+)
+
+BOUND_S = 30
+
+
+class FleetStory:
+    """Runs events on a fleet; a word for names takes several, parted by commas."""
+
+    def __init__(self, needed):
+        self.fleet = FakeFleet(needed, "abc")
+        self.now_s = 0.0
+        self.ends = {}
+
+    def run(self, events):
+        for event in events.split(";"):
+            name, *words = event.split()
+            getattr(self, name)(*words)
+
+    def load(self, names):
+        for name in names.split(","):
+            assert self.fleet.load(name)
+
+    def secret(self, name):
+        self.fleet.resident.add(name)
+
+    def begin(self, planner, name):
+        self.fleet.begin_unload(planner, name)
+
+    def step(self, planners, told):
+        for planner in planners.split(","):
+            seen = self.fleet.step_unload(planner)
+            assert seen == told, f"{planner}: {seen}"
+
+    def leave(self, name):
+        self.fleet.begin_hand_over(name, BOUND_S, self.now_s)
+
+    def hand(self, names, count):
+        for _ in range(int(count)):
+            for name in set(names.split(",")) & self.fleet.hand_overs.keys():
+                self.ends[name] = self.fleet.step_hand_over(name, self.now_s)
+
+    def gone(self, name, left):
+        assert self.ends[name] is not None, f"{name} has not ended"
+        assert self.ends[name].left_models == tuple(left.strip("-")), self.ends[name]
+
+    def asked(self, replicas):
+        assert self.fleet.requested == int(replicas), self.fleet.requested
+
+    def kill(self, name):
+        self.fleet.kill(name)
+
+    def notice(self, name):
+        assert self.fleet.notice(name, is_gone=False)
+
+    def again(self, name):
+        self.fleet.incarnations[name] += 1
+
+    def late(self, name):
+        assert self.fleet.change(lambda record: drop_incarnation(record, name, "1"))
+
+    def list(self, name):
+        self.fleet.listed_leaving.add(name)
+
+    def lose(self):
+        self.fleet.store.loses_answers = True
+
+    def down(self):
+        self.fleet.store.is_down = True
+
+    def wait(self, seconds):
+        self.now_s += float(seconds)
+
+
+@given("residency: a model of which {needed:d} replicas are needed")
+def give_model(context, needed):
+    context.story = FleetStory(needed)
+
+
+@when('residency: "{events}" happens')
+def run_events(context, events):
+    context.story.run(events)
+
+
+@then('residency: it is resident on "{resident}" and the record names "{holders}"')
+@then('residency: it is resident on "{resident}" and the record names ""')
+@then('residency: it is resident on "" and the record names "{holders}"')
+@then('residency: it is resident on "" and the record names ""')
+def check_residency(context, resident="", holders=""):
+    fleet = context.story.fleet
+    seen = ",".join(sorted(fleet.resident)), ",".join(sorted(fleet.record.holders_by_endpoint))
+    assert seen == (resident, holders), seen
+
+
+@when("residency: a leaving holder on host {before} is added again on host {after}")
+def add_again(context, before, after):
+    holder = Holder("1", before, "dc", "region", leaving=True)
+    record = ResidencyRecord("m", {"a": holder})
+    added = add_holder(record, "a", Holder("2", after, "dc", "region"))
+    context.holder = added.holders_by_endpoint["a"]
+
+
+@then("residency: it is marked as leaving: {marked}")
+def check_mark(context, marked):
+    assert context.holder.incarnation == "2"
+    assert context.holder.leaving == (marked == "yes")
+
+
+@then("residency: a record with two holders is the same when read back")
+def check_same(context):
+    holders = {name: Holder("1", name, "dc", "region", name == "b") for name in "ab"}
+    record = ResidencyRecord("m", holders)
+    assert decode_residency(encode_residency(record)) == record
+
+
+@then('residency: reading "{value}" is refused')
+def check_refused(context, value):
+    try:
+        decode_residency(value.encode())
+    except OptionError as error:
+        assert error.option == "residency"
+    else:
+        raise AssertionError("accepted")
+
+
+@then("residency: the model is reachable in any order of events")
+def run_machine(context):
+    chosen = settings(
+        max_examples=int(os.environ.get("KINGCUPDYKE_FUZZ_EXAMPLES", "60")),
+        derandomize=True,
+        database=None,
+        deadline=None,
+        stateful_step_count=50,
+        suppress_health_check=list(HealthCheck),
+    )
+    run_state_machine_as_test(ResidencyMachine, settings=chosen)
--- a/packages/kingcupdyke/kingcupdyke/lease.py
+++ b/packages/kingcupdyke/kingcupdyke/lease.py
@@ -147,13 +147,9 @@
         :param version: its version, 0 where there is none
         :param now_s: time in seconds of the timer service
         """
-        is_late = self._answer(now_s)
+        self._answer(now_s)
         self._see(record, version, now_s)
-        if self._is_released:
-            return None
-        if is_late:
-            return self._ask(ReadLease(self._name), now_s)
-        return self._judge(now_s)
+        return None if self._is_released else self._judge(now_s)
 
     def lease_written(self, version: int, now_s: float) -> LeaseCommand | None:
         """The write took effect.
