--- a/packages/kingcupdyke/features/fence.feature
+++ b/packages/kingcupdyke/features/fence.feature
@@ -54,3 +54,6 @@
       | [] |
       | {"endpoint": "e"} |
       | {"endpoint": "e", "incarnation": "i", "fence": 1, "intents": [{"a": 1}]} |
+
+  Scenario: An endpoint's object that the store can't hold is refused
+    Then fence: an object whose intents alone fill the largest value is refused
--- a/packages/kingcupdyke/features/lease.feature
+++ b/packages/kingcupdyke/features/lease.feature
@@ -35,9 +35,11 @@
       | a process with the same name began again | live p 5; again p; live p 9 | - - - |
       | a process with the same name waits for the expiry | live p 5; again p; live p 20 | 2 - - |
       | the object is deleted | live p 5; delete; live p 5 | 2 - - |
+      | the object is deleted and a rival takes it | live p 4; delete; live q 1; live p 3 | - 1 - |
+      | a newcomer gives up before it has read | tick p; release p; do p; quiet p 30 | - - - |
       | the holder gives it back | live p,q 5; release p; do p; live q 4 | - 2 - |
-      | the holder gave it back and takes it no more | live p 5; release p; do p; live p 30 | - - - |
-      | the holder gives it back while an answer is on its way | live p 3; tick p; release p; do p; live p 30 | - - - |
+      | the holder gave it back and takes it no more | live p 5; release p; do p; quiet p 30 | - - - |
+      | the holder gives it back while an answer is on its way | live p 3; tick p; release p; do p; quiet p 30 | - - - |
 
   Scenario: An answer without a command changes nothing
     Given lease: processes p, q and r share a lease of 10 s, renewed every 3 s
--- a/packages/kingcupdyke/features/residency.feature
+++ b/packages/kingcupdyke/features/residency.feature
@@ -19,6 +19,7 @@
       | the other holder is known to be dead | 1 | load a,b; kill b; list b; begin p a; step p refused | a | a,b |
       | the host list lags, but the other holder has marked itself | 1 | load a,b; leave b; hand b 2; begin p a; step p refused | a,b | a,b |
       | a leaving host holds the last replica | 1 | load a; leave a; hand a 9; asked 1 | a | a |
+      | a leaving host holds the last replica of a model that needs none | 0 | load a; leave a; hand a 9; asked 1 | a | a |
       | a leaving host holds one of two that are needed | 2 | load a,b; leave a; hand a 9; asked 1 | a,b | a,b |
       | a leaving host hands its last replica over | 1 | load a; leave a; hand a 9; load b; wait 1; hand a 9; gone a - | b | b |
       | a leaving host is not needed | 1 | load a,b; leave a; hand a 9; gone a - | b | b |
@@ -45,6 +46,9 @@
       | same host | h1 | h1 | yes |
       | moved to another host | h1 | h2 | no |
 
+  Scenario: Removing an endpoint that holds nothing changes nothing
+    Then residency: removing b from a record of a gives the same record
+
   Scenario: A record is read back as it was written
     Then residency: a record with two holders is the same when read back
 
--- a/packages/kingcupdyke/features/steps/fence_steps.py
+++ b/packages/kingcupdyke/features/steps/fence_steps.py
@@ -20,6 +20,7 @@
     TakeoverMachine,
     WriteEndpoint,
 )
+from kingcupdyke.intent import MAX_VALUE_BYTES, encode_intents
 from kingcupdyke.placement import Order
 
 
@@ -131,11 +132,26 @@
     assert context.read_back == context.record, context.read_back
 
 
-@then('fence: reading "{value}" is refused')
-def check_refusal(context, value):
+def assert_refused(call, *arguments):
+    """Check that the call names the endpoint's object as wrong."""
     try:
-        EndpointRecord.decode(value.encode())
+        call(*arguments)
     except OptionError as error:
         assert error.option == "endpoint", error
     else:
         raise AssertionError("accepted")
+
+
+@then('fence: reading "{value}" is refused')
+def check_refusal(context, value):
+    assert_refused(EndpointRecord.decode, value.encode())
+
+
+@then("fence: an object whose intents alone fill the largest value is refused")
+def check_size(context):
+    record = read_record(["s1", "4", "L"])
+    intent = record.intents[0]
+    missing = MAX_VALUE_BYTES - len(encode_intents([intent]))
+    intent = intent._replace(model=intent.model + "x" * missing)
+    assert len(encode_intents([intent])) == MAX_VALUE_BYTES
+    assert_refused(record._replace(intents=(intent,)).encode)
--- a/packages/kingcupdyke/features/steps/lease_steps.py
+++ b/packages/kingcupdyke/features/steps/lease_steps.py
@@ -91,6 +91,12 @@
                     self.do(name)
             self.now_s += 1
 
+    def quiet(self, name, seconds):
+        for _ in range(int(seconds)):
+            self.now_s += 1
+            self.tick(name)
+            assert name not in self.commands, self.commands
+
     def stray(self, name):
         assert self.machines[name].lease_written(7, self.clock(name)) is None
 
@@ -115,6 +121,7 @@
     def release(self, name):
         command = self.machines[name].release(self.clock(name))
         if command is not None:
+            assert name not in self.commands, "two commands at once"
             self.commands[name] = command
 
 
--- a/packages/kingcupdyke/features/steps/residency_steps.py
+++ b/packages/kingcupdyke/features/steps/residency_steps.py
@@ -8,6 +8,7 @@
 import os
 
 from behave import given, then, when
+from expression import Ok
 from fake_fleet import FakeFleet
 from hypothesis import HealthCheck, settings
 from hypothesis.stateful import run_state_machine_as_test
@@ -21,6 +22,7 @@
     decode_residency,
     drop_incarnation,
     encode_residency,
+    remove_holder,
 )
 
 BOUND_S = 30
@@ -128,6 +130,12 @@
     assert context.holder.leaving == (marked == "yes")
 
 
+@then("residency: removing b from a record of a gives the same record")
+def check_no_holder(context):
+    record = ResidencyRecord("m", {"a": Holder("1", "a", "dc", "region")})
+    assert remove_holder(record, "b", 5, ()) == Ok(record)
+
+
 @then("residency: a record with two holders is the same when read back")
 def check_same(context):
     holders = {name: Holder("1", name, "dc", "region", name == "b") for name in "ab"}
--- a/packages/kingcupdyke/kingcupdyke/hand_over.py
+++ b/packages/kingcupdyke/kingcupdyke/hand_over.py
@@ -112,8 +112,9 @@
         is_holder = self._endpoint in record.holders_by_endpoint
         if not is_holder and model in self._removing_models:
             return self._hand_over(model)
+        # Its own mark keeps this endpoint out of the count.
         needed = max(1, self._needed_by_model[model])
-        missing = needed - count_staying(record, (), without=self._endpoint)
+        missing = needed - count_staying(record, ())
         if missing > 0:
             return [RequestLoad(model, missing)]
         if not is_holder:
--- a/packages/kingcupdyke/kingcupdyke/lease.py
+++ b/packages/kingcupdyke/kingcupdyke/lease.py
@@ -116,11 +116,10 @@
 
         :param now_s: time in seconds of the timer service
         """
-        if self._note(now_s):
-            self._next_s = now_s
+        self._note(now_s)
         if self._asked is not None or self._is_released or now_s < self._next_s:
             return None
-        if self._fence is None or self._tried_fence is not None:
+        if self._fence is None:
             return self._ask(ReadLease(self._name), now_s)
         return self._write(self._fence, now_s)
 
@@ -158,15 +157,16 @@
         :param now_s: time in seconds of the timer service
         """
         command, asked_s = self._asked, self._asked_s
-        is_late = self._answer(now_s)
+        self._answer(now_s)
         if not isinstance(command, WriteLease):
             return None
         self._see(command.record, version, now_s)
         if self._is_released:
             return None
-        if is_late:
-            return self._ask(ReadLease(self._name), now_s)
-        self._hold(command.record.fence, asked_s)
+        # The answer may be old: the lease is proved from when the write was asked for.
+        self._fence = command.record.fence
+        self._tried_fence = None
+        self._proved_s = asked_s
         return None
 
     def lease_conflict(
@@ -193,14 +193,11 @@
             self._tried_fence = command.record.fence
         return None
 
-    def _note(self, now_s: float) -> bool:
-        """:return: whether the number has just been lost by a pause"""
-        has_lapsed = self._has_lapsed(now_s)
-        if has_lapsed:
+    def _note(self, now_s: float) -> None:
+        if self._has_lapsed(now_s):
             self._tried_fence = self._fence
             self._fence = None
         self._event_s = now_s
-        return has_lapsed
 
     def _has_lapsed(self, now_s: float) -> bool:
         if self._fence is None or now_s - self._proved_s < self._duration_s:
@@ -208,13 +205,11 @@
         is_paused = now_s - self._event_s >= self._duration_s - self._renew_s
         return is_paused or not self._is_store_down
 
-    def _answer(self, now_s: float) -> bool:
-        """:return: whether the answer is too old to show how things are now"""
+    def _answer(self, now_s: float) -> None:
         self._note(now_s)
         self._asked = None
         self._is_store_down = False
         self._next_s = now_s + self._renew_s
-        return now_s - self._asked_s >= self._duration_s
 
     def _see(self, record: LeaseRecord | None, version: int, now_s: float) -> None:
         if not self._is_read or version != self._version:
@@ -240,11 +235,6 @@
     def _is_own(self, record: LeaseRecord) -> bool:
         return record.owner == self._owner and record.fence in (self._fence, self._tried_fence)
 
-    def _hold(self, fence: int, proved_s: float) -> None:
-        self._fence = fence
-        self._tried_fence = None
-        self._proved_s = proved_s
-
     def _write(self, fence: int, now_s: float) -> LeaseCommand:
         record = LeaseRecord(self._name, self._owner, fence, self._duration_s)
         return self._ask(WriteLease(record, self._version), now_s)
