Keep what was answered when the first reading of a restarted engine is older

An order answered by the restarted engine was forgotten when a reading asked before it came in afterwards; found by the random orders. Believing every first reading was ruled out; it now replaces the figures only when it was asked for after the last answer. Intents are recorded for engines that check fencing numbers as well in the fake sidecar: such an engine forgets the number when it restarts.

--- a/packages/kingcupdyke/features/fake_engine.py
+++ b/packages/kingcupdyke/features/fake_engine.py
@@ -63,7 +63,6 @@
         self.checks_fence = checks_fence
         self.is_eager = is_eager
         self.first_role_bytes = role_bytes
-        self.fence = 0
         self.starts = 0
         self.most_bytes = 0
         self.restart()
@@ -71,6 +70,7 @@
     def restart(self):
         self.starts += 1
         self.incarnation = f"engine-{self.starts}"
+        self.fence = 0
         self.role_bytes = self.first_role_bytes
         self.held = {}
         self.kv = {}
--- a/packages/kingcupdyke/features/fake_sidecar.py
+++ b/packages/kingcupdyke/features/fake_sidecar.py
@@ -100,7 +100,7 @@
         for order_id in self.ledger.settled_order_ids():
             self.intents.pop(order_id, None)
         self.intents[order.order_id] = make_intent(order, self.fence, now_s, LIFETIME_S)
-        if not self.engine.checks_fence and not self._record():
+        if not self._record():
             if not is_open:
                 self.ledger.answered(order.order_id, "failed", now_s)
             return False
@@ -108,13 +108,15 @@
         return True
 
     def _record(self):
+        """:return: whether an order may leave: recorded, or fenced while the store is away"""
         record = EndpointRecord("e", self.incarnation, self.fence, tuple(self.intents.values()))
         happened, value, version = self.store.put("e", record, self.version)
-        if happened == "conflict":
-            self.guard.endpoint_conflict(value, version)
+        if happened == "conflict" and not self.guard.endpoint_conflict(value, version):
+            happened, value, version = self.store.put("e", record, version)
         if happened == "written":
             self.version = version
-        return happened == "written"
+            return True
+        return self.engine.checks_fence and happened != "conflict"
 
     def send(self, order_id, now_s):
         """:return: the message of a prepared order, which a pause may have held up"""
--- a/packages/kingcupdyke/features/ledger.feature
+++ b/packages/kingcupdyke/features/ledger.feature
@@ -45,6 +45,8 @@
       | ignores | engine restarted before the order was sent | restart; order M load b 60; send M; close M; read; read; refuse N load c 40; arrive M; end M; read | 30 | M | b |
       | ignores | engine restarted, order lost before | order M load b 20; send M; lose M; close M; read; read; restart; read | 90 | - | - |
       | ignores | load failed, answer lost | order L load a 40; send L; arrive L; fail L; close L; order K load k 5; wait 11; read; read | 85 | K | - |
+      | ignores | engine restarted, reading older than an answer | order L load a 60; restart; take; send L; arrive L; end L; answer L; hand; refuse M load b 40 | 30 | - | - |
+      | ignores | engine restarted, model lost, reading older than an answer | go K load b 20; order L load a 60; restart; take; send L; arrive L; end L; answer L; hand; read | 30 | - | a |
       | ignores | engine restarted, reading older than the closing | take; order L load a 60; restart; send L; close L; hand; read; refuse M load b 40; arrive L; end L | 30 | L | - |
       | ignores | engine restarted, order sent again | order L load a 60; send L; arrive L; read; close L; restart; order L load a 60; send L; read; refuse M load b 40; arrive L; end L | 30 | L | - |
       | ignores | engine restarted, reading older than the repeat | order L load a 60; send L; arrive L; read; close L; take; restart; order L load a 60; send L; hand; read; refuse M load b 40; arrive L; end L | 30 | L | - |
@@ -63,12 +65,17 @@
       | ignores | unknown use beside a lost order | order L load a 50; send L; sneak b 30; kv r 1; read; nokv s 10 | 9 | L | b |
       | ignores | model vanishes during an order | go L load a 30; order M load b 20; vanish a; read; read | 40 | M | - |
       | ignores | model vanishes | go L load a 30; vanish a; read; read | 90 | - | - |
-      | checks | paused, wakes after its successor | order L load a 60; successor; order M load b 60; wake L; arrive L; send M; arrive M; end M; answer M | 30 | - | b |
-      | checks | paused, wakes after an engine restart | order L load a 60; successor; read; order M load b 60; send M; arrive M; wake L; arrive L | 30 | M | - |
+      | ignores | the store is down | down; refuse L load a 60; up; order M load a 60 | 30 | M | - |
+      | checks | the store is down | down; order L load a 60; send L; arrive L; end L; answer L | 30 | - | a |
+      | checks | the answer to the intent is lost, sender dead | losestore; order L load a 60; successor; refuse M load b 40; wake L; arrive L | 30 | L | - |
+      | checks | unrecorded order, wakes after its successor | down; order L load a 60; up; successor; order M load b 60; wake L; arrive L; send M; arrive M; end M; answer M | 30 | - | b |
+      | checks | paused, wakes after its successor | order L load a 60; successor; refuse M load b 40; wake L; arrive L | 30 | L | - |
+      | checks | paused, wakes after an engine restart | order L load a 60; successor; restart; read; read; refuse M load b 40; wake L; arrive L; end L; wait 11; read; read; read | 30 | - | a |
+      | checks | paused, wakes to order more after an engine restart | successor; restart; stale L load a 60; order M load b 60 | 30 | M | - |
 
   Scenario: A takeover waits while an order of unknown size runs
     Given ledger: an engine of 100 bytes with a role of 10 that checks lazily
-    When ledger: "order L load a 60; send L; arrive L; nosuccessor; end L; successor; refuse M load b 40" happens
+    When ledger: "down; order L load a 60; send L; arrive L; up; nosuccessor; end L; successor; refuse M load b 40" happens
     Then ledger: 30 bytes are free, - is pending and a is resident
 
   Scenario: Intents are kept until their order is settled
--- a/packages/kingcupdyke/features/ledger_machine.py
+++ b/packages/kingcupdyke/features/ledger_machine.py
@@ -146,6 +146,10 @@
             self.sidecars.append(successor)
             self.reading = None
 
+    @rule()
+    def lose_store_answer(self):
+        self.store.loses_answers = True
+
     @rule(request=st.sampled_from("xyz"), size=st.integers(1, 30))
     def import_kv(self, request, size):
         ledger = self.sidecar.ledger
@@ -164,5 +168,4 @@
     @invariant()
     def ledger_is_an_upper_bound(self):
         used_bytes, true_bytes = self.sidecar.ledger.used_bytes, self.engine.used_bytes
-        if self.engine.starts == 1:
-            assert used_bytes >= true_bytes, (used_bytes, true_bytes)
+        assert used_bytes >= true_bytes, (used_bytes, true_bytes)
--- a/packages/kingcupdyke/features/steps/ledger_steps.py
+++ b/packages/kingcupdyke/features/steps/ledger_steps.py
@@ -98,6 +98,15 @@
         self.take()
         self.hand()
 
+    def down(self):
+        self.store.is_down = True
+
+    def up(self):
+        self.store.is_down = False
+
+    def losestore(self):
+        self.store.loses_answers = True
+
     def wait(self, seconds):
         self.now_s += float(seconds)
 
--- a/packages/kingcupdyke/kingcupdyke/ledger.py
+++ b/packages/kingcupdyke/kingcupdyke/ledger.py
@@ -179,12 +179,12 @@
         :param now_s: time in seconds of the timer service
         """
         self._capacity_bytes = min(self._configured_bytes, inventory.capacity_bytes)
+        is_fresh = self._answered_at <= self._asked_at
         if inventory.incarnation != self._incarnation:
-            self._begin_incarnation(inventory)
+            self._begin_incarnation(inventory, is_fresh)
         for opened in self._open_by_id.values():
             opened.observe(inventory, self._asked_at)
         self._settle_closed()
-        is_fresh = self._answered_at <= self._asked_at
         self._believe_more(inventory, is_fresh)
         if is_fresh and not self._open_by_id:
             self._believe_less(inventory)
@@ -250,14 +250,16 @@
         is_counted = opened.state == OrderState.DONE and opened.order.kind != OrderKind.ROLE
         return 0 if is_counted else self._extra(opened.order)
 
-    def _begin_incarnation(self, inventory: EngineInventory) -> None:
+    def _begin_incarnation(self, inventory: EngineInventory, is_fresh: bool) -> None:
         self._incarnation = inventory.incarnation
-        self._held_by_name = self._named(inventory)
-        self._other_bytes = self._unnamed(inventory)
         self._role_bytes = 0
-        self._doubtful.clear()
         for opened in self._open_by_id.values():
             opened.state = ""
+        if is_fresh:
+            # Otherwise the new engine may hold what was answered since the reading.
+            self._held_by_name = self._named(inventory)
+            self._other_bytes = self._unnamed(inventory)
+        self._doubtful = set(self._held_by_name)
 
     def _believe_more(self, inventory: EngineInventory, is_fresh: bool) -> None:
         named = self._named(inventory)
