--- /dev/null
+++ b/features/path.feature
@@ -0,0 +1,48 @@
+@site
+Feature: A request is served from one end to the other
+
+  Scenario Outline: A caller gets the whole answer
+    When a caller asks <model> for 8 tokens at <gateway>, <form>
+    Then the caller has the whole answer
+
+    Examples:
+      | model     | gateway  | form     |
+      | chat-7b   | entry-n1 | whole    |
+      | chat-7b   | entry-n1 | streamed |
+      | chat-club | entry-n2 | whole    |
+      | plan-13b  | entry-s1 | streamed |
+      | south-3b  | entry-n1 | streamed |
+
+  Scenario: An official client of the OpenAI form works unchanged
+    When the official client asks chat-7b for 6 tokens, whole and streamed
+    Then the official client has both answers and the list of models
+
+  Scenario Outline: Bad input gets a clear error
+    When a caller sends <what> to /v1/chat/completions at entry-n1
+    Then the answer is <status> with the code "<code>"
+
+    Examples:
+      | what              | status | code            |
+      | nothing           | 400    | invalid_request |
+      | broken JSON       | 400    | invalid_request |
+      | an oversized body | 413    | body_too_large  |
+      | an unknown field  | 400    | invalid_request |
+      | a wrong type      | 400    | invalid_request |
+      | an unknown model  | 404    | model_not_found |
+      | a model of others | 403    | forbidden       |
+      | a wrong token     | 401    | invalid_token   |
+      | a wrong deadline  | 400    | invalid_request |
+
+  Scenario Outline: A path that is not there gets a clear error
+    When a caller sends nothing to <path> at entry-n1
+    Then the answer is 404 with the code "<code>"
+
+    Examples:
+      | path           | code              |
+      | /v1/images     | not_found         |
+      | /services/none | service_not_found |
+
+  Scenario: Many at once each get their own answer
+    When 24 callers ask chat-7b for 10 tokens at the same time at entry-n2
+    Then each caller has the whole answer to the own request
+    And no stand-in saw a violation
--- /dev/null
+++ b/features/steps/path_steps.py
@@ -0,0 +1,36 @@
+"""
+path_steps
+~~~~~~~~~~
+
+Steps of the official client library.
+"""
+
+from behave import then, when
+from openai import OpenAI
+
+from kingcupdyke_standins.answer import expected_text
+
+
+@when("the official client asks {model} for {tokens:d} tokens, whole and streamed")
+def ask_officially(context, model, tokens):
+    gateway = context.site.gateways_by_name["entry-n1"]
+    context.tokens = tokens
+    context.model = model
+    messages = [{"role": "user", "content": "hello"}]
+    with OpenAI(base_url=f"{gateway.url}/v1", api_key="token-desk", timeout=10) as client:
+        whole = client.chat.completions.create(model=model, messages=messages, max_tokens=tokens)
+        chunks = client.chat.completions.create(
+            model=model, messages=messages, max_tokens=tokens, stream=True
+        )
+        context.texts = [
+            whole.choices[0].message.content,
+            "".join(each.choices[0].delta.content for each in chunks),
+        ]
+        context.models = [each.id for each in client.models.list()]
+
+
+@then("the official client has both answers and the list of models")
+def check_official(context):
+    expected = expected_text(context.model, "user: hello\n", context.tokens)
+    assert context.texts == [expected, expected], context.texts
+    assert {"chat-7b", "chat-club", "plan-13b"} <= set(context.models)
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/site.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/site.py
@@ -207,12 +207,14 @@
         return engine
 
     def _make_common(self, name: str, region: str, data_centre: str) -> dict[str, object]:
+        # The store stands in the region of the first gateway.
+        way = (region, self._plan.gateways[0].region)
         return {
             "host": name,
             "address": LOOPBACK,
             "region": region,
             "data_centre": data_centre,
-            "store_url": self.store.url,
+            "store_url": f"http://{LOOPBACK}:{self._reach(way, self.store.port)}",
             "hosts_url": self.hosts_by_region[region].url,
         }
 
