Store key records as lists and never replay a dropped body

Ruled out: keeping buckets in memory between updates, which would not fit a sidecar. Conclusion: the cost grows with the records in a bucket, so buckets should be many.

--- a/packages/kingcupdyke/features/idempotency.feature
+++ b/packages/kingcupdyke/features/idempotency.feature
@@ -64,6 +64,10 @@
     When idempotency plays "A.submit A.all A.run=A1 A.finish=A1 A.all B.submit B.all"
     Then idempotency replays status 200 with "booked" to B1
 
+  Scenario: A recorded answer whose body was dropped is not given back as an empty one
+    When idempotency plays "A.submit A.all A.run=A1 A.finish_long=A1 A.all B.submit B.all"
+    Then idempotency gave "A1=Claimed B1=UnknownRun"
+
   Scenario: A refusal in an outage is "not run" at step "claim" and says when to come back
     When idempotency plays "A.submit A.down"
     Then idempotency refuses A1 as "not_run" at "claim" with a time to come back
--- a/packages/kingcupdyke/features/steps/idempotency_steps.py
+++ b/packages/kingcupdyke/features/steps/idempotency_steps.py
@@ -45,6 +45,7 @@
         "all": sidecar.step_all,
         "run": lambda: sidecar.run(argument),
         "finish": lambda: sidecar.finish(argument),
+        "finish_long": lambda: sidecar.finish(argument, b"x" * 100_000),
         "failed": lambda: sidecar.fail(argument, said=True),
         "lose": lambda: sidecar.fail(argument),
         "die": sidecar.die,
@@ -110,7 +111,7 @@
 
 @when("idempotency claims in a bucket that is full and settles a record there")
 def claim_in_full(context):
-    records = [make_record(f"key-{index:05}" + "x" * 200, "C1") for index in range(1225)]
+    records = [make_record(f"key-{index:05}" + "x" * 200, "C1") for index in range(1555)]
     bucket = KeyBucket({record_key(each.caller, each.key): each for each in records})
     settlement = records[0]._replace(state=KeyState.UNKNOWN)
     context.machine = BucketMachine("0", [make_record()], [settlement])
@@ -123,7 +124,7 @@
     assert isinstance(context.machine.results_by_attempt["A1"], Unclaimed)
     records = context.command.bucket.records_by_key.values()
     assert [each.state for each in records].count(KeyState.UNKNOWN) == 1
-    assert len(records) == 1225
+    assert len(records) == 1555
     assert context.machine.bucket_written(8) is None
     assert context.machine.unsettled == []
 
--- a/packages/kingcupdyke/features/steps/key_fakes.py
+++ b/packages/kingcupdyke/features/steps/key_fakes.py
@@ -133,9 +133,9 @@
             self.world.refused.add(attempt_id)
             self._settle(attempt_id)
 
-    def finish(self, attempt_id: str) -> None:
+    def finish(self, attempt_id: str, answer: bytes = b"booked") -> None:
         self.machines[attempt_id].ended()
-        self._settle(attempt_id, status=200, content_type="text/plain", answer=b"booked")
+        self._settle(attempt_id, status=200, content_type="text/plain", answer=answer)
 
     def fail(self, attempt_id: str, said: bool = False) -> None:
         failure = self.machines[attempt_id].failure(Step.RUN, "test", said_by_back_end=said)
--- a/packages/kingcupdyke/features/steps/keyrecord_steps.py
+++ b/packages/kingcupdyke/features/steps/keyrecord_steps.py
@@ -83,6 +83,15 @@
         assert len(encode_bucket(context.bucket)) <= most
 
 
+@when(
+    "keyrecord gives each a key of {count:d} escaped characters "
+    "and trims the bucket to {most:d} bytes"
+)
+def trim_escaped(context, count, most):
+    context.records = [each._replace(key=each.key + "\x01" * count) for each in context.records]
+    trim(context, most)
+
+
 @then("keyrecord keeps {kept} records, {whole:d} of them with their answers")
 def check_kept(context, kept, whole):
     if kept == "none":
--- a/packages/kingcupdyke/kingcupdyke/claimresult.py
+++ b/packages/kingcupdyke/kingcupdyke/claimresult.py
@@ -48,7 +48,7 @@
 
 
 class Replay(NamedTuple):
-    """The work ran before; its record holds the answer, or its digest when truncated."""
+    """The work ran before; its record holds the whole answer."""
 
     record: KeyRecord
 
@@ -60,7 +60,7 @@
 
 
 class UnknownRun(NamedTuple):
-    """The work may have run and is not run again."""
+    """The work may have run, or has run and its answer is no longer kept; it is not run again."""
 
     record: KeyRecord
 
--- a/packages/kingcupdyke/kingcupdyke/idempotency.py
+++ b/packages/kingcupdyke/kingcupdyke/idempotency.py
@@ -241,7 +241,7 @@
         if record.body_digest != claim.body_digest:
             return KeyReused(record)
         if record.state == KeyState.ANSWERED:
-            return Replay(record)
+            return UnknownRun(record) if record.truncated else Replay(record)
         if record.state == KeyState.UNKNOWN:
             return UnknownRun(record)
         if _is_own(record, claim):
--- a/packages/kingcupdyke/kingcupdyke/keyrecord.py
+++ b/packages/kingcupdyke/kingcupdyke/keyrecord.py
@@ -48,6 +48,10 @@
 KEY_BUCKETS = 1024
 #: Bytes by which a record may grow from claimed to settled.
 SETTLED_GROWTH_BYTES = 320
+#: Most bytes of a record without its strings and its answer, growth included.
+HEAD_MOST_BYTES = SETTLED_GROWTH_BYTES + 160
+#: Most bytes that JSON takes for a character.
+ESCAPED_BYTES = 6
 
 
 class KeyState:
@@ -110,9 +114,9 @@
 
 
 def encode_bucket(bucket: KeyBucket) -> bytes:
-    """:return: a bucket as JSON, with the answers in base64"""
+    """:return: a bucket as JSON, each record a list of its fields, its answer in base64"""
     records = [
-        record._asdict() | {"answer": b64encode(record.answer).decode("ascii")}
+        record._replace(answer=b64encode(record.answer).decode("ascii"))
         for record in bucket.records_by_key.values()
     ]
     return json.dumps({"records": records}, ensure_ascii=False).encode()
@@ -126,10 +130,8 @@
     if not value:
         return KeyBucket.empty()
     try:
-        records = [
-            KeyRecord(**(fields | {"answer": b64decode(fields["answer"], validate=True)}))
-            for fields in json.loads(value)["records"]
-        ]
+        records = [KeyRecord(*fields) for fields in json.loads(value)["records"]]
+        records = [each._replace(answer=b64decode(each.answer, validate=True)) for each in records]
     except (KeyError, TypeError) as error:
         raise ValueError(f"stored bucket: {error!r}") from error
     return KeyBucket({record_key(each.caller, each.key): each for each in records})
@@ -160,6 +162,8 @@
         for key, record in bucket.records_by_key.items()
         if record.claimed_unix_s >= oldest_s
     }
+    if sum(map(_most_size, records_by_key.values())) <= most_bytes:
+        return KeyBucket(records_by_key)
     sizes_by_key = {key: _size(record) for key, record in records_by_key.items()}
     excess_bytes = sum(sizes_by_key.values()) - most_bytes
     for key in _order_by_worth(records_by_key.items()):
@@ -189,8 +193,13 @@
     return [key for _, _, key in sorted(shrinkable)]
 
 
+def _most_size(record: KeyRecord) -> int:
+    """:return: a bound of the size that is quick to work out"""
+    characters = sum(len(each) for each in record if isinstance(each, str))
+    return HEAD_MOST_BYTES + ESCAPED_BYTES * characters + 2 * len(record.answer)
+
+
 def _size(record: KeyRecord) -> int:
-    fields = record._asdict() | {"answer": ""}
-    head_bytes = len(json.dumps(fields, ensure_ascii=False).encode())
+    head_bytes = len(json.dumps(record._replace(answer=""), ensure_ascii=False).encode())
     growth_bytes = SETTLED_GROWTH_BYTES if record.state == KeyState.CLAIMED else 0
     return head_bytes + growth_bytes + 4 * (len(record.answer) + 2) // 3 + len(", ")
