Bound the updates in flight and back off settling while the store is away

Cause: each bucket that waited was read once a second in an outage, and all buckets at once when it ended; at the target size that alone would pass the store's rate. Before: 40 waiting buckets made 40 reads a second. After: 16 updates at once at most, one bucket tried at a time while the store is away, ever less often. Ruled out: holding claims back as well, since a caller waits for the true refusal. Conclusion: buckets are 16384, as a claim's cost grows with the records in a bucket.

--- a/packages/kingcupdyke/features/keyworker.feature
+++ b/packages/kingcupdyke/features/keyworker.feature
@@ -14,9 +14,10 @@
     When keyworker settles a record while a claim waits
     Then keyworker has made 2 reads and 2 writes and given 2 claims
 
-  Scenario: While the store is away settlements are tried once a period
-    When keyworker settles a record in an outage and is asked 10 times a second for 5 s
-    Then keyworker has made 5 reads in the outage and keeps 1 record to settle
+  Scenario: While the store is away settling is tried ever less often, one bucket at a time
+    When keyworker settles 40 records of 40 buckets in an outage of 60 s, asked 10 times a second
+    Then keyworker has made at most 22 reads in the outage and keeps all 40 records
+    And keyworker settles them when the store is back, with at most 16 updates at once
 
   Scenario: Answers that wait in an outage are bounded, their records are not dropped
     When keyworker settles 10 answers of 1000 bytes with room for 3500
--- a/packages/kingcupdyke/kingcupdyke/keyrecord.py
+++ b/packages/kingcupdyke/kingcupdyke/keyrecord.py
@@ -45,7 +45,7 @@
 #: Seconds for which a repeat of a key is recognised.
 RETENTION_S = 86_400.0
 #: Number of buckets. All processes must use the same number: another one loses sight of old keys.
-KEY_BUCKETS = 1024
+KEY_BUCKETS = 16_384
 #: Bytes by which a record may grow from claimed to settled.
 SETTLED_GROWTH_BYTES = 320
 #: Most bytes of a record without its strings and its answer, growth included.
--- a/packages/kingcupdyke/kingcupdyke/keyworker.py
+++ b/packages/kingcupdyke/kingcupdyke/keyworker.py
@@ -5,6 +5,8 @@
 Grouping the claims and settlements of a sidecar, one update in flight a bucket.
 """
 
+from random import Random
+
 from kingcupdyke.claimresult import ClaimResult, StillRunning, StoreCommand, Unclaimed
 from kingcupdyke.error import Failure
 from kingcupdyke.idempotency import RUNNING_BOUND_S, BucketMachine
@@ -19,8 +21,11 @@
 
 __all__ = ["KeyWorker"]
 
-#: Seconds between tries to settle records while the store is away.
+#: Seconds before settling is tried again, doubled up to the most while the store is away.
 SETTLE_RETRY_S = 1.0
+SETTLE_RETRY_MOST_S = 30.0
+#: Most updates in flight at once, over all buckets.
+MOST_UPDATES = 16
 #: Most bytes of answers that wait to be recorded; beyond, only their digest is kept.
 WAITING_MOST_BYTES = 8_000_000
 
@@ -35,8 +40,10 @@
     :param buckets: number of buckets, the same in all processes
     :param retention_s: seconds for which records are kept
     :param running_bound_s: seconds after which a claim without an outcome counts as unknown
-    :param retry_s: seconds between tries to settle while the store is away
+    :param retry_s: seconds before settling is tried again the first time
     :param waiting_most_bytes: most bytes of answers that wait to be recorded
+    :param most_updates: most updates in flight at once
+    :param rng: source of chance for the jitter of retries, or None for no jitter
     """
 
     def __init__(
@@ -46,12 +53,18 @@
         running_bound_s: float = RUNNING_BOUND_S,
         retry_s: float = SETTLE_RETRY_S,
         waiting_most_bytes: int = WAITING_MOST_BYTES,
+        most_updates: int = MOST_UPDATES,
+        rng: Random | None = None,
     ) -> None:
         self._buckets = buckets
         self._retention_s = retention_s
         self._running_bound_s = running_bound_s
         self._retry_s = retry_s
         self._waiting_most_bytes = waiting_most_bytes
+        self._most_updates = most_updates
+        self._rng = rng
+        self._failures = 0
+        self._settle_at_s = float("-inf")
         self._claims_by_bucket: dict[str, list[KeyRecord]] = {}
         self._settlements_by_bucket: dict[str, dict[str, KeyRecord]] = {}
         self._waiting_bytes = 0
@@ -109,12 +122,10 @@
         :return: the first command of each update
         """
         self._forget_past(now_s)
-        due = set(self._claims_by_bucket)
-        for name in self._settlements_by_bucket:
-            if now_s >= self._retry_at_by_bucket.get(name, now_s):
-                due.add(name)
-        idle = due - self._machines_by_bucket.keys()
-        return [self._start(name, now_unix_s) for name in sorted(idle)]
+        idle = [name for name in self._claims_by_bucket if name not in self._machines_by_bucket]
+        idle += [name for name in self._due_settlements(now_s) if name not in idle]
+        room = self._most_updates - len(self._machines_by_bucket)
+        return [self._start(name, now_unix_s) for name in idle[: max(room, 0)]]
 
     def bucket_read(
         self, name: str, bucket: KeyBucket | None, version: int, now_s: float
@@ -126,6 +137,8 @@
     def bucket_written(self, name: str, version: int, now_s: float) -> StoreCommand | None:
         """:return: the next command for a bucket that was written, or None"""
         machine = self._machines_by_bucket[name]
+        self._failures = 0
+        self._settle_at_s = now_s
         return self._go_on(machine, machine.bucket_written(version), now_s)
 
     def bucket_conflict(
@@ -138,7 +151,10 @@
     def store_failed(self, name: str, unknown: bool, now_s: float) -> StoreCommand | None:
         """:return: the next command for a bucket whose command failed, or None"""
         machine = self._machines_by_bucket[name]
-        return self._go_on(machine, machine.store_failed(unknown), now_s)
+        command = machine.store_failed(unknown)
+        if command is None:
+            self._back_off(now_s)
+        return self._go_on(machine, command, now_s)
 
     def take_results(self) -> dict[str, ClaimResult]:
         """:return: the results that have come since the last call, by attempt id"""
@@ -146,6 +162,31 @@
         self._results_by_attempt = {}
         return results_by_attempt
 
+    def _due_settlements(self, now_s: float) -> list[str]:
+        """:return: idle buckets to settle; a single one as long as the store seems away"""
+        if now_s < self._settle_at_s:
+            return []
+        due = [
+            name
+            for name in self._settlements_by_bucket
+            if name not in self._machines_by_bucket
+            and now_s >= self._retry_at_by_bucket.get(name, now_s)
+        ]
+        if self._failures and due:
+            self._settle_at_s = now_s + self._retry_s
+            return due[:1]
+        return due
+
+    def _back_off(self, now_s: float) -> None:
+        if now_s < self._settle_at_s:
+            # Another update of the same burst has failed before.
+            return
+        wait_s = min(self._retry_s * 2**self._failures, SETTLE_RETRY_MOST_S)
+        if self._rng is not None:
+            wait_s *= self._rng.uniform(0.5, 1.0)
+        self._failures = min(self._failures + 1, 32)
+        self._settle_at_s = now_s + wait_s
+
     def _bucket(self, record: KeyRecord) -> str:
         return bucket_name(record.caller, record.key, self._buckets)
 
