--- a/packages/kingcupdyke/features/attempt.feature
+++ b/packages/kingcupdyke/features/attempt.feature
@@ -1,7 +1,8 @@
 Feature: The outcome of an attempt is true
 
   # An attempt that needs a claim has its deadline at 10 s. In a script "send" is at 0 s and
-  # "send=S" at S seconds; "fail" is a failure seen here, "said" one that the back end answered.
+  # "send=S" at S seconds; "fail" is a failure seen here, "said" one that the back end answered,
+  # "unsent" that the back end was not reached after all, so that no byte left.
 
   Scenario Outline: An attempt is sent at most once, and "not run" means that nothing was sent: <case>
     When attempt plays "<script>"
@@ -29,6 +30,10 @@
       | first failure stays            | claimed fail said               | not_run not_run         | 0    | not_run  |
       | unknown stays unknown          | claimed send fail said          | unknown unknown         | 1    | unknown  |
       | end after the attempt was lost | claimed send fail ended         | unknown                 | 1    | unknown  |
+      | back end was not reached       | claimed send unsent             | not_run                 | 1    | not_run  |
+      | not reached, once it started   | claimed send started unsent     | unknown                 | 1    | unknown  |
+      | not reached, sent again        | claimed send unsent send        | not_run not_run         | 1    | not_run  |
+      | not reached, after it was lost | claimed send fail unsent        | unknown unknown         | 1    | unknown  |
       | started without being sent     | claimed started fail            | not_run                 | 0    | not_run  |
       | ended without being sent       | claimed ended fail              | not_run                 | 0    | not_run  |
 
--- a/packages/kingcupdyke/kingcupdyke/keyworker.py
+++ b/packages/kingcupdyke/kingcupdyke/keyworker.py
@@ -172,9 +172,8 @@
             if name not in self._machines_by_bucket
             and now_s >= self._retry_at_by_bucket.get(name, now_s)
         ]
-        if self._failures and due:
-            self._settle_at_s = now_s + self._retry_s
-            return due[:1]
+        if self._failures:
+            return [] if self._machines_by_bucket else due[:1]
         return due
 
     def _back_off(self, now_s: float) -> None:
--- a/packages/kingcupdyke/kingcupdyke/util.py
+++ b/packages/kingcupdyke/kingcupdyke/util.py
@@ -8,12 +8,14 @@
 import re
 from collections.abc import Iterable, Mapping
 from hashlib import blake2b
+from inspect import Parameter, signature
 
 from kingcupdyke.error import OptionError
 
 __all__ = [
     "GIB",
     "MIB",
+    "check_options",
     "get_bytes_opt",
     "get_choice_opt",
     "get_float_opt",
@@ -43,6 +45,23 @@
     return value
 
 
+def check_options(kind: type, options: Mapping[str, object]) -> None:
+    """Check the names of options before they go to a class or, through it, to its bases.
+
+    :raises OptionError: when the class has no such option
+    """
+    parameters = [
+        parameter
+        for each in kind.__mro__
+        if "__init__" in vars(each)
+        for parameter in signature(each.__init__).parameters.values()
+    ]
+    known = {each.name for each in parameters if each.kind is not Parameter.VAR_KEYWORD}
+    for name, value in options.items():
+        if name not in known:
+            raise OptionError(name, value, f"is no option of {kind.__name__}; leave it out")
+
+
 def get_str_opt(options: Mapping[str, object], name: str, default: object = _MISSING) -> str:
     """:return: the option as a non-empty string
     :raises OptionError: when it is missing, empty or no string
@@ -114,7 +133,7 @@
     if isinstance(value, bool):
         return None
     if isinstance(value, int | float):
-        return value if value >= 0 else None
+        return value if 0 <= value < float("inf") else None
     match = re.fullmatch(pattern, value.strip()) if isinstance(value, str) else None
     if match is None or match[2] not in scales:
         return None
@@ -127,7 +146,7 @@
     """
     value = _get(options, name, default)
     upper = value.upper() if isinstance(value, str) else value
-    size = _get_scaled(upper, _BYTES_BY_UNIT, r"([0-9.]+)\s*([A-Z]*)")
+    size = _get_scaled(upper, _BYTES_BY_UNIT, r"([0-9]+(?:\.[0-9]+)?)\s*([A-Z]*)")
     if size is None:
         raise OptionError(name, value, "give a size such as 14GB or 80GiB")
     return int(size)
@@ -138,7 +157,7 @@
     :raises OptionError: when it is missing or no duration
     """
     value = _get(options, name, default)
-    seconds = _get_scaled(value, _SECONDS_BY_UNIT, r"([0-9.]+)\s*([a-z]*)")
+    seconds = _get_scaled(value, _SECONDS_BY_UNIT, r"([0-9]+(?:\.[0-9]+)?)\s*([a-z]*)")
     if seconds is None:
         raise OptionError(name, value, "give a duration such as 400ms, 2s or 1h")
     return float(seconds)
