--- a/packages/kingcupdyke/features/steps/idempotency_steps.py
+++ b/packages/kingcupdyke/features/steps/idempotency_steps.py
@@ -41,11 +41,12 @@
         return
     sidecar, verb = sidecars[name[0]], name[2:]
     actions_by_verb = {
-        "submit": lambda: sidecar.submit(body=argument or "b"),
+        "submit": lambda: sidecar.submit(*(argument or "b").split(",")),
         "again": lambda: sidecar.submit_again(argument),
         "all": sidecar.step_all,
         "run": lambda: sidecar.run(argument),
         "finish": lambda: sidecar.finish(argument),
+        "finish_long": lambda: sidecar.finish(argument, b"x" * 100_000),
         "failed": lambda: sidecar.fail(argument, said=True),
         "lose": lambda: sidecar.fail(argument),
         "die": sidecar.die,
@@ -111,7 +112,7 @@
 
 @when("idempotency claims in a bucket that is full and settles a record there")
 def claim_in_full(context):
-    records = [make_record(f"key-{index:05}" + "x" * 200, "C1") for index in range(1225)]
+    records = [make_record(f"key-{index:05}" + "x" * 200, "C1") for index in range(1555)]
     bucket = KeyBucket({record_key(each.caller, each.key): each for each in records})
     settlement = records[0]._replace(state=KeyState.UNKNOWN)
     context.machine = BucketMachine("0", [make_record()], [settlement])
@@ -124,14 +125,16 @@
     assert isinstance(context.machine.results_by_attempt["A1"], Unclaimed)
     records = context.command.bucket.records_by_key.values()
     assert [each.state for each in records].count(KeyState.UNKNOWN) == 1
-    assert len(records) == 1225
+    assert len(records) == 1555
     assert context.machine.bucket_written(8) is None
     assert context.machine.unsettled == []
 
 
 @when('idempotency settles a record in state "{stored}" of {holder} attempt as "{settled}"')
 def settle_record(context, stored, holder, settled):
-    record = make_record(attempt_id="A1" if holder == "its own" else "A2", state=stored)
+    record = make_record(attempt_id="A2" if holder == "another" else "A1", state=stored)
+    if holder == "a namesake":
+        record = record._replace(incarnation="A-0")
     bucket = KeyBucket({record_key(record.caller, record.key): record})
     machine = SettleMachine("0", [make_record(state=settled)])
     machine.start()
@@ -155,7 +158,7 @@
 
     @rule(index=integers(0, 2), key=sampled_from(["k", "l", "m"]), body=sampled_from("bbbc"))
     def submit(self, index, key, body):
-        self.sidecars[index].submit(key, body)
+        self.sidecars[index].submit(body, key)
 
     @rule(index=integers(0, 2), fate=sampled_from(("ok", "ok", "ok", *FATES)))
     def step(self, index, fate):
