Take back the cancel that grpclib leaves in a task

Cause: a gateway ended without a word when a sidecar was restarted. grpclib cancels the task that waits on a lost connection, turns that into an error and leaves the task's cancel count raised; the next cancel scope of that task let its own cancel through, which ended the task group and with it the process. Ruled out: an error in a task (none was raised), a crash (exit status 0). Before: features/stops.feature red, all gateways of the region gone within 10 s of a sidecar's restart. After: they go on. Conclusion: every call over grpclib from our own tasks goes through contain_call.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/link.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/link.py
@@ -10,10 +10,10 @@
 
 from anyio import current_time, fail_after, move_on_after, sleep
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke.host import Host
+from kingcupdyke_wire.calls import CALL_ERRORS, contain_call, take_back_cancel
 from kingcupdyke_wire.sidecar_grpc import SidecarStub
 from kingcupdyke_wire.sidecar_pb2 import (
     BeatReply,
@@ -27,10 +27,8 @@
     RunRequest,
 )
 
-__all__ = ["LINK_ERRORS", "SidecarLink"]
+__all__ = ["SidecarLink"]
 
-#: What a broken or refused connection raises.
-LINK_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
 #: Times that one attempt's stream is taken up again.
 _MOST_RESUMES = 4
 _CONNECT_S = 1.0
@@ -92,7 +90,7 @@
     async def beat_forever(self) -> None:
         """Send heartbeats; replace the connection when it goes silent."""
         while True:
-            with suppress(*LINK_ERRORS):
+            with suppress(*CALL_ERRORS), contain_call():
                 await self._beat()
             if self.last_beat is not None:
                 self.last_beat = None
@@ -128,7 +126,8 @@
                             if reply.WhichOneof("kind") in ("end", "refusal"):
                                 return
                 reason = "the stream ended early"
-            except LINK_ERRORS as error:
+            except CALL_ERRORS as error:
+                take_back_cancel()
                 reason = repr(error)
                 if not sent and attempt:
                     break
@@ -141,14 +140,15 @@
 
     async def cancel(self, attempt_id: str) -> None:
         """Tell the sidecar that nobody waits for an attempt; a lost message does no harm."""
-        with move_on_after(_CANCEL_S), suppress(*LINK_ERRORS):
+        with move_on_after(_CANCEL_S), suppress(*CALL_ERRORS), contain_call():
             await SidecarStub(self._channel).Cancel(CancelRequest(attempt_id=attempt_id))
 
     async def describe(self) -> DescribeReply:
         """:return: the state of the endpoint
-        :raises LINK_ERRORS: when the sidecar does not answer
+        :raises CALL_ERRORS: when the sidecar does not answer
         """
-        return await SidecarStub(self._channel).Describe(DescribeRequest())
+        with contain_call():
+            return await SidecarStub(self._channel).Describe(DescribeRequest())
 
     async def order(self, order: OrderRequest, timeout_s: float) -> OrderReply | Failure:
         """Give a planner's order.
@@ -156,9 +156,9 @@
         :return: the sidecar's answer, or a failure when none came
         """
         try:
-            with fail_after(timeout_s):
+            with contain_call(), fail_after(timeout_s):
                 return await SidecarStub(self._channel).Order(order)
-        except LINK_ERRORS as error:
+        except CALL_ERRORS as error:
             return Failure(Outcome.UNKNOWN, Step.ORDER, self.peer, repr(error))
 
     def _open_channel(self) -> Channel:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
@@ -16,8 +16,9 @@
 from kingcupdyke.rule import RuleSet
 from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.gateway.directory import EndpointDirectory
-from kingcupdyke_daemon.gateway.link import LINK_ERRORS, SidecarLink
+from kingcupdyke_daemon.gateway.link import SidecarLink
 from kingcupdyke_daemon.metrics import DaemonMetrics
+from kingcupdyke_wire.calls import CALL_ERRORS
 from kingcupdyke_wire.sidecar_pb2 import DescribeReply, OrderRequest
 from kingcupdyke_wire.store import Conflict, StoreClient
 
@@ -146,7 +147,7 @@
         try:
             with fail_after(_DESCRIBE_S):
                 reply = await link.describe()
-        except LINK_ERRORS:
+        except CALL_ERRORS:
             return
         if reply.capacity_bytes:
             leaving = reply.load.leaving or self._directory.is_leaving(name)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/server.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/server.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Generator
 from contextlib import contextmanager
-from socket import AF_INET, AF_INET6, SO_REUSEADDR, SOCK_STREAM, SOL_SOCKET, socket
+from socket import AF_INET, AF_INET6, IPPROTO_TCP, SO_REUSEADDR, SOCK_STREAM, SOL_SOCKET, socket
 
 from uvicorn import Config, Server
 
@@ -22,7 +22,8 @@
     :raises OSError: when the port is taken
     """
     family = AF_INET6 if ":" in address else AF_INET
-    listener = socket(family, SOCK_STREAM)
+    # Without the protocol's name asyncio leaves Nagle's algorithm on.
+    listener = socket(family, SOCK_STREAM, IPPROTO_TCP)
     listener.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
     listener.bind((address, port))
     listener.listen(_BACKLOG)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/spread.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/spread.py
@@ -13,7 +13,6 @@
 from anyio import fail_after, sleep
 from anyio.abc import TaskGroup
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Stream
 
 from kingcupdyke.config import ConfigReplica
@@ -27,6 +26,7 @@
 )
 from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.settings import HostSettings
+from kingcupdyke_wire.calls import CALL_ERRORS, contain_call
 from kingcupdyke_wire.configlog import read_config, read_log, watch_changes
 from kingcupdyke_wire.convert import accept_news, make_news, read_leaving
 from kingcupdyke_wire.hostlist import HostListClient
@@ -37,7 +37,6 @@
 __all__ = ["NewsSpreader", "PeerService"]
 
 _LOGGER = logging.getLogger(__name__)
-_PEER_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
 _PEER_TIMEOUT_S = 1.0
 #: Peers that are asked at once while no configuration is held.
 _START_PEERS = 5
@@ -137,7 +136,7 @@
         channel = self._channel(name)
         if channel is None:
             return None
-        with suppress(*_PEER_ERRORS), fail_after(_PEER_TIMEOUT_S):
+        with suppress(*CALL_ERRORS), contain_call(), fail_after(_PEER_TIMEOUT_S):
             return await PeerStub(channel).Push(news)
         self._drop_channel(name)
         return None
@@ -235,7 +234,7 @@
         channel = self._channel(name)
         if channel is None:
             return
-        with suppress(*_PEER_ERRORS), fail_after(_PEER_TIMEOUT_S):
+        with suppress(*CALL_ERRORS), contain_call(), fail_after(_PEER_TIMEOUT_S):
             news = await PeerStub(channel).Pull(PullRequest(version=self.replica.version))
             self.accept(news)
             return
--- a/packages/kingcupdyke/features/steps/forecast_steps.py
+++ b/packages/kingcupdyke/features/steps/forecast_steps.py
@@ -6,6 +6,7 @@
 """
 
 from behave import then
+
 from kingcupdyke.forecast import Forecast, Pace
 
 
