Relocate models where free memory is in pieces, and prove each placement guard

Cause: an adapter whose only holder was full of needed models never got a place, though another endpoint had room. Ruled out: blocking nothing, since wanted loads took the room first; a test of the total free memory, which the search implies. Before: 0 of 60 adapters placed beside a full endpoint. After: 60, with three models moved.

--- a/packages/kingcupdyke/features/admission.feature
+++ b/packages/kingcupdyke/features/admission.feature
@@ -71,5 +71,19 @@
       | 1   | 6       |
       | 31  | 8       |
 
+  Scenario Outline: A waiting request that became late or was cancelled is not started
+    Given an admission queue of capacity 1 with 1 running and a full queue of batch referee
+    When admission hears <event> and then that the running one ended at second <end>
+    Then admission starts <started> request and gives up <given_up>
+
+    # The waiting ones take a second and are due at second 1000.
+    Examples:
+      | event               | end   | started | given_up |
+      | nothing             | 1     | 1       | 0        |
+      | nothing             | 999.5 | 0       | 6        |
+      | all cancelled       | 1     | 0       | 0        |
+      | the last displaced  | 1     | 1       | 1        |
+      | the last displaced and cancelled | 1 | 1 | 0       |
+
   Scenario: Whatever comes in whatever order, nothing is lost, doubled or over capacity
     Then the admission queue holds its invariants in any order of events
--- a/packages/kingcupdyke/features/fleet_fake.py
+++ b/packages/kingcupdyke/features/fleet_fake.py
@@ -74,7 +74,9 @@
             self.end_orders()
             self.snapshots.append(dict(self.inventories))
             view = PlacementView(self.rules, self.snapshots[0], self.demand)
-            for order in self.placement.plan(view, self.now_s):
+            orders = self.placement.plan(view, self.now_s)
+            self.check_adapters(orders)
+            for order in orders:
                 self.take(order)
             kinds = Counter(each.kind for each, _ in self.running)
             self.most_loads = max(self.most_loads, kinds[OrderKind.LOAD])
@@ -111,6 +113,15 @@
         rounds = self.load_rounds if order.kind == OrderKind.LOAD else 1
         self.running.append((order, self.now_s + rounds))
 
+    def check_adapters(self, orders):
+        gone = {(each.endpoint, each.model) for each in orders if each.kind == OrderKind.UNLOAD}
+        for order in orders:
+            if order.kind == OrderKind.UNLOAD_ADAPTER:
+                others = [each for each in self.inventories.values() if not each.leaving]
+                copies = sum(order.adapter in each.adapters for each in others)
+                if copies < 2 and (order.endpoint, order.model) not in gone:
+                    self.problems.append(("last copy of an adapter", order))
+
     def note_load(self, order):
         if order.kind == OrderKind.UNLOAD:
             self.unloads += 1
--- a/packages/kingcupdyke/features/placements.feature
+++ b/packages/kingcupdyke/features/placements.feature
@@ -31,6 +31,22 @@
       | hold_s=0                                  | 20     | 45    | 99   |
       | hold_s=0 gain_threshold=0 swap_margin=1   | 20     | 45    | 99   |
 
+  Scenario: Demands that are worth the same do not take each other's room
+    Given greedy hold_s=0 placement of 10 models with 1 replicas
+    And the placement fleet holds e1=m0,m2 e2=m0,m3 e3=m1,m4 e4=m1,m5 e5=m6,m7 e6=m8,m9
+    When the placement runs 200 rounds with 9 requests a second for m0 and m1 in north
+    Then placement loaded 0 to 0 times
+
+  Scenario: Endpoints are filled evenly
+    Given static placement of 6 models with 1 replicas
+    When the placement runs 30 rounds
+    Then placement holds 1 model on each endpoint
+
+  Scenario: A planner that takes over counts the loads under way
+    Given static placement of 6 models with 1 replicas
+    When the placement runs 5 rounds and another planner 60 more
+    Then placement loaded 6 to 7 times
+
   Scenario Outline: Moves are weighed against attainment
     Given greedy store_region=north <options> placement of 2 models with 1 replicas
     When the placement runs 60 rounds with <demand> requests a second for m0 in <region>
@@ -72,6 +88,20 @@
     When placement endpoint e1 leaves and 20 rounds run
     Then placement holds m0 and m1 on one staying endpoint each and ordered nothing of e1
 
+  Scenario Outline: What the rules need takes the room of held replicas and second copies
+    Given a placement fleet of <fleet>
+    And greedy lean=1 placement of <models> models with <replicas> replicas and <adapters> adapters
+    When the placement runs 40 rounds with 9 requests a second for m0 in north
+    And placement endpoint e1 leaves and 60 rounds run
+    Then placement holds each model on <replicas> staying endpoints and each adapter on one at least
+    And placement never overcommitted nor fell below a rule
+
+    Examples:
+      | fleet                            | models | replicas | adapters |
+      | north/a/e1 north/a/e2 north/b/e3 north/b/e4 north/c/e5 north/c/e6 | 10 | 1 | 0 |
+      | north/a/e1 north/b/e2 north/c/e3 | 11     | 1        | 1        |
+      | north/a/e1 north/b/e2 north/c/e3 | 4      | 2        | 30       |
+
   Scenario Outline: Adapters are put on the holders of their model, below the knee
     Given static adapter_knee=<knee> placement of 6 models with 2 replicas and 60 adapters
     And the placement fleet holds e1=m0,m1 e2=m2,m3 e3=m4,m5 e4=m0,m1 e5=m2,m3 e6=m4,m5
@@ -94,15 +124,17 @@
     And placement never overcommitted nor fell below a rule
 
     # Each endpoint has room for 60 bytes: a model takes 10, an adapter one.
-    Examples: adapters that do not fit are left out
+    Examples: models move for adapters, and adapters that do not fit are left out
       | models | replicas | adapters | held                                    | resident | copies | unloads |
-      | 6      | 1        | 70       | e1=m0,m1,m2,m3,m4,m5                    | 6        | 0      | 0       |
-      | 4      | 1        | 50       | e1=m0,m1,m2,m3                          | 4        | 20     | 0       |
+      | 6      | 1        | 70       | e1=m0,m1,m2,m3,m4,m5                    | 6        | 60     | 3       |
+      | 6      | 1        | 6        | e1=m0,m1,m2,m3,m4,m5                    | 6        | 6      | 1       |
+      | 4      | 1        | 50       | e1=m0,m1,m2,m3                          | 4        | 50     | 2       |
 
     Examples: a replica beyond the rules makes room for adapters, and for a model
       | models | replicas | adapters | held                                    | resident | copies | unloads |
       | 6      | 1        | 6        | e1=m0,m1,m2,m3,m4,m5 e2=m1              | 6        | 6      | 1       |
       | 8      | 1        | 8        | e1=m0,m1,m2,m3,m4,m5 e2=m1,m2,m3,m4,m5  | 8        | 8      | 3       |
+      | 8      | 1        | 40       | e1=m0,m1,m2,m3,m4,m5 e2=m1,m2,m3,m4,m5  | 8        | 40     | 5       |
 
   Scenario: Lost orders are proposed again
     Given static placement of 6 models with 2 replicas
--- a/packages/kingcupdyke/features/steps/admission_steps.py
+++ b/packages/kingcupdyke/features/steps/admission_steps.py
@@ -191,6 +191,26 @@
     assert all(failure.retry_after_s > 0 for _, failure in given_up)
 
 
+@when("admission hears {event} and then that the running one ended at second {end:g}")
+def hear_event(context, event, end):
+    names = [f"refereebatch0.0-{number}" for number in range(9)]
+    cancelled = names if event == "all cancelled" else []
+    if "displaced" in event:
+        offer_many(context.queue, 1, caller="club", service_class="batch")
+        cancelled = names[5:6] if "cancelled" in event else []
+    for name in cancelled:
+        assert context.queue.cancelled(name, 0.0) == []
+    context.started = context.queue.finished("assessor0.0-0", end)
+    context.end_s = end
+
+
+@then("admission starts {started:d} request and gives up {given_up:d}")
+def check_started(context, started, given_up):
+    assert len(context.started) == started, context.started
+    refused = context.queue.expire(context.end_s)
+    assert len(refused) == given_up, refused
+
+
 @given("an admission queue of capacity 8 with an interactive request {ago:d} seconds ago")
 def make_quiet(context, ago):
     context.queue = AdmissionQueue(8, 100)
--- a/packages/kingcupdyke/features/steps/placements_steps.py
+++ b/packages/kingcupdyke/features/steps/placements_steps.py
@@ -70,7 +70,15 @@
     "the placement runs {rounds:d} rounds with {demand:d} requests a second for {model} in {region}"
 )
 def run_demand(context, rounds, demand, model, region):
-    context.fleet.run(rounds, {(model, region): float(demand)})
+    models = model.split(" and ")
+    context.fleet.run(rounds, {(each, region): float(demand) for each in models})
+
+
+@when("the placement runs {rounds:d} rounds and another planner {more:d} more")
+def run_two_planners(context, rounds, more):
+    context.fleet.run(rounds)
+    context.fleet.placement = get_placement("static", planner="second")
+    context.fleet.run(more)
 
 
 @when(
@@ -155,6 +163,24 @@
     assert all(each.endpoint != "e1" for each in context.fleet.orders)
 
 
+@then("placement holds {count:d} model on each endpoint")
+def check_even(context, count):
+    counts = [len(each.models) for each in context.fleet.inventories.values()]
+    assert set(counts) == {count}, counts
+
+
+@then(
+    "placement holds each model on {replicas:d} staying endpoints "
+    "and each adapter on one at least"
+)
+def check_staying(context, replicas):
+    staying = [each for each in context.fleet.inventories.values() if not each.leaving]
+    for model in context.fleet.rules.models_by_name:
+        assert sum(model in each.models for each in staying) >= replicas, model
+    for adapter in context.fleet.rules.adapters_by_name:
+        assert any(adapter in each.adapters for each in staying), adapter
+
+
 @then("placement holds each adapter on {count:d} holders of its model")
 def check_adapters(context, count):
     for rule in context.fleet.rules.adapters_by_name.values():
--- a/packages/kingcupdyke/kingcupdyke/placements/planner.py
+++ b/packages/kingcupdyke/kingcupdyke/placements/planner.py
@@ -19,6 +19,7 @@
 from kingcupdyke.placements.book import OrderBook, OrderInFlight
 from kingcupdyke.placements.fleet import Fleet, get_model_bytes
 from kingcupdyke.placements.gain import DemandModel
+from kingcupdyke.placements.relocation import find_relocation
 from kingcupdyke.placements.victims import Victims, find_victims
 from kingcupdyke.rule import AdapterRule, ModelRule
 from kingcupdyke.util import get_float_opt, get_int_opt, hash_score, rank_rendezvous
@@ -35,6 +36,8 @@
 REPLICA_REQUESTS_PER_S = 2.0
 #: Seconds for which room that was made is kept for the load it was made for.
 ROOM_KEPT_S = 30.0
+#: Seconds from one relocation to the next.
+RELOCATION_PAUSE_S = 20.0
 #: Copies of an adapter that stay while room is made for a model that the rules need.
 LEAST_ADAPTER_COPIES = 1
 
@@ -77,6 +80,7 @@
         self._store_region = store_region
         self._book = OrderBook(planner)
         self._room_by_model: dict[str, Room] = {}
+        self._relocate_from_s = 0.0
         self._orders: list[Order] = []
 
     def plan(self, view: PlacementView, now_s: float) -> list[Order]:
@@ -86,8 +90,9 @@
         self._orders = []
         self._keep_room(fleet, now_s)
         self._plan_needed(fleet, demand, now_s)
-        self._plan_adapters(fleet, demand, now_s)
-        self._plan_wanted(fleet, demand, now_s)
+        complete = self._plan_adapters(fleet, demand, now_s)
+        if complete:
+            self._plan_wanted(fleet, demand, now_s)
         return self._orders
 
     def _plan_wanted(self, fleet: Fleet, demand: DemandModel, now_s: float) -> None:
@@ -118,7 +123,9 @@
         for _, replicas, name in sorted(lacking):
             rule = fleet.rules.models_by_name[name]
             for _ in range(fleet.get_needed(name) - replicas):
-                self._place(fleet, demand, rule, fleet.list_targets(rule), now_s)
+                targets = fleet.list_targets(rule)
+                if not self._place(fleet, demand, rule, targets, now_s):
+                    self._relocate(fleet, targets, get_model_bytes(rule), name, now_s)
 
     def _place(
         self,
@@ -233,8 +240,28 @@
         for model in sorted(models):
             self._issue(fleet, OrderKind.UNLOAD, endpoint, now_s, model)
 
-    def _plan_adapters(self, fleet: Fleet, demand: DemandModel, now_s: float) -> None:
-        """Put each adapter on as many holders of its model as the rules need replicas."""
+    def _relocate(
+        self,
+        fleet: Fleet,
+        targets: list[EndpointInventory],
+        size: int,
+        kept: str,
+        now_s: float,
+    ) -> None:
+        """Copy a model elsewhere, one at a time, so that its room can be used."""
+        if fleet.loads or now_s < self._relocate_from_s:
+            return
+        relocation = find_relocation(fleet, targets, size, kept)
+        if relocation is not None:
+            self._load(fleet, relocation.rule, relocation.endpoint, now_s)
+            self._relocate_from_s = now_s + RELOCATION_PAUSE_S
+
+    def _plan_adapters(self, fleet: Fleet, demand: DemandModel, now_s: float) -> bool:
+        """Put each adapter on as many holders of its model as the rules need replicas.
+
+        :return: whether each adapter has a copy or will; else its room must not be taken
+        """
+        complete = True
         for rule in fleet.rules.adapters_by_name.values():
             holders = fleet.holders_by_model[rule.model]
             present = fleet.holders_by_adapter[rule.name] & holders
@@ -242,9 +269,15 @@
             missing = min(fleet.get_needed(rule.model), len(holders)) - len(present)
             key = f"{rule.model}\0{rule.name}"
             ranked = rank_rendezvous(key, holders - present) if missing > 0 else []
+            placed = 0
             for endpoint in ranked:
-                if missing > 0 and self._place_adapter(fleet, demand, rule, endpoint, now_s):
-                    missing -= 1
+                if placed < missing:
+                    placed += self._place_adapter(fleet, demand, rule, endpoint, now_s)
+            if missing > 0 and not present and not placed:
+                complete = False
+                targets = [fleet.inventory_by_endpoint[each] for each in ranked]
+                self._relocate(fleet, targets, rule.adapter_bytes, rule.model, now_s)
+        return complete
 
     def _place_adapter(
         self, fleet: Fleet, demand: DemandModel, rule: AdapterRule, endpoint: str, now_s: float
