Test rules, configuration, acceptance and membership under faults

Watchers push to each other now: with one watch silent, its third of the data centre had to wait for a pull (the scenario for it stayed at version 5).

--- /dev/null
+++ b/packages/kingcupdyke/features/config.feature
@@ -0,0 +1,61 @@
+Feature: An accepted configuration is in force everywhere and never reverts
+
+  Scenario Outline: Only the next version or a higher snapshot is taken
+    Given a config replica at version 5
+    When config receives <arrivals>
+    Then config is at version <version> with its rules and needs a pull: <pull>
+
+    Examples:
+      | arrivals                                     | version | pull |
+      | change 6                                     | 6       | no   |
+      | change 6, change 6                           | 6       | no   |
+      | change 5, change 1                           | 5       | no   |
+      | change 7                                     | 5       | yes  |
+      | change 8, change 6, change 7                 | 7       | yes  |
+      | change 7, change 6, change 7                 | 7       | no   |
+      | snapshot 9                                   | 9       | no   |
+      | snapshot 9, change 6, change 10              | 10      | no   |
+      | snapshot 3, snapshot 5                       | 5       | no   |
+      | change 6, snapshot 5, change 7               | 7       | no   |
+      | word of 9                                    | 5       | yes  |
+
+  Scenario Outline: A peer that fell behind gets the changes, or a snapshot
+    Given a config replica at version 5
+    When config receives <arrivals>
+    Then config has for a peer at version <peer>: <answer>
+
+    Examples: at most four changes are kept
+      | arrivals              | peer | answer          |
+      | change 6              | 6    | nothing         |
+      | change 6              | 9    | nothing         |
+      | change 6              | 3    | changes 4 5 6   |
+      | change 6              | 2    | changes 3 4 5 6 |
+      | change 6              | 1    | a snapshot      |
+      | snapshot 9            | 8    | a snapshot      |
+      | snapshot 9, change 10 | 9    | changes 10      |
+
+  Scenario: The rule set is built once a version, and an old one stays as it is
+    Given a config replica at version 5
+    Then config gives the same rule set until change 6, and the old one is unchanged
+
+  Scenario Outline: All replicas reach the accepted version, whatever fails
+    Given a config net of 3 data centres with 12 hosts each at version 5
+    When config accepts 3 more changes under the fault "<fault>"
+    And config replicas pull for <rounds> rounds
+    Then every config replica is at version 8 with its rules, and none ever fell back
+
+    Examples:
+      | fault                        | rounds |
+      | none                         | 0      |
+      | a watcher killed             | 4      |
+      | a watch silent               | 0      |
+      | all watches silent but one   | 4      |
+      | store down after acceptance  | 4      |
+      | started in an outage         | 1      |
+      | pushes lost                  | 4      |
+      | pushes doubled and reordered | 4      |
+      | old deltas arriving late     | 0      |
+      | regions parted               | 4      |
+
+  Scenario: Any order of loss, delay, doubling, restarts and pulls keeps the promise
+    Then config keeps its promise in every run of the state machine
--- /dev/null
+++ b/packages/kingcupdyke/features/steps/acceptance_steps.py
@@ -0,0 +1,75 @@
+"""
+acceptance_steps
+~~~~~~~~~~~~~~~~
+
+Steps for getting a change accepted.
+"""
+
+from behave import given, then, when
+
+from kingcupdyke.acceptance import (
+    AcceptMachine,
+    AcceptResult,
+    Applied,
+    Conflict,
+    CreateChange,
+    NotApplied,
+    ReadBack,
+    ReadHead,
+    UnknownOutcome,
+)
+from kingcupdyke.book import BookDelta
+from kingcupdyke.config import ConfigChange
+from kingcupdyke.error import Failure, Outcome, Step
+
+BASE = 5
+
+
+@given('acceptance of the change "own" on version 5')
+def give_machine(context):
+    context.machine = AcceptMachine("own", "Jana", BASE, BookDelta((), ("model/a",)))
+    context.command = context.machine.start()
+    context.creates = 0
+
+
+@when("acceptance hears {answers}")
+def hear(context, answers):
+    assert context.command == ReadHead(BASE)
+    for answer in answers.split(", "):
+        assert not isinstance(context.command, AcceptResult), (answer, context.command)
+        context.command = hear_answer(context, answer)
+        if isinstance(context.command, CreateChange):
+            context.creates += 1
+
+
+def hear_answer(context, answer):
+    word, *rest = answer.split()
+    if word == "log":
+        assert isinstance(context.command, ReadHead | ReadBack), context.command
+        changes = [
+            ConfigChange(version, change_id, "", (), ())
+            for version, change_id in enumerate(rest[1:], start=BASE + 1)
+        ]
+        return context.machine.hear_log(int(rest[0]), changes)
+    if answer in ("not run", "unknown"):
+        outcome = Outcome.NOT_RUN if answer == "not run" else Outcome.UNKNOWN
+        return context.machine.hear_failure(Failure(outcome, Step.STORE, "store", answer))
+    assert isinstance(context.command, CreateChange), context.command
+    if word == "taken":
+        return context.machine.hear_taken()
+    return context.machine.hear_created()
+
+
+@then("acceptance ends as {result} after {creates:d} creates")
+def check_result(context, result, creates):
+    command = context.command
+    word, *versions = result.split()
+    kinds = {"applied": Applied, "conflict": Conflict, "not": NotApplied, "unknown": UnknownOutcome}
+    assert isinstance(command, kinds[word]), command
+    if word == "applied":
+        assert command.version == int(versions[0])
+    elif word == "conflict":
+        assert [change.version for change in command.changes] == [int(each) for each in versions]
+    elif word == "unknown":
+        assert command.change_id == "own"
+    assert context.creates == creates
--- /dev/null
+++ b/packages/kingcupdyke/features/steps/book_steps.py
@@ -0,0 +1,56 @@
+"""
+book_steps
+~~~~~~~~~~
+
+Steps for rule books.
+"""
+
+from behave import given, then, when
+
+from kingcupdyke.book import (
+    RuleBook,
+    StoredRule,
+    apply_delta,
+    diff_books,
+    store_rule,
+    to_rule_set,
+)
+from kingcupdyke.rule import CallerRule
+
+
+def read_book(text):
+    pairs = [each.split("=") for each in text.split()]
+    rules = [CallerRule(name, f"digest of {name}", float(weight)) for name, weight in pairs]
+    return RuleBook.from_rules(store_rule("caller", rule, "Jana") for rule in rules)
+
+
+@given("the book {text}")
+def give_book(context, text):
+    context.old = read_book(text)
+
+
+@when("the book is compared with {text}")
+def compare(context, text):
+    context.new = read_book(text)
+    context.delta = diff_books(context.old, context.new)
+
+
+@then('the book delta puts "{puts}", removes "{removes}" and leads from one to the other')
+@then('the book delta puts "", removes "" and leads from one to the other')
+@then('the book delta puts "{puts}", removes "" and leads from one to the other')
+def check_delta(context, puts="", removes=""):
+    before = RuleBook(dict(context.old.rules_by_key))
+    assert [rule.key for rule in context.delta.puts] == puts.split(), context.delta
+    assert list(context.delta.removes) == removes.split(), context.delta
+    assert apply_delta(context.old, context.delta) == context.new
+    assert context.old == before
+
+
+@when('the book reads "{key}" with the fields {fields}')
+def read_fields(context, key, fields):
+    context.rules = to_rule_set(RuleBook.from_rules([StoredRule(key, fields, "Jana")]))
+
+
+@then("the book has {count:d} callers")
+def check_callers(context, count):
+    assert len(context.rules.callers_by_digest) == count
--- /dev/null
+++ b/packages/kingcupdyke/features/steps/config_steps.py
@@ -0,0 +1,334 @@
+"""
+config_steps
+~~~~~~~~~~~~
+
+Steps for the configuration of one process, and for a net of them.
+"""
+
+import os
+from random import Random
+
+from behave import given, then, when
+from hypothesis import settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from hypothesis.strategies import integers
+
+from kingcupdyke.book import BookDelta, RuleBook, apply_delta, store_rule, to_rule_set
+from kingcupdyke.config import ConfigChange, ConfigReplica
+from kingcupdyke.membership import choose_push_targets, choose_watchers, pick_peers
+from kingcupdyke.rule import CallerRule
+
+DATA_CENTRES = ("praha-1", "praha-2", "brno-1")
+MOST_CHANGES = 4
+
+
+def make_change(version):
+    names = [f"caller-{version % 5}", f"caller-{(version + 1) % 5}"]
+    put = store_rule("caller", CallerRule(names[0], names[0], float(version)), "Jana")
+    return ConfigChange(version, f"change-{version}", "Jana", (put,), (f"caller/{names[1]}",))
+
+
+def make_book(version):
+    book = RuleBook({})
+    for each in range(1, version + 1):
+        change = make_change(each)
+        book = apply_delta(book, BookDelta(change.puts, change.removes))
+    return book
+
+
+def check_replica(replica, version):
+    assert replica.version == version, (replica.version, version)
+    assert replica.book == make_book(version)
+    assert replica.rule_set == to_rule_set(replica.book)
+
+
+def make_replica(version):
+    replica = ConfigReplica(MOST_CHANGES)
+    for each in range(1, version + 1):
+        assert replica.accept_change(make_change(each))
+    return replica
+
+
+def answer_pull(puller, peer):
+    """Bring one replica up to date from another, as the wire does."""
+    changes = peer.changes_since(puller.version)
+    puller.hear_version(peer.version)
+    if changes is None:
+        puller.accept_snapshot(peer.version, peer.book.rules_by_key.values())
+    for change in changes or ():
+        puller.accept_change(change)
+
+
+@given("a config replica at version {version:d}")
+def give_replica(context, version):
+    context.replica = make_replica(version)
+
+
+@when("config receives {arrivals}")
+def receive(context, arrivals):
+    replica = context.replica
+    for arrival in arrivals.split(", "):
+        word, *_, version = arrival.split()
+        before = replica.version
+        if word == "change":
+            taken = replica.accept_change(make_change(int(version)))
+        elif word == "snapshot":
+            rules = make_book(int(version)).rules_by_key.values()
+            taken = replica.accept_snapshot(int(version), rules)
+        else:
+            taken = replica.hear_version(int(version)) or False
+        assert taken is (replica.version > before)
+        assert replica.version >= before
+
+
+@then("config is at version {version:d} with its rules and needs a pull: {pull}")
+def check_version(context, version, pull):
+    check_replica(context.replica, version)
+    assert context.replica.needs_pull is (pull == "yes")
+
+
+@then("config has for a peer at version {peer:d}: {answer}")
+def check_answer(context, peer, answer):
+    changes = context.replica.changes_since(peer)
+    versions = [change.version for change in changes or ()]
+    expected = [int(word) for word in answer.split() if word.isdigit()]
+    assert versions == expected
+    assert (changes is None) is (answer == "a snapshot")
+
+
+@then("config gives the same rule set until change {version:d}, and the old one is unchanged")
+def check_rule_set(context, version):
+    replica = context.replica
+    old = replica.rule_set
+    assert replica.rule_set is old
+    replica.accept_change(make_change(version))
+    assert replica.rule_set is not old
+    assert old == to_rule_set(make_book(version - 1))
+
+
+class Net:
+    """Replicas of a few data centres with watches, pushes and pulls that can fail."""
+
+    def __init__(self, hosts_each):
+        self.rng = Random(5)
+        self.hosts_by_centre = {
+            centre: [f"{centre}-{index}" for index in range(hosts_each)] for centre in DATA_CENTRES
+        }
+        names = [name for hosts in self.hosts_by_centre.values() for name in hosts]
+        self.replicas_by_name = {name: make_replica(5) for name in names}
+        self.dead = set()
+        self.silent = set()
+        self.parted = False
+        self.lost_share = 0.0
+        self.scrambled = False
+        self.pushes = []
+        self.fell_back = False
+
+    def accept(self, version):
+        """Deliver an accepted change to the watchers and let it spread."""
+        change = make_change(version)
+        for centre, hosts in self.hosts_by_centre.items():
+            for name in choose_watchers(hosts, centre):
+                if name not in self.dead | self.silent and not self.cut(name, "praha-1"):
+                    self.deliver(centre, name, change)
+        self.flush()
+
+    def cut(self, name, other):
+        return self.parted and name.startswith("brno") != other.startswith("brno")
+
+    def deliver(self, centre, name, change):
+        replica = self.replicas_by_name[name]
+        before = replica.version
+        if replica.accept_change(change):
+            hosts = self.hosts_by_centre[centre]
+            targets = choose_push_targets(hosts, name, centre, change.version)
+            copies = 2 if self.scrambled else 1
+            self.pushes += [(centre, target, change) for target in targets] * copies
+        self.fell_back |= replica.version < before
+
+    def flush(self):
+        while self.pushes:
+            if self.scrambled:
+                self.rng.shuffle(self.pushes)
+            centre, name, change = self.pushes.pop()
+            if name not in self.dead and self.rng.random() >= self.lost_share:
+                self.deliver(centre, name, change)
+
+    def pull(self):
+        alive = sorted(set(self.replicas_by_name) - self.dead)
+        for name in alive:
+            for peer in pick_peers(alive, name, 3, self.rng):
+                if not self.cut(name, peer):
+                    replica = self.replicas_by_name[name]
+                    before = replica.version
+                    answer_pull(replica, self.replicas_by_name[peer])
+                    self.fell_back |= replica.version < before
+
+
+def find_watchers(net):
+    return [
+        name
+        for centre, hosts in net.hosts_by_centre.items()
+        for name in choose_watchers(hosts, centre)
+    ]
+
+
+def accept_with_late_deltas(net):
+    accept_all(net)
+    for centre, hosts in net.hosts_by_centre.items():
+        for name in hosts:
+            replica = net.replicas_by_name[name]
+            replica.accept_snapshot(4, make_book(4).rules_by_key.values())
+            for version in (5, 4, 7, 6):
+                net.deliver(centre, name, make_change(version))
+
+
+def accept_with_store_down(net):
+    for version in (6, 7, 8):
+        net.deliver("praha-1", find_watchers(net)[0], make_change(version))
+    net.pushes.clear()
+
+
+def accept_then_start(net):
+    accept_all(net)
+    net.replicas_by_name["praha-1-0"] = make_replica(3)
+    net.replicas_by_name["praha-1-1"] = ConfigReplica(MOST_CHANGES)
+
+
+def accept_parted(net):
+    net.parted = True
+    accept_all(net)
+    net.pull()
+    assert net.replicas_by_name["brno-1-0"].version == 5
+    net.parted = False
+
+
+def accept_all(net):
+    for version in (6, 7, 8):
+        net.accept(version)
+
+
+def fail_with(**faults):
+    def accept(net):
+        for name, value in faults.items():
+            setattr(net, name, value(net) if callable(value) else value)
+        accept_all(net)
+
+    return accept
+
+
+ACCEPT_BY_FAULT = {
+    "none": accept_all,
+    "a watcher killed": fail_with(dead=lambda net: set(find_watchers(net)[::3])),
+    "a watch silent": fail_with(silent=lambda net: set(find_watchers(net)[1::3])),
+    "all watches silent but one": fail_with(silent=lambda net: set(find_watchers(net)[1:])),
+    "store down after acceptance": accept_with_store_down,
+    "started in an outage": accept_then_start,
+    "pushes lost": fail_with(lost_share=0.5),
+    "pushes doubled and reordered": fail_with(scrambled=True),
+    "old deltas arriving late": accept_with_late_deltas,
+    "regions parted": accept_parted,
+}
+
+
+@given("a config net of 3 data centres with {count:d} hosts each at version 5")
+def give_net(context, count):
+    context.net = Net(count)
+
+
+@when('config accepts 3 more changes under the fault "{fault}"')
+def accept_under_fault(context, fault):
+    ACCEPT_BY_FAULT[fault](context.net)
+
+
+@when("config replicas pull for {rounds:d} rounds")
+def pull_rounds(context, rounds):
+    for _ in range(rounds):
+        context.net.pull()
+
+
+@then("every config replica is at version {version:d} with its rules, and none ever fell back")
+def check_net(context, version):
+    assert not context.net.fell_back
+    for name, replica in context.net.replicas_by_name.items():
+        if name not in context.net.dead:
+            check_replica(replica, version)
+
+
+class ConfigMachine(RuleBasedStateMachine):
+    """Messages of any age reach any replica; the log is the truth."""
+
+    NAMES = integers(0, 3)
+
+    @initialize()
+    def start(self):
+        self.head = 0
+        self.replicas = [ConfigReplica(MOST_CHANGES) for _ in range(4)]
+        self.versions = [0] * 4
+        self.messages = []
+
+    @rule(name=NAMES)
+    def accept(self, name):
+        self.head += 1
+        self.messages.append(make_change(self.head))
+        self.replicas[name].accept_change(make_change(self.head))
+
+    @rule(name=NAMES, pick=integers(0))
+    def deliver(self, name, pick):
+        # Messages stay, so that they come lost, late, doubled and in any order.
+        if self.messages:
+            message = self.messages[pick % len(self.messages)]
+            if isinstance(message, ConfigChange):
+                self.replicas[name].accept_change(message)
+            else:
+                self.replicas[name].accept_snapshot(*message)
+
+    @rule(name=NAMES)
+    def snapshot(self, name):
+        replica = self.replicas[name]
+        self.messages.append((replica.version, tuple(replica.book.rules_by_key.values())))
+
+    @rule(name=NAMES, peer=NAMES)
+    def pull(self, name, peer):
+        ahead = self.replicas[peer].version
+        answer_pull(self.replicas[name], self.replicas[peer])
+        assert self.replicas[name].version >= ahead
+
+    @rule(name=NAMES)
+    def restart(self, name):
+        self.replicas[name] = ConfigReplica(MOST_CHANGES)
+        self.versions[name] = 0
+
+    @rule(name=NAMES)
+    def read_log(self, name):
+        replica = self.replicas[name]
+        for version in range(replica.version + 1, self.head + 1):
+            assert replica.accept_change(make_change(version))
+        assert not replica.needs_pull
+
+    @invariant()
+    def never_reverts(self):
+        for index, replica in enumerate(getattr(self, "replicas", ())):
+            assert replica.version >= self.versions[index]
+            self.versions[index] = replica.version
+
+    @invariant()
+    def same_version_means_same_rules(self):
+        for replica in getattr(self, "replicas", ()):
+            check_replica(replica, replica.version)
+            assert replica.version <= self.head
+
+
+@then("config keeps its promise in every run of the state machine")
+def run_machine(context):
+    examples = int(os.environ.get("KINGCUPDYKE_FUZZ_EXAMPLES", "60"))
+    run_state_machine_as_test(
+        ConfigMachine,
+        settings=settings(max_examples=examples, derandomize=True, database=None, deadline=None),
+    )
--- /dev/null
+++ b/packages/kingcupdyke/features/steps/feasibility_steps.py
@@ -0,0 +1,54 @@
+"""
+feasibility_steps
+~~~~~~~~~~~~~~~~~
+
+Steps for fitting models into memory.
+"""
+
+from behave import given, then, when
+
+from kingcupdyke.feasibility import find_misfits
+from kingcupdyke.rule import AdapterRule, MemoryRule, ModelRule
+
+GB = 10**9
+
+
+@given("feasibility has the memory {memory}")
+def give_memory(context, memory):
+    rows = [each.split() for each in memory.split(";")]
+    context.memory = [
+        MemoryRule(name, name, int(hosts), int(size) * GB) for name, hosts, size in rows
+    ]
+    context.adapters = []
+
+
+@given("feasibility has the models {models}")
+def give_models(context, models):
+    rows = [each.split() for each in models.split(";")]
+    context.models = [
+        ModelRule(
+            name, "1", int(size) * GB - 1, 1, int(replicas), tuple(regions.split(",")), (), "", 1.0
+        )
+        for name, size, _, replicas, _, regions in rows
+    ]
+
+
+@given('feasibility has adapters of "{model}" with {first:d} and {second:d} GB')
+def give_adapters(context, model, first, second):
+    context.adapters = [AdapterRule(str(n), model, n * GB, ()) for n in (first, second)]
+
+
+@when("feasibility tries the loss of each host")
+def find(context):
+    context.misfits = find_misfits(context.models, context.adapters, context.memory)
+
+
+@then('feasibility finds "{model}" without room and says "{text}"')
+def check_misfit(context, model, text):
+    assert [misfit.model for misfit in context.misfits] == [model], context.misfits
+    assert text in context.misfits[0].remedy, context.misfits
+
+
+@then('feasibility finds "" without room and says ""')
+def check_fit(context):
+    assert not context.misfits, context.misfits
--- /dev/null
+++ b/packages/kingcupdyke/features/steps/membership_steps.py
@@ -0,0 +1,94 @@
+"""
+membership_steps
+~~~~~~~~~~~~~~~~
+
+Steps for who exists, who answers and who is leaving.
+"""
+
+from behave import given, then, when
+
+from kingcupdyke.host import Host
+from kingcupdyke.membership import MembershipTable
+
+SILENCE_S = 3.0
+
+
+def make_host(name, kind="sidecar", state="live"):
+    return Host(name, "127.0.0.1", 1, kind, "bohemia", "praha-1", state)
+
+
+@given('a membership table that lists "e1" as live')
+def give_table(context):
+    context.now_s = 100.0
+    context.members = MembershipTable(SILENCE_S)
+    context.members.update_list([make_host("e1"), make_host("e2")], context.now_s)
+    context.news = []
+
+
+@given('a membership table of a peer that is cut off from "e1"')
+def give_peer(context):
+    context.peer = MembershipTable(SILENCE_S)
+    context.peer.update_list([make_host("e1"), make_host("e2")], context.now_s)
+
+
+@when("membership hears, a second apart: {events}")
+def hear(context, events):
+    for event in events.split(", "):
+        context.now_s += 1.0
+        hear_event(context.members, event.split(), context.now_s)
+        context.news += context.members.leaving_news()
+
+
+def hear_event(table, words, now_s):
+    if words[0] == "news":
+        table.hear_leaving("e1", words[1], int(words[2]), words[3] == "leaving", now_s)
+    elif words[0] == "answer":
+        table.hear_answer("e1", words[1], now_s, leaving=words[-1] == "leaving")
+    elif words[0] == "silence":
+        table.hear_silence("e1", now_s)
+    else:
+        lists = {
+            "list": [make_host("e1", state=words[-1]), make_host("e2")],
+            "missing": [make_host("e2")],
+            "empty": [],
+            "gateway": [make_host("e1"), make_host("g1", "gateway")],
+        }
+        table.update_list(lists[words[0]], now_s)
+
+
+@when("membership waits {seconds:g} seconds")
+def wait(context, seconds):
+    context.now_s += seconds
+    context.members.hear_silence("e2", context.now_s)
+
+
+@when("membership passes its news on to the peer, twice and the oldest last")
+def pass_on(context):
+    for news in [*context.news, *reversed(context.news)]:
+        context.peer.hear_leaving(*news, context.now_s)
+
+
+@then('membership routes to "{name}": {routed}')
+def check_routed(context, name, routed):
+    check(context.members, name, routed)
+
+
+@then('the membership table of the peer routes to "{name}": {routed}')
+def check_peer(context, name, routed):
+    check(context.peer, name, routed)
+
+
+def check(table, name, routed):
+    assert (name in [host.host for host in table.routable()]) is (routed == "yes")
+    assert "e2" in [host.host for host in table.routable()]
+
+
+@then("membership passes on {count:d} pieces of news")
+def check_news(context, count):
+    assert len(context.members.leaving_news()) == count, context.members.leaving_news()
+
+
+@then('membership routes kind "sidecar" to "e1" and kind "gateway" to "g1"')
+def check_kinds(context):
+    assert "e1" in [host.host for host in context.members.routable("sidecar")]
+    assert [host.host for host in context.members.routable("gateway")] == ["g1"]
--- /dev/null
+++ b/packages/kingcupdyke/features/steps/spreading_steps.py
@@ -0,0 +1,57 @@
+"""
+spreading_steps
+~~~~~~~~~~~~~~~
+
+Steps for who watches and who pushes.
+"""
+
+from random import Random
+
+from behave import given, then, when
+
+from kingcupdyke.spreading import choose_push_targets, choose_watchers, pick_peers
+
+
+@given("spreading over {count:d} hosts of a data centre")
+def give_hosts(context, count):
+    context.hosts = [f"host-{index}" for index in range(count)]
+    context.watchers = choose_watchers(context.hosts, "praha-1")
+
+
+@when("spreading chooses watchers and push targets for version {version:d}")
+def choose(context, version):
+    context.targets_by_host = {
+        host: choose_push_targets(context.hosts, host, "praha-1", version) for host in context.hosts
+    }
+
+
+@then("spreading has {count:d} watchers, reaches every host and spares its pushes")
+def check_tree(context, count):
+    assert len(context.watchers) == count
+    pushed = [target for targets in context.targets_by_host.values() for target in targets]
+    below = [target for target in pushed if target not in context.watchers]
+    assert sorted([*below, *context.watchers]) == sorted(context.hosts)
+    assert len(pushed) - len(below) == count * (count - 1)
+    for host, targets in context.targets_by_host.items():
+        assert host not in targets
+        assert len(targets) <= 4 + (count - 1) * (host in context.watchers)
+
+
+@when("spreading loses the first watcher")
+def lose(context):
+    context.before = context.watchers
+    context.hosts.remove(context.watchers[0])
+    context.watchers = choose_watchers(context.hosts, "praha-1")
+
+
+@then("spreading keeps the other watchers")
+def check_watchers(context):
+    assert context.watchers[:2] == context.before[1:]
+
+
+@then("spreading picks {count:d} peers that never include the own host")
+def check_peers(context, count):
+    rng = Random(7)
+    picks = [pick_peers(context.hosts, "host-0", count, rng) for _ in range(200)]
+    assert all(len(set(pick)) == count and "host-0" not in pick for pick in picks)
+    assert len({host for pick in picks for host in pick}) == len(context.hosts) - 1
--- a/packages/kingcupdyke/kingcupdyke/feasibility.py
+++ b/packages/kingcupdyke/kingcupdyke/feasibility.py
@@ -125,10 +125,12 @@
         return Misfit(model.name, "replicas", model.replicas, remedy)
     most_free = max((pool[-1].free_bytes for pool in pools if pool), default=0)
     missing = model.replicas - placed
+    short = max(size_bytes - most_free, 0)
+    lack = f"{_format_gb(short)} are missing" if short else "that host holds a replica already"
     remedy = (
         f"with one host of {lost.name} lost, {missing} of {model.replicas} replicas find no room: "
         f"{_format_gb(size_bytes)} are needed, {_format_gb(most_free)} are free on the emptiest "
-        f"host that is left, {_format_gb(max(size_bytes - most_free, 0))} are missing; "
+        f"host that is left, {lack}; "
         "ask for less KV cache or fewer replicas, allow another region or add a host"
     )
     return Misfit(model.name, "weights", model.weights_bytes, remedy)
--- a/packages/kingcupdyke/kingcupdyke/spreading.py
+++ b/packages/kingcupdyke/kingcupdyke/spreading.py
@@ -36,11 +36,12 @@
     """Choose whom to push a change to that was just accepted.
 
     The hosts of a data centre form a tree below its watchers, another one for each
-    version; nobody pushes to more than ``fan_out`` peers. What a dead host breaks off
-    is repaired by pulls.
+    version. A watcher pushes to the other watchers as well, whose watches may be silent.
+    What a dead host breaks off is repaired by pulls.
 
     :param hosts: live hosts of the data centre, with the own one
-    :return: the own children in the tree
+    :return: the own children in the tree, at most ``fan_out`` of them, and for a
+        watcher the other watchers
     """
     names = set(hosts)
     if own_host not in names:
@@ -48,7 +49,8 @@
     roots = choose_watchers(names, data_centre, watchers)
     order = roots + rank_rendezvous(f"push/{version}", names.difference(roots))
     first = len(roots) + order.index(own_host) * fan_out
-    return order[first : first + fan_out]
+    others = [root for root in roots if root != own_host] if own_host in roots else []
+    return others + order[first : first + fan_out]
 
 
 def pick_peers(hosts: Iterable[str], own_host: str, count: int, rng: Random) -> list[str]:
