--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/link.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/link.py
@@ -10,25 +10,25 @@
 
 from anyio import current_time, fail_after, move_on_after, sleep
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke.host import Host
+from kingcupdyke_wire.calls import CALL_ERRORS, contain_call, take_back_cancel
 from kingcupdyke_wire.sidecar_grpc import SidecarStub
 from kingcupdyke_wire.sidecar_pb2 import (
     BeatReply,
     BeatRequest,
     CancelRequest,
+    DescribeReply,
+    DescribeRequest,
     OrderReply,
     OrderRequest,
     RunReply,
     RunRequest,
 )
 
-__all__ = ["LINK_ERRORS", "SidecarLink"]
+__all__ = ["SidecarLink"]
 
-#: What a broken or refused connection raises.
-LINK_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
 #: Times that one attempt's stream is taken up again.
 _MOST_RESUMES = 4
 _CONNECT_S = 1.0
@@ -83,10 +83,14 @@
         """Close the connection."""
         self._channel.close()
 
+    def replace(self) -> None:
+        """Give up the connection, as after a reply that belongs to nothing."""
+        self._replace_channel()
+
     async def beat_forever(self) -> None:
         """Send heartbeats; replace the connection when it goes silent."""
         while True:
-            with suppress(*LINK_ERRORS):
+            with suppress(*CALL_ERRORS), contain_call():
                 await self._beat()
             if self.last_beat is not None:
                 self.last_beat = None
@@ -101,10 +105,12 @@
         :return: replies in order as sent; the last item is an end, a refusal or a failure
         """
         request.incarnation = self.incarnation
+        begun_s = current_time()
         sent = False
         reason = ""
         for attempt in range(_MOST_RESUMES + 1):
             request.resume = sent
+            request.age_ms = int((current_time() - begun_s) * 1000)
             channel = self._channel
             try:
                 async with SidecarStub(channel).Run.open() as stream:
@@ -120,7 +126,8 @@
                             if reply.WhichOneof("kind") in ("end", "refusal"):
                                 return
                 reason = "the stream ended early"
-            except LINK_ERRORS as error:
+            except CALL_ERRORS as error:
+                take_back_cancel()
                 reason = repr(error)
                 if not sent and attempt:
                     break
@@ -133,18 +140,25 @@
 
     async def cancel(self, attempt_id: str) -> None:
         """Tell the sidecar that nobody waits for an attempt; a lost message does no harm."""
-        with move_on_after(_CANCEL_S), suppress(*LINK_ERRORS):
+        with move_on_after(_CANCEL_S), suppress(*CALL_ERRORS), contain_call():
             await SidecarStub(self._channel).Cancel(CancelRequest(attempt_id=attempt_id))
 
+    async def describe(self) -> DescribeReply:
+        """:return: the state of the endpoint
+        :raises CALL_ERRORS: when the sidecar does not answer
+        """
+        with contain_call():
+            return await SidecarStub(self._channel).Describe(DescribeRequest())
+
     async def order(self, order: OrderRequest, timeout_s: float) -> OrderReply | Failure:
         """Give a planner's order.
 
         :return: the sidecar's answer, or a failure when none came
         """
         try:
-            with fail_after(timeout_s):
+            with contain_call(), fail_after(timeout_s):
                 return await SidecarStub(self._channel).Order(order)
-        except LINK_ERRORS as error:
+        except CALL_ERRORS as error:
             return Failure(Outcome.UNKNOWN, Step.ORDER, self.peer, repr(error))
 
     def _open_channel(self) -> Channel:
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/hostlist.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/hostlist.py
@@ -25,7 +25,7 @@
     """
 
     def __init__(self, base_url: str) -> None:
-        self._http = HttpClient(base_url, TIMEOUT_S, step=Step.CONFIGURE)
+        self._http = HttpClient(base_url, TIMEOUT_S, step=Step.CONFIGURE, reuse=True)
 
     async def hosts(self) -> Result[list[Host], Failure]:
         """:return: the hosts as listed now"""
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/store.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/store.py
@@ -106,7 +106,7 @@
     """
 
     def __init__(self, base_url: str, timeout_s: float = 2.0) -> None:
-        self._http = HttpClient(base_url, timeout_s, step=Step.STORE)
+        self._http = HttpClient(base_url, timeout_s, step=Step.STORE, reuse=True)
         self._timeout_s = timeout_s
 
     async def get(self, kind: str, name: str) -> Result[StoreObject | None, Failure]:
