--- /dev/null
+++ b/packages/kingcupdyke-tool/kingcupdyke_tool/__main__.py
@@ -0,0 +1,12 @@
+"""
+kingcupdyke_tool.__main__
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Runs the tool as a module.
+"""
+
+import sys
+
+from kingcupdyke_tool.cmdline import main
+
+sys.exit(main())
--- /dev/null
+++ b/packages/kingcupdyke-tool/kingcupdyke_tool/cmdline.py
@@ -0,0 +1,268 @@
+"""
+kingcupdyke_tool.cmdline
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+The command line of ``kingcupdyke``.
+"""
+
+import getpass
+import json
+import os
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+from secrets import token_hex
+from typing import Annotated
+
+import anyio
+from cappa import Arg, Subcommands, command, invoke
+from expression import Result
+
+from kingcupdyke.check import Problem
+from kingcupdyke.error import Failure
+from kingcupdyke.host import Host
+from kingcupdyke_tool.hosts import drain_host, explain_model, show_status
+from kingcupdyke_tool.report import ExitCode, Report, report_away, report_problems
+from kingcupdyke_tool.rules import (
+    ApplyRequest,
+    apply_rules,
+    check_rules,
+    show_history,
+    show_rules,
+)
+from kingcupdyke_tool.settings import ToolSettings, read_settings
+from kingcupdyke_wire.configlog import read_config
+from kingcupdyke_wire.hostlist import HostListClient
+from kingcupdyke_wire.store import HttpStoreClient, StoreClient
+
+__all__ = ["main"]
+
+#: Variable of the environment that holds the operator's token.
+TOKEN_VARIABLE = "KINGCUPDYKE_OPERATOR_TOKEN"
+#: Bytes of chance in a change's id.
+NONCE_BYTES = 6
+
+Json = Annotated[bool, Arg(long="--json", help="Print JSON for programs instead of text.")]
+Settings = Annotated[
+    Path,
+    Arg(long="--settings", help="YAML file with the lines store: URL and hosts: URL."),
+]
+RuleFilePath = Annotated[Path, Arg(value_name="FILE", help="The rule file.")]
+
+
+def _print(report: Report, as_json: bool) -> int:
+    if as_json:
+        data = {"exit_code": int(report.code), **report.data}
+        print(json.dumps(data, ensure_ascii=False, default=str))
+    else:
+        fine = report.code is ExitCode.FINE
+        print(report.text, file=sys.stdout if fine else sys.stderr)
+    return int(report.code)
+
+
+def _read_text(path: Path) -> str | Report:
+    try:
+        return path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return report_problems(str(path), [Problem(1, "", None, f"can't be read: {error}")])
+
+
+def _run(path: Path, run: Callable[[ToolSettings], Awaitable[Report]]) -> Report:
+    settings = read_settings(path)
+    if settings.is_error():
+        return report_problems(str(path), settings.error)
+    return anyio.run(run, settings.ok)
+
+
+async def _with_store(
+    run: Callable[[StoreClient], Awaitable[Report]], settings: ToolSettings
+) -> Report:
+    store = HttpStoreClient(settings.store)
+    try:
+        return await run(store)
+    finally:
+        await store.aclose()
+
+
+async def _with_hosts(
+    run: Callable[[list[Host]], Awaitable[Report]], settings: ToolSettings
+) -> Report:
+    client = HostListClient(settings.hosts)
+    try:
+        hosts = await client.hosts()
+    finally:
+        await client.aclose()
+    return report_away(hosts.error) if hosts.is_error() else await run(hosts.ok)
+
+
+def _token() -> str:
+    return os.environ.get(TOKEN_VARIABLE, "")
+
+
+def _check(arguments: "CheckCommand") -> int:
+    text = _read_text(arguments.file)
+    report = text if isinstance(text, Report) else check_rules(str(arguments.file), text)
+    return _print(report, arguments.json)
+
+
+def _apply(arguments: "ApplyCommand") -> int:
+    text = _read_text(arguments.file)
+    if isinstance(text, Report):
+        return _print(text, arguments.json)
+    author = arguments.author or getpass.getuser()
+    request = ApplyRequest(
+        str(arguments.file), text, author, arguments.base, token_hex(NONCE_BYTES)
+    )
+    run = partial(_with_store, lambda store: apply_rules(store, request))
+    return _print(_run(arguments.settings, run), arguments.json)
+
+
+def _show(arguments: "ShowCommand") -> int:
+    return _print(_run(arguments.settings, partial(_with_store, show_rules)), arguments.json)
+
+
+def _history(arguments: "HistoryCommand") -> int:
+    run = partial(_with_store, lambda store: show_history(store, arguments.change_id))
+    return _print(_run(arguments.settings, run), arguments.json)
+
+
+async def _read_head_version(settings: ToolSettings) -> Result[int, Failure]:
+    store = HttpStoreClient(settings.store)
+    try:
+        return (await read_config(store)).map(lambda read: read[0])
+    finally:
+        await store.aclose()
+
+
+async def _show_status(settings: ToolSettings) -> Report:
+    head = await _read_head_version(settings)
+    return await _with_hosts(lambda hosts: show_status(hosts, head, _token()), settings)
+
+
+def _status(arguments: "StatusCommand") -> int:
+    return _print(_run(arguments.settings, _show_status), arguments.json)
+
+
+def _explain(arguments: "ExplainCommand") -> int:
+    run = partial(
+        _with_hosts,
+        lambda hosts: explain_model(hosts, arguments.model, arguments.caller, _token()),
+    )
+    return _print(_run(arguments.settings, run), arguments.json)
+
+
+def _drain(arguments: "DrainCommand") -> int:
+    run = partial(_with_hosts, lambda hosts: drain_host(hosts, arguments.host, _token()))
+    return _print(_run(arguments.settings, run), arguments.json)
+
+
+@command(name="check", invoke=_check)
+@dataclass
+class CheckCommand:
+    """Name every mistake of a rule file at once. Needs no platform and changes nothing."""
+
+    file: RuleFilePath
+    json: Json = False
+
+
+@command(name="apply", invoke=_apply)
+@dataclass
+class ApplyCommand:
+    """Put a rule file in force, unless another operator was faster.
+
+    The file replaces all rules. It is taken only if nobody has changed the rules since
+    the version in its header, as `rules show` writes it.
+    """
+
+    file: RuleFilePath
+    settings: Settings
+    author: Annotated[
+        str, Arg(long="--author", help="Who makes the change; by default the login name.")
+    ] = ""
+    base: Annotated[
+        int | None,
+        Arg(long="--base", help="Version that the file was made from, in place of its header."),
+    ] = None
+    json: Json = False
+
+
+@command(name="show", invoke=_show)
+@dataclass
+class ShowCommand:
+    """Print the rules in force as a rule file, ready to be edited and applied."""
+
+    settings: Settings
+    json: Json = False
+
+
+@command(name="history", invoke=_history)
+@dataclass
+class HistoryCommand:
+    """Show the latest changes, or what became of the change with an id."""
+
+    settings: Settings
+    change_id: Annotated[
+        str, Arg(value_name="ID", help="Id that `rules apply` printed, such as 124-9f3c21d07a54.")
+    ] = ""
+    json: Json = False
+
+
+@command(name="rules")
+@dataclass
+class RulesCommand:
+    """Check, apply and show the rules: what is served, for whom, where and how urgently."""
+
+    action: Subcommands[CheckCommand | ApplyCommand | ShowCommand | HistoryCommand]
+
+
+@command(name="status", invoke=_status)
+@dataclass
+class StatusCommand:
+    """Show each host, whether it answers, and which version of the rules it has."""
+
+    settings: Settings
+    json: Json = False
+
+
+@command(name="explain", invoke=_explain)
+@dataclass
+class ExplainCommand:
+    """Say where a request for a model would go now, and why."""
+
+    model: Annotated[str, Arg(value_name="MODEL", help="Name of a model or an adapter.")]
+    settings: Settings
+    caller: Annotated[str, Arg(long="--caller", help="Name of the caller that would ask.")] = ""
+    json: Json = False
+
+
+@command(name="drain", invoke=_drain)
+@dataclass
+class DrainCommand:
+    """Have a host take no more work and finish what runs. Asking twice does no harm."""
+
+    host: Annotated[str, Arg(value_name="HOST", help="Name of the host as `status` shows it.")]
+    settings: Settings
+    json: Json = False
+
+
+@command(
+    name="kingcupdyke",
+    description=(
+        "Exit codes: 0 fine, 1 not done, 2 bad input, 3 conflict with another operator, "
+        "4 outcome unknown, 5 platform or host away."
+    ),
+)
+@dataclass
+class ToolCommand:
+    """Operate kingcupdyke: rules, status, explanations and planned stops."""
+
+    action: Subcommands[RulesCommand | StatusCommand | ExplainCommand | DrainCommand]
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """:param arguments: the words after the program's name; None takes the process's own
+    :return: the exit code
+    """
+    return invoke(ToolCommand, argv=arguments)
--- /dev/null
+++ b/packages/kingcupdyke-tool/kingcupdyke_tool/hostcalls.py
@@ -0,0 +1,131 @@
+"""
+kingcupdyke_tool.hostcalls
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Asking gateways and sidecars directly.
+"""
+
+import json
+from abc import ABC, abstractmethod
+from collections.abc import Mapping
+from urllib.parse import urlencode
+
+from anyio import fail_after
+from expression import Error, Ok, Result
+from google.protobuf.json_format import MessageToDict
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke.host import Host
+from kingcupdyke_wire.http import HttpAnswer, HttpClient
+from kingcupdyke_wire.sidecar_grpc import SidecarStub
+from kingcupdyke_wire.sidecar_pb2 import DescribeRequest, DrainRequest
+
+__all__ = ["GatewayCalls", "HostCalls", "SidecarCalls", "make_calls"]
+
+#: Seconds allowed for one answer of a host.
+CALL_TIMEOUT_S = 2.0
+STATUS_OK = 200
+
+Answer = Result[Mapping[str, object], Failure]
+
+
+class HostCalls(ABC):
+    """What the tool asks of one host; each answer is a mapping of JSON values.
+
+    :param host: the entry of the host list
+    :param token: bearer token of the operator, or the empty string
+    """
+
+    def __init__(self, host: Host, token: str = "") -> None:
+        self._host = host
+        self._token = token
+
+    @abstractmethod
+    async def describe(self) -> Answer:
+        """:return: the state of the host"""
+
+    @abstractmethod
+    async def drain(self) -> Answer:
+        """Ask the host to take no more work; asking again is idempotent.
+
+        :return: the work still in progress, as ``in_flight``
+        """
+
+    def _fail(self, outcome: Outcome, step: Step, reason: str) -> Failure:
+        return Failure(outcome, step, self._host.host, reason)
+
+
+class SidecarCalls(HostCalls):
+    """Asks a sidecar by its remote procedure calls."""
+
+    async def describe(self) -> Answer:
+        return await self._call("Describe", DescribeRequest())
+
+    async def drain(self) -> Answer:
+        return await self._call("Drain", DrainRequest(reason="operator"))
+
+    async def _call(self, method: str, request: DescribeRequest | DrainRequest) -> Answer:
+        channel = Channel(self._host.address, self._host.port)
+        connected = False
+        try:
+            with fail_after(CALL_TIMEOUT_S):
+                # Connecting first tells a call that was never sent from one without an answer.
+                await channel.__connect__()
+                connected = True
+                reply = await getattr(SidecarStub(channel), method)(request)
+        except (OSError, TimeoutError, GRPCError, StreamTerminatedError) as error:
+            reason = str(error) or type(error).__name__
+            if connected:
+                return Error(self._fail(Outcome.UNKNOWN, Step.RUN, reason))
+            return Error(self._fail(Outcome.NOT_RUN, Step.CONNECT, reason))
+        finally:
+            channel.close()
+        return Ok(
+            MessageToDict(
+                reply, preserving_proto_field_name=True, always_print_fields_with_no_presence=True
+            )
+        )
+
+
+class GatewayCalls(HostCalls):
+    """Asks a gateway by HTTP."""
+
+    async def describe(self) -> Answer:
+        return await self._request("GET", "/admin/status")
+
+    async def drain(self) -> Answer:
+        return await self._request("POST", "/admin/drain")
+
+    async def explain(self, model: str, caller: str) -> Answer:
+        """:return: where a request for a model would go, and why"""
+        query = urlencode({"model": model, "caller": caller})
+        return await self._request("GET", f"/admin/explain?{query}")
+
+    async def _request(self, method: str, path: str) -> Answer:
+        address = f"[{self._host.address}]" if ":" in self._host.address else self._host.address
+        url = f"http://{address}:{self._host.port}"
+        client = HttpClient(url, CALL_TIMEOUT_S, peer=self._host.host)
+        headers = {"authorization": f"Bearer {self._token}"} if self._token else {}
+        try:
+            answer = await client.request(method, path, headers)
+        finally:
+            await client.aclose()
+        return answer.bind(self._read)
+
+    def _read(self, answer: HttpAnswer) -> Answer:
+        try:
+            data = json.loads(answer.body)
+        except ValueError:
+            data = None
+        if answer.status == STATUS_OK and isinstance(data, Mapping):
+            return Ok(data)
+        reason = data.get("error") if isinstance(data, Mapping) else None
+        reason = f"status {answer.status}: {reason or 'an answer of another form'}"
+        return Error(self._fail(Outcome.FAILED, Step.RUN, reason))
+
+
+def make_calls(host: Host, token: str = "") -> HostCalls:
+    """:return: what asks a host of its kind"""
+    return GatewayCalls(host, token) if host.kind == "gateway" else SidecarCalls(host, token)
--- /dev/null
+++ b/packages/kingcupdyke-tool/kingcupdyke_tool/report.py
@@ -0,0 +1,61 @@
+"""
+kingcupdyke_tool.report
+~~~~~~~~~~~~~~~~~~~~~~~
+
+What a command gives back: an exit code, text for people and data for programs.
+"""
+
+from collections.abc import Iterable, Mapping
+from enum import IntEnum
+from typing import NamedTuple
+
+from kingcupdyke.check import Problem
+from kingcupdyke.error import Failure
+
+__all__ = ["ExitCode", "Report", "report_away", "report_problems"]
+
+
+class ExitCode(IntEnum):
+    """Exit codes of the tool."""
+
+    FINE = 0
+    #: The command was understood and has not done, or not found, what was asked for.
+    NOT_DONE = 1
+    #: The command line, the settings or the rule file have mistakes.
+    BAD_INPUT = 2
+    #: Another operator changed the rules first.
+    CONFLICT = 3
+    #: The change may or may not be in force.
+    UNKNOWN = 4
+    #: The store, the host list or the host could not be reached; nothing was done.
+    AWAY = 5
+
+
+class Report(NamedTuple):
+    """The result of a command."""
+
+    code: ExitCode
+    text: str
+    data: Mapping[str, object]
+
+
+def report_problems(source: str, problems: Iterable[Problem]) -> Report:
+    """:return: a report of every mistake, as ``SOURCE:LINE: FIELD: VALUE: REMEDY``"""
+    problems = list(problems)
+    lines = [_write_problem(source, problem) for problem in problems]
+    noun = "problem" if len(lines) == 1 else "problems"
+    text = "\n".join([*lines, f"{len(lines)} {noun}; nothing was changed"])
+    data = [problem._asdict() | {"value": str(problem.value)} for problem in problems]
+    return Report(ExitCode.BAD_INPUT, text, {"problems": data})
+
+
+def _write_problem(source: str, problem: Problem) -> str:
+    value = repr(problem.value) if problem.field else ""
+    parts = [f"{source}:{problem.line}", problem.field, value, problem.remedy]
+    return ": ".join(part for part in parts if part)
+
+
+def report_away(failure: Failure) -> Report:
+    """:return: a report that the platform or a host could not be reached"""
+    text = f"{failure.peer} could not be reached at step {failure.step}: {failure.reason}"
+    return Report(ExitCode.AWAY, f"{text}; nothing was done", {"failure": failure._asdict()})
