--- /dev/null
+++ b/packages/kingcupdyke-wire/features/steps/convert_steps.py
@@ -0,0 +1,72 @@
+"""
+convert_steps
+~~~~~~~~~~~~~
+
+Steps for news between peers.
+"""
+
+from behave import given, then, when
+
+from kingcupdyke.book import StoredRule
+from kingcupdyke.config import ConfigChange, ConfigReplica
+from kingcupdyke.membership import LeavingNews
+from kingcupdyke_wire.convert import accept_news, make_news, read_leaving
+from kingcupdyke_wire.peer_pb2 import News
+
+LEAVING = LeavingNews("praha-1", "b", 3, True)
+
+
+def make_replica(version):
+    replica = ConfigReplica(most_changes=4)
+    for each in range(1, version + 1):
+        put = StoredRule(f"caller/{each % 3}", f'{{"version":{each}}}', "Jana Nováková")
+        removes = (f"caller/{(each + 1) % 3}",)
+        replica.accept_change(ConfigChange(each, f"{each}-x", "Jana", (put,), removes))
+    return replica
+
+
+@given("convert's sender at version {version:d} that keeps 4 changes")
+def give_sender(context, version):
+    context.sender = make_replica(version)
+
+
+@given("convert's receiver at version {version:d}")
+def give_receiver(context, version):
+    context.receiver = make_replica(version)
+
+
+@when("convert's news goes over the wire {times:d} times")
+def send(context, times):
+    sent = make_news(context.sender, context.receiver.version, [LEAVING])
+    context.sent = News.FromString(sent.SerializeToString())
+    before = context.receiver.version
+    taken = [accept_news(context.receiver, context.sent) for _ in range(times)]
+    assert taken == [before < context.sender.version] + [False] * (times - 1)
+
+
+@then(
+    "convert sent {sent}, and the receiver is at version {version:d} "
+    "with the rules and the leaving news"
+)
+def check_receiver(context, sent, version):
+    versions = [str(change.version) for change in context.sent.changes]
+    parts = {"nothing": [], "a snapshot": []}
+    assert versions == parts.get(sent, sent.split()[1:])
+    assert context.sent.HasField("snapshot") is (sent == "a snapshot")
+    assert context.receiver.version == context.sender.version == version
+    assert context.receiver.book == context.sender.book
+    assert not context.receiver.needs_pull
+    held = context.receiver.changes_since(version - 1)
+    assert held in (None, context.sender.changes_since(version - 1))
+    assert [read_leaving(each) for each in context.sent.leaving] == [LEAVING]
+
+
+@when("convert's receiver hears only of the version")
+def hear_version(context):
+    accept_news(context.receiver, News(version=context.sender.version))
+
+
+@then("convert's receiver is at version {version:d} and needs a pull")
+def check_pull(context, version):
+    assert context.receiver.version == version
+    assert context.receiver.needs_pull
