Notice silence before the first byte, and resend what never arrived

Cause: a frozen engine connection was only noticed between parts of a stream, and an attempt whose message was lost with its connection was not sent again where one endpoint alone holds the model. Ruled out: a shorter deadline of the whole call, which would cut long answers. Conclusion: the same endpoint may be tried again after 'not run' at step relay.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/call.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/call.py
@@ -118,22 +118,25 @@
     async def _try(self, call: Call, sink: CallerSink) -> Failure | None:
         parts = self._parts
         request = call.request
-        tried: set[str] = set()
+        tried: list[str] = []
+        excluded: set[str] = set()
         outcome: Failure | None = None
         parts.budget.first_attempt(parts.timer.now())
         while True:
             links = parts.directory.links_for(request.target, call.service)
-            chosen = self._choose(call, links, tried)
+            chosen = self._choose(call, links, excluded)
             if chosen.is_error():
                 return _worse(outcome, chosen.error)
             choice = chosen.ok
-            tried.add(choice.endpoint)
+            tried.append(choice.endpoint)
             link = parts.directory.links_by_host[choice.endpoint]
             failure = await self._attempt(call, link, sink)
             if failure is None:
                 return None
             parts.metrics.count(f"attempt_{failure.outcome.value}")
             outcome = _worse(outcome, failure)
+            if not _is_lost_message(failure):
+                excluded.add(choice.endpoint)
             if sink.committed:
                 return outcome
             now_s = parts.timer.now()
@@ -208,6 +211,11 @@
         return Ok(None)
 
 
+def _is_lost_message(failure: Failure) -> bool:
+    """:return: whether only the message was lost, so that the same endpoint may be tried again"""
+    return failure.outcome is Outcome.NOT_RUN and failure.step is Step.RELAY
+
+
 def _encode(call: Call, attempt_id: str, now_s: float) -> RunRequest:
     request = call.request
     left_ms = max(1, min(_MOST_DEADLINE_MS, int((request.deadline_s - now_s) * 1000)))
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/backend.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/backend.py
@@ -8,15 +8,15 @@
 import json
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
-from contextlib import aclosing
+from contextlib import AsyncExitStack, aclosing, asynccontextmanager, suppress
 from typing import NamedTuple
 
-from anyio import fail_after
+from anyio import CancelScope, create_task_group, fail_after, sleep
 from expression import Error, Ok, Result
 
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke.rule import ServiceClass
-from kingcupdyke_wire.engine import EngineClient
+from kingcupdyke_wire.engine import EngineClient, EngineRun
 from kingcupdyke_wire.http import ExchangeError, HttpClient
 from kingcupdyke_wire.sidecar_pb2 import RunRequest
 
@@ -87,6 +87,14 @@
             request.path, request.body, request.attempt_id, priority, request.adapter, offset
         )
 
+    @asynccontextmanager
+    async def _open_soon(self, request: RunRequest, offset: int | None) -> AsyncIterator[EngineRun]:
+        """Open a stream whose head must come before the connection counts as silent."""
+        async with AsyncExitStack() as stack:
+            with fail_after(_SILENCE_S):
+                opened = await stack.enter_async_context(self._open(request, offset))
+            yield opened
+
     def _fail(self, reason: str, outcome: Outcome = Outcome.UNKNOWN) -> Failure:
         return Failure(outcome, Step.RUN, self._peer, reason)
 
@@ -102,6 +110,17 @@
         yield BackendPart(body)
 
     async def _read_whole(self, request: RunRequest) -> Result[tuple[BackendHead, bytes], Failure]:
+        read: list[Result[tuple[BackendHead, bytes], Failure]] = []
+        async with create_task_group() as tasks:
+            tasks.start_soon(self._probe, request, tasks.cancel_scope)
+            read.append(await self._read_once(request))
+            tasks.cancel_scope.cancel()
+        if read:
+            return read[0]
+        await self.cancel(request)
+        return Error(self._fail("the engine's connection went silent"))
+
+    async def _read_once(self, request: RunRequest) -> Result[tuple[BackendHead, bytes], Failure]:
         try:
             async with self._open(request) as opened:
                 if opened.request_id != request.attempt_id:
@@ -113,6 +132,18 @@
             return Error(self._fail("the engine's answer is not whole"))
         return Ok((BackendHead(opened.status, opened.content_type), body))
 
+    async def _probe(self, request: RunRequest, scope: CancelScope) -> None:
+        """End a wait whose answer must have come: the engine has ended the request, or lost it."""
+        while True:
+            await sleep(_SILENCE_S)
+            with suppress(ExchangeError, TimeoutError):
+                async with self._open(request, 0) as opened:
+                    async for _ in _read_events(opened.parts, 0):
+                        continue
+                break
+        await sleep(_SILENCE_S)
+        scope.cancel()
+
     async def _run_stream(
         self, request: RunRequest
     ) -> AsyncIterator[BackendHead | BackendPart | Failure]:
@@ -122,7 +153,7 @@
         for attempt in range(_MOST_RESUMES + 1):
             offset = events if attempt else None
             try:
-                async with self._open(request, offset) as opened:
+                async with self._open_soon(request, offset) as opened:
                     if opened.request_id != request.attempt_id:
                         reason = "the engine answered another request"
                         continue
