Hand models over by the core's machines, and drop dead holders from the records

Cause: the sidecar had a hand-over of its own beside the core's, and nobody took an endpoint that had died out of the residency records, so that a removal elsewhere could have counted on it. Conclusion: the planner drops holders of its own region that are unlisted or silent for 10 s; to drop one that lives only makes removals harder.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/directory.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/directory.py
@@ -27,6 +27,8 @@
 _LOGGER = logging.getLogger(__name__)
 #: Prefix blocks that are remembered over all endpoints.
 _MOST_PREFIXES = 200_000
+#: Seconds of silence after which a host's memory counts as lost.
+_GONE_S = 10.0
 
 
 class EndpointDirectory:
@@ -50,6 +52,7 @@
         self._tasks = tasks
         self._timer = timer
         self._scopes_by_host: dict[str, CancelScope] = {}
+        self._silent_since_by_host: dict[str, float] = {}
         self.links_by_host: dict[str, SidecarLink] = {}
         self.prefixes = PrefixIndex(_MOST_PREFIXES)
         self.loads = LoadTracker()
@@ -80,6 +83,14 @@
         """:return: whether a host is known to leave"""
         return self._membership.is_leaving(name)
 
+    def is_gone(self, name: str, now_s: float) -> bool:
+        """:return: whether a host is not listed any more, or has been silent for long"""
+        link = self.links_by_host.get(name)
+        if link is None:
+            return True
+        silent_s = self._silent_since_by_host.get(name)
+        return silent_s is not None and now_s - silent_s >= _GONE_S
+
     def is_usable(self, link: SidecarLink) -> bool:
         """:return: whether a sidecar answers and takes new work"""
         return link.usable and not self.is_leaving(link.host.host)
@@ -149,6 +160,7 @@
     def _heard(self, link: SidecarLink, beat: BeatReply) -> None:
         now_s = self._timer.now()
         name = link.host.host
+        self._silent_since_by_host.pop(name, None)
         self.hear_load(name, beat.load.running, beat.load.waiting, beat.load.token_interval_ms)
         self._membership.hear_answer(name, beat.load.incarnation, now_s, beat.load.leaving)
         link.config_version = self.config_version
@@ -162,6 +174,7 @@
         self.loads.heard(name, running, waiting, interval_ms / 1000, self._timer.now())
 
     def _went_silent(self, link: SidecarLink) -> None:
+        self._silent_since_by_host.setdefault(link.host.host, self._timer.now())
         self._membership.hear_silence(link.host.host, self._timer.now())
         _LOGGER.warning("peer silent: step=connect peer=%s host=%s", link.peer, link.host.host)
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
@@ -15,6 +15,7 @@
 from kingcupdyke.placement import EndpointInventory, Order, PlacementPolicy, PlacementView
 from kingcupdyke.rule import RuleSet
 from kingcupdyke.timer import TimerService
+from kingcupdyke_daemon.gateway.cleaner import HolderCleaner
 from kingcupdyke_daemon.gateway.directory import EndpointDirectory
 from kingcupdyke_daemon.gateway.link import SidecarLink
 from kingcupdyke_daemon.metrics import DaemonMetrics
@@ -67,6 +68,7 @@
         self._metrics = metrics
         self._timer = timer
         self._get_rules = get_rules
+        self._cleaner = HolderCleaner(region, directory, store)
 
     @property
     def fence(self) -> int | None:
@@ -80,6 +82,7 @@
             await self._keep_lease()
             if self.fence is not None:
                 await self._plan()
+                await self._cleaner.clean(self._timer.now())
 
     async def give_back(self) -> None:
         """Give the lease back at a planned stop, so that nobody waits for its expiry."""
@@ -150,7 +153,7 @@
         except CALL_ERRORS:
             return
         if reply.capacity_bytes:
-            leaving = reply.load.leaving or self._directory.is_leaving(name)
+            leaving = reply.handing_over or reply.load.leaving or self._directory.is_leaving(name)
             inventory_by_endpoint[name] = _make_inventory(name, reply, leaving)
 
     async def _propose(self, link: SidecarLink, order: Order, fence: int) -> None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/holdings.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/holdings.py
@@ -5,12 +5,21 @@
 This endpoint's entries in the store's records of which endpoints hold which model.
 """
 
-from collections.abc import Callable
-
-from anyio import sleep
-from expression import Ok, Result
-
-from kingcupdyke.error import Failure, Outcome
+from collections import deque
+from collections.abc import Callable, Collection
+
+from anyio import current_time, sleep
+from expression import Error, Ok, Result
+
+from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke.hand_over import HandOverCommand, HandOverMachine, MayGo, RequestLoad
+from kingcupdyke.removal import (
+    ReadResidency,
+    RemovalMachine,
+    RemovalRefused,
+    Removed,
+    WriteResidency,
+)
 from kingcupdyke.residency import (
     Holder,
     ResidencyRecord,
@@ -18,21 +27,21 @@
     decode_residency,
     drop_incarnation,
     encode_residency,
-    mark_leaving,
-    remove_holder,
 )
-from kingcupdyke_wire.store import Conflict, StoreClient
+from kingcupdyke_wire.store import Conflict, StoreClient, StoreObject
 
-__all__ = ["RESIDENCY_KIND", "HoldingDesk"]
+__all__ = ["RESIDENCY_KIND", "HoldingDesk", "carry_residency"]
 
 #: Kind of the objects that list the holders of a model.
 RESIDENCY_KIND = "residency"
 #: Seconds between tries to state what is true while the store is away.
 _RETRY_S = 0.5
-#: Tries of a removal, which may be refused.
-_MOST_TRIES = 6
+#: Steps after which a removal is given up.
+_MOST_STEPS = 12
+#: Seconds between readings while others load what this endpoint hands over.
+_POLL_S = 0.25
 
-Update = Callable[[ResidencyRecord], Result[ResidencyRecord, Failure]]
+Update = Callable[[ResidencyRecord], ResidencyRecord]
 
 
 class HoldingDesk:
@@ -62,42 +71,79 @@
     async def add(self, model: str) -> None:
         """State that the model is resident here, however long the store is away."""
         holder = self._make_holder()
-        await self._insist(model, lambda record: Ok(add_holder(record, self._endpoint, holder)))
+        await self._insist(model, lambda record: add_holder(record, self._endpoint, holder))
 
     async def drop(self, model: str, incarnation: str) -> None:
         """State that an engine's restart has lost the model."""
         await self._insist(
-            model, lambda record: Ok(drop_incarnation(record, self._endpoint, incarnation))
+            model, lambda record: drop_incarnation(record, self._endpoint, incarnation)
         )
 
-    async def mark_leaving(self, model: str, leaving: bool) -> None:
-        """State whether this host is about to go."""
-        host = self._make_holder().host
-        await self._insist(model, lambda record: Ok(mark_leaving(record, host, leaving)))
-
     async def remove(self, model: str) -> Result[None, Failure]:
         """Ask to stop holding a model.
 
         :return: nothing once the store has taken it, or a failure, after which the model stays
         """
-        needed = self._get_needed(model)
-        leaving = self._get_leaving()
-        for _ in range(_MOST_TRIES):
-            changed = await self._update(
-                model, lambda record: remove_holder(record, self._endpoint, needed, leaving)
-            )
-            # After an unknown write the next reading shows whether it took effect.
-            if changed.is_ok() or changed.error.outcome is not Outcome.UNKNOWN:
-                break
-        return changed
-
-    async def read(self, model: str) -> Result[ResidencyRecord, Failure]:
-        """:return: the record of a model, empty where there is none"""
-        read = await self._store.get(RESIDENCY_KIND, model)
-        return read.map(
-            lambda found: decode_residency(found.value) if found else ResidencyRecord(model, {})
+        machine = RemovalMachine(
+            model, self._endpoint, self._get_needed(model), self._get_leaving()
+        )
+        command = machine.start()
+        for _ in range(_MOST_STEPS):
+            if isinstance(command, Removed):
+                return Ok(None)
+            if isinstance(command, RemovalRefused):
+                return Error(command.failure)
+            found = await carry_residency(self._store, command)
+            if found.is_error():
+                if found.error.outcome is not Outcome.UNKNOWN:
+                    return found.map(lambda _: None)
+                command = machine.residency_unknown()
+            elif isinstance(command, ReadResidency):
+                command = machine.residency_read(*found.ok)
+            elif found.ok is None:
+                command = machine.residency_written()
+            else:
+                command = machine.residency_conflict(*found.ok)
+        return Error(
+            Failure(Outcome.NOT_RUN, Step.STORE, self._endpoint, "too many rival updates", 1.0)
         )
 
+    async def hand_over(self, models: Collection[str], bound_s: float) -> tuple[str, ...]:
+        """Leave the records of all models as soon as others hold them.
+
+        :param bound_s: seconds after which the endpoint goes in any case
+        :return: models that it left without enough other holders
+        """
+        needed = {model: self._get_needed(model) for model in models}
+        host = self._make_holder().host
+        machine = HandOverMachine(self._endpoint, host, needed, bound_s, _POLL_S)
+        commands = deque(machine.start(current_time()))
+        while True:
+            if not commands:
+                await sleep(_POLL_S)
+                commands += machine.tick(current_time())
+                continue
+            command = commands.popleft()
+            if isinstance(command, MayGo):
+                return command.left_models
+            if not isinstance(command, RequestLoad):
+                commands += await self._step(machine, command)
+
+    async def _step(
+        self, machine: HandOverMachine, command: ReadResidency | WriteResidency
+    ) -> list[HandOverCommand]:
+        found = await carry_residency(self._store, command)
+        now_s = current_time()
+        if isinstance(command, ReadResidency):
+            return machine.residency_read(command.model, *found.ok, now_s) if found.is_ok() else []
+        model = command.record.model
+        if found.is_error():
+            unknown = found.error.outcome is Outcome.UNKNOWN
+            return machine.residency_unknown(model, now_s) if unknown else []
+        if found.ok is None:
+            return machine.residency_written(model, now_s)
+        return machine.residency_conflict(model, *found.ok, now_s)
+
     async def _insist(self, model: str, update: Update) -> None:
         while (await self._update(model, update)).is_error():
             await sleep(_RETRY_S)
@@ -105,19 +151,37 @@
     async def _update(self, model: str, update: Update) -> Result[None, Failure]:
         """Make one conditional update, again on each conflict."""
         while True:
-            read = await self._store.get(RESIDENCY_KIND, model)
+            read = await carry_residency(self._store, ReadResidency(model))
             if read.is_error():
                 return read.map(lambda _: None)
-            version = read.ok.version if read.ok else 0
-            record = decode_residency(read.ok.value) if read.ok else ResidencyRecord(model, {})
-            changed = update(record)
-            if changed.is_error():
-                return changed.map(lambda _: None)
-            if changed.ok == record:
+            record, version = read.ok
+            changed = update(record or ResidencyRecord(model, {}))
+            if changed == record:
                 return Ok(None)
-            value = encode_residency(changed.ok)
-            written = await self._store.put(RESIDENCY_KIND, model, value, version)
+            written = await carry_residency(self._store, WriteResidency(changed, version))
             if written.is_error():
                 return written.map(lambda _: None)
-            if not isinstance(written.ok, Conflict):
+            if written.ok is None:
                 return Ok(None)
+
+
+async def carry_residency(
+    store: StoreClient, command: ReadResidency | WriteResidency
+) -> Result[tuple[ResidencyRecord | None, int] | None, Failure]:
+    """Carry out one command.
+
+    :return: the record and its version as they are, or None when the write took effect
+    """
+    if isinstance(command, ReadResidency):
+        read = await store.get(RESIDENCY_KIND, command.model)
+        return read.map(_decode)
+    record = command.record
+    value = encode_residency(record)
+    written = await store.put(RESIDENCY_KIND, record.model, value, command.if_version)
+    return written.map(
+        lambda answer: _decode(answer.current) if isinstance(answer, Conflict) else None
+    )
+
+
+def _decode(found: StoreObject | None) -> tuple[ResidencyRecord | None, int]:
+    return (decode_residency(found.value), found.version) if found else (None, 0)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
@@ -150,25 +150,10 @@
         """Let planners load this endpoint's last replicas elsewhere, within a bound of time."""
         if self._orders is None or not self._orders.ready:
             return
-        end_s = current_time() + _HAND_OVER_S
-        for model in self._orders.models:
-            self._tasks.start_soon(self._holdings.mark_leaving, model, True)
-        while current_time() < end_s:
-            await sleep(_HAND_OVER_S / 20)
-            if await self._is_replaced():
-                return
-        _LOGGER.warning("left without hand-over: step=order models=%s", sorted(self._orders.models))
-
-    async def _is_replaced(self) -> bool:
-        leaving = self._get_leaving()
-        for model in self._orders.models:
-            read = await self._holdings.read(model)
-            if read.is_error():
-                return False
-            holders = read.ok.holders_by_endpoint.values()
-            if all(each.leaving or each.host in leaving for each in holders):
-                return False
-        return True
+        self._state.handing_over = True
+        left = await self._holdings.hand_over(self._orders.models, _HAND_OVER_S)
+        if left:
+            _LOGGER.warning("left without hand-over: step=order models=%s", ",".join(left))
 
     def _get_leaving(self) -> frozenset[str]:
         membership = self._spreader.membership
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/service.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/service.py
@@ -76,6 +76,8 @@
         self._get_version = get_version
         self._is_leaving = is_leaving
         self.incarnation = incarnation
+        #: Whether models are being handed over; new work is still taken then.
+        self.handing_over = False
         self.engine_load: EngineLoad | None = None
         self.cache_incarnation = ""
         self.cache_events: deque[CacheEvent] = deque(maxlen=_MOST_CACHE_EVENTS)
@@ -126,6 +128,7 @@
             config_version=self._get_version(),
             role=inventory.role if inventory else "",
             pending_orders=orders.pending if orders else (),
+            handing_over=self.handing_over,
             engine_incarnation=inventory.incarnation if inventory else "",
         )
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -61,7 +61,7 @@
 def apply_rules(user: User, site: Site) -> None:
     """Apply the user's rule file by the operators' tool."""
     command = [sys.executable, "-m", "kingcupdyke_tool", "rules", "apply", str(user.rule_file)]
-    command += ["--settings", str(site.tool_settings)]
+    command += ["--settings", str(site.tool_settings), "--author", "demo"]
     done = subprocess.run(command, capture_output=True, text=True, env=os.environ, check=False)
     print(f"rules apply: exit {done.returncode}: {done.stdout.strip().splitlines()[-1:]}")
     if done.returncode:
