Take a repeated order as under way until it is closed again

A repeat may be sent after the engine restarted, but the reading between bound it to the engine before, so the restart settled it and its memory was given out twice. Not repeating was ruled out, as a lost order is settled fastest by a repeat of its id.

--- a/packages/kingcupdyke/features/ledger.feature
+++ b/packages/kingcupdyke/features/ledger.feature
@@ -50,6 +50,8 @@
       | ignores | engine restarted, reading older than the closing | take; order L load a 60; restart; send L; close L; hand; read; refuse M load b 40; arrive L; end L | 30 | L | - |
       | ignores | engine restarted, order sent again | order L load a 60; send L; arrive L; read; close L; restart; order L load a 60; send L; read; refuse M load b 40; arrive L; end L | 30 | L | - |
       | ignores | engine restarted, reading older than the repeat | order L load a 60; send L; arrive L; read; close L; take; restart; order L load a 60; send L; hand; read; refuse M load b 40; arrive L; end L | 30 | L | - |
+      | ignores | engine restarted between a repeat and its sending | order L load a 60; send L; lose L; close L; order L load a 60; read; read; restart; send L; read; refuse M load b 40; arrive L; end L | 30 | L | - |
+      | ignores | engine restarted between a repeat and its sending, order had begun | order L load a 60; send L; arrive L; close L; order L load a 60; read; read; restart; send L; read; refuse M load b 40; arrive L; end L | 30 | L | - |
       | ignores | engine restarted, done order sent again | order L load a 60; send L; arrive L; end L; close L; read; restart; order L load a 60; send L; read; refuse M load b 40; arrive L; end L | 30 | L | - |
       | ignores | engine restarted, answer to come | order M load b 60; read; restart; read; read; send M; refuse N load c 40; arrive M; end M; read | 30 | M | b |
       | ignores | reading older than an answer | order L load a 60; send L; arrive L; take; end L; answer L; hand; refuse M load b 40 | 30 | - | a |
--- a/packages/kingcupdyke/kingcupdyke/ledger.py
+++ b/packages/kingcupdyke/kingcupdyke/ledger.py
@@ -106,7 +106,8 @@
     ) -> Result[Reservation, Failure]:
         """Set memory aside for an order before it is sent.
 
-        :param order: the order; a repeat of its id returns the same reservation
+        :param order: the order; a repeat of its id returns the same reservation, and counts as
+            sent again until it is answered or unanswered again
         :param now_s: time in seconds of the timer service
         :param lifetime_s: seconds after which the engine drops the order
         :return: the reservation, or a failure when the order does not fit
--- a/packages/kingcupdyke/kingcupdyke/reservation.py
+++ b/packages/kingcupdyke/kingcupdyke/reservation.py
@@ -81,6 +81,7 @@
         """
         self.expires_s = max(self.expires_s, expires_s)
         self.bound_incarnation = ""
+        self.closed = False
         self.sent_at = event
 
     @property
@@ -98,10 +99,15 @@
         state = inventory.orders.get(self.order.order_id, "")
         if state:
             self.state = state
-        was_closed = self.closed and self.closed_at <= asked_at and not self.adopted
-        if state or (was_closed and not self.bound_incarnation):
+        if not self.bound_incarnation and self._has_left(state, asked_at):
             self.bound_incarnation = inventory.incarnation
 
+    def _has_left(self, state: str, asked_at: int) -> bool:
+        """:return: whether each sending of it was to the engine of the reading or an earlier one"""
+        if state and not self.sent_at:
+            return True
+        return self.closed and self.closed_at <= asked_at and not self.adopted
+
     def is_stranded(self, incarnation: str) -> bool:
         """:return: whether the engine that it was sent to is gone"""
         return self.bound_incarnation not in ("", incarnation)
