--- a/packages/kingcupdyke/features/lease.feature
+++ b/packages/kingcupdyke/features/lease.feature
@@ -51,3 +51,6 @@
 
   Scenario: A record is read back as it was written
     Then lease: a record is the same when read back, and "no JSON" and "[]" are refused
+
+  Scenario: Random ticks, pauses, lost answers and outages
+    Then lease: no two processes hold the same number in any order of events
--- /dev/null
+++ b/packages/kingcupdyke/features/lease_story.py
@@ -0,0 +1,123 @@
+"""
+lease_story
+~~~~~~~~~~~
+
+Processes that share a lease, each with a clock of its own, and the store between them.
+"""
+
+from fake_engine import FakeStore
+
+from kingcupdyke.lease import LeaseMachine, ReadLease
+
+OFFSETS_S = {"p": 0.0, "q": 1000.0, "r": -500.0}
+
+
+class LeaseStory:
+    """Runs events; a word for names takes several, parted by commas."""
+
+    def __init__(self):
+        self.store = FakeStore()
+        self.now_s = 0.0
+        self.machines = {name: LeaseMachine("l", name, 10.0, 3.0) for name in OFFSETS_S}
+        self.commands = {}
+        self.answers = {}
+
+    def run(self, events):
+        for event in events.split(";"):
+            name, *words = event.split()
+            getattr(self, name)(*words)
+
+    def clock(self, name):
+        return self.now_s + OFFSETS_S[name]
+
+    def numbers(self):
+        numbers = [each.fence_at(self.clock(name)) for name, each in self.machines.items()]
+        return " ".join(str(each or "-") for each in numbers)
+
+    def tick(self, names):
+        for name in names.split(","):
+            command = self.machines[name].tick(self.clock(name))
+            if command is not None:
+                assert name not in self.commands, "two commands at once"
+                self.commands[name] = command
+
+    def act(self, name):
+        """The store carries the command out; its answer is on its way."""
+        command = self.commands.pop(name)
+        if not isinstance(command, ReadLease):
+            self.answers[name] = self.store.put("l", command.record, command.if_version)
+        elif self.store.is_down:
+            self.answers[name] = "down", None, 0
+        else:
+            self.answers[name] = "read", *self.store.get("l")
+
+    def answer(self, name):
+        happened, record, version = self.answers.pop(name)
+        machine, now_s = self.machines[name], self.clock(name)
+        if happened == "written":
+            command = machine.lease_written(version, now_s)
+        elif happened in ("down", "unknown"):
+            command = machine.store_failed(now_s, happened == "unknown")
+        else:
+            event = {"read": machine.lease_read, "conflict": machine.lease_conflict}[happened]
+            command = event(record, version, now_s)
+        if command is not None:
+            self.commands[name] = command
+
+    def do(self, names):
+        for name in names.split(","):
+            self.act(name)
+            self.answer(name)
+
+    def fail(self, name):
+        """A write never reaches the store, and nobody knows."""
+        self.commands.pop(name)
+        self.machines[name].store_failed(self.clock(name), True)
+
+    def slow(self, name, seconds):
+        """Time passes while an answer is on its way."""
+        for _ in range(int(seconds)):
+            self.now_s += 1
+            self.tick(name)
+
+    def live(self, names, seconds):
+        """Processes tick each second, and the store answers them at once."""
+        for _ in range(int(seconds)):
+            self.tick(names)
+            for name in names.split(","):
+                while name in self.commands:
+                    self.do(name)
+            self.now_s += 1
+
+    def quiet(self, name, seconds):
+        for _ in range(int(seconds)):
+            self.now_s += 1
+            self.tick(name)
+            assert name not in self.commands, self.commands
+
+    def stray(self, name):
+        assert self.machines[name].lease_written(7, self.clock(name)) is None
+
+    def wait(self, seconds):
+        self.now_s += float(seconds)
+
+    def down(self):
+        self.store.is_down = True
+
+    def up(self):
+        self.store.is_down = False
+
+    def lose(self):
+        self.store.loses_answers = True
+
+    def delete(self):
+        del self.store.objects["l"]
+
+    def again(self, name):
+        self.machines[name] = LeaseMachine("l", name, 10.0, 3.0)
+
+    def release(self, name):
+        command = self.machines[name].release(self.clock(name))
+        if command is not None:
+            assert name not in self.commands, "two commands at once"
+            self.commands[name] = command
--- a/packages/kingcupdyke/features/ledger.feature
+++ b/packages/kingcupdyke/features/ledger.feature
@@ -18,7 +18,7 @@
       | ignores | order lost, lifetime not over | order L load a 40; send L; lose L; close L; wait 9; read; read | 50 | L | - |
       | ignores | order lost, reading asked too early | order L load a 40; send L; lose L; close L; wait 9; read; wait 2; read | 50 | L | - |
       | ignores | order lost, lifetime over | order L load a 40; send L; lose L; close L; wait 11; read; read | 90 | - | - |
-      | ignores | lost, then sent again | order L load a 60; send L; close L; wait 9; order L load a 60; send L; wait 5; read; read; refuse M load b 40; arrive L; end L | 30 | L | - |
+      | ignores | lost, then sent again | order L load a 60; send L; close L; wait 9; order L load a 60; send L; close L; wait 5; read; read; refuse M load b 40; arrive L; end L | 30 | L | - |
       | ignores | order late, sender dead | order L load a 60; send L; successor; refuse M load b 40; arrive L; end L; wait 11; read; read | 30 | - | a |
       | ignores | answer lost | order L load a 40; send L; arrive L; end L; close L; read | 50 | L | a |
       | ignores | answer lost, lifetime over | order L load a 40; send L; arrive L; end L; close L; wait 11; read; read | 50 | - | a |
--- a/packages/kingcupdyke/kingcupdyke/ledger.py
+++ b/packages/kingcupdyke/kingcupdyke/ledger.py
@@ -117,8 +117,7 @@
         if _get_effect(known) != _get_effect(order):
             return self._refuse(f"order {order.order_id} stands for another order")
         if opened is not None:
-            self._events += 1
-            opened.repeat(now_s + lifetime_s, self._events)
+            opened.repeat(now_s + lifetime_s)
             return Ok(opened.reservation)
         extra_bytes = self._extra(order)
         checked = self._check_fit(order.order_bytes, extra_bytes)
--- a/packages/kingcupdyke/kingcupdyke/reservation.py
+++ b/packages/kingcupdyke/kingcupdyke/reservation.py
@@ -45,9 +45,10 @@
         self.state = ""
         #: An incarnation of the engine after which the order can no longer arrive.
         self.bound_incarnation = ""
-        #: Counts of events at which the connection was closed and the order last repeated.
+        #: Count of events at which the connection was closed.
         self.closed_at = 0
-        self.sent_at = 0
+        #: Whether it may have been sent more than once.
+        self.is_repeated = False
         #: Whether the engine's "done" may be older than what is resident now: the id is a repeat,
         #: or another order for the same name ended meanwhile.
         self.contested = False
@@ -73,16 +74,15 @@
         """:return: the kind of thing and its name that the order is about"""
         return get_target(self.order)
 
-    def repeat(self, expires_s: float, event: int) -> None:
+    def repeat(self, expires_s: float) -> None:
         """Note that it may be sent once more.
 
         :param expires_s: time after which the engine drops the repeat
-        :param event: count of events at which it may have left
         """
         self.expires_s = max(self.expires_s, expires_s)
         self.bound_incarnation = ""
         self.closed = False
-        self.sent_at = event
+        self.is_repeated = True
 
     @property
     def has_begun(self) -> bool:
@@ -94,8 +94,6 @@
 
         :param asked_at: count of events when the inventory was asked for
         """
-        if asked_at < self.sent_at:
-            return
         state = inventory.orders.get(self.order.order_id, "")
         if state:
             self.state = state
@@ -104,7 +102,7 @@
 
     def _has_left(self, state: str, asked_at: int) -> bool:
         """:return: whether each sending of it was to the engine of the reading or an earlier one"""
-        if state and not self.sent_at:
+        if state and not self.is_repeated:
             return True
         return self.closed and self.closed_at <= asked_at and not self.adopted
 
