--- a/features/environment.py
+++ b/features/environment.py
@@ -88,6 +88,19 @@
     context.execute_steps("Given the site is ready")
 
 
+def after_scenario(context, scenario):
+    if "site" not in scenario.effective_tags:
+        return
+    # What a failed scenario left behind must not fail the next one.
+    standins = [context.site.store, *context.site.engines_by_name.values()]
+    for processes in context.site.services_by_name.values():
+        standins += processes
+    standins += context.site.links_by_way.values()
+    for process in standins:
+        if process.is_running():
+            process.reset_faults()
+
+
 def after_feature(context, feature):
     if "site" in feature.tags:
         context.site.__exit__(None, None, None)
--- a/features/steps/site_steps.py
+++ b/features/steps/site_steps.py
@@ -8,9 +8,9 @@
 from time import monotonic, sleep
 
 from behave import step, then, when
-from environment import CALLERS
 
 READY_TIMEOUT_S = 20.0
+REPLICAS_BY_MODEL = {"chat-7b": 2, "plan-13b": 1, "south-3b": 1}
 LOOK_S = 0.1
 
 
@@ -22,7 +22,8 @@
         if found:
             return found
         sleep(LOOK_S)
-    raise AssertionError(f"not within {timeout_s:g} s: {what}")
+    reason = what() if callable(what) else what
+    raise AssertionError(f"not within {timeout_s:g} s: {reason}")
 
 
 def read_status(context, name):
@@ -30,27 +31,34 @@
     return context.site.gateways_by_name[name].call("GET", "/admin/status")
 
 
-def is_ready(context):
-    """:return: whether each gateway knows each endpoint with what it holds"""
-    expected = {"chat-7b", "plan-13b", "south-3b"}
+def find_lack(context):
+    """:return: what the site lacks to be ready, or the empty string"""
     for name, gateway in context.site.gateways_by_name.items():
         if not gateway.is_running():
-            return False
-        status = read_status(context, name)
-        endpoints = status["endpoints"]
-        if len(endpoints) < len(context.site.sidecars_by_name):
-            return False
-        if not all(each["answers"] and not each["leaving"] for each in endpoints.values()):
-            return False
-        versions = [each["config_version"] for each in endpoints.values()]
-        if min([status["config_version"], *versions]) < context.version:
-            return False
-        held = {model for each in endpoints.values() for model in each["models"]}
-        if not expected <= held:
-            return False
-        if sum("chat-7b" in each["models"] for each in endpoints.values()) < 2:
-            return False
-    return True
+            return f"{name} does not run"
+        lack = find_gateway_lack(context, read_status(context, name))
+        if lack:
+            return f"{name}: {lack}"
+    return ""
+
+
+def find_gateway_lack(context, status):
+    """:return: what a gateway lacks by its status, or the empty string"""
+    endpoints = status["endpoints"]
+    missing = context.site.sidecars_by_name.keys() - endpoints.keys()
+    if missing:
+        return f"does not know {sorted(missing)}"
+    for name, each in endpoints.items():
+        if not each["answers"] or each["leaving"]:
+            return f"{name} does not answer or leaves"
+    versions = [each["config_version"] for each in endpoints.values()]
+    if min([status["config_version"], *versions]) < context.version:
+        return f"an old version: {status['config_version']}, {versions}"
+    held = [model for each in endpoints.values() for model in each["models"]]
+    for model, replicas in REPLICAS_BY_MODEL.items():
+        if held.count(model) < replicas:
+            return f"too few replicas of {model}: {held}"
+    return ""
 
 
 def find_process(context, name):
@@ -66,8 +74,9 @@
 
 @step("the site is ready")
 def wait_ready(context):
-    wait_until(lambda: is_ready(context), READY_TIMEOUT_S, "the site is ready")
-    assert CALLERS
+    wait_until(
+        lambda: not find_lack(context), READY_TIMEOUT_S, lambda: f"ready: {find_lack(context)}"
+    )
 
 
 @step("{name} is killed")
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/directory.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/directory.py
@@ -147,14 +147,16 @@
 
     async def _carry(self, link: SidecarLink, scope: CancelScope) -> None:
         with scope:
-            await link.beat_forever()
+            try:
+                await link.beat_forever()
+            finally:
+                link.close()
 
     def _close(self, name: str) -> None:
         link = self.links_by_host.pop(name)
         self._scopes_by_host.pop(name).cancel()
         self.prefixes.forget(name)
         self.loads.forget(name)
-        link.close()
         _LOGGER.info("link closed: step=connect peer=%s host=%s", link.peer, name)
 
     def _heard(self, link: SidecarLink, beat: BeatReply) -> None:
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/process.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/process.py
@@ -16,6 +16,8 @@
 from subprocess import PIPE, Popen, TimeoutExpired
 from typing import Self
 
+from kingcupdyke_standins.faults import SWITCHES_BY_STANDIN
+
 __all__ = ["DaemonProcess", "ListeningProcess", "StandinProcess"]
 
 #: First word of the line that a process prints once it listens.
@@ -155,6 +157,14 @@
         """Set switches by name."""
         self.call("PUT", "/faults", values)
 
+    def reset_faults(self) -> None:
+        """Set all switches to what they are at the start."""
+        names = self.call("GET", "/faults")
+        switches = next(
+            each for each in SWITCHES_BY_STANDIN.values() if each.keys() == names.keys()
+        )
+        self.set_faults(**{name: switch.default for name, switch in switches.items()})
+
     def violations(self) -> list[str]:
         """:return: what was seen that must never be"""
         return self.call("GET", "/violations")["violations"]
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/calls.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/calls.py
@@ -8,9 +8,7 @@
 from asyncio import current_task
 from collections.abc import Generator
 from contextlib import contextmanager
-from math import inf
 
-from anyio import current_effective_deadline
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 __all__ = ["CALL_ERRORS", "contain_call", "take_back_cancel"]
@@ -37,9 +35,10 @@
 
 
 def take_back_cancel() -> None:
-    """Take back what grpclib's cancel of this task has left, unless a scope is cancelled."""
-    if current_effective_deadline() == -inf:
-        return
+    """Take back what grpclib's cancels of this task have left.
+
+    A scope that is cancelled cancels the task anew for as long as the task stays in it.
+    """
     task = current_task()
     while task.cancelling():
         task.uncancel()
