--- a/packages/kingcupdyke/features/config.feature
+++ b/packages/kingcupdyke/features/config.feature
@@ -17,6 +17,7 @@
       | snapshot 9, change 6, change 10              | 10      | no   |
       | snapshot 3, snapshot 5                       | 5       | no   |
       | change 6, snapshot 5, change 7               | 7       | no   |
+      | snapshot 8, snapshot 6, snapshot 9           | 9       | no   |
       | word of 9                                    | 5       | yes  |
 
   Scenario Outline: A peer that fell behind gets the changes, or a snapshot
--- a/packages/kingcupdyke/features/steps/config_steps.py
+++ b/packages/kingcupdyke/features/steps/config_steps.py
@@ -26,6 +26,8 @@
 
 DATA_CENTRES = ("praha-1", "praha-2", "brno-1")
 MOST_CHANGES = 4
+#: More than the pushes of one change, each doubled, over all hosts of the net.
+MOST_DELIVERIES = 1000
 
 
 def make_change(version):
@@ -153,7 +155,10 @@
         self.fell_back |= replica.version < before
 
     def flush(self):
+        deliveries = 0
         while self.pushes:
+            deliveries += 1
+            assert deliveries <= MOST_DELIVERIES, "news is passed on for ever"
             if self.scrambled:
                 self.rng.shuffle(self.pushes)
             centre, name, change = self.pushes.pop()
