--- a/packages/kingcupdyke-wire/kingcupdyke_wire/ruletext.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/ruletext.py
@@ -90,7 +90,7 @@
 
 
 def _write_seconds(seconds: float) -> str:
-    text = f"{seconds:g}s"
-    if "e" not in text and get_seconds_opt({"time": text}, "time") == seconds:
-        return text
+    for text in (f"{seconds * 1000:g}ms" if seconds < 1 else "", f"{seconds:g}s"):
+        if text and "e" not in text and get_seconds_opt({"time": text}, "time") == seconds:
+            return text
     return json.dumps(seconds)
