Let the planners of several regions share the work without a message

Cause: each region's planner proposed for all endpoints and only its own orders were sent. Orders for others took half of its rate, and two planners with different demand could each wait for the other for ever. Ruled out: one planner for all regions, which a lost link would stop. After: all have one within 60 rounds, one copy too many at most, and a lone planner takes over after a minute. Conclusion: the region is chosen by what all planners see alike.

--- a/packages/kingcupdyke/features/fleet_fake.py
+++ b/packages/kingcupdyke/features/fleet_fake.py
@@ -13,7 +13,27 @@
 from kingcupdyke.placement import OrderKind, PlacementView
 from kingcupdyke.placements.fleet import get_model_bytes
 
-__all__ = ["FleetFake"]
+__all__ = ["FleetFake", "RegionPlanners"]
+
+
+class RegionPlanners:
+    """One planner for each region, each knowing the demand of its own region only.
+
+    :param planners: policy by region; a region may lack one
+    """
+
+    def __init__(self, planners):
+        self.planners = planners
+
+    def plan(self, view, now_s):
+        orders = []
+        for region, planner in self.planners.items():
+            demand = {key: rate for key, rate in view.demand_by_model.items() if key[1] == region}
+            own = planner.plan(view._replace(demand_by_model=demand), now_s)
+            regions = {view.inventory_by_endpoint[each.endpoint].region for each in own}
+            assert regions <= {region}, own
+            orders += own
+        return orders
 
 
 class FleetFake:
--- a/packages/kingcupdyke/features/placements.feature
+++ b/packages/kingcupdyke/features/placements.feature
@@ -47,6 +47,19 @@
     When the placement runs 5 rounds and another planner 60 more
     Then placement loaded 6 to 7 times
 
+  Scenario Outline: The planners of the regions share the work and the store's rate without a message
+    Given static placement of <models> models with 1 replicas
+    And the placement regions <regions> have a planner each
+    When the placement runs <rounds> rounds with 9 requests a second for m0 and m1 in north
+    Then placement holds each of <models> models on at least one endpoint
+    And placement loaded <models> to <most> times, at most <burst> in any 4 rounds
+
+    # Without the other region's planner, a model waits for it a minute and is then taken over.
+    Examples:
+      | regions     | models | rounds | most | burst |
+      | north,south | 10     | 60     | 11   | 6     |
+      | north       | 6      | 100    | 6    | 3     |
+
   Scenario Outline: Moves are weighed against attainment
     Given greedy store_region=north <options> placement of 2 models with 1 replicas
     When the placement runs 60 rounds with <demand> requests a second for m0 in <region>
--- a/packages/kingcupdyke/features/steps/placements_steps.py
+++ b/packages/kingcupdyke/features/steps/placements_steps.py
@@ -9,7 +9,7 @@
 
 from behave import given, then, when
 from builders import make_model, make_rules
-from fleet_fake import FleetFake
+from fleet_fake import FleetFake, RegionPlanners
 
 from kingcupdyke.placements import get_placement
 from kingcupdyke.placements.share import TURN_S, AdapterShare
@@ -49,6 +49,15 @@
     context.fleet = FleetFake(rules, placement, context.endpoints, capacity)
 
 
+@given("the placement regions {regions} have a planner each")
+def make_planners(context, regions):
+    planners = {
+        each: get_placement("greedy", planner=each, region=each, lean=0.0, loads_at_once=50)
+        for each in regions.split(",")
+    }
+    context.fleet.placement = RegionPlanners(planners)
+
+
 @given("the placement fleet holds {held}")
 def place_models(context, held):
     for each in held.split():
@@ -120,6 +129,20 @@
     assert not context.fleet.problems, context.fleet.problems
 
 
+@then("placement holds each of {models:d} models on at least one endpoint")
+def check_reachable(context, models):
+    holders = [context.fleet.holders(each) for each in context.fleet.rules.models_by_name]
+    assert len(holders) == models and all(holders), holders
+
+
+@then("placement loaded {least:d} to {most:d} times, at most {burst:d} in any 4 rounds")
+def check_rate(context, least, most, burst):
+    check_loads(context, least, most)
+    times = [time_s for time_s, _ in context.fleet.loads]
+    counts = [sum(start <= each < start + 4 for each in times) for start in times]
+    assert max(counts) <= burst, times
+
+
 @then("placement loaded {least:d} to {most:d} times")
 def check_loads(context, least, most):
     assert least <= len(context.fleet.loads) <= most, len(context.fleet.loads)
--- a/packages/kingcupdyke/kingcupdyke/admission.py
+++ b/packages/kingcupdyke/kingcupdyke/admission.py
@@ -80,6 +80,7 @@
         self._capacity = get_int_opt({"capacity": capacity}, "capacity", least=1)
         self._most_waiting = get_int_opt({"most_waiting": most_waiting}, "most_waiting")
         self._running_by_id: dict[str, Running] = {}
+        self._running_by_class = dict.fromkeys(ServiceClass.ALL, 0)
         self._queue_by_class = {each: FairQueue() for each in ServiceClass.ALL}
         self._pace = Pace()
         self._interactive_in_row = 0
@@ -91,10 +92,7 @@
     @property
     def running(self) -> dict[str, int]:
         """:return: requests in progress, by class"""
-        counts = dict.fromkeys(ServiceClass.ALL, 0)
-        for each in self._running_by_id.values():
-            counts[each.service_class] += 1
-        return counts
+        return dict(self._running_by_class)
 
     @property
     def waiting(self) -> dict[str, int]:
@@ -143,7 +141,7 @@
         :param now_s: time in seconds
         :return: the requests that are admitted now
         """
-        ended = self._running_by_id.pop(request_id, None)
+        ended = self._stop(request_id)
         if ended is not None:
             self._pace.learn(ended.estimate_s, now_s - ended.started_s)
         return self.admit(now_s)
@@ -154,7 +152,7 @@
         :param now_s: time in seconds
         :return: the requests that are admitted now
         """
-        self._running_by_id.pop(request_id, None)
+        self._stop(request_id)
         for queue in self._queue_by_class.values():
             queue.remove(request_id)
         self._refused = [each for each in self._refused if each[0].request_id != request_id]
@@ -168,18 +166,8 @@
         :param now_s: time in seconds
         :return: them, each with the failure for its caller
         """
-        forecast = self._forecast(now_s)
-        for service_class, queue in self._queue_by_class.items():
-            rank = 0
-            for entry in queue.ordered():
-                place = self._get_place(service_class, rank, now_s, cautious=False)
-                wait_s = forecast.get_wait(place)
-                late_s = now_s + wait_s + entry.estimate_s - entry.request.deadline_s
-                if late_s > LATE_TOLERANCE_S:
-                    queue.remove(entry.request.request_id)
-                    self._give_up(entry, late_s)
-                else:
-                    rank += 1
+        if any(map(len, self._queue_by_class.values())):
+            self._give_up_late(now_s)
         refused, self._refused = self._refused, []
         return refused
 
@@ -207,6 +195,20 @@
             admitted.append(entry.request)
         return admitted
 
+    def _give_up_late(self, now_s: float) -> None:
+        forecast = self._forecast(now_s)
+        for service_class, queue in self._queue_by_class.items():
+            rank = 0
+            for entry in queue.ordered():
+                place = self._get_place(service_class, rank, now_s, cautious=False)
+                wait_s = forecast.get_wait(place)
+                late_s = now_s + wait_s + entry.estimate_s - entry.request.deadline_s
+                if late_s > LATE_TOLERANCE_S:
+                    queue.remove(entry.request.request_id)
+                    self._give_up(entry, late_s)
+                else:
+                    rank += 1
+
     def _knows(self, request_id: str) -> bool:
         waits = any(request_id in queue for queue in self._queue_by_class.values())
         return waits or request_id in self._running_by_id
@@ -214,6 +216,13 @@
     def _start(self, entry: Waiting, now_s: float) -> None:
         running = Running(_get_class(entry.request), now_s, entry.estimate_s)
         self._running_by_id[entry.request.request_id] = running
+        self._running_by_class[running.service_class] += 1
+
+    def _stop(self, request_id: str) -> Running | None:
+        ended = self._running_by_id.pop(request_id, None)
+        if ended is not None:
+            self._running_by_class[ended.service_class] -= 1
+        return ended
 
     def _get_limit(self, service_class: str, now_s: float) -> int:
         """:return: requests of a class that may be in progress at once"""
@@ -226,7 +235,7 @@
     def _has_room(self, service_class: str, now_s: float) -> bool:
         if len(self._running_by_id) >= self._capacity:
             return False
-        return self.running[service_class] < self._get_limit(service_class, now_s)
+        return self._running_by_class[service_class] < self._get_limit(service_class, now_s)
 
     def _next_class(self, now_s: float) -> str | None:
         ready = [
--- a/packages/kingcupdyke/kingcupdyke/budget.py
+++ b/packages/kingcupdyke/kingcupdyke/budget.py
@@ -54,6 +54,11 @@
             return inf
         return missing / self._rate_per_s
 
+    def change_rate(self, rate_per_s: float, now_s: float) -> None:
+        """Give at another rate from now on."""
+        self._fill(now_s)
+        self._rate_per_s = get_float_opt({"rate_per_s": rate_per_s}, "rate_per_s")
+
     def _fill(self, now_s: float) -> None:
         if self._filled_s is None:
             self._filled_s = now_s
--- a/packages/kingcupdyke/kingcupdyke/placements/greedy.py
+++ b/packages/kingcupdyke/kingcupdyke/placements/greedy.py
@@ -76,7 +76,7 @@
             for replica, until_s in self._held_until_by_replica.items()
             if until_s > now_s
         }
-        if fleet.loads >= self._loads_at_once:
+        if not self._issuer.has_load_left():
             return
         wanted = [
             each
--- a/packages/kingcupdyke/kingcupdyke/placements/planner.py
+++ b/packages/kingcupdyke/kingcupdyke/placements/planner.py
@@ -8,36 +8,30 @@
 from math import inf
 from typing import NamedTuple
 
-from kingcupdyke.budget import TokenBucket
-from kingcupdyke.placement import (
-    EndpointInventory,
-    Order,
-    OrderKind,
-    PlacementPolicy,
-    PlacementView,
-)
-from kingcupdyke.placements.book import OrderBook, OrderInFlight
+from kingcupdyke.placement import EndpointInventory, Order, PlacementPolicy, PlacementView
 from kingcupdyke.placements.fleet import Fleet, get_model_bytes
 from kingcupdyke.placements.gain import DemandModel
+from kingcupdyke.placements.issuer import (
+    ADAPTER_KNEE,
+    LOADS_AT_ONCE,
+    LOADS_PER_S,
+    OrderIssuer,
+)
 from kingcupdyke.placements.relocation import find_relocation
 from kingcupdyke.placements.victims import Victims, find_victims
 from kingcupdyke.rule import AdapterRule, ModelRule
-from kingcupdyke.util import get_float_opt, get_int_opt, hash_score, rank_rendezvous
+from kingcupdyke.util import get_float_opt, hash_score, rank_rendezvous
 
 __all__ = ["Planner"]
 
-#: Loads a second that the weight store allows.
-LOADS_PER_S = 1.0
-#: Loads at once that the weight store gives full speed.
-LOADS_AT_ONCE = 5
-#: Adapter loads in flight over all endpoints from which on each takes longer.
-ADAPTER_KNEE = 40
 #: Requests a second that one replica carries.
 REPLICA_REQUESTS_PER_S = 2.0
 #: Seconds for which room that was made is kept for the load it was made for.
 ROOM_KEPT_S = 30.0
 #: Seconds from one relocation to the next.
 RELOCATION_PAUSE_S = 20.0
+#: Seconds for which another region's planner is waited for, before one's own region takes over.
+OTHER_PLANNER_S = 60.0
 #: Copies of an adapter that stay while room is made for a model that the rules need.
 LEAST_ADAPTER_COPIES = 1
 
@@ -54,6 +48,8 @@
     """Keeps each listed model and adapter resident, within the rates of the platform.
 
     :param planner: part of each order's id, unique to the run of the planner's process
+    :param region: region whose endpoints get orders, others having a planner of their own; empty:
+        all regions
     :param store_region: region of the weight store; loads elsewhere cross the link
     :param loads_per_s: loads a second that the weight store allows
     :param loads_at_once: loads at once that it gives full speed
@@ -65,35 +61,30 @@
     def __init__(
         self,
         planner: str = "",
+        region: str = "",
         store_region: str = "",
         loads_per_s: float = LOADS_PER_S,
         loads_at_once: int = LOADS_AT_ONCE,
         adapter_knee: int = ADAPTER_KNEE,
         replica_requests_per_s: float = REPLICA_REQUESTS_PER_S,
     ) -> None:
-        options = {"loads_per_s": loads_per_s, "replica_requests_per_s": replica_requests_per_s}
-        loads_per_s = get_float_opt(options, "loads_per_s")
-        self._load_rate = TokenBucket(loads_per_s, max(1.0, loads_per_s))
-        self._loads_at_once = get_int_opt({"loads_at_once": loads_at_once}, "loads_at_once")
-        self._adapter_knee = get_int_opt({"adapter_knee": adapter_knee}, "adapter_knee", least=2)
+        options = {"replica_requests_per_s": replica_requests_per_s}
         self._replica_rate = get_float_opt(options, "replica_requests_per_s", least=0.001)
         self._store_region = store_region
-        self._book = OrderBook(planner)
+        self._issuer = OrderIssuer(planner, region, loads_per_s, loads_at_once, adapter_knee)
         self._room_by_model: dict[str, Room] = {}
+        self._lacking_since_by_model: dict[str, float] = {}
         self._relocate_from_s = 0.0
-        self._orders: list[Order] = []
 
     def plan(self, view: PlacementView, now_s: float) -> list[Order]:
-        in_flight = self._book.follow(view.inventory_by_endpoint, now_s)
-        fleet = Fleet(view, in_flight, self._store_region)
+        fleet = self._issuer.begin_round(view, self._store_region, now_s)
         demand = DemandModel(view.demand_by_model, self._replica_rate)
-        self._orders = []
         self._keep_room(fleet, now_s)
         self._plan_needed(fleet, demand, now_s)
         complete = self._plan_adapters(fleet, demand, now_s)
         if complete:
             self._plan_wanted(fleet, demand, now_s)
-        return self._orders
+        return self._issuer.orders
 
     def _plan_wanted(self, fleet: Fleet, demand: DemandModel, now_s: float) -> None:
         """Propose what goes beyond the rules; nothing unless a policy says so."""
@@ -120,13 +111,25 @@
             for name in fleet.rules.models_by_name
             if len(fleet.get_replicas(name)) < fleet.get_needed(name)
         ]
+        self._lacking_since_by_model = {
+            name: self._lacking_since_by_model.get(name, now_s) for _, _, name in lacking
+        }
         for _, replicas, name in sorted(lacking):
             rule = fleet.rules.models_by_name[name]
             for _ in range(fleet.get_needed(name) - replicas):
-                targets = fleet.list_targets(rule)
+                targets = self._list_needed_targets(fleet, rule, now_s)
                 if not self._place(fleet, demand, rule, targets, now_s):
                     self._relocate(fleet, targets, get_model_bytes(rule), name, now_s)
 
+    def _list_needed_targets(
+        self, fleet: Fleet, rule: ModelRule, now_s: float
+    ) -> list[EndpointInventory]:
+        """:return: targets; after a while only own ones, as no other planner seems to come"""
+        targets = fleet.list_targets(rule)
+        if now_s - self._lacking_since_by_model[rule.name] < OTHER_PLANNER_S:
+            return targets
+        return [each for each in targets if self._issuer.is_own(each.endpoint)] or targets
+
     def _place(
         self,
         fleet: Fleet,
@@ -183,8 +186,12 @@
 
     def _rank_target(
         self, fleet: Fleet, demand: DemandModel, rule: ModelRule, target: EndpointInventory
-    ) -> tuple[int, int, int, bool, float, int, int]:
-        """:return: a key that is least for the best endpoint"""
+    ) -> tuple[int, int, int, int, int, float, int, int]:
+        """:return: a key that is least for the best endpoint
+
+        Planners of several regions must find the same region, though each knows its own orders
+        and demand sooner than the others'. So what differs between them ranks after the region.
+        """
         replicas = fleet.get_replicas(rule.name)
         beside = sum(
             fleet.inventory_by_endpoint[each].data_centre == target.data_centre for each in replicas
@@ -195,17 +202,18 @@
         free_bytes = fleet.free_by_endpoint[target.endpoint]
         tie = hash_score(rule.name, target.endpoint)
         fullness = fleet.get_fullness(target.data_centre)
-        return beside, preference, fullness, crosses, load, -free_bytes, tie
+        if self._issuer.shares_work:
+            region_tie = hash_score(rule.name, target.region)
+            return beside, preference, crosses, region_tie, fullness, load, -free_bytes, tie
+        return beside, preference, fullness, crosses, 0, load, -free_bytes, tie
 
     def _load(self, fleet: Fleet, rule: ModelRule, endpoint: str, now_s: float) -> bool:
         """:return: whether the weight store's rate allowed the load"""
-        if fleet.loads >= self._loads_at_once or not self._load_rate.take(1.0, now_s):
+        if not self._issuer.load(rule, endpoint):
             return False
         room = self._room_by_model.pop(rule.name, None)
         if room is not None:
             fleet.free_by_endpoint[room.endpoint] += room.room_bytes
-        size = get_model_bytes(rule)
-        self._issue(fleet, OrderKind.LOAD, endpoint, now_s, rule.name, size=size)
         return True
 
     def _make_room(
@@ -221,25 +229,12 @@
             found,
             key=lambda each: (each.loss, self._rank_target(fleet, demand, rule, each.target)),
         )
-        self._unload(fleet, best, now_s)
+        self._issuer.unload(best)
         size = get_model_bytes(rule)
         endpoint = best.target.endpoint
         self._room_by_model[rule.name] = Room(endpoint, size, now_s + ROOM_KEPT_S)
         fleet.free_by_endpoint[endpoint] -= size
 
-    def _unload(self, fleet: Fleet, victims: Victims, now_s: float) -> None:
-        endpoint = victims.target.endpoint
-        models = {each.model for each in victims.victims if not each.adapter}
-        gone = {each.adapter: each.model for each in victims.victims if each.adapter}
-        for adapter in victims.target.adapters:
-            rule = fleet.rules.adapters_by_name.get(adapter)
-            if rule is not None and rule.model in models:
-                gone[adapter] = rule.model
-        for adapter, model in sorted(gone.items()):
-            self._issue(fleet, OrderKind.UNLOAD_ADAPTER, endpoint, now_s, model, adapter)
-        for model in sorted(models):
-            self._issue(fleet, OrderKind.UNLOAD, endpoint, now_s, model)
-
     def _relocate(
         self,
         fleet: Fleet,
@@ -272,7 +267,7 @@
             placed = 0
             for endpoint in ranked:
                 if placed < missing:
-                    placed += self._place_adapter(fleet, demand, rule, endpoint, now_s)
+                    placed += self._place_adapter(fleet, demand, rule, endpoint)
             if missing > 0 and not present and not placed:
                 complete = False
                 targets = [fleet.inventory_by_endpoint[each] for each in ranked]
@@ -280,36 +275,19 @@
         return complete
 
     def _place_adapter(
-        self, fleet: Fleet, demand: DemandModel, rule: AdapterRule, endpoint: str, now_s: float
+        self, fleet: Fleet, demand: DemandModel, rule: AdapterRule, endpoint: str
     ) -> bool:
         """:return: whether a load, or the unload that makes room for it, was issued"""
-        endpoints = len(fleet.inventory_by_endpoint)
-        share = max(1, (self._adapter_knee - 1) // endpoints)
-        loads = fleet.adapter_loads_by_endpoint
-        if loads[endpoint] >= share or loads.total() >= self._adapter_knee - 1:
+        if not self._issuer.may_load_adapter(endpoint):
             return False
-        size = rule.adapter_bytes
-        if fleet.free_by_endpoint[endpoint] >= size:
-            kind = OrderKind.LOAD_ADAPTER
-            self._issue(fleet, kind, endpoint, now_s, rule.model, rule.name, size)
+        if fleet.free_by_endpoint[endpoint] >= rule.adapter_bytes:
+            self._issuer.load_adapter(rule, endpoint)
             return True
         target = fleet.inventory_by_endpoint[endpoint]
-        victims = find_victims(fleet, demand, target, size, lambda model: model != rule.model)
+        victims = find_victims(
+            fleet, demand, target, rule.adapter_bytes, lambda model: model != rule.model
+        )
         if victims is None:
             return False
-        self._unload(fleet, victims, now_s)
+        self._issuer.unload(victims)
         return True
-
-    def _issue(
-        self,
-        fleet: Fleet,
-        kind: str,
-        endpoint: str,
-        now_s: float,
-        model: str,
-        adapter: str = "",
-        size: int = 0,
-    ) -> None:
-        order = self._book.issue(kind, endpoint, now_s, model, adapter, size)
-        fleet.apply(OrderInFlight(kind, endpoint, model, adapter, size))
-        self._orders.append(order)
