Give planners their own order ids, region and model versions

Cause: order ids started anew with each planner, so after a failover an engine took a new order for one that it had carried out; loads named no model version. Ruled out: random ids, since the decisions take chance only from outside and a run of a process has a name already. Before: the same ids after a restart. Conclusion: planner and region are options of every placement.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
@@ -177,9 +177,13 @@
 
     def _get_placement_options(self) -> dict[str, object]:
         settings = self._settings
-        if settings.placement != "greedy":
-            return {}
-        return {"lean": settings.lean}
+        common = settings.common
+        # Ids of orders must differ from those of every planner before.
+        planner = f"{common.host}/{self._incarnation}"
+        options: dict[str, object] = {"planner": planner, "region": common.region}
+        if settings.placement == "greedy":
+            options["lean"] = settings.lean
+        return options
 
     def _make_app(self) -> GatewayApp:
         settings = self._settings
--- a/packages/kingcupdyke/features/fleet_fake.py
+++ b/packages/kingcupdyke/features/fleet_fake.py
@@ -150,6 +150,7 @@
             if len(others) < self.rules.models_by_name[order.model].replicas:
                 self.problems.append(("below the rule's replicas", order))
         if order.kind == OrderKind.LOAD:
+            assert order.model_version == self.rules.models_by_name[order.model].version
             self.loads.append((self.now_s, order))
             region = self.inventories[order.endpoint].region
             if all(self.inventories[each].region != region for each in self.holders(order.model)):
--- a/packages/kingcupdyke/kingcupdyke/placements/book.py
+++ b/packages/kingcupdyke/kingcupdyke/placements/book.py
@@ -48,15 +48,23 @@
         self._issued_by_id: dict[str, Issued] = {}
 
     def issue(
-        self, kind: str, endpoint: str, now_s: float, model: str, adapter: str = "", size: int = 0
+        self,
+        kind: str,
+        endpoint: str,
+        now_s: float,
+        model: str,
+        adapter: str = "",
+        size: int = 0,
+        version: str = "",
     ) -> Order:
         """:return: a new order, which is followed from now on
 
+        :param version: version of the model that is loaded
         :param size: bytes of memory that it takes; 0 for an unload
         """
         self._count += 1
         parts = (kind, model, adapter, endpoint, self._planner, str(self._count))
-        order = Order(_SEPARATOR.join(parts), endpoint, kind, model, adapter, order_bytes=size)
+        order = Order(_SEPARATOR.join(parts), endpoint, kind, model, adapter, version, "", size)
         self._issued_by_id[order.order_id] = Issued(order, now_s, False)
         return order
 
--- a/packages/kingcupdyke/kingcupdyke/placements/issuer.py
+++ b/packages/kingcupdyke/kingcupdyke/placements/issuer.py
@@ -85,7 +85,8 @@
             self.has_load_left() and self._load_rate.take(1.0, self._now_s)
         ):
             return False
-        self._issue(OrderKind.LOAD, endpoint, rule.name, size=get_model_bytes(rule))
+        size = get_model_bytes(rule)
+        self._issue(OrderKind.LOAD, endpoint, rule.name, size=size, version=rule.version)
         return True
 
     def may_load_adapter(self, endpoint: str) -> bool:
@@ -115,9 +116,16 @@
             self._issue(OrderKind.UNLOAD, endpoint, model)
 
     def _issue(
-        self, kind: str, endpoint: str, model: str, adapter: str = "", size: int = 0
+        self,
+        kind: str,
+        endpoint: str,
+        model: str,
+        adapter: str = "",
+        size: int = 0,
+        version: str = "",
     ) -> None:
         own = self.is_own(endpoint)
         self._fleet.apply(OrderInFlight(kind, endpoint, model, adapter, size), counted=own)
         if own:
-            self.orders.append(self._book.issue(kind, endpoint, self._now_s, model, adapter, size))
+            order = self._book.issue(kind, endpoint, self._now_s, model, adapter, size, version)
+            self.orders.append(order)
