Measure slopes of the core and of messages

The store's stand-in counts its calls by kind, so that a start, a load and a booking can be counted.

--- /dev/null
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/slopes.py
@@ -0,0 +1,54 @@
+"""
+kingcupdyke_measure.slopes
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+All slopes by name, and their report.
+"""
+
+import os
+import platform
+from collections.abc import Callable, Iterable, Iterator
+from pathlib import Path
+
+from kingcupdyke_measure.meter import Row
+from kingcupdyke_measure.slopescore import list_core_rows
+from kingcupdyke_measure.slopessite import list_site_rows
+from kingcupdyke_measure.slopestoken import list_token_rows
+from kingcupdyke_measure.slopeswire import list_wire_rows
+
+__all__ = ["SLOPES_BY_NAME", "format_rows", "measure_slopes"]
+
+#: What measures each part, by the name that the command line uses.
+SLOPES_BY_NAME: dict[str, Callable[[int], Iterator[Row]]] = {
+    "core": list_core_rows,
+    "wire": list_wire_rows,
+    "token": list_token_rows,
+    "site": list_site_rows,
+}
+
+
+def measure_slopes(names: Iterable[str], seed: int, folder: Path) -> None:
+    """Measure parts one after the other and write each to a file of its own.
+
+    :param names: keys of :data:`SLOPES_BY_NAME`
+    :param folder: folder of the reports
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    for name in names:
+        rows = []
+        for row in SLOPES_BY_NAME[name](seed):
+            print(_format_row(row), flush=True)
+            rows.append(row)
+        command = f"python -m kingcupdyke_measure slopes --only {name} --seed {seed}"
+        (folder / f"slopes-{name}.txt").write_text(format_rows(command, rows))
+
+
+def format_rows(command: str, rows: Iterable[Row]) -> str:
+    """:return: a report with the command that gave it and where it ran"""
+    machine = f"{os.cpu_count()} cores, Python {platform.python_version()}, {platform.machine()}"
+    head = [f"# {command}", f"# {machine}; other work ran on the machine, so take ratios", ""]
+    return "\n".join([*head, *map(_format_row, rows), ""])
+
+
+def _format_row(row: Row) -> str:
+    return f"{row.what:44} {row.size:34} {row.value:14.2f} {row.unit}"
--- /dev/null
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/slopeswire.py
@@ -0,0 +1,282 @@
+"""
+kingcupdyke_measure.slopeswire
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Slopes of messages: encoding and decoding, and both ends of a call in one process.
+"""
+
+from collections.abc import Awaitable, Callable, Iterator
+from time import process_time
+
+import anyio
+from grpclib.client import Channel
+from grpclib.server import Server, Stream
+
+from kingcupdyke.membership import MembershipTable
+from kingcupdyke_daemon.gateway.directory import EndpointDirectory
+from kingcupdyke_daemon.gateway.link import SidecarLink
+from kingcupdyke_daemon.server import HttpServer, open_socket
+from kingcupdyke_daemon.timer import LoopTimer
+from kingcupdyke_measure.meter import Row, count_bytes, time_call_us
+from kingcupdyke_measure.slopescore import make_change, make_hosts, make_replica
+from kingcupdyke_wire.convert import accept_news, make_news, write_change
+from kingcupdyke_wire.peer_pb2 import News
+from kingcupdyke_wire.sidecar_grpc import SidecarBase, SidecarStub
+from kingcupdyke_wire.sidecar_pb2 import (
+    BeatReply,
+    BeatRequest,
+    CancelReply,
+    CancelRequest,
+    DescribeReply,
+    DescribeRequest,
+    DrainReply,
+    DrainRequest,
+    Load,
+    OrderReply,
+    OrderRequest,
+    Part,
+    RunReply,
+    RunRequest,
+)
+
+__all__ = ["list_wire_rows"]
+
+_LOOPBACK = "127.0.0.1"
+_TOKEN = b'data: {"choices": [{"index": 0, "delta": {"content": " word"}}]}\n\n'
+_CALLS = 300
+_PARTS = (500, 4000)
+_BATCHES = (1, 5, 25)
+_READ_BYTES = 65_536
+_LINKS = (9, 100, 1000, 5500)
+
+
+def list_wire_rows(seed: int) -> Iterator[Row]:
+    """:return: the figures of the messages, one after the other"""
+    yield from _measure_news()
+    yield from _measure_beats()
+    yield from anyio.run(_measure_calls)
+    yield from anyio.run(_measure_asgi)
+    yield from anyio.run(_measure_scan)
+
+
+def _measure_news() -> Iterator[Row]:
+    news = News(version=2, changes=[write_change(make_change(2))])
+    yield Row("news of one change", "one change", len(news.SerializeToString()), "bytes")
+    encode_us = time_call_us(
+        lambda: News(version=2, changes=[write_change(make_change(2))]).SerializeToString(), 500
+    )
+    yield Row("news of one change, encoded", "one change", encode_us, "us")
+    data = news.SerializeToString()
+    yield Row(
+        "news of one change, decoded",
+        "one change",
+        time_call_us(lambda: News.FromString(data), 500),
+        "us",
+    )
+    for rules in (100, 1000, 5400):
+        replica = make_replica(rules)
+        size = f"{rules} rules"
+        snapshot = make_news(replica, 0).SerializeToString()
+        yield Row("news with a snapshot", size, len(snapshot), "bytes")
+        make_ms = time_call_us(lambda r=replica: make_news(r, 0).SerializeToString(), 3) / 1000
+        yield Row("snapshot made and encoded", size, make_ms, "ms")
+
+        def take(snapshot=snapshot) -> object:
+            fresh = make_replica(0)
+            fresh.version = 0
+            return accept_news(fresh, News.FromString(snapshot))
+
+        yield Row("snapshot decoded and in force", size, time_call_us(take, 3) / 1000, "ms")
+
+
+def _make_beat(models: int, adapters: int) -> BeatReply:
+    return BeatReply(
+        sequence=1000,
+        load=Load(running=8, waiting=2, token_interval_ms=21.5, incarnation="0" * 29),
+        config_version=1000,
+        models=[f"model-name-{number}" for number in range(models)],
+        adapters=[f"adapter-name-{number}" for number in range(adapters)],
+        cache_incarnation="engine-name-1",
+    )
+
+
+def _measure_beats() -> Iterator[Row]:
+    for models, adapters in ((0, 0), (3, 10), (8, 55)):
+        beat = _make_beat(models, adapters)
+        data = beat.SerializeToString()
+        size = f"{models} models, {adapters} adapters"
+        yield Row("reply to a heartbeat", size, len(data), "bytes")
+        make_us = time_call_us(
+            lambda m=models, a=adapters: _make_beat(m, a).SerializeToString(), 500
+        )
+        yield Row("reply to a heartbeat, made", size, make_us, "us")
+        read_us = time_call_us(lambda d=data: BeatReply.FromString(d), 500)
+        yield Row("reply to a heartbeat, read", size, read_us, "us")
+
+
+class EchoService(SidecarBase):
+    """Answers at once, to show what the calls themselves cost."""
+
+    async def Run(self, stream: Stream[RunRequest, RunReply]) -> None:  # noqa: N802
+        request = await stream.recv_message()
+        tokens = int.from_bytes(request.body)
+        batch = request.age_ms
+        for offset in range(tokens // batch):
+            part = Part(offset=offset, data=_TOKEN * batch)
+            reply = RunReply(request_id="request", attempt_id="attempt", part=part)
+            await stream.send_message(reply)
+
+    async def Cancel(self, stream: Stream[CancelRequest, CancelReply]) -> None:  # noqa: N802
+        await stream.recv_message()
+        await stream.send_message(CancelReply())
+
+    async def Order(self, stream: Stream[OrderRequest, OrderReply]) -> None:  # noqa: N802
+        await stream.recv_message()
+        await stream.send_message(OrderReply())
+
+    async def Beat(self, stream: Stream[BeatRequest, BeatReply]) -> None:  # noqa: N802
+        beat = _make_beat(3, 10)
+        async for _ in stream:
+            await stream.send_message(beat)
+
+    async def Describe(self, stream: Stream[DescribeRequest, DescribeReply]) -> None:  # noqa: N802
+        await stream.recv_message()
+        await stream.send_message(DescribeReply())
+
+    async def Drain(self, stream: Stream[DrainRequest, DrainReply]) -> None:  # noqa: N802
+        await stream.recv_message()
+        await stream.send_message(DrainReply())
+
+
+async def _measure_calls() -> list[Row]:
+    rows = []
+    listener = open_socket(_LOOPBACK, 0)
+    server = Server([EchoService()])
+    await server.start(sock=listener)
+    channel = Channel(*listener.getsockname()[:2])
+    stub = SidecarStub(channel)
+    await stub.Cancel(CancelRequest())
+    rows.append(
+        Row("grpclib unary call, both ends", f"{_CALLS} calls", await _time_calls(stub), "us")
+    )
+    rows.append(
+        Row("heartbeat and reply, both ends", f"{_CALLS} beats", await _time_beats(stub), "us")
+    )
+    for batch in _BATCHES:
+        few, many = [await _time_parts_s(stub, tokens, batch) for tokens in _PARTS]
+        token_us = (many - few) / (_PARTS[1] - _PARTS[0]) * 1e6
+        size = f"{batch} tokens a message"
+        rows.append(Row("grpclib streamed token, both ends", size, token_us, "us a token"))
+        rows.append(
+            Row("grpclib streamed message, both ends", size, token_us * batch, "us a message")
+        )
+    channel.close()
+    server.close()
+    await server.wait_closed()
+    return rows
+
+
+async def _time_calls(stub: SidecarStub) -> float:
+    begun_s = process_time()
+    for _ in range(_CALLS):
+        await stub.Cancel(CancelRequest(attempt_id="attempt"))
+    return (process_time() - begun_s) / _CALLS * 1e6
+
+
+async def _time_beats(stub: SidecarStub) -> float:
+    async with stub.Beat.open() as stream:
+        await stream.send_request()
+        begun_s = process_time()
+        for number in range(_CALLS):
+            await stream.send_message(BeatRequest(sequence=number, sender="gateway"))
+            await stream.recv_message()
+        spent_s = process_time() - begun_s
+        await stream.end()
+    return spent_s / _CALLS * 1e6
+
+
+async def _time_parts_s(stub: SidecarStub, tokens: int, batch: int) -> float:
+    begun_s = process_time()
+    request = RunRequest(body=tokens.to_bytes(4), age_ms=batch)
+    async with stub.Run.open() as stream:
+        await stream.send_message(request, end=True)
+        async for _ in stream:
+            pass
+    return process_time() - begun_s
+
+
+async def _serve_parts(scope: dict, receive: Callable, send: Callable[[dict], Awaitable]) -> None:
+    _, parts, batch = scope["path"].split("/")
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    for _ in range(int(parts)):
+        body = _TOKEN * int(batch)
+        await send({"type": "http.response.body", "body": body, "more_body": True})
+        # As in a stream of tokens, the reader sees each part by itself.
+        await anyio.sleep(0)
+    await send({"type": "http.response.body", "body": b""})
+
+
+async def _measure_asgi() -> list[Row]:
+    rows = []
+    listener = open_socket(_LOOPBACK, 0)
+    server = HttpServer(_serve_parts)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve, [listener])
+        address = listener.getsockname()[:2]
+        await _fetch_s(address, 1, 1)
+        for batch in _BATCHES:
+            few, many = [await _fetch_s(address, parts, batch) for parts in _PARTS]
+            send_us = (many - few) / (_PARTS[1] - _PARTS[0]) * 1e6
+            size = f"{batch} tokens a send"
+            rows.append(Row("ASGI send, with the reading socket", size, send_us, "us a send"))
+        server.stop()
+    return rows
+
+
+async def _fetch_s(address: tuple[str, int], parts: int, batch: int) -> float:
+    begun_s = process_time()
+    head = f"GET /{parts}/{batch} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"
+    async with await anyio.connect_tcp(*address) as stream:
+        await stream.send(head.encode())
+        try:
+            while True:
+                await stream.receive(_READ_BYTES)
+        except anyio.EndOfStream:
+            return process_time() - begun_s
+
+
+async def _measure_scan() -> list[Row]:
+    """What a request costs before its candidates are known: a look at every link."""
+    rows = []
+    for count in _LINKS:
+        hosts = make_hosts(count)
+        membership = MembershipTable(1.6)
+        membership.update_list(hosts, 0.0)
+        async with anyio.create_task_group() as tasks:
+            directory = EndpointDirectory(None, membership, tasks, LoopTimer(tasks))
+            for number, host in enumerate(hosts):
+                link = SidecarLink(host, "gateway", 0.5, 1.6, print, print)
+                link.last_beat = _make_beat(3, 10)
+                link.last_beat.models.append(f"model-{number % 540}")
+                directory.links_by_host[host.host] = link
+            scan_us = time_call_us(
+                lambda d=directory: d.links_for("model-1", False), max(5, 5000 // count)
+            )
+            rows.append(
+                Row("links scanned for a model's holders", f"{count} links", scan_us, "us a scan")
+            )
+            used = _count_links(hosts)
+            rows.append(
+                Row("link held, with its last heartbeat", f"{count} links", used, "bytes a link")
+            )
+    return rows
+
+
+def _count_links(hosts: list) -> float:
+    def build() -> list[SidecarLink]:
+        links = [SidecarLink(each, "gateway", 0.5, 1.6, print, print) for each in hosts]
+        for link in links:
+            link.last_beat = _make_beat(3, 10)
+        return links
+
+    return count_bytes(build, len(hosts))
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/store.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/store.py
@@ -6,6 +6,7 @@
 """
 
 from base64 import b64encode
+from collections import Counter
 
 from anyio import Event, current_time, move_on_after, sleep
 
@@ -33,8 +34,13 @@
         self._writes = TokenBucket(writes_per_s, writes_per_s)
         self._reads = TokenBucket(reads_per_s, reads_per_s)
         self._changed = Event()
+        #: Calls so far by method and kind, refused ones too.
+        self._counts_by_call: Counter[str] = Counter()
 
     async def handle(self, request: HttpRequest, reply: Reply) -> None:
+        if request.path == ("counts",):
+            return await reply.json(200, self._counts_by_call)
+        self._counts_by_call[f"{request.method} {'/'.join(request.path[1:3])}"] += 1
         await sleep(self.faults.seconds("slow_ms"))
         if self.faults.value("down"):
             return await reply.whole(503)
