--- a/packages/kingcupdyke-measure/kingcupdyke_measure/cmdline.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/cmdline.py
@@ -5,14 +5,18 @@
 Command line of the measurements.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated
 
 import cappa
 from cappa import Arg, Subcommands
 
+from kingcupdyke_measure.chart import draw_reports
+from kingcupdyke_measure.policy import run_scenario
+from kingcupdyke_measure.scenario import list_scenarios
 from kingcupdyke_measure.slopes import SLOPES_BY_NAME, measure_slopes
+from kingcupdyke_measure.user import USERS_BY_NAME
 
 __all__ = ["main"]
 
@@ -31,11 +35,31 @@
         measure_slopes([self.only] if self.only else list(SLOPES_BY_NAME), self.seed, self.out)
 
 
+@cappa.command(name="policy")
+@dataclass
+class PolicyCommand:
+    """Run users' scenarios against the baselines."""
+
+    user: Annotated[str, Arg(long=True, help=f"one of {', '.join(USERS_BY_NAME)}")] = ""
+    scenario: Annotated[str, Arg(long=True)] = ""
+    variant: Annotated[list[str], Arg(long=True)] = field(default_factory=list)
+    out: Annotated[Path, Arg(long=True)] = Path("docs/measurements")
+
+    def run(self) -> None:
+        """Run scenarios and write a text file and a picture for each."""
+        for user in [self.user] if self.user else USERS_BY_NAME:
+            for name in [self.scenario] if self.scenario else list_scenarios(user):
+                print(f"# {user}: {name}", flush=True)
+                reports = run_scenario(user, name, self.variant, self.out)
+                if len(reports) > 1:
+                    draw_reports(reports, f"{user}: {name}", self.out / f"policy-{user}-{name}.png")
+
+
 @dataclass
 class Measurements:
     """Measurements of kingcupdyke."""
 
-    command: Subcommands[SlopesCommand]
+    command: Subcommands[SlopesCommand | PolicyCommand]
 
 
 def main() -> None:
--- /dev/null
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/outage.py
@@ -0,0 +1,71 @@
+"""
+kingcupdyke_measure.outage
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Faults that are brought about in the middle of a policy run.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from anyio import sleep, to_thread
+
+from kingcupdyke_standins.site import Site
+
+__all__ = ["OUTAGES_BY_NAME", "Outage", "strike"]
+
+#: Seconds of load before a fault.
+_BEFORE_S = 5.0
+
+
+class Outage(NamedTuple):
+    """A fault and its end."""
+
+    begin: Callable[[Site], None]
+    end: Callable[[Site], None]
+    lasts_s: float
+
+
+def _kill_engine(site: Site) -> None:
+    next(iter(site.engines_by_name.values())).kill()
+
+
+def _get_model_sidecar(site: Site) -> object:
+    return site.sidecars_by_name[next(iter(site.engines_by_name))]
+
+
+def _set_links(site: Site, cut: bool) -> None:
+    for link in site.links_by_way.values():
+        link.set_faults(cut=cut)
+
+
+def _do_nothing(site: Site) -> None:
+    pass
+
+
+#: Faults by the name that settings use.
+OUTAGES_BY_NAME = {
+    "engine-killed": Outage(_kill_engine, _do_nothing, 0.0),
+    "sidecar-paused": Outage(
+        lambda site: _get_model_sidecar(site).freeze(),
+        lambda site: _get_model_sidecar(site).thaw(),
+        8.0,
+    ),
+    "store-down": Outage(
+        lambda site: site.store.set_faults(down=True),
+        lambda site: site.store.set_faults(down=False),
+        30.0,
+    ),
+    "regions-parted": Outage(
+        lambda site: _set_links(site, True), lambda site: _set_links(site, False), 12.0
+    ),
+}
+
+
+async def strike(site: Site, name: str) -> None:
+    """Bring a fault about while the load runs, and end it."""
+    outage = OUTAGES_BY_NAME[name]
+    await sleep(_BEFORE_S)
+    await to_thread.run_sync(outage.begin, site)
+    await sleep(outage.lasts_s)
+    await to_thread.run_sync(outage.end, site)
--- /dev/null
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/report.py
@@ -0,0 +1,150 @@
+"""
+kingcupdyke_measure.report
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The arithmetic of a policy run: attainment, refusals, times and moves.
+"""
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from math import ceil
+from typing import NamedTuple
+
+from kingcupdyke_measure.load import ArrivalResult
+
+__all__ = [
+    "GroupReport",
+    "Moves",
+    "PolicyReport",
+    "format_policy",
+    "get_percentile",
+    "group_results",
+    "is_attained",
+    "report_group",
+]
+
+#: Status with which a request is refused: it did not run.
+_REFUSED_STATUS = 503
+
+
+class Moves(NamedTuple):
+    """What was moved in a run."""
+
+    loads: int
+    loaded_bytes: int
+    #: Bytes of weights that were fetched into another region than the weight store's.
+    far_loaded_bytes: int
+    #: Adapters that are resident at the end; engines start without any.
+    adapters: int
+    #: Bytes of all else on the link between regions, both ways.
+    link_bytes: int
+
+    @property
+    def crossing_bytes(self) -> int:
+        """Bytes across regions."""
+        return self.far_loaded_bytes + self.link_bytes
+
+
+class GroupReport(NamedTuple):
+    """What became of a group of requests; times in seconds."""
+
+    sent: int
+    attained: int
+    late: int
+    refused: int
+    #: Neither whole nor refused: failed, unknown, or without an answer.
+    lost: int
+    refused_s: tuple[float, ...]
+    first_s: tuple[float, ...]
+    between_s: tuple[float, ...]
+
+
+class PolicyReport(NamedTuple):
+    """One run."""
+
+    variant: str
+    accelerators: int
+    whole: GroupReport
+    by_caller: dict[str, GroupReport]
+    by_kind: dict[str, GroupReport]
+    moves: Moves
+    violations: tuple[str, ...]
+
+    @property
+    def attained_per_accelerator(self) -> float:
+        """Requests delivered whole, on time and exactly once, per accelerator."""
+        return self.whole.attained / self.accelerators
+
+
+def get_percentile(values: Sequence[float], percent: float) -> float:
+    """:return: the nearest-rank percentile; 0.0 of nothing"""
+    if not values:
+        return 0.0
+    rank = max(1, ceil(percent / 100 * len(values)))
+    return sorted(values)[rank - 1]
+
+
+def is_attained(result: ArrivalResult, runs_by_key: Mapping[str, int]) -> bool:
+    """:return: whether an answer came whole, on time and, with a key, from the only run"""
+    key = result.arrival.key
+    return result.attained and (not key or runs_by_key.get(key, 0) == 1)
+
+
+def report_group(results: Iterable[ArrivalResult], runs_by_key: Mapping[str, int]) -> GroupReport:
+    """:return: what became of a group of requests"""
+    results = list(results)
+    whole = [each for each in results if each.whole]
+    attained = sum(is_attained(each, runs_by_key) for each in whole)
+    refused = [each for each in results if each.status == _REFUSED_STATUS]
+    between_s = [each.between_s for each in whole if each.between_s]
+    return GroupReport(
+        len(results),
+        attained,
+        len(whole) - attained,
+        len(refused),
+        len(results) - len(whole) - len(refused),
+        tuple(each.whole_s for each in refused),
+        tuple(each.first_s for each in whole),
+        tuple(between_s),
+    )
+
+
+def group_results(
+    results: Iterable[ArrivalResult],
+    runs_by_key: Mapping[str, int],
+    key: Callable[[ArrivalResult], str],
+) -> dict[str, GroupReport]:
+    """:return: a report for each value of ``key``"""
+    groups: dict[str, list[ArrivalResult]] = {}
+    for each in results:
+        groups.setdefault(key(each), []).append(each)
+    return {name: report_group(group, runs_by_key) for name, group in sorted(groups.items())}
+
+
+def format_policy(report: PolicyReport) -> list[str]:
+    """:return: the lines of one run"""
+    moves = report.moves
+    lines = [
+        f"## {report.variant}",
+        f"attained per accelerator {report.attained_per_accelerator:.1f};"
+        f" moves: {moves.loads} loads of {moves.loaded_bytes / 1e9:.1f} GB,"
+        f" {moves.adapters} adapters; across regions {moves.far_loaded_bytes / 1e9:.1f} GB"
+        f" of weights and {moves.link_bytes / 1e6:.2f} MB of traffic",
+        f"violations: {len(report.violations)} {'; '.join(report.violations)}".rstrip(),
+        _format_group("all", report.whole),
+    ]
+    lines += [_format_group(f"caller {n}", each) for n, each in report.by_caller.items()]
+    lines += [_format_group(f"kind {n}", each) for n, each in report.by_kind.items()]
+    return [*lines, ""]
+
+
+def _format_group(name: str, group: GroupReport) -> str:
+    return (
+        f"{name:28} sent {group.sent:4} attained {group.attained:4} late {group.late:3}"
+        f" refused {group.refused:3} (after {_format_times(group.refused_s)} ms)"
+        f" lost {group.lost:3}; first {_format_times(group.first_s)} ms,"
+        f" between {_format_times(group.between_s)} ms"
+    )
+
+
+def _format_times(values: Sequence[float]) -> str:
+    return "/".join(f"{get_percentile(values, each) * 1000:.0f}" for each in (50, 95, 99))
--- /dev/null
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/variant.py
@@ -0,0 +1,23 @@
+"""
+kingcupdyke_measure.variant
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Baselines: settings of the gateways that switch one decision off.
+"""
+
+__all__ = ["VARIANTS_BY_NAME"]
+
+#: Settings of all gateways by the name of the variant.
+VARIANTS_BY_NAME: dict[str, dict[str, object]] = {
+    "default": {},
+    "router-random": {"router": "random"},
+    "router-round-robin": {"router": "round_robin"},
+    "router-least-load": {"router": "least_load"},
+    "no-affinity": {"affinity": False},
+    "no-two-choices": {"two_choices": False},
+    "no-admission": {"admission": "none"},
+    "no-retries": {"retry_share": 0.0},
+    "placement-static": {"placement": "static"},
+    "lean-0.2": {"lean": 0.2},
+    "lean-0.9": {"lean": 0.9},
+}
