--- a/packages/kingcupdyke-measure/kingcupdyke_measure/policy.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/policy.py
@@ -19,6 +19,7 @@
 from kingcupdyke_measure.report import (
     Moves,
     PolicyReport,
+    count_losses,
     format_policy,
     group_results,
     report_group,
@@ -63,7 +64,7 @@
         report = _run_variant(user, rules, scenario, variant)
         reports.append(report)
         text = format_policy(report)
-        print("\n".join(text[:4]), flush=True)
+        print("\n".join(text[:5]), flush=True)
         lines += text
     folder.mkdir(parents=True, exist_ok=True)
     (folder / f"policy-{user_name}-{name}.txt").write_text("\n".join(lines))
@@ -111,6 +112,7 @@
         group_results(results, runs_by_key, _get_caller),
         group_results(results, runs_by_key, lambda each: each.arrival.kind),
         moves,
+        count_losses(results),
         tuple(violations),
     )
 
--- a/packages/kingcupdyke-measure/kingcupdyke_measure/report.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/report.py
@@ -5,6 +5,7 @@
 The arithmetic of a policy run: attainment, refusals, times and moves.
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from math import ceil
 from typing import NamedTuple
@@ -15,6 +16,7 @@
     "GroupReport",
     "Moves",
     "PolicyReport",
+    "count_losses",
     "format_policy",
     "get_percentile",
     "group_results",
@@ -67,6 +69,8 @@
     by_caller: dict[str, GroupReport]
     by_kind: dict[str, GroupReport]
     moves: Moves
+    #: Requests that were neither whole nor refused, by kind, status and code.
+    losses: dict[str, int]
     violations: tuple[str, ...]
 
     @property
@@ -120,6 +124,13 @@
     return {name: report_group(group, runs_by_key) for name, group in sorted(groups.items())}
 
 
+def count_losses(results: Iterable[ArrivalResult]) -> dict[str, int]:
+    """:return: requests neither whole nor refused, by kind, status and code"""
+    lost = (each for each in results if not each.whole and each.status != _REFUSED_STATUS)
+    counts = Counter(f"{each.arrival.kind} {each.status} {each.code}".strip() for each in lost)
+    return dict(sorted(counts.items()))
+
+
 def format_policy(report: PolicyReport) -> list[str]:
     """:return: the lines of one run"""
     moves = report.moves
@@ -130,6 +141,7 @@
         f" {moves.adapters} adapters; across regions {moves.far_loaded_bytes / 1e9:.1f} GB"
         f" of weights and {moves.link_bytes / 1e6:.2f} MB of traffic",
         f"violations: {len(report.violations)} {'; '.join(report.violations)}".rstrip(),
+        "losses: " + (", ".join(f"{name} {n}" for name, n in report.losses.items()) or "none"),
         _format_group("all", report.whole),
     ]
     lines += [_format_group(f"caller {n}", each) for n, each in report.by_caller.items()]
--- a/packages/kingcupdyke-measure/kingcupdyke_measure/slopeswire.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/slopeswire.py
@@ -5,6 +5,7 @@
 Slopes of messages: encoding and decoding, and both ends of a call in one process.
 """
 
+import json
 from collections.abc import Awaitable, Callable, Iterator
 from time import process_time
 
@@ -12,6 +13,8 @@
 from grpclib.client import Channel
 from grpclib.server import Server, Stream
 
+from kingcupdyke.changelog import encode_snapshot
+from kingcupdyke.host import Host
 from kingcupdyke.membership import MembershipTable
 from kingcupdyke_daemon.gateway.directory import EndpointDirectory
 from kingcupdyke_daemon.gateway.link import SidecarLink
@@ -19,8 +22,10 @@
 from kingcupdyke_daemon.timer import LoopTimer
 from kingcupdyke_measure.meter import Row, count_bytes, time_call_us
 from kingcupdyke_measure.slopescore import make_change, make_hosts, make_replica
+from kingcupdyke_measure.user import USERS_BY_NAME
 from kingcupdyke_wire.convert import accept_news, make_news, write_change
-from kingcupdyke_wire.peer_pb2 import News
+from kingcupdyke_wire.peer_pb2 import Demand, News
+from kingcupdyke_wire.rulefile import check_rule_file
 from kingcupdyke_wire.sidecar_grpc import SidecarBase, SidecarStub
 from kingcupdyke_wire.sidecar_pb2 import (
     BeatReply,
@@ -53,6 +58,9 @@
 def list_wire_rows(seed: int) -> Iterator[Row]:
     """:return: the figures of the messages, one after the other"""
     yield from _measure_news()
+    yield from _measure_stored_rules()
+    yield from _measure_host_list()
+    yield from _measure_demand()
     yield from _measure_beats()
     yield from anyio.run(_measure_calls)
     yield from anyio.run(_measure_asgi)
@@ -89,6 +97,38 @@
         yield Row("snapshot decoded and in force", size, time_call_us(take, 3) / 1000, "ms")
 
 
+def _measure_stored_rules() -> Iterator[Row]:
+    for user in USERS_BY_NAME.values():
+        rules = check_rule_file(user.rule_file.read_text()).ok.book.rules_by_key.values()
+        stored = len(encode_snapshot(1, tuple(rules)))
+        size = f"{user.name}, {len(rules)} rules"
+        yield Row("stored snapshot", size, stored / len(rules), "bytes a rule")
+
+
+def _measure_host_list() -> Iterator[Row]:
+    for count in (9, 1000, 6370):
+        hosts = [each._asdict() for each in make_hosts(count)]
+        answer = json.dumps({"hosts": hosts}).encode()
+        size = f"{count} hosts"
+        yield Row("answer of the host list", size, len(answer), "bytes")
+        read_us = time_call_us(lambda a=answer: _read_hosts(a), max(3, 5000 // count))
+        yield Row("answer of the host list, read", size, read_us, "us")
+
+
+def _read_hosts(answer: bytes) -> list[Host]:
+    return [Host(**each) for each in json.loads(answer)["hosts"]]
+
+
+def _measure_demand() -> Iterator[Row]:
+    for models in (15, 540):
+        demand = [
+            Demand(model=f"model-name-{number}", region="region-0", requests=12.5)
+            for number in range(models)
+        ]
+        news = News(version=1000, demand=demand)
+        yield Row("news of demand", f"{models} models", len(news.SerializeToString()), "bytes")
+
+
 def _make_beat(models: int, adapters: int) -> BeatReply:
     return BeatReply(
         sequence=1000,
