--- a/packages/kingcupdyke-measure/kingcupdyke_measure/slopes.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/slopes.py
@@ -12,6 +12,7 @@
 
 from kingcupdyke_measure.meter import Row
 from kingcupdyke_measure.slopescore import list_core_rows
+from kingcupdyke_measure.slopesheld import list_held_rows
 from kingcupdyke_measure.slopessite import list_site_rows
 from kingcupdyke_measure.slopestoken import list_token_rows
 from kingcupdyke_measure.slopeswire import list_wire_rows
@@ -22,6 +23,7 @@
 SLOPES_BY_NAME: dict[str, Callable[[int], Iterator[Row]]] = {
     "core": list_core_rows,
     "wire": list_wire_rows,
+    "held": list_held_rows,
     "token": list_token_rows,
     "site": list_site_rows,
 }
