--- a/packages/kingcupdyke-measure/kingcupdyke_measure/slopesheld.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/slopesheld.py
@@ -82,7 +82,7 @@
         )
         run = Run(request, 0.0)
         for token in range(_TOKENS):
-            run.add(bytes(_TOKEN), float(token), 0.01)
+            run.add(bytes(bytearray(_TOKEN)), float(token), 0.01)
         run.finish(None, 100.0)
         runs.append(run)
     return runs
