Count a request that waits in the engine once

A sidecar told all its attempts as running, beside those that wait in the engine. The estimate divides what waits by what runs, so a queue twice as long as the batch counted as less than once the service time; gateways sent requests that were then cut at their deadline. Ruled out: the engine's report, which parts the two.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/service.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/service.py
@@ -83,11 +83,12 @@
         self.cache_events: deque[CacheEvent] = deque(maxlen=_MOST_CACHE_EVENTS)
 
     def make_load(self) -> Load:
-        """:return: the load now; what waits inside the engine lags"""
+        """:return: the load now; what waits inside the engine lags and does not count as running"""
         load = self.engine_load
+        waiting = min(load.waiting, self._table.running) if load else 0
         return Load(
-            running=self._table.running,
-            waiting=load.waiting if load else 0,
+            running=self._table.running - waiting,
+            waiting=waiting,
             token_interval_ms=load.token_interval_ms if load else 0.0,
             leaving=self._is_leaving(),
             incarnation=self.incarnation,
