Doubt the answer to an adopted order, whose id may have been used up

A new sidecar uses up the id of an order that its predecessor may still send; the engine's done was then taken for the load or unload itself, which named a model resident that was not, or gave out memory of one that was.

--- a/packages/kingcupdyke/features/ledger.feature
+++ b/packages/kingcupdyke/features/ledger.feature
@@ -27,6 +27,9 @@
       | ignores | answer to an unload lost | go L load a 60; order U unload a; send U; arrive U; end U; close U; wait 11; order K load k 5; read; read | 85 | K | - |
       | ignores | killed between intent and order | order L load a 60; successor; wait 30; read; read; refuse M load b 40 | 30 | L | - |
       | ignores | killed, its order id ended | order L load a 60; successor; consume L; read; wait 11; read; read | 90 | - | - |
+      | ignores | killed, the use of its order id is answered | order L load a 60; successor; consume L; answer L | 30 | - | - |
+      | ignores | killed, the use of its order id is answered, then read | order L load a 60; successor; consume L; answer L; read; read | 90 | - | - |
+      | ignores | killed before an unload, the use of its order id is answered | go L load a 40; order U unload a; successor; consume U; answer U; refuse M load b 60 | 50 | - | a |
       | ignores | killed before an unload | go L load a 40; order U unload a; successor | 50 | U | - |
       | ignores | paused, wakes after its successor | order L load a 60; successor; wait 30; read; read; refuse M load b 40; wake L; arrive L; end L; wait 11; read; read | 30 | - | a |
       | ignores | paused, wakes to order more | successor; stale L load a 60; order M load b 60 | 30 | M | - |
--- a/packages/kingcupdyke/features/ledger_machine.py
+++ b/packages/kingcupdyke/features/ledger_machine.py
@@ -41,6 +41,7 @@
         self.messages = []
         self.answers = []
         self.reading = None
+        self.used_up = False
         self.sidecars = [FakeSidecar("s0", self.engine, self.store)]
         assert self.sidecars[0].take_over(0.0)
 
@@ -112,6 +113,16 @@
             self.answers = [each for each in self.answers if each[1] != order_id]
             self.sidecar.ledger.unanswered(order_id, self.now_s)
 
+    @precondition(lambda self: self.sidecar.ledger.unseen)
+    @rule(index=INDEXES)
+    def use_up_unseen(self, index):
+        """The sidecar uses up an earlier one's order id, as long as the engine does not restart."""
+        order_id = pick(self.sidecar.ledger.unseen, index)
+        self.used_up = True
+        state = self.engine.states.setdefault(order_id, "done")
+        if state in ("done", "failed"):
+            self.sidecar.ledger.answered(order_id, state, self.now_s)
+
     @rule()
     def ask_inventory(self):
         if self.reading is None:
@@ -135,6 +146,7 @@
     def wait(self, seconds):
         self.now_s += seconds
 
+    @precondition(lambda self: not self.used_up)
     @rule()
     def restart_engine(self):
         self.engine.restart()
--- a/packages/kingcupdyke/kingcupdyke/ledger.py
+++ b/packages/kingcupdyke/kingcupdyke/ledger.py
@@ -96,7 +96,7 @@
 
         Their sender may be paused and send them at any time later, so they stay reserved. To end
         one, send the engine an order with this id that takes no memory: the engine never carries
-        out an id twice, and the inventories that show it settle it.
+        out an id twice. Its answer or the inventories settle it.
         """
         opened = self._open_by_id.items()
         return tuple(name for name, each in opened if each.adopted and not each.state)
--- a/packages/kingcupdyke/kingcupdyke/reservation.py
+++ b/packages/kingcupdyke/kingcupdyke/reservation.py
@@ -49,9 +49,9 @@
         self.closed_at = 0
         #: Whether it may have been sent more than once.
         self.is_repeated = False
-        #: Whether the engine's "done" may be older than what is resident now: the id is a repeat,
-        #: or another order for the same name ended meanwhile.
-        self.contested = False
+        #: Whether the engine's "done" need not say what is resident now: the id is a repeat or was
+        #: used for another order, or an order for the same name ended meanwhile.
+        self.contested = adopted
 
     @classmethod
     def from_intent(cls, intent: Intent, now_s: float) -> "OpenOrder":
