--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/admin.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/admin.py
@@ -111,9 +111,9 @@
             "leaving": not self._parts.directory.is_usable(link),
             "running": beat.load.running,
             "waiting": beat.load.waiting,
-            "models": list(beat.models),
-            "adapters": list(beat.adapters),
-            "services": list(beat.services),
+            "models": list(link.holdings.models),
+            "adapters": list(link.holdings.adapters),
+            "services": list(link.holdings.services),
             "config_version": beat.config_version,
         }
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/directory.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/directory.py
@@ -53,6 +53,9 @@
         self._timer = timer
         self._scopes_by_host: dict[str, CancelScope] = {}
         self._silent_since_by_host: dict[str, float] = {}
+        #: Links by host, by the model or service that the endpoint holds.
+        self._links_by_model: dict[str, dict[str, SidecarLink]] = {}
+        self._links_by_service: dict[str, dict[str, SidecarLink]] = {}
         self.links_by_host: dict[str, SidecarLink] = {}
         self.prefixes = PrefixIndex(_MOST_PREFIXES)
         self.loads = LoadTracker()
@@ -101,7 +104,8 @@
 
     def links_for(self, target: str, service: bool) -> list[SidecarLink]:
         """:return: links to the sidecars that hold a model or service and take work"""
-        return [link for link in self._usable_links() if _holds(link, target, service)]
+        held = self._links_by_service if service else self._links_by_model
+        return [link for link in held.get(target, {}).values() if self.is_usable(link)]
 
     def views(
         self, request: Request, links: Iterable[SidecarLink], now_s: float
@@ -110,7 +114,6 @@
         return [self._view(request, link, now_s) for link in links]
 
     def _view(self, request: Request, link: SidecarLink, now_s: float) -> EndpointView:
-        beat = link.last_beat
         host = link.host
         load = self.loads.parts(host.host, now_s)
         return EndpointView(
@@ -122,13 +125,10 @@
             load.report_age_s,
             load.dispatched_since,
             load.token_interval_s,
-            not request.adapter or request.adapter in beat.adapters,
+            not request.adapter or request.adapter in link.holdings.adapters,
             self.prefixes.cached_blocks(host.host, request.prefixes),
         )
 
-    def _usable_links(self) -> list[SidecarLink]:
-        return [link for link in self.links_by_host.values() if self.is_usable(link)]
-
     def _open(self, host: Host) -> None:
         settings = self._settings
         link = SidecarLink(
@@ -145,6 +145,22 @@
         self._tasks.start_soon(self._carry, link, scope)
         _LOGGER.info("link opened: step=connect peer=%s host=%s", link.peer, host.host)
 
+    def _index(self, link: SidecarLink) -> None:
+        """Note what an endpoint holds now."""
+        self._drop_index(link)
+        for index, names in (
+            (self._links_by_model, link.holdings.models),
+            (self._links_by_service, link.holdings.services),
+        ):
+            for name in names:
+                index.setdefault(name, {})[link.host.host] = link
+
+    def _drop_index(self, link: SidecarLink) -> None:
+        for index in (self._links_by_model, self._links_by_service):
+            for held in index.values():
+                if held.get(link.host.host) is link:
+                    del held[link.host.host]
+
     async def _carry(self, link: SidecarLink, scope: CancelScope) -> None:
         with scope:
             try:
@@ -154,6 +170,7 @@
 
     def _close(self, name: str) -> None:
         link = self.links_by_host.pop(name)
+        self._drop_index(link)
         self._scopes_by_host.pop(name).cancel()
         self.prefixes.forget(name)
         self.loads.forget(name)
@@ -166,6 +183,8 @@
         self.hear_load(name, beat.load.running, beat.load.waiting, beat.load.token_interval_ms)
         self._membership.hear_answer(name, beat.load.incarnation, now_s, beat.load.leaving)
         link.config_version = self.config_version
+        if beat.HasField("holdings"):
+            self._index(link)
         for event in beat.cache_events:
             self.prefixes.hear(
                 name, beat.cache_incarnation, event.sequence, event.stored, event.prefix
@@ -179,8 +198,3 @@
         self._silent_since_by_host.setdefault(link.host.host, self._timer.now())
         self._membership.hear_silence(link.host.host, self._timer.now())
         _LOGGER.warning("peer silent: step=connect peer=%s host=%s", link.peer, link.host.host)
-
-
-def _holds(link: SidecarLink, target: str, service: bool) -> bool:
-    held = link.last_beat.services if service else link.last_beat.models
-    return target in held
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/limits.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/limits.py
@@ -93,6 +93,8 @@
                 ticket.decided.set()
 
     def _expire(self, now_s: float) -> None:
+        if not self._tickets_by_request:
+            return
         for queue in self.queues_by_target.values():
             for request, failure in queue.expire(now_s):
                 ticket = self._tickets_by_request.get(request.request_id)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/link.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/link.py
@@ -21,6 +21,7 @@
     CancelRequest,
     DescribeReply,
     DescribeRequest,
+    Holdings,
     OrderReply,
     OrderRequest,
     RunReply,
@@ -59,6 +60,7 @@
         self.host = host
         self.peer = f"{host.address}:{host.port}"
         self.last_beat: BeatReply | None = None
+        self.holdings = Holdings()
         self.config_version = 0
         #: Times that a silent connection was replaced.
         self.replaced = 0
@@ -88,15 +90,25 @@
         self._replace_channel()
 
     async def beat_forever(self) -> None:
-        """Send heartbeats; replace the connection when it goes silent."""
+        """Send heartbeats; replace the connection when it goes silent.
+
+        The sidecar only counts as silent when the new connection does not work either.
+        """
+        heard = True
         while True:
+            before = self.last_beat
             with suppress(*CALL_ERRORS), contain_call():
                 await self._beat()
-            if self.last_beat is not None:
-                self.last_beat = None
-                self._on_silence(self)
+            if self.last_beat is before and not heard:
+                self._lose()
+                await sleep(_RECONNECT_S)
+            heard = self.last_beat is not before
             self._replace_channel()
-            await sleep(_RECONNECT_S)
+
+    def _lose(self) -> None:
+        if self.last_beat is not None:
+            self.last_beat = None
+            self._on_silence(self)
 
     async def run(self, request: RunRequest) -> AsyncIterator[RunReply | Failure]:
         """Send an attempt and yield its replies; a broken stream is resumed.
@@ -179,13 +191,17 @@
 
     async def _beat(self) -> None:
         sequence = 0
+        known_version = 0
         async with SidecarStub(self._channel).Beat.open() as stream:
             with fail_after(_CONNECT_S):
                 await stream.send_request()
             while True:
                 sequence += 1
                 beat = BeatRequest(
-                    sequence=sequence, sender=self._sender, config_version=self.config_version
+                    sequence=sequence,
+                    sender=self._sender,
+                    config_version=self.config_version,
+                    holdings_version=known_version,
                 )
                 sent_s = current_time()
                 with fail_after(self._silence_s):
@@ -194,5 +210,8 @@
                 if reply is None:
                     return
                 self.last_beat = reply
+                if reply.HasField("holdings"):
+                    self.holdings = reply.holdings
+                    known_version = reply.holdings.version
                 self._on_beat(self, reply)
                 await sleep(max(0.0, sent_s + self._beat_s - current_time()))
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
@@ -44,6 +44,7 @@
     :param metrics: counters
     :param timer: the timer service
     :param get_rules: gives the rules in force
+    :param is_candidate: tells whether this gateway is among the few that contend for the lease
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         metrics: DaemonMetrics,
         timer: TimerService,
         get_rules: Callable[[], RuleSet],
+        is_candidate: Callable[[], bool],
     ) -> None:
         self._region = region
         self._lease_name = f"planner-{region}"
@@ -68,6 +70,7 @@
         self._metrics = metrics
         self._timer = timer
         self._get_rules = get_rules
+        self._is_candidate = is_candidate
         self._cleaner = HolderCleaner(region, directory, store)
 
     @property
@@ -79,7 +82,8 @@
         """Plan a round each period while the lease is held."""
         while True:
             await sleep(period_s)
-            await self._keep_lease()
+            if self.fence is not None or self._is_candidate():
+                await self._keep_lease()
             if self.fence is not None:
                 await self._plan()
                 await self._cleaner.clean(self._timer.now())
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
@@ -173,6 +173,7 @@
             self._metrics,
             self._timer,
             lambda: self._spreader.replica.rule_set,
+            lambda: settings.common.host in self._get_planners(),
         )
 
     def _get_placement_options(self) -> dict[str, object]:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
@@ -45,8 +45,10 @@
 _LOGGER = logging.getLogger(__name__)
 _STORE_TIMEOUT_S = 2.0
 _ENGINE_TIMEOUT_S = 5.0
-_INVENTORY_S = 0.25
+_INVENTORY_S = 1.0
+#: Seconds between readings of the engine's load while requests run, and while none do.
 _LOAD_S = 0.25
+_IDLE_LOAD_S = 1.0
 _CACHE_WAIT_S = 5.0
 _SWEEP_S = 0.5
 _STOP_LOOK_S = 0.05
@@ -242,7 +244,7 @@
             read = await self._engine.load()
             if read.is_ok():
                 self._state.engine_load = read.ok
-            await sleep(_LOAD_S)
+            await sleep(_LOAD_S if self._table.running else _IDLE_LOAD_S)
 
     async def _read_cache_forever(self) -> None:
         position = 0
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/run.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/run.py
@@ -107,6 +107,8 @@
         self._tick_s = tick_s
         self._resume_s = resume_s
         self._due: set[Run] = set()
+        #: Set while anything is due.
+        self._waiting = Event()
         self.runs_by_attempt: dict[str, Run] = {}
         self.running = 0
 
@@ -145,11 +147,14 @@
                     run.notify()
                 elif run.add(item.data, current_time(), self._tick_s):
                     self._due.add(run)
+                    self._waiting.set()
         return None
 
     async def flush_forever(self) -> None:
-        """Make parts of what waits, once a tick."""
+        """Make parts of what waits, once a tick while anything does."""
         while True:
+            await self._waiting.wait()
+            self._waiting = Event()
             await sleep(self._tick_s)
             now_s = current_time()
             for run in self._due:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/service.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/service.py
@@ -31,6 +31,7 @@
     DrainReply,
     DrainRequest,
     End,
+    Holdings,
     KeepAlive,
     Load,
     OrderReply,
@@ -75,6 +76,8 @@
         self._orders = orders
         self._get_version = get_version
         self._is_leaving = is_leaving
+        self._held: tuple[frozenset[str], frozenset[str]] | None = None
+        self._holdings_version = 0
         self.incarnation = incarnation
         #: Whether models are being handed over; new work is still taken then.
         self.handing_over = False
@@ -94,20 +97,41 @@
             incarnation=self.incarnation,
         )
 
-    def make_beat(self, sequence: int, after_event: int) -> BeatReply:
+    def make_beat(self, request: BeatRequest, after_event: int) -> BeatReply:
         """:return: the answer to a heartbeat, with cache events after a sequence number"""
-        events = [each for each in self.cache_events if each.sequence > after_event]
         return BeatReply(
-            sequence=sequence,
+            sequence=request.sequence,
             load=self.make_load(),
             config_version=self._get_version(),
-            models=sorted(self._orders.models) if self._orders else [],
-            adapters=sorted(self._orders.adapters) if self._orders else [],
-            services=sorted(self._settings.services_by_name),
-            cache_events=events[:_EVENTS_A_BEAT],
+            holdings=self._make_holdings(request.holdings_version),
+            cache_events=self._list_events(after_event),
             cache_incarnation=self.cache_incarnation,
         )
 
+    def _make_holdings(self, known_version: int) -> Holdings | None:
+        orders = self._orders
+        held = (orders.models, orders.adapters) if orders else (frozenset(), frozenset())
+        if held != self._held:
+            self._held = held
+            self._holdings_version += 1
+        if known_version == self._holdings_version:
+            return None
+        return Holdings(
+            version=self._holdings_version,
+            models=sorted(held[0]),
+            adapters=sorted(held[1]),
+            services=sorted(self._settings.services_by_name),
+        )
+
+    def _list_events(self, after_event: int) -> list[CacheEvent]:
+        fresh = []
+        for event in reversed(self.cache_events):
+            if event.sequence <= after_event:
+                break
+            fresh.append(event)
+        fresh.reverse()
+        return fresh[:_EVENTS_A_BEAT]
+
     def describe(self, fence: int) -> DescribeReply:
         """:return: all that planners and operators ask for"""
         common = self._settings.common
@@ -196,7 +220,7 @@
             if state.cache_incarnation != incarnation:
                 incarnation = state.cache_incarnation
                 after_event = 0
-            reply = state.make_beat(request.sequence, after_event)
+            reply = state.make_beat(request, after_event)
             if reply.cache_events:
                 after_event = reply.cache_events[-1].sequence
             await stream.send_message(reply)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/spread.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/spread.py
@@ -40,6 +40,8 @@
 _PEER_TIMEOUT_S = 1.0
 #: Peers that are asked at once while no configuration is held.
 _START_PEERS = 5
+#: Connections to peers that are kept open.
+_MOST_CHANNELS = 32
 _START_RETRY_S = 0.3
 #: Seconds after which a watcher reads the log again, in case its watch went silent.
 _RELIST_S = 4.0
@@ -178,7 +180,7 @@
             self._tasks.start_soon(self.send, name, news)
 
     def _channel(self, name: str) -> Channel | None:
-        host = next((each for each in self.membership.known() if each.host == name), None)
+        host = self.membership.find(name)
         if host is None:
             return None
         held = self._channels_by_host.get(name)
@@ -187,6 +189,8 @@
         self._drop_channel(name)
         channel = Channel(host.address, host.peer_port or host.port)
         self._channels_by_host[name] = (host, channel)
+        if len(self._channels_by_host) > _MOST_CHANNELS:
+            self._drop_channel(next(iter(self._channels_by_host)))
         return channel
 
     def _drop_channel(self, name: str) -> None:
--- a/packages/kingcupdyke/kingcupdyke/membership.py
+++ b/packages/kingcupdyke/kingcupdyke/membership.py
@@ -138,6 +138,10 @@
         hosts = sorted(self._hosts_by_name.items())
         return [host for _, host in hosts if kind in (None, host.kind)]
 
+    def find(self, name: str) -> Host | None:
+        """:return: the host of a name, or None where none is known"""
+        return self._hosts_by_name.get(name)
+
     def routable(self, kind: str | None = None) -> list[Host]:
         """:return: hosts that take new work, in order of their names"""
         return [
