Leave other regions' orders out of a planner's round, and prove the choice of region

After: it is gone; planners that know different demand still choose one region. Conclusion: an order of another planner counts once its endpoint shows it.

--- a/packages/kingcupdyke/features/placements.feature
+++ b/packages/kingcupdyke/features/placements.feature
@@ -61,6 +61,13 @@
       | north,south | 10     | 60     | 11   | 6     |
       | north       | 6      | 100    | 6    | 3     |
 
+  Scenario: Planners that each know their own region's demand do not wait for each other
+    Given static placement of 7 models with 1 replicas
+    And the placement fleet holds e1=m0 e2=m1 e3=m2 e4=m3 e5=m4 e6=m5
+    And the placement regions north,south have a planner each
+    When the placement runs 20 rounds with 9 requests a second for m0 and m1 and m2 and m3 in north, m4 and m5 in south
+    Then placement loaded 1 to 1 times
+
   Scenario Outline: Moves are weighed against attainment
     Given greedy store_region=north <options> placement of 2 models with 1 replicas
     When the placement runs 60 rounds with <demand> requests a second for m0 in <region>
--- a/packages/kingcupdyke/features/steps/placements_steps.py
+++ b/packages/kingcupdyke/features/steps/placements_steps.py
@@ -76,12 +76,11 @@
     context.fleet.run(rounds)
 
 
-@when(
-    "the placement runs {rounds:d} rounds with {demand:d} requests a second for {model} in {region}"
-)
-def run_demand(context, rounds, demand, model, region):
-    models = model.split(" and ")
-    context.fleet.run(rounds, {(each, region): float(demand) for each in models})
+@when("the placement runs {rounds:d} rounds with {demand:d} requests a second for {models}")
+def run_demand(context, rounds, demand, models):
+    parts = [each.split(" in ") for each in models.split(", ")]
+    keys = [(model, region) for names, region in parts for model in names.split(" and ")]
+    context.fleet.run(rounds, {key: float(demand) for key in keys})
 
 
 @when("the placement runs {rounds:d} rounds and another planner {more:d} more")
--- a/packages/kingcupdyke/kingcupdyke/placements/fleet.py
+++ b/packages/kingcupdyke/kingcupdyke/placements/fleet.py
@@ -59,23 +59,20 @@
         for order in in_flight:
             self.apply(order)
 
-    def apply(self, order: OrderInFlight, counted: bool = True) -> None:
-        """Count an order that is under way.
-
-        :param counted: whether it is among the loads that the platform's rates bound
-        """
+    def apply(self, order: OrderInFlight) -> None:
+        """Count an order that is under way."""
         endpoint = order.endpoint
         if endpoint in self.free_by_endpoint:
             self.free_by_endpoint[endpoint] -= order.unseen_bytes
         if order.kind == OrderKind.LOAD:
             self.coming_by_model[order.model].add(endpoint)
-            self.loads += counted
+            self.loads += 1
         elif order.kind == OrderKind.UNLOAD:
             self.holders_by_model[order.model].discard(endpoint)
             self.unloads_by_endpoint[endpoint] += 1
         elif order.kind == OrderKind.LOAD_ADAPTER:
             self.coming_by_adapter[order.adapter].add(endpoint)
-            self.adapter_loads_by_endpoint[endpoint] += counted
+            self.adapter_loads_by_endpoint[endpoint] += 1
         elif order.kind == OrderKind.UNLOAD_ADAPTER:
             self.holders_by_adapter[order.adapter].discard(endpoint)
             self.unloads_by_endpoint[endpoint] += 1
--- a/packages/kingcupdyke/kingcupdyke/placements/issuer.py
+++ b/packages/kingcupdyke/kingcupdyke/placements/issuer.py
@@ -24,10 +24,10 @@
 
 
 class OrderIssuer:
-    """Issues orders for its own region, and counts those that another region's planner issues.
+    """Issues orders for its own region, and leaves those for others to their planners.
 
-    The planners of all regions decide by the same view. So an order that falls to another of
-    them is taken as given, and the weight store's rate is divided by the number of regions.
+    The planners of all regions decide by the same view, and the weight store's rate is divided
+    by the number of regions. An order of another planner counts once its endpoint shows it.
 
     :param planner: part of each order's id, unique to the run of the planner's process
     :param region: region whose endpoints get orders; empty: all regions
@@ -124,8 +124,8 @@
         size: int = 0,
         version: str = "",
     ) -> None:
-        own = self.is_own(endpoint)
-        self._fleet.apply(OrderInFlight(kind, endpoint, model, adapter, size), counted=own)
-        if own:
-            order = self._book.issue(kind, endpoint, self._now_s, model, adapter, size, version)
-            self.orders.append(order)
+        if not self.is_own(endpoint):
+            return
+        self._fleet.apply(OrderInFlight(kind, endpoint, model, adapter, size))
+        order = self._book.issue(kind, endpoint, self._now_s, model, adapter, size, version)
+        self.orders.append(order)
