--- a/packages/kingcupdyke/features/steps/placements_steps.py
+++ b/packages/kingcupdyke/features/steps/placements_steps.py
@@ -76,12 +76,11 @@
     context.fleet.run(rounds)
 
 
-@when(
-    "the placement runs {rounds:d} rounds with {demand:d} requests a second for {model} in {region}"
-)
-def run_demand(context, rounds, demand, model, region):
-    models = model.split(" and ")
-    context.fleet.run(rounds, {(each, region): float(demand) for each in models})
+@when("the placement runs {rounds:d} rounds with {demand:d} requests a second for {models}")
+def run_demand(context, rounds, demand, models):
+    parts = [each.split(" in ") for each in models.split(", ")]
+    keys = [(model, region) for names, region in parts for model in names.split(" and ")]
+    context.fleet.run(rounds, {key: float(demand) for key in keys})
 
 
 @when("the placement runs {rounds:d} rounds and another planner {more:d} more")
@@ -143,6 +142,12 @@
     assert max(counts) <= burst, times
 
 
+@then("placement loaded {least:d} to {most:d} times and left {unmet:g} of the demand at most")
+def check_following(context, least, most, unmet):
+    check_loads(context, least, most)
+    assert context.fleet.unmet <= unmet * context.fleet.asked, context.fleet.unmet
+
+
 @then("placement loaded {least:d} to {most:d} times")
 def check_loads(context, least, most):
     assert least <= len(context.fleet.loads) <= most, len(context.fleet.loads)
