Bound membership news, and let no backward clock lock a host out

A mass restart would have put hundreds of pieces of news on each pull; they are passed on in turns of 64 now. A host whose clock went back between two starts looked older than its last word of leaving and stayed unroutable for ever; its answers are believed once they outlast all late news. Ruled out: believing any answer at once, since late answers of a dead process would undo its leaving.

--- a/packages/kingcupdyke/features/membership.feature
+++ b/packages/kingcupdyke/features/membership.feature
@@ -34,6 +34,9 @@
       | news a 1 leaving, answer a                           | no     |
       | news a 1 leaving, answer b                           | yes    |
       | news b 1 leaving, answer a                           | no     |
+      | news b 1 leaving, answer a, later, answer a          | yes    |
+      | news b 1 leaving, answer a, later, answer 0          | no     |
+      | news b 1 leaving, answer a, answer b leaving, later, answer a | no |
       | answer a leaving                                     | no     |
       | answer b, answer a leaving                           | yes    |
       | answer a leaving, answer a                           | yes    |
@@ -71,6 +74,10 @@
       | news a 1 leaving, answer b     | 0       | 1     |
       | news a 1 leaving               | 700     | 0     |
 
+  Scenario: A mass restart is passed on in parts, none of which is left out
+    Given a membership table that lists "e1" as live
+    Then membership passes on the news of 200 hosts within 4 calls of at most 64 pieces
+
   Scenario: Kinds of host are told apart
     Given a membership table that lists "e1" as live
     When membership hears, a second apart: gateway
--- a/packages/kingcupdyke/features/steps/membership_steps.py
+++ b/packages/kingcupdyke/features/steps/membership_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from kingcupdyke.host import Host
-from kingcupdyke.membership import MembershipTable
+from kingcupdyke.membership import CLOCK_DOUBT_S, MembershipTable
 
 SILENCE_S = 3.0
 
@@ -34,7 +34,7 @@
 @when("membership hears, a second apart: {events}")
 def hear(context, events):
     for event in events.split(", "):
-        context.now_s += 1.0
+        context.now_s += CLOCK_DOUBT_S if event == "later" else 1.0
         hear_event(context.members, event.split(), context.now_s)
         context.news += context.members.leaving_news()
 
@@ -46,7 +46,7 @@
         table.hear_answer("e1", words[1], now_s, leaving=words[-1] == "leaving")
     elif words[0] == "silence":
         table.hear_silence("e1", now_s)
-    else:
+    elif words[0] != "later":
         lists = {
             "list": [make_host("e1", state=words[-1]), make_host("e2")],
             "missing": [make_host("e2")],
@@ -88,6 +88,18 @@
     assert len(context.members.leaving_news()) == count, context.members.leaving_news()
 
 
+@then(
+    "membership passes on the news of {count:d} hosts within {calls:d} calls of at most 64 pieces"
+)
+def check_parts(context, count, calls):
+    names = {f"host-{index}" for index in range(count)}
+    for name in names:
+        context.members.hear_leaving(name, "a", 1, True, context.now_s)
+    parts = [context.members.leaving_news() for _ in range(calls)]
+    assert max(len(part) for part in parts) <= 64
+    assert {news.host for part in parts for news in part} == names
+
+
 @then('membership routes kind "sidecar" to "e1" and kind "gateway" to "g1"')
 def check_kinds(context):
     assert "e1" in [host.host for host in context.members.routable("sidecar")]
--- a/packages/kingcupdyke/kingcupdyke/membership.py
+++ b/packages/kingcupdyke/kingcupdyke/membership.py
@@ -23,6 +23,11 @@
 MOST_MISSED_READINGS = 3
 #: Seconds for which news is passed on to peers.
 NEWS_LIFETIME_S = 600.0
+#: Pieces of news that are passed on at once, so that a mass restart floods nobody.
+MOST_NEWS = 64
+#: A host whose clock went back between two starts looks older than it is. It is believed
+#: when it still answers after so many seconds: no late answer, and no news, lasts as long.
+CLOCK_DOUBT_S = 2 * NEWS_LIFETIME_S
 
 
 class LeavingNews(NamedTuple):
@@ -70,6 +75,9 @@
         self._missed_by_name: dict[str, int] = {}
         self._contacts_by_name: dict[str, _Contact] = {}
         self._heard_by_name: dict[str, _HeardNews] = {}
+        #: Incarnation that looks too old and when it first answered, by host.
+        self._doubted_by_name: dict[str, tuple[str, float]] = {}
+        self._news_turn = 0
 
     def update_list(self, hosts: Iterable[Host], now_s: float) -> None:
         """Take a reading of the platform's list.
@@ -116,8 +124,11 @@
         self._advance(now_s)
         known = self._find_news(host)
         if known is not None and incarnation < known.incarnation:
-            return
-        if known is None or incarnation > known.incarnation:
+            if not self._outlasts_doubt(host, incarnation):
+                return
+        else:
+            self._doubted_by_name.pop(host, None)
+        if known is None or incarnation != known.incarnation:
             # A new process answers, so what was said of the one before it is over.
             returned = known is not None and known.leaving
             self._keep_news(LeavingNews(host, incarnation, 0, False), returned)
@@ -158,12 +169,17 @@
         )
 
     def leaving_news(self) -> tuple[LeavingNews, ...]:
-        """:return: news young enough to be passed on to peers"""
-        return tuple(
+        """:return: news young enough to be passed on; a part in turn where there is much"""
+        young = [
             heard.news
             for heard in self._heard_by_name.values()
             if heard.passed_on and self._now_s - heard.heard_s <= NEWS_LIFETIME_S
-        )
+        ]
+        if len(young) <= MOST_NEWS:
+            return tuple(young)
+        first = self._news_turn % len(young)
+        self._news_turn = first + MOST_NEWS
+        return tuple((young[first:] + young[:first])[:MOST_NEWS])
 
     def _advance(self, now_s: float) -> None:
         self._now_s = max(self._now_s, now_s)
@@ -175,6 +191,16 @@
     def _keep_news(self, news: LeavingNews, passed_on: bool) -> None:
         self._heard_by_name[news.host] = _HeardNews(news, self._now_s, passed_on)
 
+    def _outlasts_doubt(self, name: str, incarnation: str) -> bool:
+        doubted, first_s = self._doubted_by_name.setdefault(name, (incarnation, self._now_s))
+        if doubted != incarnation:
+            self._doubted_by_name[name] = (incarnation, self._now_s)
+            return False
+        if self._now_s - first_s < CLOCK_DOUBT_S:
+            return False
+        del self._doubted_by_name[name]
+        return True
+
     def _silent(self, name: str) -> bool:
         contact = self._contacts_by_name.get(name)
         return contact is not None and contact.silent
@@ -187,6 +213,7 @@
         del self._hosts_by_name[name]
         del self._missed_by_name[name]
         self._contacts_by_name.pop(name, None)
+        self._doubted_by_name.pop(name, None)
 
     def _drop_old_news(self) -> None:
         # News of listed hosts stays, so that a late repeat of older news finds it.
