Run the tests without LINT given

Cause: GNU make has a variable LINT of its own, whose value "lint" was handed to the verdict, which refused it. Before: make test ended with status 2.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,9 @@
 # Set VENV to share an environment between checkouts.
 VENV ?= .venv
-LINT ?=
+# GNU make itself sets LINT, so that "?=" would keep its value.
+ifeq ($(origin LINT),default)
+LINT :=
+endif
 PYTHON ?= python3
 BIN := $(VENV)/bin
 PACKAGES := $(wildcard packages/*)
