--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/directory.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/directory.py
@@ -27,6 +27,8 @@
 _LOGGER = logging.getLogger(__name__)
 #: Prefix blocks that are remembered over all endpoints.
 _MOST_PREFIXES = 200_000
+#: Seconds of silence after which a host's memory counts as lost.
+_GONE_S = 10.0
 
 
 class EndpointDirectory:
@@ -50,6 +52,10 @@
         self._tasks = tasks
         self._timer = timer
         self._scopes_by_host: dict[str, CancelScope] = {}
+        self._silent_since_by_host: dict[str, float] = {}
+        #: Links by host, by the model or service that the endpoint holds.
+        self._links_by_model: dict[str, dict[str, SidecarLink]] = {}
+        self._links_by_service: dict[str, dict[str, SidecarLink]] = {}
         self.links_by_host: dict[str, SidecarLink] = {}
         self.prefixes = PrefixIndex(_MOST_PREFIXES)
         self.loads = LoadTracker()
@@ -80,6 +86,14 @@
         """:return: whether a host is known to leave"""
         return self._membership.is_leaving(name)
 
+    def is_gone(self, name: str, now_s: float) -> bool:
+        """:return: whether a host is not listed any more, or has been silent for long"""
+        link = self.links_by_host.get(name)
+        if link is None:
+            return True
+        silent_s = self._silent_since_by_host.get(name)
+        return silent_s is not None and now_s - silent_s >= _GONE_S
+
     def is_usable(self, link: SidecarLink) -> bool:
         """:return: whether a sidecar answers and takes new work"""
         return link.usable and not self.is_leaving(link.host.host)
@@ -90,7 +104,8 @@
 
     def links_for(self, target: str, service: bool) -> list[SidecarLink]:
         """:return: links to the sidecars that hold a model or service and take work"""
-        return [link for link in self._usable_links() if _holds(link, target, service)]
+        held = self._links_by_service if service else self._links_by_model
+        return [link for link in held.get(target, {}).values() if self.is_usable(link)]
 
     def views(
         self, request: Request, links: Iterable[SidecarLink], now_s: float
@@ -99,7 +114,6 @@
         return [self._view(request, link, now_s) for link in links]
 
     def _view(self, request: Request, link: SidecarLink, now_s: float) -> EndpointView:
-        beat = link.last_beat
         host = link.host
         load = self.loads.parts(host.host, now_s)
         return EndpointView(
@@ -111,13 +125,10 @@
             load.report_age_s,
             load.dispatched_since,
             load.token_interval_s,
-            not request.adapter or request.adapter in beat.adapters,
+            not request.adapter or request.adapter in link.holdings.adapters,
             self.prefixes.cached_blocks(host.host, request.prefixes),
         )
 
-    def _usable_links(self) -> list[SidecarLink]:
-        return [link for link in self.links_by_host.values() if self.is_usable(link)]
-
     def _open(self, host: Host) -> None:
         settings = self._settings
         link = SidecarLink(
@@ -134,24 +145,46 @@
         self._tasks.start_soon(self._carry, link, scope)
         _LOGGER.info("link opened: step=connect peer=%s host=%s", link.peer, host.host)
 
+    def _index(self, link: SidecarLink) -> None:
+        """Note what an endpoint holds now."""
+        self._drop_index(link)
+        for index, names in (
+            (self._links_by_model, link.holdings.models),
+            (self._links_by_service, link.holdings.services),
+        ):
+            for name in names:
+                index.setdefault(name, {})[link.host.host] = link
+
+    def _drop_index(self, link: SidecarLink) -> None:
+        for index in (self._links_by_model, self._links_by_service):
+            for held in index.values():
+                if held.get(link.host.host) is link:
+                    del held[link.host.host]
+
     async def _carry(self, link: SidecarLink, scope: CancelScope) -> None:
         with scope:
-            await link.beat_forever()
+            try:
+                await link.beat_forever()
+            finally:
+                link.close()
 
     def _close(self, name: str) -> None:
         link = self.links_by_host.pop(name)
+        self._drop_index(link)
         self._scopes_by_host.pop(name).cancel()
         self.prefixes.forget(name)
         self.loads.forget(name)
-        link.close()
         _LOGGER.info("link closed: step=connect peer=%s host=%s", link.peer, name)
 
     def _heard(self, link: SidecarLink, beat: BeatReply) -> None:
         now_s = self._timer.now()
         name = link.host.host
+        self._silent_since_by_host.pop(name, None)
         self.hear_load(name, beat.load.running, beat.load.waiting, beat.load.token_interval_ms)
         self._membership.hear_answer(name, beat.load.incarnation, now_s, beat.load.leaving)
         link.config_version = self.config_version
+        if beat.HasField("holdings"):
+            self._index(link)
         for event in beat.cache_events:
             self.prefixes.hear(
                 name, beat.cache_incarnation, event.sequence, event.stored, event.prefix
@@ -162,10 +195,6 @@
         self.loads.heard(name, running, waiting, interval_ms / 1000, self._timer.now())
 
     def _went_silent(self, link: SidecarLink) -> None:
+        self._silent_since_by_host.setdefault(link.host.host, self._timer.now())
         self._membership.hear_silence(link.host.host, self._timer.now())
         _LOGGER.warning("peer silent: step=connect peer=%s host=%s", link.peer, link.host.host)
-
-
-def _holds(link: SidecarLink, target: str, service: bool) -> bool:
-    held = link.last_beat.services if service else link.last_beat.models
-    return target in held
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/link.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/link.py
@@ -10,10 +10,10 @@
 
 from anyio import current_time, fail_after, move_on_after, sleep
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke.host import Host
+from kingcupdyke_wire.calls import CALL_ERRORS, contain_call, take_back_cancel
 from kingcupdyke_wire.sidecar_grpc import SidecarStub
 from kingcupdyke_wire.sidecar_pb2 import (
     BeatReply,
@@ -21,16 +21,15 @@
     CancelRequest,
     DescribeReply,
     DescribeRequest,
+    Holdings,
     OrderReply,
     OrderRequest,
     RunReply,
     RunRequest,
 )
 
-__all__ = ["LINK_ERRORS", "SidecarLink"]
+__all__ = ["SidecarLink"]
 
-#: What a broken or refused connection raises.
-LINK_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
 #: Times that one attempt's stream is taken up again.
 _MOST_RESUMES = 4
 _CONNECT_S = 1.0
@@ -61,6 +60,7 @@
         self.host = host
         self.peer = f"{host.address}:{host.port}"
         self.last_beat: BeatReply | None = None
+        self.holdings = Holdings()
         self.config_version = 0
         #: Times that a silent connection was replaced.
         self.replaced = 0
@@ -90,15 +90,25 @@
         self._replace_channel()
 
     async def beat_forever(self) -> None:
-        """Send heartbeats; replace the connection when it goes silent."""
+        """Send heartbeats; replace the connection when it goes silent.
+
+        The sidecar only counts as silent when the new connection does not work either.
+        """
+        heard = True
         while True:
-            with suppress(*LINK_ERRORS):
+            before = self.last_beat
+            with suppress(*CALL_ERRORS), contain_call():
                 await self._beat()
-            if self.last_beat is not None:
-                self.last_beat = None
-                self._on_silence(self)
+            if self.last_beat is before and not heard:
+                self._lose()
+                await sleep(_RECONNECT_S)
+            heard = self.last_beat is not before
             self._replace_channel()
-            await sleep(_RECONNECT_S)
+
+    def _lose(self) -> None:
+        if self.last_beat is not None:
+            self.last_beat = None
+            self._on_silence(self)
 
     async def run(self, request: RunRequest) -> AsyncIterator[RunReply | Failure]:
         """Send an attempt and yield its replies; a broken stream is resumed.
@@ -128,7 +138,8 @@
                             if reply.WhichOneof("kind") in ("end", "refusal"):
                                 return
                 reason = "the stream ended early"
-            except LINK_ERRORS as error:
+            except CALL_ERRORS as error:
+                take_back_cancel()
                 reason = repr(error)
                 if not sent and attempt:
                     break
@@ -141,14 +152,15 @@
 
     async def cancel(self, attempt_id: str) -> None:
         """Tell the sidecar that nobody waits for an attempt; a lost message does no harm."""
-        with move_on_after(_CANCEL_S), suppress(*LINK_ERRORS):
+        with move_on_after(_CANCEL_S), suppress(*CALL_ERRORS), contain_call():
             await SidecarStub(self._channel).Cancel(CancelRequest(attempt_id=attempt_id))
 
     async def describe(self) -> DescribeReply:
         """:return: the state of the endpoint
-        :raises LINK_ERRORS: when the sidecar does not answer
+        :raises CALL_ERRORS: when the sidecar does not answer
         """
-        return await SidecarStub(self._channel).Describe(DescribeRequest())
+        with contain_call():
+            return await SidecarStub(self._channel).Describe(DescribeRequest())
 
     async def order(self, order: OrderRequest, timeout_s: float) -> OrderReply | Failure:
         """Give a planner's order.
@@ -156,9 +168,9 @@
         :return: the sidecar's answer, or a failure when none came
         """
         try:
-            with fail_after(timeout_s):
+            with contain_call(), fail_after(timeout_s):
                 return await SidecarStub(self._channel).Order(order)
-        except LINK_ERRORS as error:
+        except CALL_ERRORS as error:
             return Failure(Outcome.UNKNOWN, Step.ORDER, self.peer, repr(error))
 
     def _open_channel(self) -> Channel:
@@ -179,13 +191,17 @@
 
     async def _beat(self) -> None:
         sequence = 0
+        known_version = 0
         async with SidecarStub(self._channel).Beat.open() as stream:
             with fail_after(_CONNECT_S):
                 await stream.send_request()
             while True:
                 sequence += 1
                 beat = BeatRequest(
-                    sequence=sequence, sender=self._sender, config_version=self.config_version
+                    sequence=sequence,
+                    sender=self._sender,
+                    config_version=self.config_version,
+                    holdings_version=known_version,
                 )
                 sent_s = current_time()
                 with fail_after(self._silence_s):
@@ -194,5 +210,8 @@
                 if reply is None:
                     return
                 self.last_beat = reply
+                if reply.HasField("holdings"):
+                    self.holdings = reply.holdings
+                    known_version = reply.holdings.version
                 self._on_beat(self, reply)
                 await sleep(max(0.0, sent_s + self._beat_s - current_time()))
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
@@ -15,9 +15,11 @@
 from kingcupdyke.placement import EndpointInventory, Order, PlacementPolicy, PlacementView
 from kingcupdyke.rule import RuleSet
 from kingcupdyke.timer import TimerService
+from kingcupdyke_daemon.gateway.cleaner import HolderCleaner
 from kingcupdyke_daemon.gateway.directory import EndpointDirectory
-from kingcupdyke_daemon.gateway.link import LINK_ERRORS, SidecarLink
+from kingcupdyke_daemon.gateway.link import SidecarLink
 from kingcupdyke_daemon.metrics import DaemonMetrics
+from kingcupdyke_wire.calls import CALL_ERRORS
 from kingcupdyke_wire.sidecar_pb2 import DescribeReply, OrderRequest
 from kingcupdyke_wire.store import Conflict, StoreClient
 
@@ -42,6 +44,7 @@
     :param metrics: counters
     :param timer: the timer service
     :param get_rules: gives the rules in force
+    :param is_candidate: tells whether this gateway is among the few that contend for the lease
     """
 
     def __init__(
@@ -55,6 +58,7 @@
         metrics: DaemonMetrics,
         timer: TimerService,
         get_rules: Callable[[], RuleSet],
+        is_candidate: Callable[[], bool],
     ) -> None:
         self._region = region
         self._lease_name = f"planner-{region}"
@@ -66,6 +70,8 @@
         self._metrics = metrics
         self._timer = timer
         self._get_rules = get_rules
+        self._is_candidate = is_candidate
+        self._cleaner = HolderCleaner(region, directory, store)
 
     @property
     def fence(self) -> int | None:
@@ -76,9 +82,11 @@
         """Plan a round each period while the lease is held."""
         while True:
             await sleep(period_s)
-            await self._keep_lease()
+            if self.fence is not None or self._is_candidate():
+                await self._keep_lease()
             if self.fence is not None:
                 await self._plan()
+                await self._cleaner.clean(self._timer.now())
 
     async def give_back(self) -> None:
         """Give the lease back at a planned stop, so that nobody waits for its expiry."""
@@ -146,10 +154,10 @@
         try:
             with fail_after(_DESCRIBE_S):
                 reply = await link.describe()
-        except LINK_ERRORS:
+        except CALL_ERRORS:
             return
         if reply.capacity_bytes:
-            leaving = reply.load.leaving or self._directory.is_leaving(name)
+            leaving = reply.handing_over or reply.load.leaving or self._directory.is_leaving(name)
             inventory_by_endpoint[name] = _make_inventory(name, reply, leaving)
 
     async def _propose(self, link: SidecarLink, order: Order, fence: int) -> None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
@@ -173,13 +173,18 @@
             self._metrics,
             self._timer,
             lambda: self._spreader.replica.rule_set,
+            lambda: settings.common.host in self._get_planners(),
         )
 
     def _get_placement_options(self) -> dict[str, object]:
         settings = self._settings
-        if settings.placement != "greedy":
-            return {}
-        return {"lean": settings.lean}
+        common = settings.common
+        # Ids of orders must differ from those of every planner before.
+        planner = f"{common.host}/{self._incarnation}"
+        options: dict[str, object] = {"planner": planner, "region": common.region}
+        if settings.placement == "greedy":
+            options["lean"] = settings.lean
+        return options
 
     def _make_app(self) -> GatewayApp:
         settings = self._settings
@@ -228,6 +233,7 @@
                 self._metrics,
                 self._timer,
                 lambda: self._spreader.replica.rule_set,
+                lambda: self._spreader.replica.version > 0,
                 common.host,
                 common.region,
                 settings.most_body_bytes,
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
@@ -45,8 +45,10 @@
 _LOGGER = logging.getLogger(__name__)
 _STORE_TIMEOUT_S = 2.0
 _ENGINE_TIMEOUT_S = 5.0
-_INVENTORY_S = 0.25
+_INVENTORY_S = 1.0
+#: Seconds between readings of the engine's load while requests run, and while none do.
 _LOAD_S = 0.25
+_IDLE_LOAD_S = 1.0
 _CACHE_WAIT_S = 5.0
 _SWEEP_S = 0.5
 _STOP_LOOK_S = 0.05
@@ -150,25 +152,10 @@
         """Let planners load this endpoint's last replicas elsewhere, within a bound of time."""
         if self._orders is None or not self._orders.ready:
             return
-        end_s = current_time() + _HAND_OVER_S
-        for model in self._orders.models:
-            self._tasks.start_soon(self._holdings.mark_leaving, model, True)
-        while current_time() < end_s:
-            await sleep(_HAND_OVER_S / 20)
-            if await self._is_replaced():
-                return
-        _LOGGER.warning("left without hand-over: step=order models=%s", sorted(self._orders.models))
-
-    async def _is_replaced(self) -> bool:
-        leaving = self._get_leaving()
-        for model in self._orders.models:
-            read = await self._holdings.read(model)
-            if read.is_error():
-                return False
-            holders = read.ok.holders_by_endpoint.values()
-            if all(each.leaving or each.host in leaving for each in holders):
-                return False
-        return True
+        self._state.handing_over = True
+        left = await self._holdings.hand_over(self._orders.models, _HAND_OVER_S)
+        if left:
+            _LOGGER.warning("left without hand-over: step=order models=%s", ",".join(left))
 
     def _get_leaving(self) -> frozenset[str]:
         membership = self._spreader.membership
@@ -257,7 +244,7 @@
             read = await self._engine.load()
             if read.is_ok():
                 self._state.engine_load = read.ok
-            await sleep(_LOAD_S)
+            await sleep(_LOAD_S if self._table.running else _IDLE_LOAD_S)
 
     async def _read_cache_forever(self) -> None:
         position = 0
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/service.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/service.py
@@ -31,6 +31,7 @@
     DrainReply,
     DrainRequest,
     End,
+    Holdings,
     KeepAlive,
     Load,
     OrderReply,
@@ -75,36 +76,62 @@
         self._orders = orders
         self._get_version = get_version
         self._is_leaving = is_leaving
+        self._held: tuple[frozenset[str], frozenset[str]] | None = None
+        self._holdings_version = 0
         self.incarnation = incarnation
+        #: Whether models are being handed over; new work is still taken then.
+        self.handing_over = False
         self.engine_load: EngineLoad | None = None
         self.cache_incarnation = ""
         self.cache_events: deque[CacheEvent] = deque(maxlen=_MOST_CACHE_EVENTS)
 
     def make_load(self) -> Load:
-        """:return: the load now; what waits inside the engine lags"""
+        """:return: the load now; what waits inside the engine lags and does not count as running"""
         load = self.engine_load
+        waiting = min(load.waiting, self._table.running) if load else 0
         return Load(
-            running=self._table.running,
-            waiting=load.waiting if load else 0,
+            running=self._table.running - waiting,
+            waiting=waiting,
             token_interval_ms=load.token_interval_ms if load else 0.0,
             leaving=self._is_leaving(),
             incarnation=self.incarnation,
         )
 
-    def make_beat(self, sequence: int, after_event: int) -> BeatReply:
+    def make_beat(self, request: BeatRequest, after_event: int) -> BeatReply:
         """:return: the answer to a heartbeat, with cache events after a sequence number"""
-        events = [each for each in self.cache_events if each.sequence > after_event]
         return BeatReply(
-            sequence=sequence,
+            sequence=request.sequence,
             load=self.make_load(),
             config_version=self._get_version(),
-            models=sorted(self._orders.models) if self._orders else [],
-            adapters=sorted(self._orders.adapters) if self._orders else [],
-            services=sorted(self._settings.services_by_name),
-            cache_events=events[:_EVENTS_A_BEAT],
+            holdings=self._make_holdings(request.holdings_version),
+            cache_events=self._list_events(after_event),
             cache_incarnation=self.cache_incarnation,
         )
 
+    def _make_holdings(self, known_version: int) -> Holdings | None:
+        orders = self._orders
+        held = (orders.models, orders.adapters) if orders else (frozenset(), frozenset())
+        if held != self._held:
+            self._held = held
+            self._holdings_version += 1
+        if known_version == self._holdings_version:
+            return None
+        return Holdings(
+            version=self._holdings_version,
+            models=sorted(held[0]),
+            adapters=sorted(held[1]),
+            services=sorted(self._settings.services_by_name),
+        )
+
+    def _list_events(self, after_event: int) -> list[CacheEvent]:
+        fresh = []
+        for event in reversed(self.cache_events):
+            if event.sequence <= after_event:
+                break
+            fresh.append(event)
+        fresh.reverse()
+        return fresh[:_EVENTS_A_BEAT]
+
     def describe(self, fence: int) -> DescribeReply:
         """:return: all that planners and operators ask for"""
         common = self._settings.common
@@ -126,6 +153,7 @@
             config_version=self._get_version(),
             role=inventory.role if inventory else "",
             pending_orders=orders.pending if orders else (),
+            handing_over=self.handing_over,
             engine_incarnation=inventory.incarnation if inventory else "",
         )
 
@@ -192,7 +220,7 @@
             if state.cache_incarnation != incarnation:
                 incarnation = state.cache_incarnation
                 after_event = 0
-            reply = state.make_beat(request.sequence, after_event)
+            reply = state.make_beat(request, after_event)
             if reply.cache_events:
                 after_event = reply.cache_events[-1].sequence
             await stream.send_message(reply)
--- a/packages/kingcupdyke/features/steps/ledger_steps.py
+++ b/packages/kingcupdyke/features/steps/ledger_steps.py
@@ -98,6 +98,15 @@
         self.take()
         self.hand()
 
+    def down(self):
+        self.store.is_down = True
+
+    def up(self):
+        self.store.is_down = False
+
+    def losestore(self):
+        self.store.loses_answers = True
+
     def wait(self, seconds):
         self.now_s += float(seconds)
 
@@ -107,6 +116,9 @@
     def sneak(self, name, size):
         self.engine.held[(True, name, "")] = int(size)
 
+    def leak(self, size):
+        self.engine.role_bytes += int(size)
+
     def vanish(self, name):
         del self.engine.held[(True, name, "")]
 
@@ -130,14 +142,10 @@
         assert not FakeSidecar("late", self.engine, self.store).take_over(self.now_s)
 
 
-@given("ledger: an engine of 100 bytes with a role of 10 that {checks} fencing numbers")
-def give_engine(context, checks):
-    context.story = Story(checks == "checks")
-
-
-@given("ledger: an engine that takes memory only at the end of a load and checks fencing numbers")
-def give_lazy_engine(context):
-    context.story = Story(True, is_eager=False)
+@given("ledger: an engine of 100 bytes with a role of 10 that {kind}")
+def give_engine(context, kind):
+    """A lazy engine takes memory only at the end of a load; others take it at the start."""
+    context.story = Story(kind.startswith("checks"), is_eager="laz" not in kind)
 
 
 @when('ledger: "{events}" happens')
--- a/packages/kingcupdyke/kingcupdyke/budget.py
+++ b/packages/kingcupdyke/kingcupdyke/budget.py
@@ -42,7 +42,7 @@
 
     def refund(self, count: float) -> None:
         """Give back what was taken and not used."""
-        self._left = min(self._burst, self._left + count)
+        self._left += count
 
     def wait_s(self, count: float, now_s: float) -> float:
         """:return: seconds until ``count`` can be taken; infinite when it never can"""
@@ -54,6 +54,11 @@
             return inf
         return missing / self._rate_per_s
 
+    def change_rate(self, rate_per_s: float, now_s: float) -> None:
+        """Give at another rate from now on."""
+        self._fill(now_s)
+        self._rate_per_s = get_float_opt({"rate_per_s": rate_per_s}, "rate_per_s")
+
     def _fill(self, now_s: float) -> None:
         if self._filled_s is None:
             self._filled_s = now_s
--- a/packages/kingcupdyke/kingcupdyke/ledger.py
+++ b/packages/kingcupdyke/kingcupdyke/ledger.py
@@ -106,7 +106,8 @@
     ) -> Result[Reservation, Failure]:
         """Set memory aside for an order before it is sent.
 
-        :param order: the order; a repeat of its id returns the same reservation
+        :param order: the order; a repeat of its id returns the same reservation, and counts as
+            sent again until it is answered or unanswered again
         :param now_s: time in seconds of the timer service
         :param lifetime_s: seconds after which the engine drops the order
         :return: the reservation, or a failure when the order does not fit
@@ -116,8 +117,7 @@
         if _get_effect(known) != _get_effect(order):
             return self._refuse(f"order {order.order_id} stands for another order")
         if opened is not None:
-            self._events += 1
-            opened.repeat(now_s + lifetime_s, self._events)
+            opened.repeat(now_s + lifetime_s)
             return Ok(opened.reservation)
         extra_bytes = self._extra(order)
         checked = self._check_fit(order.order_bytes, extra_bytes)
@@ -179,12 +179,12 @@
         :param now_s: time in seconds of the timer service
         """
         self._capacity_bytes = min(self._configured_bytes, inventory.capacity_bytes)
+        is_fresh = self._answered_at <= self._asked_at
         if inventory.incarnation != self._incarnation:
-            self._begin_incarnation(inventory)
+            self._begin_incarnation(inventory, is_fresh)
         for opened in self._open_by_id.values():
-            opened.observe(inventory, opened.closed_at <= self._asked_at)
-        self._settle_closed(inventory)
-        is_fresh = self._answered_at <= self._asked_at
+            opened.observe(inventory, self._asked_at)
+        self._settle_closed()
         self._believe_more(inventory, is_fresh)
         if is_fresh and not self._open_by_id:
             self._believe_less(inventory)
@@ -250,14 +250,16 @@
         is_counted = opened.state == OrderState.DONE and opened.order.kind != OrderKind.ROLE
         return 0 if is_counted else self._extra(opened.order)
 
-    def _begin_incarnation(self, inventory: EngineInventory) -> None:
+    def _begin_incarnation(self, inventory: EngineInventory, is_fresh: bool) -> None:
         self._incarnation = inventory.incarnation
-        self._held_by_name = self._named(inventory)
-        self._other_bytes = self._unnamed(inventory)
         self._role_bytes = 0
-        self._doubtful.clear()
         for opened in self._open_by_id.values():
             opened.state = ""
+        if is_fresh:
+            # Otherwise the new engine may hold what was answered since the reading.
+            self._held_by_name = self._named(inventory)
+            self._other_bytes = self._unnamed(inventory)
+        self._doubtful = set(self._held_by_name)
 
     def _believe_more(self, inventory: EngineInventory, is_fresh: bool) -> None:
         named = self._named(inventory)
@@ -281,26 +283,18 @@
         self._held_by_name = self._named(inventory)
         self._doubtful.clear()
         self._other_bytes = min(self._other_bytes, self._unnamed(inventory))
-        if not self._kv_by_request:
-            self._role_bytes = max(0, self._other_bytes - sum(inventory.kv_bytes.values()))
+        kv_bytes = sum(inventory.kv_bytes.values())
+        self._role_bytes = max(0, self._unnamed(inventory) - kv_bytes)
 
-    def _settle_closed(self, inventory: EngineInventory) -> None:
-        named = self._named(inventory)
+    def _settle_closed(self) -> None:
         for order_id, opened in list(self._open_by_id.items()):
             if opened.is_stranded(self._incarnation):
                 self._settle(order_id)
             elif opened.is_over(self._asked_s):
                 self._settle(order_id)
-                if opened.state == OrderState.DONE and self._is_shown(opened, named):
+                if opened.state == OrderState.DONE:
                     self._apply(opened)
 
-    @staticmethod
-    def _is_shown(opened: OpenOrder, named: dict[tuple[str, str], int]) -> bool:
-        """:return: whether a reading shows an effect that :meth:`_believe_more` does not take"""
-        if opened.order.kind == OrderKind.ROLE:
-            return True
-        return is_unload(opened.order.kind) and opened.name not in named
-
     def _settle(self, order_id: str) -> OpenOrder:
         opened = self._open_by_id.pop(order_id)
         self._ended_by_id[order_id] = opened.order
--- a/packages/kingcupdyke/kingcupdyke/reservation.py
+++ b/packages/kingcupdyke/kingcupdyke/reservation.py
@@ -47,6 +47,8 @@
         self.bound_incarnation = ""
         #: Count of events at which the connection was closed.
         self.closed_at = 0
+        #: Whether it may have been sent more than once.
+        self.is_repeated = False
         #: Whether the engine's "done" may be older than what is resident now: the id is a repeat,
         #: or another order for the same name ended meanwhile.
         self.contested = False
@@ -72,37 +74,41 @@
         """:return: the kind of thing and its name that the order is about"""
         return get_target(self.order)
 
-    def repeat(self, expires_s: float, event: int) -> None:
+    def repeat(self, expires_s: float) -> None:
         """Note that it may be sent once more.
 
         :param expires_s: time after which the engine drops the repeat
-        :param event: count of events at which it may have left
         """
         self.expires_s = max(self.expires_s, expires_s)
         self.bound_incarnation = ""
-        self.state = ""
-        self.closed_at = event
+        self.closed = False
+        self.is_repeated = True
 
     @property
     def has_begun(self) -> bool:
         """:return: whether memory that an inventory shows may be this order's"""
         return self.state in (OrderState.RUNNING, OrderState.DONE)
 
-    def observe(self, inventory: EngineInventory, is_after_close: bool) -> None:
+    def observe(self, inventory: EngineInventory, asked_at: int) -> None:
         """Take over what an inventory shows of the order.
 
-        :param is_after_close: whether the inventory was asked for after the connection closed
+        :param asked_at: count of events when the inventory was asked for
         """
         state = inventory.orders.get(self.order.order_id, "")
         if state:
             self.state = state
+        if not self.bound_incarnation and self._has_left(state, asked_at):
             self.bound_incarnation = inventory.incarnation
-        elif self.closed and not self.adopted and is_after_close and not self.bound_incarnation:
-            self.bound_incarnation = inventory.incarnation
+
+    def _has_left(self, state: str, asked_at: int) -> bool:
+        """:return: whether each sending of it was to the engine of the reading or an earlier one"""
+        if state and not self.is_repeated:
+            return True
+        return self.closed and self.closed_at <= asked_at and not self.adopted
 
     def is_stranded(self, incarnation: str) -> bool:
         """:return: whether the engine that it was sent to is gone"""
-        return self.closed and self.bound_incarnation not in ("", incarnation)
+        return self.bound_incarnation not in ("", incarnation)
 
     def is_over(self, asked_s: float) -> bool:
         """Tell whether an inventory shows the order's outcome for good.
