--- /dev/null
+++ b/features/embedding.feature
@@ -0,0 +1,13 @@
+Feature: The core can be embedded
+
+  Scenario: The example of the page runs as the page says
+    When the embedding example runs
+    Then the embedding example prints
+      """
+      routed to model-1, crossing regions: False
+      refused: not_run, come back in 1.6 s
+      second load: not_run at step order
+      resident: chat-7b, free: 16 GiB
+      repeat dropped: True, crossed refused: True
+      complete: True
+      """
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/calls.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/calls.py
@@ -9,12 +9,20 @@
 from collections.abc import Generator
 from contextlib import contextmanager
 
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from h2.exceptions import H2Error
 
 __all__ = ["CALL_ERRORS", "contain_call", "take_back_cancel"]
 
 #: What a broken or refused call raises.
-CALL_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
+CALL_ERRORS = (
+    GRPCError,
+    StreamTerminatedError,
+    ProtocolError,
+    H2Error,
+    OSError,
+    TimeoutError,
+)
 
 
 @contextmanager
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -17,6 +17,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+#: Folder for the output of failed suites; not committed.
+REPORTS = ROOT / "reports"
 #: Suites that run beside each other.
 MOST_AT_ONCE = 3
 SUITE_TIMEOUT_S = 1500
@@ -65,12 +67,20 @@
             if element["type"] != "background"
         ]
         failed = any(each.status != "passed" for each in results)
+        if failed or done.returncode:
+            keep_output(name, done.stderr)
         if not results or (done.returncode and not failed):
             tail = (done.stdout + done.stderr)[-3000:]
             results.append(CaseResult(f"{name}: suite", "failed", 0.0, tail))
         return results
 
 
+def keep_output(suite: str, text: str) -> None:
+    """Keep what the processes of a failed suite wrote."""
+    REPORTS.mkdir(exist_ok=True)
+    (REPORTS / f"{suite.replace('/', '-')}.err").write_text(text)
+
+
 def read_case(suite: str, feature: dict, element: dict) -> CaseResult:
     """:return: the result of one scenario of behave's JSON report"""
     folder = suite if not suite.endswith(".feature") else str(Path(suite).parent)
