Record each order's intent, show a restarted engine the number, keep the lease apart from rounds

Cause: an engine that checks fencing numbers forgets them at a restart, so that orders without a stored intent could have come from a superseded sidecar; the number was not shown again after a restart; an unload that failed left the endpoint out of the model's record; an unseen order's id was used up once only; a long placement round could let the planner's lease lapse. Ruled out: a read of the endpoint's object before each order, which costs the same call and leaves a gap before the sending. While the store is away an engine that checks numbers still takes orders. Conclusion: the conditional write of the intent is the sidecar's guard.

--- /dev/null
+++ b/packages/kingcupdyke-daemon/features/steps/orders_steps.py
@@ -0,0 +1,187 @@
+"""
+orders_steps
+~~~~~~~~~~~~
+
+Steps of a sidecar's orders, with an engine and a store in memory.
+"""
+
+import time
+
+import anyio
+from behave import given, then, when
+from expression import Error, Ok
+
+from kingcupdyke.drain import DrainMachine
+from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke.fence import EndpointRecord
+from kingcupdyke.intent import Intent
+from kingcupdyke.inventory import EngineInventory, OrderState
+from kingcupdyke.ledger import MemoryLedger
+from kingcupdyke.residency import Holder, ResidencyRecord, decode_residency, encode_residency
+from kingcupdyke_daemon.sidecar.holdings import RESIDENCY_KIND, HoldingDesk
+from kingcupdyke_daemon.sidecar.orders import OrderDesk
+from kingcupdyke_daemon.sidecar.seat import ENDPOINTS_KIND, EndpointSeat
+from kingcupdyke_daemon.timer import LoopTimer
+from kingcupdyke_wire.engine import OrderAnswer
+from kingcupdyke_wire.memorystore import MemoryStoreClient
+from kingcupdyke_wire.sidecar_pb2 import OrderRequest
+
+GB = 10**9
+
+
+class FakeEngine:
+    """Carries orders out at once; it has only what orders need."""
+
+    def __init__(self):
+        self.incarnation = "e1"
+        self.fence = 0
+        self.models = {}
+        self.orders = {}
+        self.sent = []
+        self.fails = False
+        self.away = 0
+
+    async def order(self, order_id, fence, kind, model, *rest):
+        if self.away:
+            self.away -= 1
+            return Error(Failure(Outcome.NOT_RUN, Step.CONNECT, "engine", "away"))
+        self.fence = max(self.fence, fence)
+        state = OrderState.FAILED if self.fails or not model else OrderState.DONE
+        if model:
+            self.sent.append(kind)
+        if kind == "load" and state == OrderState.DONE:
+            self.models[model] = rest[-2]
+        self.orders[order_id] = state
+        return Ok(OrderAnswer(state, ""))
+
+    async def inventory(self):
+        used = sum(self.models.values())
+        return Ok(
+            EngineInventory(
+                self.incarnation,
+                "",
+                self.fence,
+                80 * GB,
+                used,
+                dict(self.models),
+                {},
+                {},
+                dict(self.orders),
+            )
+        )
+
+
+async def run_desk(context, act):
+    """Run one endpoint's orders, take it over, and let something happen."""
+    async with anyio.create_task_group() as tasks:
+        store, engine = context.store, context.engine
+        seat = EndpointSeat("x", "20", context.checks, store, engine)
+        holdings = HoldingDesk(
+            store, "x", lambda: Holder(engine.incarnation, "x", "d", "r"), lambda _: 1, frozenset
+        )
+        context.desk = OrderDesk(
+            seat, MemoryLedger(1 << 60), engine, holdings, DrainMachine(), context.checks, 30.0,
+            tasks, LoopTimer(tasks), lambda _: 0,
+        )  # fmt: skip
+        await context.desk.begin()
+        await act(context.desk)
+        await anyio.sleep(0.1)
+        tasks.cancel_scope.cancel()
+
+
+def make_order(kind):
+    """:return: a planner's order"""
+    return OrderRequest(order_id="o1", kind=kind, model="m", bytes=10 * GB, lease="l", fence=1)
+
+
+async def supersede(store):
+    """Let a later sidecar take the endpoint."""
+    found = (await store.get(ENDPOINTS_KIND, "x")).ok
+    value = EndpointRecord("x", "30", 9).encode()
+    await store.put(ENDPOINTS_KIND, "x", value, found.version)
+
+
+@given("orders go to an engine that {checks} numbers, with {store}")
+def prepare(context, checks, store):
+    context.engine = FakeEngine()
+    context.store = MemoryStoreClient()
+    context.checks = checks == "checks"
+    context.trouble = store
+    if store == "an intent of a dead sender":
+        context.engine.away = 1
+        intent = Intent("o0", "load", "m0", "", 10 * GB, 1, time.time() - 5, 0.01)
+        record = EndpointRecord("x", "10", 1, (intent,))
+        anyio.run(context.store.put, ENDPOINTS_KIND, "x", record.encode(), 0)
+
+
+@given('orders hold the model "{model}" here and elsewhere')
+def hold(context, model):
+    context.engine.models[model] = GB
+    record = ResidencyRecord(model, {"y": Holder("e9", "y", "d", "r")})
+    anyio.run(context.store.put, RESIDENCY_KIND, model, encode_residency(record), 0)
+
+
+@when("orders ask for a load of 10 GB")
+def ask_load(context):
+    async def act(desk):
+        if context.trouble == "a successor":
+            await supersede(context.store)
+        context.store.down = context.trouble == "the store down"
+        desk.give(make_order("load"))
+        await anyio.sleep(0.1)
+        context.store.down = False
+
+    anyio.run(run_desk, context, act)
+
+
+@when("orders ask for an unload that the engine fails")
+def ask_unload(context):
+    async def act(desk):
+        context.engine.fails = True
+        desk.give(make_order("unload"))
+
+    anyio.run(run_desk, context, act)
+
+
+@when("orders see the engine restart")
+def restart(context):
+    async def act(desk):
+        context.engine.incarnation = "e2"
+        context.engine.fence = 0
+        with anyio.move_on_after(0.1):
+            await desk.observe_forever(0.02)
+
+    anyio.run(run_desk, context, act)
+
+
+@when("orders meet an engine that is away once at the start")
+def see_away(context):
+    async def act(desk):
+        with anyio.move_on_after(0.2):
+            await desk.observe_forever(0.02)
+        context.pending = desk.pending
+
+    anyio.run(run_desk, context, act)
+
+
+@then("orders have sent {sent:d} and left {intents:d} intents in the store")
+def check_sent(context, sent, intents):
+    found = anyio.run(context.store.get, ENDPOINTS_KIND, "x").ok
+    assert len(context.engine.sent) == sent, context.engine.sent
+    assert len(EndpointRecord.decode(found.value).intents) == intents
+
+
+@then('orders have the endpoint among the holders of "{model}"')
+def check_holder(context, model):
+    found = anyio.run(context.store.get, RESIDENCY_KIND, model).ok
+    assert "x" in decode_residency(found.value).holders_by_endpoint
+
+
+@then("orders have shown the engine their number")
+def check_fence(context):
+    assert context.engine.fence >= 1, context.engine.fence
+
+
+@then("orders have no order left open")
+def check_pending(context):
+    assert context.pending == (), context.pending
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
@@ -82,12 +82,17 @@
         """Plan a round each period while the lease is held."""
         while True:
             await sleep(period_s)
-            if self.fence is not None or self._is_candidate():
-                await self._keep_lease()
             if self.fence is not None:
                 await self._plan()
                 await self._cleaner.clean(self._timer.now())
 
+    async def keep_lease_forever(self, period_s: float) -> None:
+        """Take and renew the lease, apart from rounds, which may take long."""
+        while True:
+            if self.fence is not None or self._is_candidate():
+                await self._keep_lease()
+            await sleep(period_s)
+
     async def give_back(self) -> None:
         """Give the lease back at a planned stop, so that nobody waits for its expiry."""
         command = self._lease.release(self._timer.now())
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
@@ -250,6 +250,7 @@
         self._timer.subscribe("refresh", _REFRESH_S, self._refresh)
         tasks.start_soon(self._tell_demand_forever)
         if self._planner is not None:
+            tasks.start_soon(self._planner.keep_lease_forever, self._settings.lease_s / 6)
             tasks.start_soon(self._planner.plan_forever, self._settings.plan_s)
 
     def _refresh(self, now_s: float) -> None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/orders.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/orders.py
@@ -116,8 +116,6 @@
         self._ledger.adopt(inventory, intents, self._timer.now())
         self.inventory = inventory
         self.ready = True
-        for order_id in self._ledger.unseen:
-            await self._end_unseen(order_id)
         for model in inventory.models:
             await self._holdings.add(model)
 
@@ -200,10 +198,15 @@
         self.inventory = inventory
         self._ledger.observe(inventory, self._timer.now())
         self._forget_settled()
-        if before is not None and before.incarnation != inventory.incarnation and self.ready:
+        if not self.ready:
+            return
+        if before is not None and before.incarnation != inventory.incarnation:
             _LOGGER.warning("engine restarted: step=order incarnation=%s", inventory.incarnation)
+            await self._seat.raise_fence()
             for model in before.models.keys() - inventory.models.keys():
-                await self._holdings.drop(model, before.incarnation)
+                self._tasks.start_soon(self._holdings.drop, model, before.incarnation)
+        for order_id in self._ledger.unseen:
+            await self._end_unseen(order_id)
 
     async def _carry(self, order: Order) -> None:
         try:
@@ -222,11 +225,19 @@
             _LOGGER.info("unload refused: step=order reason=%s", removed.error.reason)
             return
         self._unloading.add(order.model)
-        while self._in_use(order.model):
-            await sleep(_QUIET_S)
-        self._ledger.reserve(order, self._timer.now(), self._lifetime_s)
-        await self._send(order)
-        self._unloading.discard(order.model)
+        try:
+            while self._in_use(order.model):
+                await sleep(_QUIET_S)
+            reserved = self._ledger.reserve(order, self._timer.now(), self._lifetime_s)
+            if reserved.is_error() or not await self._send(order):
+                await self._keep_after_all(order.model)
+        finally:
+            self._unloading.discard(order.model)
+
+    async def _keep_after_all(self, model: str) -> None:
+        """State again that a model is held here whose unload failed."""
+        if model in self._ledger.models:
+            await self._holdings.add(model)
 
     async def _send(self, order: Order) -> bool:
         """Record the intent of a reserved order, send it and settle it.
@@ -260,8 +271,6 @@
 
     async def _record(self, order: Order) -> bool:
         """:return: whether the order may be sent now"""
-        if self._checks_fence:
-            return self._seat.guard.check(Step.ORDER).is_ok()
         intent = Intent(
             order.order_id,
             order.kind,
@@ -274,7 +283,17 @@
         )
         self._intents_by_id[order.order_id] = intent
         recorded = await self._seat.record(self._intents_by_id.values())
-        return recorded.is_ok() and may_send(intent, time.time())
+        if recorded.is_error() and not self._may_go_unrecorded(recorded.error):
+            return False
+        return may_send(intent, time.time())
+
+    def _may_go_unrecorded(self, failure: Failure) -> bool:
+        """:return: whether the engine's own check of numbers has to do while the store is away"""
+        return (
+            self._checks_fence
+            and failure.step is not Step.ORDER
+            and self._seat.guard.check(Step.ORDER).is_ok()
+        )
 
     async def _load_adapter(
         self, model: str, adapter: str, size_bytes: int
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/seat.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/seat.py
@@ -27,7 +27,7 @@
 from kingcupdyke.intent import Intent
 from kingcupdyke.inventory import EngineInventory
 from kingcupdyke.placement import OrderKind
-from kingcupdyke_wire.engine import EngineClient
+from kingcupdyke_wire.engine import EngineClient, OrderAnswer
 from kingcupdyke_wire.store import Conflict, StoreClient, StoreObject
 
 __all__ = ["ENDPOINTS_KIND", "EndpointSeat"]
@@ -117,6 +117,14 @@
             Failure(Outcome.NOT_RUN, Step.STORE, self.endpoint, "the intent was not stored", 1.0)
         )
 
+    async def raise_fence(self) -> bool:
+        """Show the engine this sidecar's number, which a restart has made it forget.
+
+        :return: whether the engine has answered
+        """
+        answer = await self._show_fence(self.fence)
+        return answer.is_ok()
+
     async def check_superseded(self) -> bool:
         """Read the object, as after a pause of this process.
 
@@ -169,9 +177,14 @@
         return self._machine.endpoint_written(written.ok.version)
 
     async def _raise_fence(self, command: RaiseFence) -> TakeoverCommand | None:
-        answer = await self._engine.order(
+        answer = await self._show_fence(command.fence)
+        return None if answer.is_error() else self._machine.fence_raised()
+
+    async def _show_fence(self, fence: int) -> Result[OrderAnswer, Failure]:
+        """Give an order that takes no memory."""
+        return await self._engine.order(
             f"fence-{uuid4().hex}",
-            command.fence,
+            fence,
             OrderKind.UNLOAD_ADAPTER,
             "",
             "no-such-adapter",
@@ -180,7 +193,6 @@
             0,
             _FENCE_ORDER_LIFETIME_S,
         )
-        return None if answer.is_error() else self._machine.fence_raised()
 
     async def _read_inventory(self) -> TakeoverCommand | None:
         read = await self._engine.inventory()
