--- a/features/path.feature
+++ b/features/path.feature
@@ -46,3 +46,8 @@
     When 24 callers ask chat-7b for 10 tokens at the same time at entry-n2
     Then each caller has the whole answer to the own request
     And no stand-in saw a violation
+
+  Scenario: What callers got is measured by caller and class
+    When a caller asks chat-7b for 8 tokens at entry-n1, streamed
+    Then the metrics of entry-n1 have histograms by caller and class
+    And the metrics of sidecar app-n1 can be read
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -5,8 +5,11 @@
 Steps of the official client library.
 """
 
+from urllib.request import urlopen
+
 from behave import then, when
 from openai import OpenAI
+from site_steps import find_process
 
 from kingcupdyke_standins.answer import expected_text
 
@@ -34,3 +37,23 @@
     expected = expected_text(context.model, "user: hello\n", context.tokens)
     assert context.texts == [expected, expected], context.texts
     assert {"chat-7b", "chat-club", "plan-13b"} <= set(context.models)
+
+
+@then("the metrics of {gateway} have histograms by caller and class")
+def check_metrics(context, gateway):
+    url = context.site.gateways_by_name[gateway].url
+    lines = urlopen(f"{url}/metrics").read().decode().splitlines()
+    for name in ("time_to_first_part", "time_between_parts", "whole_time", "queue_wait"):
+        start = f"{name}_seconds_count"
+        found = [line for line in lines if line.startswith(start)]
+        assert any(
+            'caller="desk"' in line and 'class="interactive"' in line for line in found
+        ), name
+
+
+@then("the metrics of {name} can be read")
+def check_readable(context, name):
+    process = find_process(context, name)
+    url = f"http://{process.address}:{process.ports_by_word['http']}"
+    assert urlopen(f"{url}/metrics").status == 200
+    assert urlopen(f"{url}/readyz").status == 200
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/app.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/app.py
@@ -112,7 +112,8 @@
         if made.is_error():
             await send_rejection(send, made.error, reply_headers)
             return
-        await self._carry(made.ok, receive, CallerSink(send, reply_headers, made.ok.stream))
+        sink = CallerSink(send, reply_headers, made.ok.stream, self._parts.timer)
+        await self._carry(made.ok, receive, sink)
 
     async def _carry(self, call: Call, receive: Receive, sink: CallerSink) -> None:
         parts = self._parts
@@ -131,8 +132,17 @@
                 tasks.cancel_scope.cancel()
         finally:
             parts.drain.finished(request.request_id)
-            whole_s = parts.timer.now() - request.arrived_s
-            parts.metrics.record_whole(request.caller, request.service_class, whole_s, outcome)
+            self._record(request, sink, outcome)
+
+    def _record(self, request: Request, sink: CallerSink, outcome: str) -> None:
+        metrics = self._parts.metrics
+        names = (request.caller, request.service_class)
+        if sink.first_s is not None:
+            metrics.record_first(*names, sink.first_s - request.arrived_s)
+        if sink.part_count > 1:
+            between_s = (sink.latest_s - sink.first_s) / (sink.part_count - 1)
+            metrics.record_between(*names, between_s)
+        metrics.record_whole(*names, self._parts.timer.now() - request.arrived_s, outcome)
 
     async def _read(
         self, scope: dict, headers: dict[str, str], receive: Receive
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/sink.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/sink.py
@@ -5,6 +5,7 @@
 Where the answer to a caller goes.
 """
 
+from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.gateway.reply import (
     Headers,
     Rejection,
@@ -23,12 +24,18 @@
     :param send: the server's function
     :param headers: header fields that every answer carries
     :param stream: whether parts are passed on as they come
+    :param timer: the timer service
     """
 
-    def __init__(self, send: Send, headers: Headers, stream: bool) -> None:
+    def __init__(self, send: Send, headers: Headers, stream: bool, timer: TimerService) -> None:
         self._send = send
         self._headers = tuple(headers)
         self._stream = stream
+        self._timer = timer
+        #: Times of the first and the latest part, and their number.
+        self.first_s: float | None = None
+        self.latest_s = 0.0
+        self.part_count = 0
         self._parts: list[bytes] = []
         self._head: tuple[int, str] | None = None
         self._endpoint = ""
@@ -47,6 +54,7 @@
 
     async def part(self, data: bytes) -> None:
         """Take a piece of the answer."""
+        self._note_part()
         if not self._stream:
             self._parts.append(data)
             return
@@ -74,6 +82,12 @@
         event = b"data: " + encode_error(rejection) + b"\n\n"
         await self._send({"type": "http.response.body", "body": event})
 
+    def _note_part(self) -> None:
+        self.latest_s = self._timer.now()
+        if self.first_s is None:
+            self.first_s = self.latest_s
+        self.part_count += 1
+
     def _get_headers(self) -> tuple[tuple[bytes, bytes], ...]:
         return (*self._headers, (b"x-endpoint", self._endpoint.encode()))
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
@@ -17,6 +17,7 @@
 from kingcupdyke.keyworker import KeyWorker
 from kingcupdyke.ledger import MemoryLedger
 from kingcupdyke.residency import Holder
+from kingcupdyke_daemon.metrics import DaemonMetrics
 from kingcupdyke_daemon.process import (
     StatusApp,
     make_incarnation,
@@ -210,6 +211,7 @@
             self._incarnation,
             settings.common.host,
             lambda: self._spreader.replica.rule_set,
+            DaemonMetrics(settings.common.host, "sidecar"),
         )
 
     def _make_service_parts(self) -> ServiceParts:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/work.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/work.py
@@ -28,6 +28,7 @@
 from kingcupdyke.keyrecord import KeyRecord, KeyState
 from kingcupdyke.resume import AttemptMemory
 from kingcupdyke.rule import RuleSet
+from kingcupdyke_daemon.metrics import DaemonMetrics
 from kingcupdyke_daemon.sidecar.backend import (
     Backend,
     BackendHead,
@@ -62,6 +63,7 @@
     incarnation: str
     peer: str
     get_rules: Callable[[], RuleSet]
+    metrics: DaemonMetrics
 
 
 class WorkDesk:
@@ -151,6 +153,8 @@
             if failure is None and not run.done:
                 failure = await self._run(run, machine)
             run.finish(failure, current_time())
+            outcome = failure.outcome.value if failure else "delivered"
+            self._parts.metrics.count(f"attempt_{outcome}")
         finally:
             self._count(request, -1)
             self._parts.drain.finished(request.attempt_id)
@@ -170,6 +174,7 @@
 
     def _judge(self, result: ClaimResult, run: Run, machine: AttemptMachine) -> Failure | None:
         """:return: why the attempt does not run; None when it may, or has its recorded answer"""
+        self._parts.metrics.count(f"claim_{_NAMES_BY_RESULT[type(result)]}")
         if isinstance(result, Claimed):
             claimed = machine.claimed()
             return claimed.error if claimed.is_error() else None
@@ -197,6 +202,14 @@
         return machine.failure(failure.step, failure.reason)
 
 
+_NAMES_BY_RESULT = {
+    Claimed: "claimed",
+    Replay: "replay",
+    StillRunning: "still_running",
+    UnknownRun: "unknown",
+    KeyReused: "reused",
+    Unclaimed: "unclaimed",
+}
 _EXPLANATIONS = {
     StillRunning: (Outcome.UNKNOWN, "the request with this key still runs", 1.0),
     UnknownRun: (Outcome.UNKNOWN, "outcome unknown: not run again", None),
