--- /dev/null
+++ b/packages/kingcupdyke-daemon/features/steps/run_steps.py
@@ -0,0 +1,60 @@
+"""
+run_steps
+~~~~~~~~~
+
+Steps for attempts that a sidecar runs.
+"""
+
+import anyio
+from behave import given, then, when
+
+from kingcupdyke.error import Outcome
+from kingcupdyke_daemon.sidecar.backend import Backend
+from kingcupdyke_daemon.sidecar.run import RunTable
+from kingcupdyke_wire.sidecar_pb2 import RunRequest
+
+
+class SilentBackend(Backend):
+    """Never answers.
+
+    :param cancel_s: seconds that a cancel takes
+    """
+
+    def __init__(self, cancel_s):
+        self._cancel_s = cancel_s
+        self.is_cancelled = False
+
+    async def run(self, request):
+        await anyio.sleep_forever()
+        yield
+
+    async def cancel(self, request):
+        await anyio.sleep(self._cancel_s)
+        self.is_cancelled = True
+
+
+@given("a run at a back end that never answers and takes {cancel_ms:d} ms to cancel")
+def give_backend(context, cancel_ms):
+    context.backend = SilentBackend(cancel_ms / 1000)
+
+
+@when("the run passes its deadline of {deadline_ms:d} ms")
+def pass_deadline(context, deadline_ms):
+    async def execute():
+        async with anyio.create_task_group() as tasks:
+            table = RunTable(tasks, 0.01, 5.0)
+            request = RunRequest(attempt_id="one", deadline_ms=deadline_ms, idempotent=True)
+            context.failure = await table.execute(table.open(request), context.backend)
+            context.was_cancelled = context.backend.is_cancelled
+
+    anyio.run(execute)
+
+
+@then("the run's end says that its outcome is unknown")
+def check_failure(context):
+    assert context.failure.outcome is Outcome.UNKNOWN
+
+
+@then("the run's back end was {state} by then")
+def check_cancelled(context, state):
+    assert context.was_cancelled == (state == "cancelled")
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/run.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/run.py
@@ -7,7 +7,7 @@
 
 from contextlib import aclosing
 
-from anyio import CancelScope, Event, current_time, sleep
+from anyio import CancelScope, Event, current_time, move_on_after, sleep
 from anyio.abc import TaskGroup
 
 from kingcupdyke.answer import AnswerBuffer
@@ -21,6 +21,8 @@
 _MOST_BUFFER_BYTES = 4 << 20
 #: Seconds past its deadline that non-idempotent work may go on, so that its answer is recorded.
 _RECORD_GRACE_S = 30.0
+#: Seconds that the end of a cancelled attempt waits for the back end to hear of it.
+_CANCEL_S = 2.0
 _CANCELLED = Failure(
     Outcome.UNKNOWN, Step.RUN, "", "the attempt was cancelled or passed its deadline"
 )
@@ -129,7 +131,9 @@
             with run.scope:
                 failure = await self._collect(run, backend)
             if run.scope.cancelled_caught:
-                self._tasks.start_soon(backend.cancel, run.request)
+                # Until then the back end works on it, so nothing it uses may be taken away.
+                with move_on_after(_CANCEL_S, shield=True):
+                    await backend.cancel(run.request)
         finally:
             self.running -= 1
         run.flush(current_time())
