--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
@@ -173,13 +173,18 @@
             self._metrics,
             self._timer,
             lambda: self._spreader.replica.rule_set,
+            lambda: settings.common.host in self._get_planners(),
         )
 
     def _get_placement_options(self) -> dict[str, object]:
         settings = self._settings
-        if settings.placement != "greedy":
-            return {}
-        return {"lean": settings.lean}
+        common = settings.common
+        # Ids of orders must differ from those of every planner before.
+        planner = f"{common.host}/{self._incarnation}"
+        options: dict[str, object] = {"planner": planner, "region": common.region}
+        if settings.placement == "greedy":
+            options["lean"] = settings.lean
+        return options
 
     def _make_app(self) -> GatewayApp:
         settings = self._settings
@@ -245,6 +250,7 @@
         self._timer.subscribe("refresh", _REFRESH_S, self._refresh)
         tasks.start_soon(self._tell_demand_forever)
         if self._planner is not None:
+            tasks.start_soon(self._planner.keep_lease_forever, self._settings.lease_s / 6)
             tasks.start_soon(self._planner.plan_forever, self._settings.plan_s)
 
     def _refresh(self, now_s: float) -> None:
--- a/packages/kingcupdyke/features/ledger.feature
+++ b/packages/kingcupdyke/features/ledger.feature
@@ -18,7 +18,7 @@
       | ignores | order lost, lifetime not over | order L load a 40; send L; lose L; close L; wait 9; read; read | 50 | L | - |
       | ignores | order lost, reading asked too early | order L load a 40; send L; lose L; close L; wait 9; read; wait 2; read | 50 | L | - |
       | ignores | order lost, lifetime over | order L load a 40; send L; lose L; close L; wait 11; read; read | 90 | - | - |
-      | ignores | lost, then sent again | order L load a 60; send L; close L; wait 9; order L load a 60; send L; wait 5; read; read; refuse M load b 40; arrive L; end L | 30 | L | - |
+      | ignores | lost, then sent again | order L load a 60; send L; close L; wait 9; order L load a 60; send L; close L; wait 5; read; read; refuse M load b 40; arrive L; end L | 30 | L | - |
       | ignores | order late, sender dead | order L load a 60; send L; successor; refuse M load b 40; arrive L; end L; wait 11; read; read | 30 | - | a |
       | ignores | answer lost | order L load a 40; send L; arrive L; end L; close L; read | 50 | L | a |
       | ignores | answer lost, lifetime over | order L load a 40; send L; arrive L; end L; close L; wait 11; read; read | 50 | - | a |
@@ -27,6 +27,9 @@
       | ignores | answer to an unload lost | go L load a 60; order U unload a; send U; arrive U; end U; close U; wait 11; order K load k 5; read; read | 85 | K | - |
       | ignores | killed between intent and order | order L load a 60; successor; wait 30; read; read; refuse M load b 40 | 30 | L | - |
       | ignores | killed, its order id ended | order L load a 60; successor; consume L; read; wait 11; read; read | 90 | - | - |
+      | ignores | killed, the use of its order id is answered | order L load a 60; successor; consume L; answer L | 30 | - | - |
+      | ignores | killed, the use of its order id is answered, then read | order L load a 60; successor; consume L; answer L; read; read | 90 | - | - |
+      | ignores | killed before an unload, the use of its order id is answered | go L load a 40; order U unload a; successor; consume U; answer U; refuse M load b 60 | 50 | - | a |
       | ignores | killed before an unload | go L load a 40; order U unload a; successor | 50 | U | - |
       | ignores | paused, wakes after its successor | order L load a 60; successor; wait 30; read; read; refuse M load b 40; wake L; arrive L; end L; wait 11; read; read | 30 | - | a |
       | ignores | paused, wakes to order more | successor; stale L load a 60; order M load b 60 | 30 | M | - |
@@ -50,6 +53,8 @@
       | ignores | engine restarted, reading older than the closing | take; order L load a 60; restart; send L; close L; hand; read; refuse M load b 40; arrive L; end L | 30 | L | - |
       | ignores | engine restarted, order sent again | order L load a 60; send L; arrive L; read; close L; restart; order L load a 60; send L; read; refuse M load b 40; arrive L; end L | 30 | L | - |
       | ignores | engine restarted, reading older than the repeat | order L load a 60; send L; arrive L; read; close L; take; restart; order L load a 60; send L; hand; read; refuse M load b 40; arrive L; end L | 30 | L | - |
+      | ignores | engine restarted between a repeat and its sending | order L load a 60; send L; lose L; close L; order L load a 60; read; read; restart; send L; read; refuse M load b 40; arrive L; end L | 30 | L | - |
+      | ignores | engine restarted between a repeat and its sending, order had begun | order L load a 60; send L; arrive L; close L; order L load a 60; read; read; restart; send L; read; refuse M load b 40; arrive L; end L | 30 | L | - |
       | ignores | engine restarted, done order sent again | order L load a 60; send L; arrive L; end L; close L; read; restart; order L load a 60; send L; read; refuse M load b 40; arrive L; end L | 30 | L | - |
       | ignores | engine restarted, answer to come | order M load b 60; read; restart; read; read; send M; refuse N load c 40; arrive M; end M; read | 30 | M | b |
       | ignores | reading older than an answer | order L load a 60; send L; arrive L; take; end L; answer L; hand; refuse M load b 40 | 30 | - | a |
--- a/packages/kingcupdyke/features/steps/placements_steps.py
+++ b/packages/kingcupdyke/features/steps/placements_steps.py
@@ -9,7 +9,7 @@
 
 from behave import given, then, when
 from builders import make_model, make_rules
-from fleet_fake import FleetFake
+from fleet_fake import FleetFake, RegionPlanners
 
 from kingcupdyke.placements import get_placement
 from kingcupdyke.placements.share import TURN_S, AdapterShare
@@ -49,6 +49,15 @@
     context.fleet = FleetFake(rules, placement, context.endpoints, capacity)
 
 
+@given("the placement regions {regions} have a planner each")
+def make_planners(context, regions):
+    planners = {
+        each: get_placement("greedy", planner=each, region=each, lean=0.0, loads_at_once=50)
+        for each in regions.split(",")
+    }
+    context.fleet.placement = RegionPlanners(planners)
+
+
 @given("the placement fleet holds {held}")
 def place_models(context, held):
     for each in held.split():
@@ -67,12 +76,11 @@
     context.fleet.run(rounds)
 
 
-@when(
-    "the placement runs {rounds:d} rounds with {demand:d} requests a second for {model} in {region}"
-)
-def run_demand(context, rounds, demand, model, region):
-    models = model.split(" and ")
-    context.fleet.run(rounds, {(each, region): float(demand) for each in models})
+@when("the placement runs {rounds:d} rounds with {demand:d} requests a second for {models}")
+def run_demand(context, rounds, demand, models):
+    parts = [each.split(" in ") for each in models.split(", ")]
+    keys = [(model, region) for names, region in parts for model in names.split(" and ")]
+    context.fleet.run(rounds, {key: float(demand) for key in keys})
 
 
 @when("the placement runs {rounds:d} rounds and another planner {more:d} more")
@@ -120,6 +128,26 @@
     assert not context.fleet.problems, context.fleet.problems
 
 
+@then("placement holds each of {models:d} models on at least one endpoint")
+def check_reachable(context, models):
+    holders = [context.fleet.holders(each) for each in context.fleet.rules.models_by_name]
+    assert len(holders) == models and all(holders), holders
+
+
+@then("placement loaded {least:d} to {most:d} times, at most {burst:d} in any 4 rounds")
+def check_rate(context, least, most, burst):
+    check_loads(context, least, most)
+    times = [time_s for time_s, _ in context.fleet.loads]
+    counts = [sum(start <= each < start + 4 for each in times) for start in times]
+    assert max(counts) <= burst, times
+
+
+@then("placement loaded {least:d} to {most:d} times and left {unmet:g} of the demand at most")
+def check_following(context, least, most, unmet):
+    check_loads(context, least, most)
+    assert context.fleet.unmet <= unmet * context.fleet.asked, context.fleet.unmet
+
+
 @then("placement loaded {least:d} to {most:d} times")
 def check_loads(context, least, most):
     assert least <= len(context.fleet.loads) <= most, len(context.fleet.loads)
--- a/packages/kingcupdyke/kingcupdyke/ledger.py
+++ b/packages/kingcupdyke/kingcupdyke/ledger.py
@@ -96,7 +96,7 @@
 
         Their sender may be paused and send them at any time later, so they stay reserved. To end
         one, send the engine an order with this id that takes no memory: the engine never carries
-        out an id twice, and the inventories that show it settle it.
+        out an id twice. Its answer or the inventories settle it.
         """
         opened = self._open_by_id.items()
         return tuple(name for name, each in opened if each.adopted and not each.state)
@@ -106,7 +106,8 @@
     ) -> Result[Reservation, Failure]:
         """Set memory aside for an order before it is sent.
 
-        :param order: the order; a repeat of its id returns the same reservation
+        :param order: the order; a repeat of its id returns the same reservation, and counts as
+            sent again until it is answered or unanswered again
         :param now_s: time in seconds of the timer service
         :param lifetime_s: seconds after which the engine drops the order
         :return: the reservation, or a failure when the order does not fit
@@ -116,8 +117,7 @@
         if _get_effect(known) != _get_effect(order):
             return self._refuse(f"order {order.order_id} stands for another order")
         if opened is not None:
-            self._events += 1
-            opened.repeat(now_s + lifetime_s, self._events)
+            opened.repeat(now_s + lifetime_s)
             return Ok(opened.reservation)
         extra_bytes = self._extra(order)
         checked = self._check_fit(order.order_bytes, extra_bytes)
--- a/packages/kingcupdyke/kingcupdyke/reservation.py
+++ b/packages/kingcupdyke/kingcupdyke/reservation.py
@@ -45,12 +45,13 @@
         self.state = ""
         #: An incarnation of the engine after which the order can no longer arrive.
         self.bound_incarnation = ""
-        #: Counts of events at which the connection was closed and the order last repeated.
+        #: Count of events at which the connection was closed.
         self.closed_at = 0
-        self.sent_at = 0
-        #: Whether the engine's "done" may be older than what is resident now: the id is a repeat,
-        #: or another order for the same name ended meanwhile.
-        self.contested = False
+        #: Whether it may have been sent more than once.
+        self.is_repeated = False
+        #: Whether the engine's "done" need not say what is resident now: the id is a repeat or was
+        #: used for another order, or an order for the same name ended meanwhile.
+        self.contested = adopted
 
     @classmethod
     def from_intent(cls, intent: Intent, now_s: float) -> "OpenOrder":
@@ -73,15 +74,15 @@
         """:return: the kind of thing and its name that the order is about"""
         return get_target(self.order)
 
-    def repeat(self, expires_s: float, event: int) -> None:
+    def repeat(self, expires_s: float) -> None:
         """Note that it may be sent once more.
 
         :param expires_s: time after which the engine drops the repeat
-        :param event: count of events at which it may have left
         """
         self.expires_s = max(self.expires_s, expires_s)
         self.bound_incarnation = ""
-        self.sent_at = event
+        self.closed = False
+        self.is_repeated = True
 
     @property
     def has_begun(self) -> bool:
@@ -93,15 +94,18 @@
 
         :param asked_at: count of events when the inventory was asked for
         """
-        if asked_at < self.sent_at:
-            return
         state = inventory.orders.get(self.order.order_id, "")
         if state:
             self.state = state
-        was_closed = self.closed and self.closed_at <= asked_at and not self.adopted
-        if state or (was_closed and not self.bound_incarnation):
+        if not self.bound_incarnation and self._has_left(state, asked_at):
             self.bound_incarnation = inventory.incarnation
 
+    def _has_left(self, state: str, asked_at: int) -> bool:
+        """:return: whether each sending of it was to the engine of the reading or an earlier one"""
+        if state and not self.is_repeated:
+            return True
+        return self.closed and self.closed_at <= asked_at and not self.adopted
+
     def is_stranded(self, incarnation: str) -> bool:
         """:return: whether the engine that it was sent to is gone"""
         return self.bound_incarnation not in ("", incarnation)
