Refuse claims on a bucket that can't be read, check ids before a head, relay before leaving

Cause: a stored bucket that is none raised in the sidecar's task group and would have ended it; the head of a crossed reply was taken before its ids were checked; a leaving sidecar counted a request as finished when the back end had ended, not when the answer was relayed. Retries of settlements had no jitter. Before: keys.feature, 'A claim meets what is no bucket' red, the claim raised. After: Unclaimed, not run. The other two were found by reading and have no test of their own yet. Conclusion: 16,384 buckets are the default, as their number can never change.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/call.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/call.py
@@ -193,8 +193,10 @@
         kind = reply.WhichOneof("kind")
         if kind == "start":
             status, content_type = reply.start.status, reply.start.content_type
-            sink.start(status, content_type, assembler.peer)
-            return assembler.start(*ids, status, content_type)
+            started = assembler.start(*ids, status, content_type)
+            if started.is_ok():
+                sink.start(status, content_type, assembler.peer)
+            return started
         if kind == "part":
             taken = assembler.part(*ids, reply.part.offset, reply.part.data)
             if taken.is_error():
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/settings.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/settings.py
@@ -172,7 +172,7 @@
     "most_in_flight": lambda o, n: get_int_opt(o, n, 128, 1),
     "resume_s": lambda o, n: get_seconds_opt(o, n, 5.0),
     "order_lifetime_s": lambda o, n: get_seconds_opt(o, n, 30.0),
-    "key_buckets": lambda o, n: get_int_opt(o, n, 256, 1),
+    "key_buckets": lambda o, n: get_int_opt(o, n, 16_384, 1),
     "key_retention_s": lambda o, n: get_seconds_opt(o, n, 86_400.0),
     "tick_s": lambda o, n: get_seconds_opt(o, n, 0.01),
 }
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/keys.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/keys.py
@@ -5,7 +5,9 @@
 Claims and settlements of idempotency keys, carried to the platform's store.
 """
 
+import logging
 import time
+from collections.abc import Callable
 from hashlib import blake2b
 
 from anyio import Event
@@ -17,12 +19,14 @@
 from kingcupdyke.keyworker import KeyWorker
 from kingcupdyke.timer import TimerService
 from kingcupdyke_wire.sidecar_pb2 import RunRequest
-from kingcupdyke_wire.store import Conflict, StoreClient
+from kingcupdyke_wire.store import Conflict, StoreClient, StoreObject
 
 __all__ = ["KEYS_KIND", "KeyDesk"]
 
 #: Kind of the objects that hold buckets of key records.
 KEYS_KIND = "keys"
+_LOGGER = logging.getLogger(__name__)
+HearBucket = Callable[[str, KeyBucket | None, int, float], StoreCommand | None]
 #: Seconds between looks for settlements that are due again.
 _PUMP_S = 0.25
 
@@ -115,13 +119,9 @@
 
     async def _read(self, command: ReadBucket) -> StoreCommand | None:
         read = await self._store.get(KEYS_KIND, command.name)
-        now_s = self._timer.now()
         if read.is_error():
-            return self._worker.store_failed(command.name, False, now_s)
-        if read.ok is None:
-            return self._worker.bucket_read(command.name, None, 0, now_s)
-        bucket = decode_bucket(read.ok.value)
-        return self._worker.bucket_read(command.name, bucket, read.ok.version, now_s)
+            return self._worker.store_failed(command.name, False, self._timer.now())
+        return self._hear(command.name, read.ok, self._worker.bucket_read)
 
     async def _write(self, command: WriteBucket) -> StoreCommand | None:
         value = encode_bucket(command.bucket)
@@ -130,10 +130,18 @@
         if written.is_error():
             unknown = written.error.outcome is not Outcome.NOT_RUN
             return self._worker.store_failed(command.name, unknown, now_s)
-        answer = written.ok
-        if isinstance(answer, Conflict):
-            current = answer.current
-            bucket = decode_bucket(current.value) if current else KeyBucket.empty()
-            version = current.version if current else 0
-            return self._worker.bucket_conflict(command.name, bucket, version, now_s)
-        return self._worker.bucket_written(command.name, answer.version, now_s)
+        if isinstance(written.ok, Conflict):
+            return self._hear(command.name, written.ok.current, self._worker.bucket_conflict)
+        return self._worker.bucket_written(command.name, written.ok.version, now_s)
+
+    def _hear(self, name: str, found: StoreObject | None, hear: HearBucket) -> StoreCommand | None:
+        """Hand a bucket on as it was found; one that can't be read allows no claim."""
+        now_s = self._timer.now()
+        if found is None:
+            return hear(name, None, 0, now_s)
+        try:
+            bucket = decode_bucket(found.value)
+        except ValueError:
+            _LOGGER.exception("bucket unreadable: step=claim peer=store bucket=%s", name)
+            return self._worker.store_failed(name, False, now_s)
+        return hear(name, bucket, found.version, now_s)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
@@ -82,7 +82,7 @@
         self._drain = DrainMachine(common.host, common.farewell_s)
         self._table = RunTable(tasks, settings.tick_s, settings.resume_s)
         self._keys = KeyDesk(
-            KeyWorker(settings.key_buckets, settings.key_retention_s),
+            KeyWorker(settings.key_buckets, settings.key_retention_s, rng=Random()),
             store,
             settings.endpoint,
             self._incarnation,
@@ -139,11 +139,16 @@
         self._handed_over = True
         self._drain.stop(current_time())
         self._tasks.start_soon(self._tell)
-        while not self._drain.may_exit(current_time()) or self._keys.unsettled:
+        while not self._drain.may_exit(current_time()) or self._has_undone():
             await sleep(_STOP_LOOK_S)
         await sleep(self._settings.common.beat_s)
         _LOGGER.info("left: step=admit host=%s", self._settings.common.host)
 
+    def _has_undone(self) -> bool:
+        """:return: whether an answer is not relayed yet, or not recorded"""
+        runs = self._table.runs_by_attempt.values()
+        return bool(self._keys.unsettled) or not all(run.delivered for run in runs)
+
     async def _tell(self) -> None:
         while not await self._spreader.tell_leaving(True):
             await sleep(_STOP_LOOK_S)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/run.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/run.py
@@ -44,6 +44,8 @@
         self.failure: Failure | None = None
         self.replayed = False
         self.done = False
+        #: Whether the end was sent to a gateway.
+        self.delivered = False
         #: Gateway streams that are attached.
         self.attached = 0
         self.detached_s = now_s
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/service.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/service.py
@@ -258,6 +258,7 @@
         else:
             end = End(count=run.buffer.next_offset)
             await stream.send_message(self._reply(run.request, end=end))
+        run.delivered = True
 
     async def _wait(
         self, run: Run, offset: int, head_sent: bool, stream: Stream[RunRequest, RunReply]
