Share an endpoint's slots among the gateways

Cause: endpoint_slots is the number over all gateways, but each gateway took all of it for itself, so three of them admitted three times what engines run; what was admitted then passed its deadline inside the engines.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/call.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/call.py
@@ -5,7 +5,9 @@
 One caller's request from admission to its final answer.
 """
 
+from collections.abc import Callable
 from contextlib import aclosing
+from math import ceil
 from random import Random
 from typing import NamedTuple
 from uuid import uuid4
@@ -61,7 +63,10 @@
     rng: Random
     #: Name of this host, for failures that arise here.
     host: str
+    #: Requests at one endpoint at once, over all gateways.
     endpoint_slots: int
+    #: Tells how many gateways share the endpoints.
+    count_gateways: Callable[[], int]
 
 
 class CallHandler:
@@ -103,7 +108,8 @@
         chosen = self._choose(call, links, set())
         if chosen.is_error():
             return chosen.map(lambda _: None)
-        capacity = max(1, len(links)) * parts.endpoint_slots
+        slots = max(1, len(links)) * parts.endpoint_slots
+        capacity = ceil(slots / max(1, parts.count_gateways()))
         return await parts.admission.enter(request, capacity, chosen.ok.estimate_s, call.weight)
 
     def _choose(
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
@@ -202,6 +202,7 @@
                 self._rng,
                 common.host,
                 settings.endpoint_slots,
+                lambda: len(self._spreader.membership.routable("gateway")),
             )
         )
         admin = AdminApp(
