--- a/packages/kingcupdyke-measure/kingcupdyke_measure/slopesheld.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/slopesheld.py
@@ -15,7 +15,7 @@
 from kingcupdyke_daemon.sidecar.run import Run
 from kingcupdyke_daemon.sidecar.service import EndpointState
 from kingcupdyke_measure.meter import Row, count_bytes, time_call_us
-from kingcupdyke_wire.sidecar_pb2 import CacheEvent, RunRequest
+from kingcupdyke_wire.sidecar_pb2 import BeatRequest, CacheEvent, RunRequest
 
 __all__ = ["list_held_rows"]
 
@@ -121,9 +121,10 @@
 def _measure_beats() -> Iterator[Row]:
     fields = dict.fromkeys(SidecarSettings._fields) | {"services_by_name": {}}
     settings = SidecarSettings(**fields)
+    beat = BeatRequest(sequence=1, holdings_version=1)
     for events in _EVENTS:
         state = EndpointState(settings, "0" * 29, _Table(), None, lambda: 7, lambda: False)
         for number in range(events):
             state.cache_events.append(CacheEvent(sequence=number, stored=True, prefix="f" * 16))
-        beat_us = time_call_us(lambda s=state, n=events: s.make_beat(1, n), 200)
+        beat_us = time_call_us(lambda s=state, n=events: s.make_beat(beat, n), 200)
         yield Row("reply to a heartbeat, nothing new", f"{events} cache events", beat_us, "us")
--- a/packages/kingcupdyke-measure/kingcupdyke_measure/slopeswire.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/slopeswire.py
@@ -36,6 +36,7 @@
     DescribeRequest,
     DrainReply,
     DrainRequest,
+    Holdings,
     Load,
     OrderReply,
     OrderRequest,
@@ -129,13 +130,20 @@
         yield Row("news of demand", f"{models} models", len(news.SerializeToString()), "bytes")
 
 
+def _make_holdings(models: int, adapters: int) -> Holdings:
+    return Holdings(
+        version=1,
+        models=[f"model-name-{number}" for number in range(models)],
+        adapters=[f"adapter-name-{number}" for number in range(adapters)],
+    )
+
+
 def _make_beat(models: int, adapters: int) -> BeatReply:
     return BeatReply(
         sequence=1000,
         load=Load(running=8, waiting=2, token_interval_ms=21.5, incarnation="0" * 29),
         config_version=1000,
-        models=[f"model-name-{number}" for number in range(models)],
-        adapters=[f"adapter-name-{number}" for number in range(adapters)],
+        holdings=_make_holdings(models, adapters) if models else None,
         cache_incarnation="engine-name-1",
     )
 
@@ -296,14 +304,16 @@
             directory = EndpointDirectory(None, membership, tasks, LoopTimer(tasks))
             for number, host in enumerate(hosts):
                 link = SidecarLink(host, "gateway", 0.5, 1.6, print, print)
-                link.last_beat = _make_beat(3, 10)
-                link.last_beat.models.append(f"model-{number % 540}")
+                beat = _make_beat(3, 10)
+                beat.holdings.models.append(f"model-{number % 540}")
+                link.last_beat, link.holdings = beat, beat.holdings
                 directory.links_by_host[host.host] = link
+                directory._index(link)
             scan_us = time_call_us(
                 lambda d=directory: d.links_for("model-1", False), max(5, 5000 // count)
             )
             rows.append(
-                Row("links scanned for a model's holders", f"{count} links", scan_us, "us a scan")
+                Row("links to a model's holders", f"{count} links", scan_us, "us a request")
             )
             used = _count_links(hosts)
             rows.append(
