Refuse bad input on every port

Cause: attempts were not checked at the sidecar. One Run with an unknown service class raised ValueError in the sidecar's root task group, one with a path outside ASCII raised UnicodeEncodeError in httpcore, and either ended the whole sidecar; a caller could bring the second about with a quoted letter in the path of a service, since the gateway passed the unquoted path on. Messages had no bound in size, and half a request head, half a body or half an HTTP/2 preface held a connection for good.

Ruled out: catching everything round an attempt, which would hide the fault and could not say truly whether anything had run. parse_rule's leniency towards rules that it can't read is on purpose and stays.

Now: fields of Run and Order are checked before anything is done (sidecar/check.py), the grpclib servers bound and check messages (kingcupdyke_wire.server) and ask silent connections for a sign of life, heads and bodies of HTTP requests have 5 s, and services get the path as the caller quoted it.

--- /dev/null
+++ b/features/badinput.feature
@@ -0,0 +1,74 @@
+@site
+Feature: Bad input on a port gets a clear error and harms nothing else
+
+  Scenario Outline: A connection that makes no sense or stalls is closed
+    When <what> is written to the <port> port of <host>
+    Then the connection is closed within 18 s after <answer>
+    And every process of the site goes on
+
+    Examples:
+      | what                    | port      | host     | answer  |
+      | garbage                 | listening | model-n1 | nothing |
+      | an HTTP/1.1 request     | listening | model-n1 | nothing |
+      | an oversized frame      | listening | model-n1 | nothing |
+      | half a preface          | listening | model-n1 | nothing |
+      | garbage                 | peers     | entry-n1 | nothing |
+      | an oversized frame      | peers     | entry-n1 | nothing |
+      | half a preface          | peers     | entry-n1 | nothing |
+      | garbage                 | listening | entry-n1 | 400     |
+      | half a head             | listening | entry-n1 | nothing |
+      | a body that stalls      | listening | entry-n1 | 408     |
+      | half a second head      | listening | entry-n1 | 200     |
+      | half a head             | http      | model-n1 | nothing |
+
+  Scenario Outline: A call that is no message gets a status that says so
+    When <method> is called with <what> at the <port> port of <host>
+    Then the call ends within 5 s as <status>
+    And every process of the site goes on
+
+    Examples:
+      | method       | what                 | port      | host     | status             |
+      | Sidecar/Run  | bytes that are none  | listening | model-n1 | INVALID_ARGUMENT   |
+      | Sidecar/Beat | bytes that are none  | listening | model-n1 | INVALID_ARGUMENT   |
+      | Sidecar/Run  | a message cut short  | listening | model-n1 | INVALID_ARGUMENT   |
+      | Sidecar/Run  | an oversized message | listening | model-n1 | RESOURCE_EXHAUSTED |
+      | Sidecar/Run  | a compressed message | listening | model-n1 | UNIMPLEMENTED      |
+      | Sidecar/None | nothing              | listening | model-n1 | UNKNOWN            |
+      | Peer/Push    | bytes that are none  | peers     | entry-n1 | INVALID_ARGUMENT   |
+      | Peer/Push    | an oversized message | peers     | entry-n1 | RESOURCE_EXHAUSTED |
+
+  Scenario Outline: A message with a field that makes no sense is refused
+    When <method> is called with <field> set to <value> at <host>
+    Then it is refused as not run because of "<reason>"
+    And every process of the site goes on
+
+    Examples:
+      | method | field           | value       | host     | reason              |
+      | Run    | attempt_id      | ""          | model-n1 | attempt_id          |
+      | Run    | attempt_id      | "x" * 300   | model-n1 | attempt_id          |
+      | Run    | request_id      | ""          | model-n1 | request_id          |
+      | Run    | service_class   | "gold"      | model-n1 | service_class       |
+      | Run    | target          | ""          | model-n1 | target              |
+      | Run    | deadline_ms     | 0           | model-n1 | deadline            |
+      | Run    | deadline_ms     | 4294967295  | model-n1 | deadline_ms         |
+      | Run    | method          | "G T"       | app-n1   | method              |
+      | Run    | path            | "/a b\r\nc" | app-n1   | path                |
+      | Run    | path            | "/\u0161"   | app-n1   | path                |
+      | Run    | path            | ""          | model-n1 | path                |
+      | Run    | content_type    | "a\r\nb: c" | app-n1   | content_type        |
+      | Run    | idempotency_key | "a\nb"      | app-n1   | idempotency_key     |
+      | Run    | adapter         | "chat-club" | app-n1   | adapter             |
+      | Order  | kind            | "melt"      | model-n1 | no order of kind    |
+      | Order  | order_id        | ""          | model-n1 | order_id            |
+      | Order  | model           | ""          | model-n1 | model               |
+      | Order  | bytes           | 2 ** 64 - 1 | model-n1 | do not fit          |
+
+  Scenario: A field that is unknown here does no harm
+    When Run is called with an unknown field at model-n1
+    Then it is answered with status 200
+
+  Scenario: A caller that leaves in the middle of a stream leaves nothing running
+    When a caller leaves in the middle of a stream of chat-7b at entry-n1
+    Then nothing of it runs any more within 5 s
+    And every process of the site goes on
+    And no stand-in saw a violation
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/app.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/app.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 from uuid import uuid4
 
-from anyio import create_task_group
+from anyio import create_task_group, move_on_after
 from expression import Error, Ok, Result
 
 from kingcupdyke.demand import DemandTracker
@@ -41,6 +41,8 @@
 _MOST_KEY_CHARACTERS = 200
 _MOST_ID_CHARACTERS = 128
 _MOST_DEADLINE_S = 3600.0
+#: Seconds in which the next piece of a body must have come.
+_BODY_TIMEOUT_S = 5.0
 
 
 class AppParts(NamedTuple):
@@ -146,7 +148,11 @@
         body = bytearray()
         more = True
         while more:
-            message = await receive()
+            with move_on_after(_BODY_TIMEOUT_S) as waiting:
+                message = await receive()
+            if waiting.cancelled_caught:
+                reason = f"no more of the body came for {_BODY_TIMEOUT_S:g} s"
+                return Error(self._refuse(Step.PARSE, 408, "body_timeout", reason))
             if message["type"] == "http.disconnect":
                 return Error(None)
             body += message.get("body", b"")
@@ -155,9 +161,9 @@
                 reason = f"the body is over {self._parts.most_body_bytes} bytes"
                 return Error(self._refuse(Step.PARSE, 413, "body_too_large", reason))
         query = scope["query_string"].decode("latin-1")
-        return Ok(
-            _Arrival(caller, scope["method"], scope["path"], query, headers, bytes(body), arrived_s)
-        )
+        # As it came: a service may tell a quoted slash from a slash.
+        path = scope["raw_path"].decode("latin-1")
+        return Ok(_Arrival(caller, scope["method"], path, query, headers, bytes(body), arrived_s))
 
     def _authenticate(self, headers: dict[str, str]) -> CallerRule | None:
         scheme, _, token = headers.get("authorization", "").partition(" ")
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
@@ -11,7 +11,6 @@
 
 from anyio import Event, create_task_group, current_time, sleep
 from anyio.abc import TaskGroup
-from grpclib.server import Server
 
 from kingcupdyke.budget import RetryBudget
 from kingcupdyke.demand import DemandDelta, DemandTracker
@@ -41,6 +40,7 @@
 from kingcupdyke_daemon.timer import LoopTimer
 from kingcupdyke_wire.hostlist import HostListClient
 from kingcupdyke_wire.peer_pb2 import Demand, News
+from kingcupdyke_wire.server import make_server
 from kingcupdyke_wire.store import HttpStoreClient, StoreClient
 
 __all__ = ["run_gateway"]
@@ -100,7 +100,7 @@
         common = self._settings.common
         listener = open_socket(common.address, self._settings.port)
         peer_listener = open_socket(common.address, self._settings.peer_port)
-        peers = Server([PeerService(self._spreader)])
+        peers = make_server([PeerService(self._spreader)])
         await peers.start(sock=peer_listener)
         http = HttpServer(self._make_app())
         served = Event()
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/server.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/server.py
@@ -5,16 +5,20 @@
 Listening sockets and the HTTP server.
 """
 
+from asyncio import TimerHandle, Transport
 from collections.abc import Generator
 from contextlib import contextmanager
 from socket import AF_INET, AF_INET6, IPPROTO_TCP, SO_REUSEADDR, SOCK_STREAM, SOL_SOCKET, socket
 
 from uvicorn import Config, Server
+from uvicorn.protocols.http.h11_impl import H11Protocol
 
 __all__ = ["HttpServer", "open_socket"]
 
 #: Connections that may wait to be accepted.
 _BACKLOG = 1024
+#: Seconds in which the head of a request must have come.
+_HEAD_TIMEOUT_S = 5.0
 
 
 def open_socket(address: str, port: int) -> socket:
@@ -31,6 +35,36 @@
     return listener
 
 
+class HeadTimeoutProtocol(H11Protocol):
+    """Closes a connection on which the head of a request stalls."""
+
+    _head_timer: TimerHandle | None = None
+
+    def connection_made(self, transport: Transport) -> None:
+        super().connection_made(transport)
+        self._time_head()
+
+    def data_received(self, data: bytes) -> None:
+        super().data_received(data)
+        if self.cycle is None or self.cycle.response_complete:
+            self._time_head()
+        else:
+            self._forget_head()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._forget_head()
+        super().connection_lost(exc)
+
+    def _time_head(self) -> None:
+        if self._head_timer is None:
+            self._head_timer = self.loop.call_later(_HEAD_TIMEOUT_S, self.transport.close)
+
+    def _forget_head(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+
 class HttpServer(Server):
     """uvicorn on the daemon's own loop, with signals left to the daemon.
 
@@ -38,7 +72,10 @@
     """
 
     def __init__(self, app: object) -> None:
-        super().__init__(Config(app, log_config=None, access_log=False, lifespan="off"))
+        config = Config(
+            app, http=HeadTimeoutProtocol, log_config=None, access_log=False, lifespan="off"
+        )
+        super().__init__(config)
 
     @contextmanager
     def capture_signals(self) -> Generator[None, None, None]:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
@@ -10,7 +10,6 @@
 
 from anyio import Event, create_task_group, current_time, sleep
 from anyio.abc import TaskGroup
-from grpclib.server import Server
 
 from kingcupdyke.drain import DrainMachine
 from kingcupdyke.fence import EndpointGuard
@@ -37,6 +36,7 @@
 from kingcupdyke_daemon.timer import LoopTimer
 from kingcupdyke_wire.engine import HttpEngineClient
 from kingcupdyke_wire.hostlist import HostListClient
+from kingcupdyke_wire.server import make_server
 from kingcupdyke_wire.sidecar_pb2 import CacheEvent
 from kingcupdyke_wire.store import HttpStoreClient
 
@@ -114,7 +114,7 @@
         listener = open_socket(settings.common.address, settings.port)
         http_listener = open_socket(settings.common.address, settings.http_port)
         service = SidecarService(self._make_service_parts())
-        server = Server([service, PeerService(self._spreader)])
+        server = make_server([service, PeerService(self._spreader)])
         await server.start(sock=listener)
         http_server = HttpServer(StatusApp(lambda: not self._handed_over))
         self._tasks.start_soon(http_server.serve, [http_listener])
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/service.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/service.py
@@ -13,8 +13,8 @@
 from grpclib.server import Stream
 
 from kingcupdyke.error import Failure
-from kingcupdyke.placement import OrderKind
 from kingcupdyke_daemon.settings import SidecarSettings
+from kingcupdyke_daemon.sidecar.check import find_order_problem
 from kingcupdyke_daemon.sidecar.orders import OrderDesk
 from kingcupdyke_daemon.sidecar.run import RunTable
 from kingcupdyke_daemon.sidecar.work import WorkDesk
@@ -204,8 +204,11 @@
         request = await stream.recv_message()
         if request is None:
             return
-        if self._parts.orders is None or request.kind not in _ORDER_KINDS:
-            reply = OrderReply(state="refused", reason=f"no order of kind {request.kind} here")
+        problem = find_order_problem(request)
+        if self._parts.orders is None:
+            problem = "no engine stands here"
+        if problem:
+            reply = OrderReply(state="refused", reason=problem)
         else:
             given = self._parts.orders.give(request)
             reason = given.error.reason if given.is_error() else ""
@@ -284,14 +287,3 @@
             retry_after_ms=int((failure.retry_after_s or 0.0) * 1000),
         )
         return self._reply(request, refusal=refusal)
-
-
-_ORDER_KINDS = frozenset(
-    {
-        OrderKind.LOAD,
-        OrderKind.UNLOAD,
-        OrderKind.LOAD_ADAPTER,
-        OrderKind.UNLOAD_ADAPTER,
-        OrderKind.ROLE,
-    }
-)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/work.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/work.py
@@ -34,6 +34,7 @@
     EngineBackend,
     ServiceBackend,
 )
+from kingcupdyke_daemon.sidecar.check import find_run_problem
 from kingcupdyke_daemon.sidecar.keys import KeyDesk
 from kingcupdyke_daemon.sidecar.orders import OrderDesk
 from kingcupdyke_daemon.sidecar.run import Run, RunTable
@@ -86,6 +87,9 @@
         """
         parts = self._parts
         now_s = current_time()
+        problem = find_run_problem(request)
+        if problem:
+            return Failure(Outcome.NOT_RUN, Step.PARSE, parts.peer, problem)
         run = parts.table.runs_by_attempt.get(request.attempt_id)
         if run is not None:
             return self._resume(run, request)
@@ -126,7 +130,7 @@
         if parts.table.running >= parts.most_in_flight:
             return "too many requests run here"
         if request.target in parts.service_names:
-            return ""
+            return "adapter: a service has none" if request.adapter else ""
         if parts.orders is None or request.target not in parts.orders.models:
             return f"{request.target} is not resident here"
         return ""
