Wire the platform's rates, the link's refund and added capacity in

Gateways take store_region, loads_per_s, loads_at_once and adapter_knee and hand them to the placement policy; sidecars take adapter_loads, which now bounds planned adapter loads as well as those on demand, so that all workers together stay below the knee without a message a load. The choice made for admission, and one whose endpoint could not be connected to, give the link's bytes back, as does an explanation to an operator. A request's retries are forgotten at its end, also after a success. Capacity that is added goes to those that wait.

Failed first, packages/kingcupdyke-daemon/features/wiring.feature over the former code with the former options: 9 of 9 new scenarios ("unknown setting" 5 times; the waiting request was not admitted; the budget was given back 0 times in place of 1, 2 and 4). After: all pass.

Not tested by a scenario of its own: the bound on planned adapter loads.

--- /dev/null
+++ b/packages/kingcupdyke-daemon/features/steps/wiring_steps.py
@@ -0,0 +1,160 @@
+"""
+wiring_steps
+~~~~~~~~~~~~
+
+Steps for parts of the core behind the gateway's calls.
+"""
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from types import SimpleNamespace
+
+import anyio
+from behave import given, then, when
+from expression import Ok
+
+from kingcupdyke.budget import RetryBudget
+from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke.placements import get_placement
+from kingcupdyke.request import Request
+from kingcupdyke.retry import RetryPolicy
+from kingcupdyke.routing import Choice
+from kingcupdyke.rule import ServiceClass
+from kingcupdyke_daemon.gateway.call import Call, CallHandler, CallParts
+from kingcupdyke_daemon.gateway.limits import AdmissionDesk
+from kingcupdyke_daemon.gateway.planner import make_placement_options
+from kingcupdyke_daemon.settings import GatewaySettings, load_settings
+from kingcupdyke_wire.sidecar_pb2 import End, RunReply, Start
+
+COMMON = "{host: g, address: 127.0.0.1, region: north, data_centre: n1, "
+COMMON += "store_url: 'http://127.0.0.1:1', hosts_url: 'http://127.0.0.1:2', "
+TIMER = SimpleNamespace(now=lambda: 10.0, subscribe=lambda *_: None)
+LOST = Failure(Outcome.NOT_RUN, Step.CONNECT, "e", "refused")
+
+
+def make_request(name):
+    """:return: a request with a minute left"""
+    return Request(name, "desk", ServiceClass.ALL[0], "chat", "", 10.0, 70.0, True)
+
+
+@given("a gateway's settings with placement {placement} and {name} {value}")
+def give_settings(context, placement, name, value):
+    with TemporaryDirectory() as folder:
+        path = Path(folder) / "gateway.yaml"
+        path.write_text(f"{COMMON}placement: {placement}, {name}: {value}}}")
+        context.settings = load_settings(path, GatewaySettings)
+
+
+@then("its placement policy is made with {name} {value}")
+def check_options(context, name, value):
+    assert context.settings.is_ok(), context.settings
+    settings = context.settings.ok
+    options = make_placement_options(settings, "1")
+    assert str(options[name]) == value, options
+    assert get_placement(settings.placement, **options)
+
+
+@when("a request waits at a target of capacity {first:d} and another comes when it has {second:d}")
+def wait_at_target(context, first, second):
+    async def enter_all():
+        desk = AdmissionDesk(9, TIMER, True)
+        await desk.enter(make_request("one"), first, 1.0, 1.0)
+        with anyio.move_on_after(0.5):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(desk.enter, make_request("two"), first, 1.0, 1.0)
+                await anyio.wait_all_tasks_blocked()
+                tasks.start_soon(desk.enter, make_request("three"), second, 1.0, 1.0)
+            context.running = desk.queues_by_target["chat"].running
+
+    context.running = {}
+    anyio.run(enter_all)
+
+
+@then("both are admitted at once")
+def check_admitted(context):
+    assert sum(context.running.values()) == 3, context.running
+
+
+class CountingRouter:
+    """Always crosses, to an endpoint that was not tried."""
+
+    def __init__(self):
+        self.taken = 0
+        self.refunded = 0
+
+    def choose(self, request, views, now_s, rng):
+        self.taken += 1
+        return Ok(Choice(views[0], 1.0, True))
+
+    def refund(self, request):
+        self.refunded += 1
+
+
+class Link:
+    """A link that answers, or finds no endpoint."""
+
+    def __init__(self, name, answers):
+        self.host = SimpleNamespace(host=name)
+        self.peer = name
+        self._answers = answers
+
+    async def run(self, message):
+        if not self._answers:
+            yield LOST
+            return
+        ids = {"request_id": message.request_id, "attempt_id": message.attempt_id}
+        yield RunReply(**ids, start=Start(status=200))
+        yield RunReply(**ids, end=End(count=0))
+
+
+async def do_nothing(*_):
+    """Take a part of an answer."""
+
+
+@when("a call that crosses regions meets {first} and then {second}")
+def call_across(context, first, second):
+    words = (first, second, "no endpoint")
+    links = {f"e{i}": Link(f"e{i}", word == "an answer") for i, word in enumerate(words)}
+    ignore = SimpleNamespace(
+        dispatched=lambda *_: None,
+        finished=lambda *_: None,
+        count=lambda *_: None,
+        record_queued=lambda *_: None,
+    )
+    directory = SimpleNamespace(
+        links_by_host=links,
+        links_for=lambda *_: list(links.values()),
+        views=lambda request, fresh, now_s: [each.host.host for each in fresh],
+        loads=ignore,
+        cancel_attempt=lambda *_: None,
+    )
+    context.router = CountingRouter()
+    budget = RetryBudget(1.0)
+    budget.first_attempt(10.0)
+    budget.first_attempt(10.0)
+    context.retry = RetryPolicy(budget)
+    desk = AdmissionDesk(9, TIMER, True)
+    parts = CallParts(
+        directory, context.router, desk, context.retry, budget, ignore, TIMER, None, "g", 9
+    )
+    sink = SimpleNamespace(
+        committed=False,
+        reset=lambda: None,
+        start=lambda *_: None,
+        end=do_nothing,
+        fail=do_nothing,
+        part=do_nothing,
+    )
+    call = Call(make_request("one"), False, "POST", "/", "", b"", False, 1.0)
+    anyio.run(CallHandler(parts).run, call, sink)
+
+
+@then("it took the budget {taken:d} times and gave it back {refunded:d} times")
+def check_budget(context, taken, refunded):
+    router = context.router
+    assert (router.taken, router.refunded) == (taken, refunded), vars(router)
+
+
+@then("nothing is remembered of its retries")
+def check_forgotten(context):
+    assert not context.retry._worst_by_request
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/admin.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/admin.py
@@ -140,6 +140,8 @@
         links = self._parts.directory.links_for(model.name, False)
         views = self._parts.directory.views(request, links, now_s)
         chosen = self._parts.router.choose(request, views, now_s, Random(0))
+        if chosen.is_ok() and chosen.ok.crosses_regions:
+            self._parts.router.refund(request)
         answer = {
             "model": model.name,
             "adapter": request.adapter,
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/call.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/call.py
@@ -91,6 +91,7 @@
             failure = await self._try(call, sink)
         finally:
             self._parts.admission.leave(request)
+            self._parts.retry.forget(request.request_id)
         if failure is None:
             return "delivered"
         await sink.fail(reject(failure))
@@ -103,6 +104,8 @@
         chosen = self._choose(call, links, set())
         if chosen.is_error():
             return chosen.map(lambda _: None)
+        # Only the estimate counts here; each attempt chooses anew.
+        self._refund(request, chosen.ok)
         capacity = max(1, len(links)) * parts.endpoint_slots
         return await parts.admission.enter(request, capacity, chosen.ok.estimate_s, call.weight)
 
@@ -134,6 +137,8 @@
             if failure is None:
                 return None
             parts.metrics.count(f"attempt_{failure.outcome.value}")
+            if failure.step is Step.CONNECT:
+                self._refund(request, choice)
             outcome = _worse(outcome, failure)
             if not _is_lost_message(failure):
                 excluded.add(choice.endpoint)
@@ -146,6 +151,10 @@
             parts.metrics.count("retry")
             sink.reset()
 
+    def _refund(self, request: Request, choice: Choice) -> None:
+        if choice.crosses_regions:
+            self._parts.router.refund(request)
+
     async def _attempt(self, call: Call, link: SidecarLink, sink: CallerSink) -> Failure | None:
         parts = self._parts
         attempt_id = uuid4().hex
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/limits.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/limits.py
@@ -84,6 +84,8 @@
             queue = AdmissionQueue(capacity, self._most_waiting)
             self.queues_by_target[target] = queue
         queue.set_capacity(capacity)
+        # More capacity is for those that wait, before anyone new.
+        self._wake(queue.admit(self._timer.now()))
         return queue
 
     def _wake(self, admitted: list[Request]) -> None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
@@ -19,6 +19,7 @@
 from kingcupdyke_daemon.gateway.directory import EndpointDirectory
 from kingcupdyke_daemon.gateway.link import SidecarLink
 from kingcupdyke_daemon.metrics import DaemonMetrics
+from kingcupdyke_daemon.settings import GatewaySettings
 from kingcupdyke_wire.calls import CALL_ERRORS
 from kingcupdyke_wire.sidecar_pb2 import DescribeReply, OrderRequest
 from kingcupdyke_wire.store import Conflict, StoreClient
@@ -198,3 +199,20 @@
         leaving,
         frozenset(reply.pending_orders),
     )
+
+
+def make_placement_options(settings: GatewaySettings, incarnation: str) -> dict[str, object]:
+    """:return: the options of the placement policy that the settings name"""
+    common = settings.common
+    options: dict[str, object] = {
+        # Ids of orders must differ from those of every planner before.
+        "planner": f"{common.host}/{incarnation}",
+        "region": common.region,
+        "store_region": settings.store_region,
+        "loads_per_s": settings.loads_per_s,
+        "loads_at_once": settings.loads_at_once,
+        "adapter_knee": settings.adapter_knee,
+    }
+    if settings.placement == "greedy":
+        options["lean"] = settings.lean
+    return options
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
@@ -26,7 +26,7 @@
 from kingcupdyke_daemon.gateway.call import CallHandler, CallParts
 from kingcupdyke_daemon.gateway.directory import EndpointDirectory
 from kingcupdyke_daemon.gateway.limits import AdmissionDesk
-from kingcupdyke_daemon.gateway.planner import RegionPlanner
+from kingcupdyke_daemon.gateway.planner import RegionPlanner, make_placement_options
 from kingcupdyke_daemon.metrics import DaemonMetrics
 from kingcupdyke_daemon.process import (
     StatusApp,
@@ -166,7 +166,9 @@
         return RegionPlanner(
             region,
             lease,
-            get_placement(settings.placement, **self._get_placement_options()),
+            get_placement(
+                settings.placement, **make_placement_options(settings, self._incarnation)
+            ),
             self._directory,
             self._demand,
             store,
@@ -176,16 +178,6 @@
             lambda: settings.common.host in self._get_planners(),
         )
 
-    def _get_placement_options(self) -> dict[str, object]:
-        settings = self._settings
-        common = settings.common
-        # Ids of orders must differ from those of every planner before.
-        planner = f"{common.host}/{self._incarnation}"
-        options: dict[str, object] = {"planner": planner, "region": common.region}
-        if settings.placement == "greedy":
-            options["lean"] = settings.lean
-        return options
-
     def _make_app(self) -> GatewayApp:
         settings = self._settings
         common = settings.common
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/settings.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/settings.py
@@ -14,6 +14,7 @@
 from ruamel.yaml import YAML, YAMLError
 
 from kingcupdyke.error import OptionError
+from kingcupdyke.placements.issuer import ADAPTER_KNEE, LOADS_AT_ONCE, LOADS_PER_S
 from kingcupdyke.util import (
     MIB,
     get_bytes_opt,
@@ -66,6 +67,13 @@
     #: 0.0 weighs moves alone, 1.0 weighs attainment alone.
     lean: float
     region_link_bytes_per_s: int
+    #: Region of the weight store; empty: loads are cheap from everywhere.
+    store_region: str
+    #: Loads a second that the weight store allows, and those at once that it gives full speed.
+    loads_per_s: float
+    loads_at_once: int
+    #: Adapter loads in flight, over all endpoints, from which on each takes longer.
+    adapter_knee: int
     lease_s: float
     plan_s: float
     affinity: bool
@@ -91,6 +99,8 @@
     #: Seconds that a request goes on without its gateway, waiting to be resumed.
     resume_s: float
     order_lifetime_s: float
+    #: Adapter loads that this endpoint has in flight at once, planned and on demand.
+    adapter_loads: int
     key_buckets: int
     key_retention_s: float
     tick_s: float
@@ -156,6 +166,10 @@
     "most_waiting": lambda o, n: get_int_opt(o, n, 256),
     "lean": lambda o, n: get_float_opt(o, n, 0.7, 0.0, 1.0),
     "region_link_bytes_per_s": lambda o, n: get_bytes_opt(o, n, 200_000),
+    "store_region": lambda o, n: get_str_opt(o, n, ""),
+    "loads_per_s": lambda o, n: get_float_opt(o, n, LOADS_PER_S, 0.001),
+    "loads_at_once": lambda o, n: get_int_opt(o, n, LOADS_AT_ONCE, 1),
+    "adapter_knee": lambda o, n: get_int_opt(o, n, ADAPTER_KNEE, 2),
     "lease_s": lambda o, n: get_seconds_opt(o, n, 6.0),
     "plan_s": lambda o, n: get_seconds_opt(o, n, 1.0),
     "affinity": lambda o, n: _get_bool(o, n, True),
@@ -172,6 +186,7 @@
     "most_in_flight": lambda o, n: get_int_opt(o, n, 128, 1),
     "resume_s": lambda o, n: get_seconds_opt(o, n, 5.0),
     "order_lifetime_s": lambda o, n: get_seconds_opt(o, n, 30.0),
+    "adapter_loads": lambda o, n: get_int_opt(o, n, 5, 1),
     "key_buckets": lambda o, n: get_int_opt(o, n, 256, 1),
     "key_retention_s": lambda o, n: get_seconds_opt(o, n, 86_400.0),
     "tick_s": lambda o, n: get_seconds_opt(o, n, 0.01),
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/orders.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/orders.py
@@ -30,8 +30,6 @@
 __all__ = ["OrderDesk"]
 
 _LOGGER = logging.getLogger(__name__)
-#: Adapters loaded by one endpoint at once: its share of what all may have in flight.
-_ADAPTER_LOADS = 5
 #: Seconds between looks whether a model's last request has ended before it is unloaded.
 _QUIET_S = 0.05
 
@@ -46,6 +44,7 @@
     :param drain: the planned stop of this sidecar
     :param checks_fence: whether the engine refuses old fencing numbers
     :param lifetime_s: seconds after which the engine drops an order
+    :param adapter_loads: adapter loads in flight at once, planned and on demand
     :param tasks: the task group that carries orders
     :param timer: the timer service
     :param in_use: tells how many requests run at a model
@@ -60,6 +59,7 @@
         drain: DrainMachine,
         checks_fence: bool,
         lifetime_s: float,
+        adapter_loads: int,
         tasks: TaskGroup,
         timer: TimerService,
         in_use: Callable[[str], int],
@@ -78,7 +78,7 @@
         self._intents_by_id: dict[str, Intent] = {}
         self._unloading: set[str] = set()
         self._loading_by_adapter: dict[str, Event] = {}
-        self._adapter_limiter = CapacityLimiter(_ADAPTER_LOADS)
+        self._adapter_limiter = CapacityLimiter(adapter_loads)
         self._used_by_adapter: dict[str, float] = {}
         self.inventory: EngineInventory | None = None
         #: Whether the endpoint is taken over and orders may be sent.
@@ -210,6 +210,10 @@
             if order.kind == OrderKind.UNLOAD:
                 await self._unload(order)
                 return
+            if order.kind == OrderKind.LOAD_ADAPTER:
+                async with self._adapter_limiter:
+                    await self._send(order)
+                return
             done = await self._send(order)
             if done and order.kind == OrderKind.LOAD:
                 await self._holdings.add(order.model)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
@@ -192,6 +192,7 @@
             self._drain,
             settings.checks_fence,
             settings.order_lifetime_s,
+            settings.adapter_loads,
             self._tasks,
             self._timer,
             lambda name: self._work.in_use[name],
--- a/packages/kingcupdyke/kingcupdyke/routing.py
+++ b/packages/kingcupdyke/kingcupdyke/routing.py
@@ -66,3 +66,6 @@
         :param rng: source of chance
         :return: a choice, or a failure "not run" at step "route" with ``retry_after_s``
         """
+
+    def refund(self, request: Request) -> None:  # noqa: B027
+        """Take back what a choice that crosses regions has used up, since nothing was sent."""
