--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/call.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/call.py
@@ -96,6 +96,7 @@
             failure = await self._try(call, sink)
         finally:
             self._parts.admission.leave(request)
+            self._parts.retry.forget(request.request_id)
         if failure is None:
             return "delivered"
         await sink.fail(reject(failure))
@@ -108,6 +109,8 @@
         chosen = self._choose(call, links, set())
         if chosen.is_error():
             return chosen.map(lambda _: None)
+        # Only the estimate counts here; each attempt chooses anew.
+        self._refund(request, chosen.ok)
         slots = max(1, len(links)) * parts.endpoint_slots
         capacity = ceil(slots / max(1, parts.count_gateways()))
         return await parts.admission.enter(request, capacity, chosen.ok.estimate_s, call.weight)
@@ -140,6 +143,8 @@
             if failure is None:
                 return None
             parts.metrics.count(f"attempt_{failure.outcome.value}")
+            if failure.step is Step.CONNECT:
+                self._refund(request, choice)
             outcome = _worse(outcome, failure)
             if not _is_lost_message(failure):
                 excluded.add(choice.endpoint)
@@ -152,6 +157,10 @@
             parts.metrics.count("retry")
             sink.reset()
 
+    def _refund(self, request: Request, choice: Choice) -> None:
+        if choice.crosses_regions:
+            self._parts.router.refund(request)
+
     async def _attempt(self, call: Call, link: SidecarLink, sink: CallerSink) -> Failure | None:
         parts = self._parts
         attempt_id = uuid4().hex
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
@@ -10,7 +10,6 @@
 
 from anyio import Event, create_task_group, current_time, sleep
 from anyio.abc import TaskGroup
-from grpclib.server import Server
 
 from kingcupdyke.drain import DrainMachine
 from kingcupdyke.fence import EndpointGuard
@@ -27,6 +26,7 @@
 from kingcupdyke_daemon.server import HttpServer, open_socket
 from kingcupdyke_daemon.settings import SidecarSettings
 from kingcupdyke_daemon.sidecar.backend import EngineBackend, ServiceBackend
+from kingcupdyke_daemon.sidecar.health import BackEndHealth
 from kingcupdyke_daemon.sidecar.holdings import HoldingDesk
 from kingcupdyke_daemon.sidecar.keys import KeyDesk
 from kingcupdyke_daemon.sidecar.orders import OrderDesk
@@ -38,6 +38,7 @@
 from kingcupdyke_daemon.timer import LoopTimer
 from kingcupdyke_wire.engine import HttpEngineClient
 from kingcupdyke_wire.hostlist import HostListClient
+from kingcupdyke_wire.server import make_server
 from kingcupdyke_wire.sidecar_pb2 import CacheEvent
 from kingcupdyke_wire.store import HttpStoreClient
 
@@ -89,6 +90,7 @@
             tasks,
             self._timer,
         )
+        self._health = BackEndHealth(settings.engine_url, settings.services_by_name)
         self._engine: HttpEngineClient | None = None
         self._orders: OrderDesk | None = None
         self._seat: EndpointSeat | None = None
@@ -102,6 +104,7 @@
             self._incarnation,
             self._table,
             self._orders,
+            self._health,
             lambda: self._spreader.replica.version,
             lambda: self._handed_over or guard.superseded,
         )
@@ -115,7 +118,7 @@
         listener = open_socket(settings.common.address, settings.port)
         http_listener = open_socket(settings.common.address, settings.http_port)
         service = SidecarService(self._make_service_parts())
-        server = Server([service, PeerService(self._spreader)])
+        server = make_server([service, PeerService(self._spreader)])
         await server.start(sock=listener)
         http_server = HttpServer(StatusApp(lambda: not self._handed_over))
         self._tasks.start_soon(http_server.serve, [http_listener])
@@ -195,6 +198,7 @@
             self._drain,
             settings.checks_fence,
             settings.order_lifetime_s,
+            settings.adapter_loads,
             self._tasks,
             self._timer,
             lambda name: self._work.in_use[name],
@@ -209,6 +213,7 @@
             self._orders,
             engine,
             ServiceBackend(settings.services_by_name),
+            self._health,
             frozenset(settings.services_by_name),
             self._drain,
             guard,
@@ -235,6 +240,7 @@
         tasks.start_soon(watch_signals, self._begin_stop)
         tasks.start_soon(self._spreader.run)
         tasks.start_soon(self._table.flush_forever)
+        tasks.start_soon(self._health.probe_forever)
         self._timer.subscribe("sweep", _SWEEP_S, self._table.sweep)
         if self._orders is not None:
             tasks.start_soon(self._begin_orders)
@@ -249,6 +255,7 @@
     async def _read_load_forever(self) -> None:
         while True:
             read = await self._engine.load()
+            self._health.hear("", None if read.is_ok() else read.error)
             if read.is_ok():
                 self._state.engine_load = read.ok
             await sleep(_LOAD_S if self._table.running else _IDLE_LOAD_S)
