Let one check run the state machines and one find the option that is refused

Ruled out: one setting for all machines; the two without suppressed health checks keep them, and each keeps its number of steps. Conclusion: the same examples run from features/checks.py.

--- a/packages/kingcupdyke-tool/features/steps/rules_steps.py
+++ b/packages/kingcupdyke-tool/features/steps/rules_steps.py
@@ -26,11 +26,7 @@
 #: Rules of the versions 1 to 3.
 TEXTS = [make_line("app"), make_line("app") + make_line("desk")]
 TEXTS.append(TEXTS[1] + make_line("late"))
-FILES = {
-    "same": TEXTS[2],
-    "more": TEXTS[2] + make_line("more"),
-    "broken": "- {caller: a}\n",
-}
+FILES = {"same": TEXTS[2], "more": TEXTS[2] + make_line("more"), "broken": "- {caller: a}\n"}
 
 
 class FaultyStore(MemoryStoreClient):
--- a/packages/kingcupdyke-wire/features/steps/engine_steps.py
+++ b/packages/kingcupdyke-wire/features/steps/engine_steps.py
@@ -9,14 +9,7 @@
 
 from anyio import create_task_group, run, sleep
 from behave import given, then, when
-from engine_bench import (
-    GB,
-    OPTIONS,
-    build_body,
-    give_order,
-    open_engine,
-    run_request,
-)
+from engine_bench import GB, OPTIONS, build_body, give_order, open_engine, run_request
 
 from kingcupdyke.error import Outcome
 from kingcupdyke_standins.answer import expected_text
--- a/packages/kingcupdyke/features/ledger_machine.py
+++ b/packages/kingcupdyke/features/ledger_machine.py
@@ -8,13 +8,7 @@
 from fake_engine import FakeEngine, FakeStore
 from fake_sidecar import FakeSidecar
 from hypothesis import strategies as st
-from hypothesis.stateful import (
-    RuleBasedStateMachine,
-    initialize,
-    invariant,
-    precondition,
-    rule,
-)
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from kingcupdyke.placement import Order
 
--- a/packages/kingcupdyke/features/residency_machine.py
+++ b/packages/kingcupdyke/features/residency_machine.py
@@ -7,13 +7,7 @@
 
 from fake_fleet import FakeFleet
 from hypothesis import strategies as st
-from hypothesis.stateful import (
-    RuleBasedStateMachine,
-    initialize,
-    invariant,
-    precondition,
-    rule,
-)
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 NAMES = ("a", "b", "c", "d")
 PLANNERS = ("p", "q", "r")
--- a/packages/kingcupdyke/features/steps/admission_steps.py
+++ b/packages/kingcupdyke/features/steps/admission_steps.py
@@ -5,19 +5,16 @@
 Steps for admission.
 """
 
-import os
 from collections import Counter
 
 from admission_machine import AdmissionMachine
 from behave import given, then, when
 from builders import make_request
-from hypothesis import settings
-from hypothesis.stateful import run_state_machine_as_test
+from checks import run_machine
 
 from kingcupdyke.admission import AdmissionQueue, Admitted, Queued, Refused
 from kingcupdyke.error import Outcome
 
-EXAMPLES = int(os.environ.get("KINGCUPDYKE_FUZZ_EXAMPLES", "60"))
 SERVICE_S = 0.5
 TICK_S = 0.01
 BURST_S = 10.0
@@ -230,13 +227,4 @@
 
 @then("the admission queue holds its invariants in any order of events")
 def check_machine(context):
-    run_state_machine_as_test(
-        AdmissionMachine,
-        settings=settings(
-            max_examples=EXAMPLES,
-            stateful_step_count=40,
-            derandomize=True,
-            database=None,
-            deadline=None,
-        ),
-    )
+    run_machine(AdmissionMachine, steps=40, suppressed=())
--- a/packages/kingcupdyke/features/steps/answer_steps.py
+++ b/packages/kingcupdyke/features/steps/answer_steps.py
@@ -5,22 +5,13 @@
 Steps for assembling and buffering answers.
 """
 
-import os
-
 from behave import given, then, when
-from hypothesis import HealthCheck, settings
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+from checks import run_machine
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from hypothesis.strategies import integers, sampled_from
 
 from kingcupdyke.answer import AnswerAssembler, AnswerBuffer
 
-FUZZ_SETTINGS = settings(
-    max_examples=int(os.environ.get("KINGCUPDYKE_FUZZ_EXAMPLES", "60")),
-    derandomize=True,
-    database=None,
-    deadline=None,
-    suppress_health_check=list(HealthCheck),
-)
 NONE = "none"
 
 
@@ -121,8 +112,8 @@
 
 
 @then("answer keeps its promises in the state machine")
-def run_machine(context):
-    run_state_machine_as_test(AnswerMachine, settings=FUZZ_SETTINGS)
+def check_machine(context):
+    run_machine(AnswerMachine)
 
 
 @given('answer buffers parts "{parts}" with room for {most:d} bytes')
--- a/packages/kingcupdyke/features/steps/book_steps.py
+++ b/packages/kingcupdyke/features/steps/book_steps.py
@@ -7,14 +7,7 @@
 
 from behave import given, then, when
 
-from kingcupdyke.book import (
-    RuleBook,
-    StoredRule,
-    apply_delta,
-    diff_books,
-    store_rule,
-    to_rule_set,
-)
+from kingcupdyke.book import RuleBook, StoredRule, apply_delta, diff_books, store_rule, to_rule_set
 from kingcupdyke.rule import CallerRule
 
 
--- a/packages/kingcupdyke/features/steps/budget_steps.py
+++ b/packages/kingcupdyke/features/steps/budget_steps.py
@@ -5,17 +5,15 @@
 Steps for byte and retry budgets.
 """
 
-import os
 from random import Random
 
 from behave import given, then, when
+from checks import FIXED
 from hypothesis import given as for_all
-from hypothesis import settings, strategies
+from hypothesis import strategies
 
 from kingcupdyke.budget import ByteBudget, RetryBudget
 
-EXAMPLES = int(os.environ.get("KINGCUPDYKE_FUZZ_EXAMPLES", "60"))
-
 
 @given("the budget module's byte budget of {rate:d} bytes a second and {burst:d} at once")
 def make_budget(context, rate, burst):
@@ -60,7 +58,7 @@
 
 @then("the budget module's retry budget holds for any order of first attempts and retries")
 def check_retry_budget(context):
-    @settings(max_examples=EXAMPLES, derandomize=True, database=None, deadline=None)
+    @FIXED
     @for_all(
         strategies.lists(strategies.booleans(), max_size=200),
         strategies.sampled_from((0.0, 0.1, 0.5, 1.0)),
--- a/packages/kingcupdyke/features/steps/config_steps.py
+++ b/packages/kingcupdyke/features/steps/config_steps.py
@@ -5,18 +5,11 @@
 Steps for the configuration of one process, and for a net of them.
 """
 
-import os
 from random import Random
 
 from behave import given, then, when
-from hypothesis import settings
-from hypothesis.stateful import (
-    RuleBasedStateMachine,
-    initialize,
-    invariant,
-    rule,
-    run_state_machine_as_test,
-)
+from checks import run_machine
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 from hypothesis.strategies import integers
 
 from kingcupdyke.book import BookDelta, RuleBook, apply_delta, store_rule, to_rule_set
@@ -331,9 +324,5 @@
 
 
 @then("config keeps its promise in every run of the state machine")
-def run_machine(context):
-    examples = int(os.environ.get("KINGCUPDYKE_FUZZ_EXAMPLES", "60"))
-    run_state_machine_as_test(
-        ConfigMachine,
-        settings=settings(max_examples=examples, derandomize=True, database=None, deadline=None),
-    )
+def check_machine(context):
+    run_machine(ConfigMachine, suppressed=())
--- a/packages/kingcupdyke/features/steps/fence_steps.py
+++ b/packages/kingcupdyke/features/steps/fence_steps.py
@@ -6,9 +6,10 @@
 """
 
 from behave import given, then, when
+from checks import find_wrong_option
 from fake_engine import FakeEngine, make_intent
 
-from kingcupdyke.error import OptionError, Step
+from kingcupdyke.error import Step
 from kingcupdyke.fence import (
     EndpointGuard,
     EndpointRecord,
@@ -132,19 +133,9 @@
     assert context.read_back == context.record, context.read_back
 
 
-def assert_refused(call, *arguments):
-    """Check that the call names the endpoint's object as wrong."""
-    try:
-        call(*arguments)
-    except OptionError as error:
-        assert error.option == "endpoint", error
-    else:
-        raise AssertionError("accepted")
-
-
 @then('fence: reading "{value}" is refused')
 def check_refusal(context, value):
-    assert_refused(EndpointRecord.decode, value.encode())
+    assert find_wrong_option(EndpointRecord.decode, value.encode()) == "endpoint"
 
 
 @then("fence: an object whose intents alone fill the largest value is refused")
@@ -154,4 +145,4 @@
     missing = MAX_VALUE_BYTES - len(encode_intents([intent]))
     intent = intent._replace(model=intent.model + "x" * missing)
     assert len(encode_intents([intent])) == MAX_VALUE_BYTES
-    assert_refused(record._replace(intents=(intent,)).encode)
+    assert find_wrong_option(record._replace(intents=(intent,)).encode) == "endpoint"
--- a/packages/kingcupdyke/features/steps/idempotency_steps.py
+++ b/packages/kingcupdyke/features/steps/idempotency_steps.py
@@ -5,11 +5,9 @@
 Steps for claiming and settling idempotency keys.
 """
 
-import os
-
 from behave import then, when
-from hypothesis import HealthCheck, settings
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+from checks import run_machine
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from hypothesis.strategies import integers, sampled_from
 from key_fakes import FATES, RUNNING_BOUND_S, FakeSidecar, World
 
@@ -17,15 +15,6 @@
 from kingcupdyke.idempotency import BucketMachine, ClaimMachine, SettleMachine
 from kingcupdyke.keyrecord import KeyBucket, KeyRecord, KeyState, record_key
 
-FUZZ_SETTINGS = settings(
-    max_examples=int(os.environ.get("KINGCUPDYKE_FUZZ_EXAMPLES", "60")),
-    derandomize=True,
-    database=None,
-    deadline=None,
-    stateful_step_count=60,
-    suppress_health_check=list(HealthCheck),
-)
-
 
 def make_record(key="k", attempt_id="A1", **fields):
     return KeyRecord("secretary", key, "b", attempt_id, "A", "A-1", **fields)
@@ -218,5 +207,5 @@
 
 
 @then("idempotency keeps its promises in the state machine")
-def run_machine(context):
-    run_state_machine_as_test(AtMostOnceMachine, settings=FUZZ_SETTINGS)
+def check_machine(context):
+    run_machine(AtMostOnceMachine, steps=60)
--- a/packages/kingcupdyke/features/steps/intent_steps.py
+++ b/packages/kingcupdyke/features/steps/intent_steps.py
@@ -6,20 +6,11 @@
 """
 
 from behave import given, then
+from checks import find_wrong_option
 
-from kingcupdyke.error import OptionError
 from kingcupdyke.intent import Intent, decode_intents, encode_intents, may_send
 
 
-def is_refused(call, *arguments):
-    """:return: whether the call names its option as wrong"""
-    try:
-        call(*arguments)
-    except OptionError as error:
-        return error.option == "intents"
-    return False
-
-
 @given("intent: one recorded at {sent:g} s that lives for {lifetime:g} s")
 def give_intent(context, sent, lifetime):
     context.intent = Intent("order-1", "load", "model-a", "", 5, 3, sent, lifetime)
@@ -37,9 +28,9 @@
 
 @then('intent: reading "{value}" is refused')
 def check_reading(context, value):
-    assert is_refused(decode_intents, value.encode())
+    assert find_wrong_option(decode_intents, value.encode()) == "intents"
 
 
 @then("intent: writing it {count:d} times is refused")
 def check_writing(context, count):
-    assert is_refused(encode_intents, [context.intent] * count)
+    assert find_wrong_option(encode_intents, [context.intent] * count) == "intents"
--- a/packages/kingcupdyke/features/steps/key_fakes.py
+++ b/packages/kingcupdyke/features/steps/key_fakes.py
@@ -10,13 +10,7 @@
 from kingcupdyke.attempt import AttemptMachine
 from kingcupdyke.claimresult import Claimed, ClaimResult, ReadBucket, Unclaimed, WriteBucket
 from kingcupdyke.error import Outcome, Step
-from kingcupdyke.keyrecord import (
-    KeyBucket,
-    KeyRecord,
-    KeyState,
-    decode_bucket,
-    encode_bucket,
-)
+from kingcupdyke.keyrecord import KeyBucket, KeyRecord, KeyState, decode_bucket, encode_bucket
 from kingcupdyke.keyworker import KeyWorker
 
 #: What may become of a command: done and answered, refused with nothing done, its answer lost
--- a/packages/kingcupdyke/features/steps/keyworker_steps.py
+++ b/packages/kingcupdyke/features/steps/keyworker_steps.py
@@ -12,13 +12,7 @@
 from key_fakes import FakeSidecar, World
 
 from kingcupdyke.claimresult import WriteBucket
-from kingcupdyke.keyrecord import (
-    KeyBucket,
-    KeyState,
-    bucket_name,
-    decode_bucket,
-    record_key,
-)
+from kingcupdyke.keyrecord import KeyBucket, KeyState, bucket_name, decode_bucket, record_key
 from kingcupdyke.keyworker import KeyWorker
 
 KEYS = [f"key-{index}" for index in range(100)]
--- a/packages/kingcupdyke/features/steps/ledger_steps.py
+++ b/packages/kingcupdyke/features/steps/ledger_steps.py
@@ -5,13 +5,10 @@
 Steps for the memory ledger: short events against an engine that does whatever reaches it.
 """
 
-import os
-
 from behave import given, then, when
+from checks import run_machine
 from fake_engine import FakeEngine, FakeStore
 from fake_sidecar import FakeSidecar
-from hypothesis import HealthCheck, settings
-from hypothesis.stateful import run_state_machine_as_test
 from ledger_machine import LedgerMachine
 
 from kingcupdyke.ledger import MemoryLedger
@@ -193,14 +190,5 @@
 
 
 @then("ledger: no random order of events overcommits the engine")
-def run_machine(context):
-    examples = int(os.environ.get("KINGCUPDYKE_FUZZ_EXAMPLES", "60"))
-    chosen = settings(
-        max_examples=examples,
-        derandomize=True,
-        database=None,
-        deadline=None,
-        stateful_step_count=50,
-        suppress_health_check=list(HealthCheck),
-    )
-    run_state_machine_as_test(LedgerMachine, settings=chosen)
+def check_machine(context):
+    run_machine(LedgerMachine)
--- a/packages/kingcupdyke/features/steps/residency_steps.py
+++ b/packages/kingcupdyke/features/steps/residency_steps.py
@@ -5,16 +5,12 @@
 Steps for residency records, removals and hand-overs.
 """
 
-import os
-
 from behave import given, then, when
+from checks import find_wrong_option, run_machine
 from expression import Ok
 from fake_fleet import FakeFleet
-from hypothesis import HealthCheck, settings
-from hypothesis.stateful import run_state_machine_as_test
 from residency_machine import ResidencyMachine
 
-from kingcupdyke.error import OptionError
 from kingcupdyke.residency import (
     Holder,
     ResidencyRecord,
@@ -145,22 +141,9 @@
 
 @then('residency: reading "{value}" is refused')
 def check_refused(context, value):
-    try:
-        decode_residency(value.encode())
-    except OptionError as error:
-        assert error.option == "residency"
-    else:
-        raise AssertionError("accepted")
+    assert find_wrong_option(decode_residency, value.encode()) == "residency"
 
 
 @then("residency: the model is reachable in any order of events")
-def run_machine(context):
-    chosen = settings(
-        max_examples=int(os.environ.get("KINGCUPDYKE_FUZZ_EXAMPLES", "60")),
-        derandomize=True,
-        database=None,
-        deadline=None,
-        stateful_step_count=50,
-        suppress_health_check=list(HealthCheck),
-    )
-    run_state_machine_as_test(ResidencyMachine, settings=chosen)
+def check_machine(context):
+    run_machine(ResidencyMachine)
--- a/packages/kingcupdyke/features/steps/routers_steps.py
+++ b/packages/kingcupdyke/features/steps/routers_steps.py
@@ -10,8 +10,9 @@
 
 from behave import given, then, use_step_matcher, when
 from builders import make_request, make_view
+from checks import find_wrong_option
 
-from kingcupdyke.error import OptionError, Outcome, Step
+from kingcupdyke.error import Outcome, Step
 from kingcupdyke.routers import get_router
 from kingcupdyke.routers.cost import count_crossing_bytes
 
@@ -149,9 +150,4 @@
 
 @then("the router {name} with {options} is refused for its option {option}")
 def check_option(context, name, options, option):
-    try:
-        get_router(name, **read_options(options.split()))
-    except OptionError as error:
-        assert error.option == option, error
-    else:
-        raise AssertionError("accepted")
+    assert find_wrong_option(get_router, name, **read_options(options.split())) == option
