Say what private records hold, explain the engine's options, drop two unused members

HandOverMachine.open_models and StandinProcess.resident_bytes had no reader, tests included. Ruled out: removing AnswerBuffer.acknowledge, MemoryLedger.reserve_kv and release_kv, which embedders need. Conclusion: behaviour is unchanged.

--- a/packages/kingcupdyke-standins/kingcupdyke_standins/cmdline.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/cmdline.py
@@ -43,6 +43,7 @@
 class StoreCommand(_ListenOptions):
     """The platform's object store."""
 
+    #: Calls that pass in a second; more are refused.
     writes_per_s: Number = 400.0
     reads_per_s: Number = 2000.0
 
@@ -69,8 +70,11 @@
 class WeightsCommand(_ListenOptions):
     """The weight store."""
 
+    #: Loads that begin in a second.
     per_s: Number = 1.0
+    #: Loads in progress that go at full speed.
     full_speed: Whole = 6
+    #: Rate of a load at full speed.
     bytes_per_s: Text = "10GB"
 
     def build(self) -> StandinApp:
@@ -91,13 +95,17 @@
     checks_fence: Annotated[bool, Arg(long="--checks-fence/--no-checks-fence")] = True
     region: Text = ""
     data_centre: Text = ""
+    #: Adapter loads in flight above which each takes proportionally longer.
     adapter_knee: Whole = 50
     #: Models resident at the start, as NAME=SIZE,NAME=SIZE.
     models: Text = ""
     token_ms: Number = 5.0
+    #: Milliseconds a token that each other request of the batch adds.
     batch_slope_ms: Number = 0.2
     first_token_ms: Number = 20.0
+    #: Requests that run at once.
     slots: Whole = 32
+    #: Prompt blocks of the prefix cache.
     cache_blocks: Whole = 2000
     #: Seconds by which the load report lags.
     load_lag: Number = 0.5
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/process.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/process.py
@@ -6,7 +6,6 @@
 """
 
 import json
-import os
 import signal
 import sys
 from abc import ABC, abstractmethod
@@ -75,11 +74,6 @@
         """:return: whether the process has not ended"""
         return self._process.poll() is None
 
-    def resident_bytes(self) -> int:
-        """:return: memory of the process"""
-        pages = int(Path(f"/proc/{self.pid}/statm").read_text().split()[1])
-        return pages * os.sysconf("SC_PAGE_SIZE")
-
     def freeze(self) -> None:
         """Pause the process."""
         self._signal(signal.SIGSTOP)
--- a/packages/kingcupdyke-tool/kingcupdyke_tool/hosts.py
+++ b/packages/kingcupdyke-tool/kingcupdyke_tool/hosts.py
@@ -26,6 +26,8 @@
 
 
 class _Row(NamedTuple):
+    """A host and its answer."""
+
     host: Host
     answer: Result[Mapping[str, object], Failure]
 
--- a/packages/kingcupdyke-tool/kingcupdyke_tool/rules.py
+++ b/packages/kingcupdyke-tool/kingcupdyke_tool/rules.py
@@ -42,6 +42,8 @@
 
 
 class _Head(NamedTuple):
+    """The rules in force."""
+
     version: int
     book: RuleBook
 
--- a/packages/kingcupdyke/kingcupdyke/admission.py
+++ b/packages/kingcupdyke/kingcupdyke/admission.py
@@ -55,7 +55,7 @@
     failure: Failure
 
 
-class Running(NamedTuple):
+class _Running(NamedTuple):
     """A request that holds capacity."""
 
     service_class: str
@@ -79,7 +79,7 @@
     def __init__(self, capacity: int, most_waiting: int) -> None:
         self._capacity = get_int_opt({"capacity": capacity}, "capacity", least=1)
         self._most_waiting = get_int_opt({"most_waiting": most_waiting}, "most_waiting")
-        self._running_by_id: dict[str, Running] = {}
+        self._running_by_id: dict[str, _Running] = {}
         self._running_by_class = dict.fromkeys(ServiceClass.ALL, 0)
         self._queue_by_class = {each: FairQueue() for each in ServiceClass.ALL}
         self._pace = Pace()
@@ -214,11 +214,11 @@
         return waits or request_id in self._running_by_id
 
     def _start(self, entry: Waiting, now_s: float) -> None:
-        running = Running(_get_class(entry.request), now_s, entry.estimate_s)
+        running = _Running(_get_class(entry.request), now_s, entry.estimate_s)
         self._running_by_id[entry.request.request_id] = running
         self._running_by_class[running.service_class] += 1
 
-    def _stop(self, request_id: str) -> Running | None:
+    def _stop(self, request_id: str) -> _Running | None:
         ended = self._running_by_id.pop(request_id, None)
         if ended is not None:
             self._running_by_class[ended.service_class] -= 1
--- a/packages/kingcupdyke/kingcupdyke/cache.py
+++ b/packages/kingcupdyke/kingcupdyke/cache.py
@@ -13,7 +13,7 @@
 __all__ = ["PrefixIndex"]
 
 
-class Position(NamedTuple):
+class _Position(NamedTuple):
     """How far the events of an endpoint were heard."""
 
     incarnation: str
@@ -34,7 +34,7 @@
         self._most_prefixes = get_int_opt(options, "most_prefixes", least=1)
         self._ages: OrderedDict[tuple[str, str], None] = OrderedDict()
         self._prefixes_by_endpoint: dict[str, set[str]] = {}
-        self._position_by_endpoint: dict[str, Position] = {}
+        self._position_by_endpoint: dict[str, _Position] = {}
         #: Gaps heard in the sequences of events.
         self.gaps = 0
 
@@ -87,7 +87,7 @@
         if before is not None:
             same = before.incarnation == incarnation
             retired = before.retired if same else before.incarnation
-        self._position_by_endpoint[endpoint] = Position(incarnation, sequence, retired)
+        self._position_by_endpoint[endpoint] = _Position(incarnation, sequence, retired)
 
     def _store(self, endpoint: str, prefix: str) -> None:
         self._ages[(endpoint, prefix)] = None
--- a/packages/kingcupdyke/kingcupdyke/check.py
+++ b/packages/kingcupdyke/kingcupdyke/check.py
@@ -42,6 +42,8 @@
 
 
 class _CheckedLine(NamedTuple):
+    """A line whose own fields are right."""
+
     line: RuleLine
     kind: str
     rule: AnyRule
--- a/packages/kingcupdyke/kingcupdyke/connection.py
+++ b/packages/kingcupdyke/kingcupdyke/connection.py
@@ -137,6 +137,8 @@
 
 
 class _Phase(StrEnum):
+    """How far the newest connection has come."""
+
     CONNECTING = "connecting"
     #: Open, but nothing was heard on it yet.
     PROVING = "proving"
--- a/packages/kingcupdyke/kingcupdyke/hand_over.py
+++ b/packages/kingcupdyke/kingcupdyke/hand_over.py
@@ -65,11 +65,6 @@
         self._ends_s = float("inf")
         self._has_ended = False
 
-    @property
-    def open_models(self) -> frozenset[str]:
-        """:return: models that this endpoint has not handed over"""
-        return frozenset(self._open_models)
-
     def start(self, now_s: float) -> list[HandOverCommand]:
         """Begin to leave.
 
--- a/packages/kingcupdyke/kingcupdyke/report.py
+++ b/packages/kingcupdyke/kingcupdyke/report.py
@@ -31,7 +31,7 @@
     token_interval_s: float
 
 
-class Report(NamedTuple):
+class _Report(NamedTuple):
     """What an endpoint last said."""
 
     running: int
@@ -55,7 +55,7 @@
     def __init__(self, lag_s: float = REPORT_LAG_S, correct: bool = True) -> None:
         self._lag_s = get_float_opt({"lag_s": lag_s}, "lag_s")
         self._correct = correct
-        self._report_by_endpoint: dict[str, Report] = {}
+        self._report_by_endpoint: dict[str, _Report] = {}
         #: Times of dispatch of the requests in progress, by endpoint and request.
         self._sent_by_endpoint: dict[str, dict[str, float]] = {}
         self._own_average = 1.0
@@ -73,7 +73,7 @@
         :param now_s: time in seconds
         """
         self._now_s = max(self._now_s, now_s)
-        report = Report(running, waiting, token_interval_s, now_s)
+        report = _Report(running, waiting, token_interval_s, now_s)
         self._report_by_endpoint[endpoint] = report
         self._learn_share(endpoint, report)
 
@@ -110,7 +110,7 @@
         sent = self._sent_by_endpoint.get(endpoint, {})
         return sum(1 for sent_s in sent.values() if sent_s > after_s)
 
-    def _learn_share(self, endpoint: str, report: Report) -> None:
+    def _learn_share(self, endpoint: str, report: _Report) -> None:
         total = report.running + report.waiting
         sent = len(self._sent_by_endpoint.get(endpoint, ()))
         own = min(total, sent - self._count_sent(endpoint, report.heard_s - self._lag_s))
--- a/packages/kingcupdyke/kingcupdyke/reservation.py
+++ b/packages/kingcupdyke/kingcupdyke/reservation.py
@@ -11,7 +11,7 @@
 from kingcupdyke.inventory import EngineInventory, OrderState
 from kingcupdyke.placement import Order, OrderKind
 
-__all__ = ["OpenOrder", "Reservation"]
+__all__ = ["OpenOrder", "Reservation", "get_target", "is_unload"]
 
 
 class Reservation(NamedTuple):
--- a/packages/kingcupdyke/kingcupdyke/routers/cost.py
+++ b/packages/kingcupdyke/kingcupdyke/routers/cost.py
@@ -42,7 +42,7 @@
 MOST_RETRY_S = 30.0
 
 
-class Priced(NamedTuple):
+class _Priced(NamedTuple):
     """A candidate with its estimated time."""
 
     view: EndpointView
@@ -132,7 +132,7 @@
 
     def _choose_in_time(
         self, request: Request, views: Sequence[EndpointView], now_s: float, rng: Random
-    ) -> Priced:
+    ) -> _Priced:
         """Choose from the subset; when that would be late, from those that are in time."""
         best = self._choose_cheapest(request, self._sample(request, views, rng), rng)
         if not self._is_late(best, request, now_s):
@@ -170,13 +170,13 @@
 
     def _choose_cheapest(
         self, request: Request, views: Sequence[EndpointView], rng: Random
-    ) -> Priced:
+    ) -> _Priced:
         priced = [self._price(view, request) for view in views]
         return min(priced, key=lambda each: (each.cost_s, rng.random()))
 
-    def _price(self, view: EndpointView, request: Request) -> Priced:
+    def _price(self, view: EndpointView, request: Request) -> _Priced:
         estimate_s = estimate_wait(view, request) + self._get_distance(view)
-        return Priced(view, estimate_s, estimate_s + estimate_crowding(view, request))
+        return _Priced(view, estimate_s, estimate_s + estimate_crowding(view, request))
 
     def _get_distance(self, view: EndpointView) -> float:
         if self._crosses(view):
@@ -195,5 +195,5 @@
         return self._budget.take(count_crossing_bytes(request), now_s, keep_bytes)
 
     @staticmethod
-    def _is_late(priced: Priced, request: Request, now_s: float) -> bool:
+    def _is_late(priced: _Priced, request: Request, now_s: float) -> bool:
         return now_s + priced.estimate_s > request.deadline_s
