Give the last constant steps their values in place

Cause: a Given without a choice stood before the tables of config, books, options, retries, intents, host lists and feasibility. Ruled out: the engine's, whose variants share it. Conclusion: the tables stay as they were.

--- a/packages/kingcupdyke-wire/features/hostlist.feature
+++ b/packages/kingcupdyke-wire/features/hostlist.feature
@@ -1,8 +1,7 @@
 Feature: The host list shows changes after its lag
 
   Scenario Outline: A change shows once the lag is over
-    Given the host list lags by <lag> s
-    When hostlist reads it <delay> s after the host "s1" was <change>
+    When hostlist with a lag of <lag> s reads <delay> s after the host "s1" was <change>
     Then hostlist has seen "<seen>"
 
     Examples:
@@ -14,6 +13,5 @@
       | 0    | 0     | deleted        |            |
 
   Scenario: An answer of another form is a failure
-    Given the host list lags by 0 s
     When hostlist reads an entry without its fields
     Then hostlist has failed at step "configure"
--- a/packages/kingcupdyke-wire/features/steps/hostlist_steps.py
+++ b/packages/kingcupdyke-wire/features/steps/hostlist_steps.py
@@ -8,7 +8,7 @@
 import json
 
 from anyio import run, sleep
-from behave import given, then, when
+from behave import then, when
 
 from kingcupdyke.host import Host
 from kingcupdyke_standins.hosts import HostsApp
@@ -34,19 +34,14 @@
         return hosts
 
 
-@given("the host list lags by {lag_s:g} s")
-def give_lag(context, lag_s):
-    context.lag_s = lag_s
-
-
-@when('hostlist reads it {delay_s:g} s after the host "{name}" was {change}')
-def read_after_change(context, delay_s, name, change):
+@when('hostlist with a lag of {lag_s:g} s reads {delay_s:g} s after the host "{name}" was {change}')
+def read_after_change(context, lag_s, delay_s, name, change):
     state = "leaving" if change.endswith("leaving") else "live"
     entry = json.dumps(ENTRY._replace(state=state)._asdict()).encode()
     calls = [("PUT", f"/v1/hosts/{name}", entry)]
     if change == "deleted":
         calls.append(("DELETE", f"/v1/hosts/{name}", b""))
-    context.result = run(read_hosts, HostsApp(context.lag_s), calls, delay_s)
+    context.result = run(read_hosts, HostsApp(lag_s), calls, delay_s)
 
 
 @when("hostlist reads an entry without its fields")
--- a/packages/kingcupdyke-wire/features/steps/store_steps.py
+++ b/packages/kingcupdyke-wire/features/steps/store_steps.py
@@ -71,13 +71,8 @@
 
 
 @given("the {store:w} store")
-def give_store(context, store):
-    context.store = store
-    context.fault = ""
-
-
 @given("the {store:w} store with the fault {fault}")
-def give_faulty_store(context, store, fault):
+def give_store(context, store, fault=""):
     context.store = store
     context.fault = fault
 
--- a/packages/kingcupdyke/features/admission.feature
+++ b/packages/kingcupdyke/features/admission.feature
@@ -36,9 +36,9 @@
     Then admission whose capacity falls to 1 refuses the late ones in that second and none later
 
   Scenario Outline: Callers share by weight however much one of them asks
-    When admission is offered <first> of referee and <second> of club with weight <weight>
-    Then admission's next 30 requests hold <share> of club
+    Then admission of <first> referee and <second> club, weight <weight>, sends <share> of club
 
+    # Of the next thirty.
     Examples:
       | first | second | weight | share |
       | 40    | 40     | 1      | 15    |
--- a/packages/kingcupdyke/features/book.feature
+++ b/packages/kingcupdyke/features/book.feature
@@ -1,8 +1,7 @@
 Feature: A rule book is compared and changed
 
   Scenario Outline: A delta holds what differs and leads to the new book
-    Given the book <old>
-    When the book is compared with <new>
+    When the book <old> is compared with <new>
     Then the book delta puts "<puts>", removes "<removes>" and leads from one to the other
 
     Examples: each rule is KEY=WEIGHT
--- a/packages/kingcupdyke/features/cache.feature
+++ b/packages/kingcupdyke/features/cache.feature
@@ -23,5 +23,4 @@
 
   Scenario: Memory is bounded, and an endpoint that left takes none
     Given a cache index of 5 prefixes
-    When the cache index hears 1000 prefixes of 10 endpoints
-    Then the cache index holds 5 prefixes, and none once the endpoints are forgotten
+    Then the cache index holds 5 of 1000 prefixes, none once endpoints are forgotten
--- a/packages/kingcupdyke/features/config.feature
+++ b/packages/kingcupdyke/features/config.feature
@@ -1,8 +1,7 @@
 Feature: An accepted configuration is in force everywhere and never reverts
 
   Scenario Outline: Only the next version or a higher snapshot is taken
-    Given a config replica at version 5
-    When config receives <arrivals>
+    When config at version 5 receives <arrivals>
     Then config is at version <version> with its rules and needs a pull: <pull>
 
     Examples:
@@ -21,8 +20,7 @@
       | word of 9                                    | 5       | yes  |
 
   Scenario Outline: A peer that fell behind gets the changes, or a snapshot
-    Given a config replica at version 5
-    When config receives <arrivals>
+    When config at version 5 receives <arrivals>
     Then config has for a peer at version <peer>: <answer>
 
     Examples: at most four changes are kept
@@ -36,12 +34,10 @@
       | snapshot 9, change 10 | 9    | changes 10      |
 
   Scenario: The rule set is built once a version, and an old one stays as it is
-    Given a config replica at version 5
-    Then config gives the same rule set until change 6, and the old one is unchanged
+    Then config at version 5 keeps its rule set until a change, and then as it was
 
   Scenario Outline: All replicas reach the accepted version, whatever fails
-    Given a config net of 3 data centres with 12 hosts each at version 5
-    When config accepts 3 more changes under the fault "<fault>"
+    When a config net of 12 hosts a data centre takes 3 changes under the fault "<fault>"
     And config replicas pull for <rounds> rounds
     Then every config replica is at version 8 with its rules, and none ever fell back
 
--- a/packages/kingcupdyke/features/feasibility.feature
+++ b/packages/kingcupdyke/features/feasibility.feature
@@ -1,8 +1,7 @@
 Feature: What is listed fits the memory with one host lost
 
   Scenario Outline: Replicas are laid out on the hosts that remain
-    Given feasibility has the memory <memory>
-    And feasibility has the models <models>
+    Given feasibility has the memory <memory> and the models <models>
     Then feasibility finds "<model>" without room and says "<text>"
 
     Examples: each model is NAME SIZE x REPLICAS @ REGIONS
@@ -21,7 +20,6 @@
       | a 3 80; b 2 60 | m 10 x 1 @ a; n 50 x 1 @ a; o 80 x 1 @ a,b |   |                    |
 
   Scenario: The largest adapter of a model counts with each replica
-    Given feasibility has the memory a 2 80
-    And feasibility has the models m 79 x 1 @ a
+    Given feasibility has the memory a 2 80 and the models m 79 x 1 @ a
     And feasibility has adapters of "m" with 1 and 2 GB
     Then feasibility finds "m" without room and says "1.00GB are missing"
--- a/packages/kingcupdyke/features/intent.feature
+++ b/packages/kingcupdyke/features/intent.feature
@@ -1,7 +1,6 @@
 Feature: Intents say which orders may still reach an engine
 
   Scenario Outline: An order that waited too long after its intent stays unsent, <case>
-    Given intent: one recorded at 100 s that lives for 10 s
     Then intent: at <now> s the order <may> be sent
 
     Examples:
@@ -12,7 +11,6 @@
       | clock went back | 99 | may not |
 
   Scenario: Intents are read back as they were written
-    Given intent: one recorded at 100 s that lives for 10 s
     Then intent: it is the same when read back
 
   Scenario Outline: A value that holds no intents is refused
@@ -25,5 +23,4 @@
       | [{"order_id": "o"}] |
 
   Scenario: More intents than an object of the store holds are refused
-    Given intent: one recorded at 100 s that lives for 10 s
     Then intent: writing it 10000 times is refused
--- a/packages/kingcupdyke/features/retry.feature
+++ b/packages/kingcupdyke/features/retry.feature
@@ -2,8 +2,7 @@
 
   # The deadline is at second 10; outcomes are of the attempts so far, each at its own endpoint.
   Scenario Outline: A failed attempt is tried again only where that is safe and of use
-    Given the retry policy of <most> attempts for a request that is <kind>
-    When the retry policy hears the outcomes <outcomes> at step <step> at second <now>
+    When a retry policy of <most> attempts, <kind>, hears <outcomes> at <step> at <now> s
     Then the retry decision is <decision>
 
     Examples: safe and useful
--- a/packages/kingcupdyke/features/steps/admission_steps.py
+++ b/packages/kingcupdyke/features/steps/admission_steps.py
@@ -131,20 +131,18 @@
     assert context.queue.expire(0.5) == []
 
 
-@when("admission is offered {first:d} of referee and {second:d} of club with weight {weight:g}")
-def offer_two_callers(context, first, second, weight):
-    context.queue = AdmissionQueue(1, 100)
-    offer_many(context.queue, 1, now_s=0.0, caller="assessor")
-    offer_many(context.queue, first, caller="referee")
-    offer_many(context.queue, second, caller="club", weight=weight)
-
-
-@then("admission's next 30 requests hold {share:d} of club")
-def check_fairness(context, share):
+@then(
+    "admission of {first:d} referee and {second:d} club, weight {weight:g}, sends {share:d} of club"
+)
+def check_fairness(context, first, second, weight, share):
+    queue = AdmissionQueue(1, 100)
+    offer_many(queue, 1, now_s=0.0, caller="assessor")
+    offer_many(queue, first, caller="referee")
+    offer_many(queue, second, caller="club", weight=weight)
     running = "assessor0.0-0"
     callers = Counter()
     for _ in range(30):
-        (request,) = context.queue.finished(running, 0.0)
+        (request,) = queue.finished(running, 0.0)
         running = request.request_id
         callers[request.caller] += 1
     assert abs(callers["club"] - share) <= 1, callers
--- a/packages/kingcupdyke/features/steps/book_steps.py
+++ b/packages/kingcupdyke/features/steps/book_steps.py
@@ -5,7 +5,7 @@
 Steps for rule books.
 """
 
-from behave import given, then, when
+from behave import then, when
 
 from kingcupdyke.book import RuleBook, StoredRule, apply_delta, diff_books, store_rule, to_rule_set
 from kingcupdyke.rule import CallerRule
@@ -17,14 +17,9 @@
     return RuleBook.from_rules(store_rule("caller", rule, "Jana") for rule in rules)
 
 
-@given("the book {text}")
-def give_book(context, text):
-    context.old = read_book(text)
-
-
-@when("the book is compared with {text}")
-def compare(context, text):
-    context.new = read_book(text)
+@when("the book {old} is compared with {new}")
+def compare(context, old, new):
+    context.old, context.new = read_book(old), read_book(new)
     context.delta = diff_books(context.old, context.new)
 
 
--- a/packages/kingcupdyke/features/steps/cache_steps.py
+++ b/packages/kingcupdyke/features/steps/cache_steps.py
@@ -17,13 +17,6 @@
     context.index = PrefixIndex(most)
 
 
-@when("the cache index hears {count:d} prefixes of {endpoints:d} endpoints")
-def hear_many(context, count, endpoints):
-    for number in range(count):
-        endpoint = f"e{number % endpoints}"
-        context.index.hear(endpoint, "x", number // endpoints, True, f"p{number}")
-
-
 @when("the cache index hears {events:S} {more}")
 def hear_events(context, events, more):
     for event in (events, *more.split()):
@@ -38,8 +31,10 @@
     assert context.index.gaps == gaps
 
 
-@then("the cache index holds {most:d} prefixes, and none once the endpoints are forgotten")
-def check_bound(context, most):
+@then("the cache index holds {most:d} of {count:d} prefixes, none once endpoints are forgotten")
+def check_bound(context, most, count):
+    for number in range(count):
+        context.index.hear(f"e{number % 10}", "x", number // 10, True, f"p{number}")
     assert len(context.index) == most
     for number in range(10):
         context.index.forget(f"e{number}")
--- a/packages/kingcupdyke/features/steps/config_steps.py
+++ b/packages/kingcupdyke/features/steps/config_steps.py
@@ -7,7 +7,7 @@
 
 from random import Random
 
-from behave import given, then, when
+from behave import then, when
 from checks import run_machine
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 from hypothesis.strategies import integers
@@ -60,24 +60,19 @@
         puller.accept_change(change)
 
 
-@given("a config replica at version {version:d}")
-def give_replica(context, version):
-    context.replica = make_replica(version)
-
-
-@when("config receives {arrivals}")
-def receive(context, arrivals):
-    replica = context.replica
+@when("config at version {version:d} receives {arrivals}")
+def receive(context, version, arrivals):
+    replica = context.replica = make_replica(version)
     for arrival in arrivals.split(", "):
-        word, *_, version = arrival.split()
+        word, *_, number = arrival.split()
         before = replica.version
         if word == "change":
-            taken = replica.accept_change(make_change(int(version)))
+            taken = replica.accept_change(make_change(int(number)))
         elif word == "snapshot":
-            rules = make_book(int(version)).rules_by_key.values()
-            taken = replica.accept_snapshot(int(version), rules)
+            rules = make_book(int(number)).rules_by_key.values()
+            taken = replica.accept_snapshot(int(number), rules)
         else:
-            taken = replica.hear_version(int(version)) or False
+            taken = replica.hear_version(int(number)) or False
         assert taken is (replica.version > before)
         assert replica.version >= before
 
@@ -97,14 +92,14 @@
     assert (changes is None) is (answer == "a snapshot")
 
 
-@then("config gives the same rule set until change {version:d}, and the old one is unchanged")
+@then("config at version {version:d} keeps its rule set until a change, and then as it was")
 def check_rule_set(context, version):
-    replica = context.replica
+    replica = make_replica(version)
     old = replica.rule_set
     assert replica.rule_set is old
-    replica.accept_change(make_change(version))
+    replica.accept_change(make_change(version + 1))
     assert replica.rule_set is not old
-    assert old == to_rule_set(make_book(version - 1))
+    assert old == to_rule_set(make_book(version))
 
 
 class Net:
@@ -235,13 +230,9 @@
 }
 
 
-@given("a config net of 3 data centres with {count:d} hosts each at version 5")
-def give_net(context, count):
-    context.net = Net(count)
-
-
-@when('config accepts 3 more changes under the fault "{fault}"')
-def accept_under_fault(context, fault):
+@when('a config net of {hosts:d} hosts a data centre takes 3 changes under the fault "{fault}"')
+def accept_under_fault(context, hosts, fault):
+    context.net = Net(hosts)
     ACCEPT_BY_FAULT[fault](context.net)
 
 
--- a/packages/kingcupdyke/features/steps/feasibility_steps.py
+++ b/packages/kingcupdyke/features/steps/feasibility_steps.py
@@ -13,17 +13,11 @@
 GB = 10**9
 
 
-@given("feasibility has the memory {memory}")
-def give_memory(context, memory):
+@given("feasibility has the memory {memory} and the models {models}")
+def give_models(context, memory, models):
     rows = [each.split() for each in memory.split(";")]
-    context.memory = [
-        MemoryRule(name, name, int(hosts), int(size) * GB) for name, hosts, size in rows
-    ]
+    context.memory = [MemoryRule(name, name, int(hosts), int(gb) * GB) for name, hosts, gb in rows]
     context.adapters = []
-
-
-@given("feasibility has the models {models}")
-def give_models(context, models):
     rows = [each.split() for each in models.split(";")]
     context.models = [
         ModelRule(
--- a/packages/kingcupdyke/features/steps/retry_steps.py
+++ b/packages/kingcupdyke/features/steps/retry_steps.py
@@ -5,7 +5,7 @@
 Steps for retries.
 """
 
-from behave import given, then, when
+from behave import then, when
 from builders import make_request
 
 from kingcupdyke.budget import RetryBudget
@@ -13,23 +13,18 @@
 from kingcupdyke.retry import GiveUp, Retry, RetryPolicy
 
 
-@given("the retry policy of {most:d} attempts for a request that is {kind}")
-def make_policy(context, most, kind):
-    context.policy = RetryPolicy(RetryBudget(), most)
+@when("a retry policy of {most:d} attempts, {kind}, hears {outcomes} at {step} at {now:g} s")
+def hear_outcomes(context, most, kind, outcomes, step, now):
+    policy = RetryPolicy(RetryBudget(), most)
     key = "key" if kind.endswith("+key") else ""
-    idempotent = kind == "idempotent"
-    context.request = make_request(idempotent=idempotent, idempotency_key=key)
-
-
-@when("the retry policy hears the outcomes {outcomes} at step {step} at second {now:g}")
-def hear_outcomes(context, outcomes, step, now):
+    request = make_request(idempotent=kind == "idempotent", idempotency_key=key)
     tried = []
     for outcome in outcomes.split():
         tried.append(f"e{len(tried)}")
         if outcome == "forgotten":
             continue
         failure = Failure(Outcome(outcome), Step(step), tried[-1], "no answer")
-        context.decision = context.policy.decide(context.request, failure, tried, now, 1.0)
+        context.decision = policy.decide(request, failure, tried, now, 1.0)
     context.tried = tried
 
 
--- a/packages/kingcupdyke/features/steps/util_steps.py
+++ b/packages/kingcupdyke/features/steps/util_steps.py
@@ -7,7 +7,7 @@
 
 import json
 
-from behave import given, then, when
+from behave import then, when
 
 from kingcupdyke.error import OptionError
 from kingcupdyke.util import get_bytes_opt, get_seconds_opt, rank_rendezvous
@@ -15,15 +15,10 @@
 READERS = {"bytes": get_bytes_opt, "seconds": get_seconds_opt}
 
 
-@given('the option "value" is {text}')
-def give_option(context, text):
-    context.options = {"value": json.loads(text)}
-
-
-@when("util reads it as {kind}")
-def read_option(context, kind):
+@when("util reads the option {text} as {kind}")
+def read_option(context, text, kind):
     try:
-        context.outcome = READERS[kind](context.options, "value")
+        context.outcome = READERS[kind]({"value": json.loads(text)}, "value")
     except OptionError as error:
         context.outcome = error
 
--- a/packages/kingcupdyke/features/util.feature
+++ b/packages/kingcupdyke/features/util.feature
@@ -1,8 +1,7 @@
 Feature: Options are checked in one place
 
   Scenario Outline: A size or a duration is read with its unit
-    Given the option "value" is <given>
-    When util reads it as <kind>
+    When util reads the option <given> as <kind>
     Then util gives <expected>
 
     Examples:
@@ -14,8 +13,7 @@
       | "1h"   | seconds | 3600        |
 
   Scenario Outline: A wrong value is refused with its option, its value and a remedy
-    Given the option "value" is <given>
-    When util reads it as <kind>
+    When util reads the option <given> as <kind>
     Then util refuses it and names "value"
 
     Examples:
