Read the host list in one place, name the fake of one model's holders for what it is

Cause: the tool opened and closed the host list's client twice, once without a finally; fake_fleet and fleet_fake stood beside each other. Ruled out: renaming fleet_fake, whose steps change elsewhere. Conclusion: only residency's feature uses the renamed fake.

--- a/packages/kingcupdyke-tool/kingcupdyke_tool/cmdline.py
+++ b/packages/kingcupdyke-tool/kingcupdyke_tool/cmdline.py
@@ -89,14 +89,18 @@
         await store.aclose()
 
 
-async def _with_hosts(
-    run: Callable[[list[Host]], Awaitable[Report]], settings: ToolSettings
-) -> Report:
+async def _read_hosts(settings: ToolSettings) -> Result[list[Host], Failure]:
     client = HostListClient(settings.hosts)
     try:
-        hosts = await client.hosts()
+        return await client.hosts()
     finally:
         await client.aclose()
+
+
+async def _with_hosts(
+    run: Callable[[list[Host]], Awaitable[Report]], settings: ToolSettings
+) -> Report:
+    hosts = await _read_hosts(settings)
     return report_away(hosts.error) if hosts.is_error() else await run(hosts.ok)
 
 
@@ -123,11 +127,9 @@
 
 async def _apply_and_announce(request: ApplyRequest, settings: ToolSettings) -> Report:
     async def announce(change: ConfigChange) -> None:
-        hosts = HostListClient(settings.hosts)
-        listed = await hosts.hosts()
-        await hosts.aclose()
-        if listed.is_ok():
-            await announce_change(listed.ok, change, Random())
+        hosts = await _read_hosts(settings)
+        if hosts.is_ok():
+            await announce_change(hosts.ok, change, Random())
 
     run = partial(apply_rules, request=request, announce=announce)
     return await _with_store(run, settings)
--- a/packages/kingcupdyke/features/fake_fleet.py
+++ b/packages/kingcupdyke/features/fake_residency.py
@@ -1,6 +1,6 @@
 """
-fake_fleet
-~~~~~~~~~~
+fake_residency
+~~~~~~~~~~~~~~
 
 Endpoints that truly hold models, and rival planners that change one residency record.
 """
@@ -23,7 +23,7 @@
 )
 
 
-class FakeFleet:
+class FakeResidency:
     """The truth about one model: which endpoints hold it, and the record in the store.
 
     :param needed: holders that the rules ask for
--- a/packages/kingcupdyke/features/residency_machine.py
+++ b/packages/kingcupdyke/features/residency_machine.py
@@ -5,7 +5,7 @@
 Rival planners, leaving hosts and a failing store against the true holders of a model.
 """
 
-from fake_fleet import FakeFleet
+from fake_residency import FakeResidency
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
@@ -22,9 +22,9 @@
     @initialize(needed=st.integers(0, 2), count=st.integers(1, 4))
     def begin(self, needed, count):
         self.now_s = 0.0
-        self.fleet = FakeFleet(needed, NAMES)
+        self.residency = FakeResidency(needed, NAMES)
         for name in NAMES[: max(needed, count)]:
-            self.fleet.load(name)
+            self.residency.load(name)
 
     def _choose(self, names, index):
         names = sorted(names)
@@ -32,53 +32,53 @@
 
     @rule(planner=st.sampled_from(PLANNERS), index=INDEXES)
     def begin_unload(self, planner, index):
-        held = self.fleet.resident - {name for _, _, name in self.fleet.removals.values()}
-        if planner not in self.fleet.removals and held:
-            self.fleet.begin_unload(planner, self._choose(held, index))
+        held = self.residency.resident - {name for _, _, name in self.residency.removals.values()}
+        if planner not in self.residency.removals and held:
+            self.residency.begin_unload(planner, self._choose(held, index))
 
-    @precondition(lambda self: self.fleet.removals)
+    @precondition(lambda self: self.residency.removals)
     @rule(index=INDEXES)
     def step_unload(self, index):
-        self.fleet.step_unload(self._choose(self.fleet.removals, index))
+        self.residency.step_unload(self._choose(self.residency.removals, index))
 
     @rule(index=INDEXES)
     def load(self, index):
-        unloading = {name for _, _, name in self.fleet.removals.values()}
-        free = self.fleet.incarnations.keys() - self.fleet.hand_overs.keys() - unloading
+        unloading = {name for _, _, name in self.residency.removals.values()}
+        free = self.residency.incarnations.keys() - self.residency.hand_overs.keys() - unloading
         if free:
-            self.fleet.load(self._choose(free, index))
+            self.residency.load(self._choose(free, index))
 
     @rule(index=INDEXES)
     def leave(self, index):
-        unloading = {name for _, _, name in self.fleet.removals.values()}
-        free = self.fleet.resident - self.fleet.hand_overs.keys() - unloading
+        unloading = {name for _, _, name in self.residency.removals.values()}
+        free = self.residency.resident - self.residency.hand_overs.keys() - unloading
         if free:
-            self.fleet.begin_hand_over(self._choose(free, index), BOUND_S, self.now_s)
+            self.residency.begin_hand_over(self._choose(free, index), BOUND_S, self.now_s)
 
-    @precondition(lambda self: self.fleet.hand_overs)
+    @precondition(lambda self: self.residency.hand_overs)
     @rule(index=INDEXES, wait_s=st.integers(0, 2))
     def step_hand_over(self, index, wait_s):
         self.now_s += wait_s
-        self.fleet.step_hand_over(self._choose(self.fleet.hand_overs, index), self.now_s)
+        self.residency.step_hand_over(self._choose(self.residency.hand_overs, index), self.now_s)
 
     @rule(index=INDEXES)
     def list_leaving(self, index):
-        self.fleet.listed_leaving ^= {self._choose(NAMES, index)}
+        self.residency.listed_leaving ^= {self._choose(NAMES, index)}
 
     @rule(is_down=st.booleans())
     def change_store(self, is_down):
-        self.fleet.store.is_down = is_down
+        self.residency.store.is_down = is_down
 
     @rule()
     def lose_answer(self):
-        self.fleet.store.loses_answers = True
+        self.residency.store.loses_answers = True
 
     @invariant()
     def model_is_reachable(self):
-        assert self.fleet.resident, "no endpoint holds the model"
+        assert self.residency.resident, "no endpoint holds the model"
 
     @invariant()
     def record_names_no_other_holder(self):
-        leaving = {name for _, _, name in self.fleet.removals.values()}
-        wrong = self.fleet.record.holders_by_endpoint.keys() - self.fleet.resident - leaving
+        leaving = {name for _, _, name in self.residency.removals.values()}
+        wrong = self.residency.record.holders_by_endpoint.keys() - self.residency.resident - leaving
         assert not wrong, wrong
--- a/packages/kingcupdyke/features/steps/residency_steps.py
+++ b/packages/kingcupdyke/features/steps/residency_steps.py
@@ -8,7 +8,7 @@
 from behave import then, when
 from checks import find_wrong_option, run_machine
 from expression import Ok
-from fake_fleet import FakeFleet
+from fake_residency import FakeResidency
 from residency_machine import ResidencyMachine
 
 from kingcupdyke.residency import (
@@ -24,11 +24,11 @@
 BOUND_S = 30
 
 
-class FleetStory:
-    """Runs events on a fleet; a word for names takes several, parted by commas."""
+class ResidencyStory:
+    """Runs events on the holders of a model; a word for names takes several, parted by commas."""
 
     def __init__(self, needed):
-        self.fleet = FakeFleet(needed, "abc")
+        self.residency = FakeResidency(needed, "abc")
         self.now_s = 0.0
         self.ends = {}
 
@@ -39,54 +39,54 @@
 
     def load(self, names):
         for name in names.split(","):
-            assert self.fleet.load(name)
+            assert self.residency.load(name)
 
     def secret(self, name):
-        self.fleet.resident.add(name)
+        self.residency.resident.add(name)
 
     def begin(self, planner, name):
-        self.fleet.begin_unload(planner, name)
+        self.residency.begin_unload(planner, name)
 
     def step(self, planners, told):
         for planner in planners.split(","):
-            seen = self.fleet.step_unload(planner)
+            seen = self.residency.step_unload(planner)
             assert seen == told, f"{planner}: {seen}"
 
     def leave(self, name):
-        self.fleet.begin_hand_over(name, BOUND_S, self.now_s)
+        self.residency.begin_hand_over(name, BOUND_S, self.now_s)
 
     def hand(self, names, count):
         for _ in range(int(count)):
-            for name in set(names.split(",")) & self.fleet.hand_overs.keys():
-                self.ends[name] = self.fleet.step_hand_over(name, self.now_s)
+            for name in set(names.split(",")) & self.residency.hand_overs.keys():
+                self.ends[name] = self.residency.step_hand_over(name, self.now_s)
 
     def gone(self, name, left):
         assert self.ends[name] is not None, f"{name} has not ended"
         assert self.ends[name].left_models == tuple(left.strip("-")), self.ends[name]
 
     def asked(self, replicas):
-        assert self.fleet.requested == int(replicas), self.fleet.requested
+        assert self.residency.requested == int(replicas), self.residency.requested
 
     def kill(self, name):
-        self.fleet.kill(name)
+        self.residency.kill(name)
 
     def notice(self, name):
-        assert self.fleet.notice(name, is_gone=False)
+        assert self.residency.notice(name, is_gone=False)
 
     def again(self, name):
-        self.fleet.incarnations[name] += 1
+        self.residency.incarnations[name] += 1
 
     def late(self, name):
-        assert self.fleet.change(lambda record: drop_incarnation(record, name, "1"))
+        assert self.residency.change(lambda record: drop_incarnation(record, name, "1"))
 
     def list(self, name):
-        self.fleet.listed_leaving.add(name)
+        self.residency.listed_leaving.add(name)
 
     def lose(self):
-        self.fleet.store.loses_answers = True
+        self.residency.store.loses_answers = True
 
     def down(self):
-        self.fleet.store.is_down = True
+        self.residency.store.is_down = True
 
     def wait(self, seconds):
         self.now_s += float(seconds)
@@ -94,7 +94,7 @@
 
 @when('residency: "{events}" happens to a model that needs {needed:d} replicas')
 def run_events(context, events, needed):
-    context.story = FleetStory(needed)
+    context.story = ResidencyStory(needed)
     context.story.run(events)
 
 
@@ -103,8 +103,10 @@
 @then('residency: it is resident on "" and the record names "{holders}"')
 @then('residency: it is resident on "" and the record names ""')
 def check_residency(context, resident="", holders=""):
-    fleet = context.story.fleet
-    seen = ",".join(sorted(fleet.resident)), ",".join(sorted(fleet.record.holders_by_endpoint))
+    residency = context.story.residency
+    seen = ",".join(sorted(residency.resident)), ",".join(
+        sorted(residency.record.holders_by_endpoint)
+    )
     assert seen == (resident, holders), seen
 
 
