--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/keys.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/keys.py
@@ -141,7 +141,7 @@
             return hear(name, None, 0, now_s)
         try:
             bucket = decode_bucket(found.value)
-        except ValueError:
-            _LOGGER.exception("bucket unreadable: step=claim peer=store bucket=%s", name)
+        except ValueError as error:
+            _LOGGER.error("bucket unreadable: step=claim peer=store bucket=%s: %s", name, error)
             return self._worker.store_failed(name, False, now_s)
         return hear(name, bucket, found.version, now_s)
