Tell callers in milliseconds when to come back, and pass services through whole

Plain services get path, query and body as they came, and callers status, type and body.

Failed first: the key that still runs, with KeyError 'retry-after-ms'.

--- a/features/atmostonce.feature
+++ b/features/atmostonce.feature
@@ -13,6 +13,15 @@
     Then the answer is 422 with the code "key_reused"
     And the booking ran 1 times
 
+  Scenario: The key comes again while it still runs
+    When the services have slow_ms 1500
+    And a booking with the key "k-runs" begins at entry-n1
+    And a booking with the key "k-runs" is pressed at entry-n2
+    Then the answer is 409 and says "unknown"
+    And the answer says when to come back
+    And repeating it confirms it within 5 s
+    And the booking ran 1 times
+
   Scenario: The service's answer is lost after it ran
     When the services have lose_answers 1
     And a booking with the key "k-lost" is pressed at entry-n1
--- a/features/path.feature
+++ b/features/path.feature
@@ -42,6 +42,19 @@
       | /v1/images     | not_found         |
       | /services/none | service_not_found |
 
+  Scenario Outline: A plain service gets the request and the caller its answer as they are
+    When a caller sends <method> to the service's path <path> with the body <body>
+    Then the answer is <status> of type <type> and the service saw <seen>
+
+    Examples:
+      | method | path                                            | body             | status | type       | seen                                                                  |
+      | GET    | /echo/a%20b%2Fc?type=text/plain&x=%C5%A1+1&x&y= | ""               | 200    | text/plain | ["GET", ["echo", "a b/c"], {"type": "text/plain", "x": "š 1"}]        |
+      | GET    | /echo/%C5%A1?type=text/x;q=1                    | ""               | 200    | text/x;q=1 | ["GET", ["echo", "š"], {"type": "text/x;q=1"}]                        |
+      | POST   | /echo?type=a/b&status=418                       | "\xff\x00\r\n\x80" | 418    | a/b        | ["POST", ["echo"], {"type": "a/b", "status": "418"}]                  |
+      | POST   | /echo?type=text/plain&status=500                | ""               | 500    | text/plain | ["POST", ["echo"], {"type": "text/plain", "status": "500"}]           |
+      | DELETE | /echo?type=text/plain&status=204                | ""               | 204    | text/plain | nothing                                                               |
+      | HEAD   | /echo?type=text/plain                           | ""               | 200    | text/plain | nothing                                                               |
+
   Scenario: Many at once each get their own answer
     When 24 callers ask chat-7b for 10 tokens at the same time at entry-n2
     Then each caller has the whole answer to the own request
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -183,7 +183,10 @@
 
 @then("the answer says when to come back")
 def check_retry_after(context):
-    assert int(context.answer.headers["retry-after"]) >= 1
+    headers = context.answer.headers
+    wait_s = context.answer.error["retry_after_s"]
+    assert int(headers["retry-after"]) >= max(1, wait_s), headers
+    assert abs(int(headers["retry-after-ms"]) - wait_s * 1000) <= 1, headers
 
 
 def press(context, gateway, key, booking="pitch 4"):
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -6,6 +6,7 @@
 """
 
 from behave import then, when
+from caller_steps import send
 from openai import OpenAI
 
 from kingcupdyke_standins.answer import expected_text
@@ -34,3 +35,18 @@
     expected = expected_text(context.model, "user: hello\n", context.tokens)
     assert context.texts == [expected, expected], context.texts
     assert {"chat-7b", "chat-club", "plan-13b"} <= set(context.models)
+
+
+@when("a caller sends {method} to the service's path {path} with the body {body}")
+def send_to_service(context, method, path, body):
+    context.sent = eval(body).encode("latin-1")
+    path = f"/services/bookings{path}"
+    context.answer = send(context, "entry-n1", method, path, context.sent)
+
+
+@then("the answer is {status:d} of type {media_type} and the service saw {seen}")
+def check_service(context, status, media_type, seen):
+    answer = context.answer
+    assert (answer.status, answer.headers["content-type"]) == (status, media_type), answer
+    expected = b"" if seen == "nothing" else seen.encode() + context.sent
+    assert answer.body == expected, (answer.body, expected)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/reply.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/reply.py
@@ -102,6 +102,7 @@
     """Send an error, with ``Retry-After`` where coming back helps."""
     head = list(headers)
     if rejection.failure.retry_after_s is not None:
-        seconds = max(1, ceil(rejection.failure.retry_after_s))
-        head.append((b"retry-after", str(seconds).encode()))
+        wait_s = rejection.failure.retry_after_s
+        head.append((b"retry-after", str(max(1, ceil(wait_s))).encode()))
+        head.append((b"retry-after-ms", str(ceil(wait_s * 1000)).encode()))
     await send_body(send, rejection.status, "application/json", encode_error(rejection), head)
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/service.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/service.py
@@ -5,6 +5,7 @@
 Stand-in of a plain service that counts what it ran.
 """
 
+import json
 from collections import Counter
 from hashlib import sha256
 
@@ -29,6 +30,8 @@
     async def handle(self, request: HttpRequest, reply: Reply) -> None:
         if request.path == ("counts",):
             return await reply.json(200, self._runs_by_key)
+        if request.path[0] == "echo":
+            return await self._echo(request, reply)
         key = request.headers.get("idempotency-key", "")
         self._runs_by_key[key] += 1
         run = self._runs_by_key[key]
@@ -40,3 +43,10 @@
         answer |= {"run": run, "request_id": request_id}
         answer |= {"body_digest": sha256(request.body).hexdigest()}
         return await reply.json(200, answer, {"x-request-id": request_id})
+
+    async def _echo(self, request: HttpRequest, reply: Reply) -> None:
+        """Answer with what came, with the status and the type that the query names."""
+        status = int(request.query.get("status", "200"))
+        text = json.dumps([request.method, request.path, request.query], ensure_ascii=False)
+        body = b"" if status == 204 else text.encode() + request.body
+        await reply.whole(status, body, {"content-type": request.query["type"]})
