--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/call.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/call.py
@@ -5,7 +5,9 @@
 One caller's request from admission to its final answer.
 """
 
+from collections.abc import Callable
 from contextlib import aclosing
+from math import ceil
 from random import Random
 from typing import NamedTuple
 from uuid import uuid4
@@ -61,7 +63,10 @@
     rng: Random
     #: Name of this host, for failures that arise here.
     host: str
+    #: Requests at one endpoint at once, over all gateways.
     endpoint_slots: int
+    #: Tells how many gateways share the endpoints.
+    count_gateways: Callable[[], int]
 
 
 class CallHandler:
@@ -106,7 +111,8 @@
             return chosen.map(lambda _: None)
         # Only the estimate counts here; each attempt chooses anew.
         self._refund(request, chosen.ok)
-        capacity = max(1, len(links)) * parts.endpoint_slots
+        slots = max(1, len(links)) * parts.endpoint_slots
+        capacity = ceil(slots / max(1, parts.count_gateways()))
         return await parts.admission.enter(request, capacity, chosen.ok.estimate_s, call.weight)
 
     def _choose(
@@ -202,8 +208,10 @@
         kind = reply.WhichOneof("kind")
         if kind == "start":
             status, content_type = reply.start.status, reply.start.content_type
-            sink.start(status, content_type, assembler.peer)
-            return assembler.start(*ids, status, content_type)
+            started = assembler.start(*ids, status, content_type)
+            if started.is_ok():
+                sink.start(status, content_type, assembler.peer)
+            return started
         if kind == "part":
             taken = assembler.part(*ids, reply.part.offset, reply.part.data)
             if taken.is_error():
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
@@ -16,6 +16,7 @@
 from kingcupdyke.keyworker import KeyWorker
 from kingcupdyke.ledger import MemoryLedger
 from kingcupdyke.residency import Holder
+from kingcupdyke_daemon.metrics import DaemonMetrics
 from kingcupdyke_daemon.process import (
     StatusApp,
     make_incarnation,
@@ -82,7 +83,7 @@
         self._drain = DrainMachine(common.host, common.farewell_s)
         self._table = RunTable(tasks, settings.tick_s, settings.resume_s)
         self._keys = KeyDesk(
-            KeyWorker(settings.key_buckets, settings.key_retention_s),
+            KeyWorker(settings.key_buckets, settings.key_retention_s, rng=Random()),
             store,
             settings.endpoint,
             self._incarnation,
@@ -141,11 +142,16 @@
         self._handed_over = True
         self._drain.stop(current_time())
         self._tasks.start_soon(self._tell)
-        while not self._drain.may_exit(current_time()) or self._keys.unsettled:
+        while not self._drain.may_exit(current_time()) or self._has_undone():
             await sleep(_STOP_LOOK_S)
         await sleep(self._settings.common.beat_s)
         _LOGGER.info("left: step=admit host=%s", self._settings.common.host)
 
+    def _has_undone(self) -> bool:
+        """:return: whether an answer is not relayed yet, or not recorded"""
+        runs = self._table.runs_by_attempt.values()
+        return bool(self._keys.unsettled) or not all(run.delivered for run in runs)
+
     async def _tell(self) -> None:
         while not await self._spreader.tell_leaving(True):
             await sleep(_STOP_LOOK_S)
@@ -215,6 +221,7 @@
             self._incarnation,
             settings.common.host,
             lambda: self._spreader.replica.rule_set,
+            DaemonMetrics(settings.common.host, "sidecar"),
         )
 
     def _make_service_parts(self) -> ServiceParts:
@@ -225,7 +232,6 @@
             self._orders,
             lambda: self._seat.fence if self._seat else 0,
             self._begin_stop,
-            self._settings.common.beat_s,
         )
 
     def _start_loops(self) -> None:
@@ -235,6 +241,8 @@
         tasks.start_soon(self._table.flush_forever)
         tasks.start_soon(self._health.probe_forever)
         self._timer.subscribe("sweep", _SWEEP_S, self._table.sweep)
+        keep_alive_s = self._settings.common.beat_s / 2
+        self._timer.subscribe("keep alive", keep_alive_s, self._table.keep_alive)
         if self._orders is not None:
             tasks.start_soon(self._begin_orders)
             tasks.start_soon(self._read_load_forever)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/run.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/run.py
@@ -7,7 +7,7 @@
 
 from contextlib import aclosing
 
-from anyio import CancelScope, Event, current_time, sleep
+from anyio import CancelScope, Event, current_time, move_on_after, sleep
 from anyio.abc import TaskGroup
 
 from kingcupdyke.answer import AnswerBuffer
@@ -21,6 +21,8 @@
 _MOST_BUFFER_BYTES = 4 << 20
 #: Seconds past its deadline that non-idempotent work may go on, so that its answer is recorded.
 _RECORD_GRACE_S = 30.0
+#: Seconds that the end of a cancelled attempt waits for the back end to hear of it.
+_CANCEL_S = 2.0
 _CANCELLED = Failure(
     Outcome.UNKNOWN, Step.RUN, "", "the attempt was cancelled or passed its deadline"
 )
@@ -42,13 +44,18 @@
         self.failure: Failure | None = None
         self.replayed = False
         self.done = False
+        #: Whether the end was sent to a gateway.
+        self.delivered = False
         #: Gateway streams that are attached.
         self.attached = 0
         self.detached_s = now_s
         self.scope = CancelScope()
         self._pending: list[bytes] = []
         self._flushed_s = 0.0
-        self._changed = Event()
+        #: Keep-alives that were due so far.
+        self.keep_alives = 0
+        self._quiet = False
+        self._changed: Event | None = None
 
     @property
     def has_pending(self) -> bool:
@@ -86,11 +93,23 @@
 
     def notify(self) -> None:
         """Wake those that wait for a change."""
-        self._changed.set()
-        self._changed = Event()
+        self._quiet = False
+        if self._changed is not None:
+            self._changed.set()
+            self._changed = None
+
+    def keep_alive(self) -> None:
+        """Count a keep-alive as due where nothing changed since the call before."""
+        if not self._quiet or not self.attached:
+            self._quiet = True
+            return
+        self.keep_alives += 1
+        self.notify()
 
     async def wait(self) -> None:
-        """Wait for the next change."""
+        """Wait for the next change or keep-alive."""
+        if self._changed is None:
+            self._changed = Event()
         await self._changed.wait()
 
 
@@ -131,7 +150,9 @@
             with run.scope:
                 failure = await self._collect(run, backend)
             if run.scope.cancelled_caught:
-                self._tasks.start_soon(backend.cancel, run.request)
+                # Until then the back end works on it, so nothing it uses may be taken away.
+                with move_on_after(_CANCEL_S, shield=True):
+                    await backend.cancel(run.request)
         finally:
             self.running -= 1
         run.flush(current_time())
@@ -161,6 +182,11 @@
                 run.flush(now_s)
             self._due.clear()
 
+    def keep_alive(self, now_s: float) -> None:
+        """Let attempts that stay quiet send keep-alives; called twice as often as those go out."""
+        for run in self.runs_by_attempt.values():
+            run.keep_alive()
+
     def sweep(self, now_s: float) -> None:
         """Cancel attempts that nobody came back for, and forget old ones."""
         for attempt_id, run in list(self.runs_by_attempt.items()):
--- a/packages/kingcupdyke/features/book.feature
+++ b/packages/kingcupdyke/features/book.feature
@@ -1,8 +1,7 @@
 Feature: A rule book is compared and changed
 
   Scenario Outline: A delta holds what differs and leads to the new book
-    Given the book <old>
-    When the book is compared with <new>
+    When the book <old> is compared with <new>
     Then the book delta puts "<puts>", removes "<removes>" and leads from one to the other
 
     Examples: each rule is KEY=WEIGHT
@@ -14,8 +13,7 @@
       | a=1 b=2 c=3 | b=2 d=4       | caller/d | caller/a caller/c |
 
   Scenario Outline: A stored rule of another release does not stop the others
-    When the book reads "caller/a" with the fields <fields>
-    Then the book has <callers> callers
+    Then the book that reads "caller/a" with the fields <fields> has <callers> callers
 
     Examples:
       | fields                                                              | callers |
--- a/packages/kingcupdyke/features/connection.feature
+++ b/packages/kingcupdyke/features/connection.feature
@@ -5,8 +5,7 @@
   # pause=S lets the process itself stand still.
 
   Scenario Outline: A detector tells silence from idleness and from a pause of its own: <case>
-    When connection watches "<script>"
-    Then connection is "<state>"
+    Then connection that watches "<script>" is "<state>"
 
     Examples:
       | case                        | script                          | state  |
@@ -51,6 +50,4 @@
       | paused while it opens       | +0.25 pause=9 opened=1 sent heard=1                     | open1 beat1 up1                                       | up    |
 
   Scenario: A peer that is down is tried ever less often, with jitter
-    When connection fails to open 12 times
-    Then connection backs off from at most 0.5 s to at most 15 s, never less than half, not twice the same
-    And connection begins with 0.5 s again once it worked
+    Then connection backs off 12 times, from 0.5 s to 15 s, and then anew
--- a/packages/kingcupdyke/features/steps/idempotency_steps.py
+++ b/packages/kingcupdyke/features/steps/idempotency_steps.py
@@ -5,27 +5,16 @@
 Steps for claiming and settling idempotency keys.
 """
 
-import os
-
 from behave import then, when
-from hypothesis import HealthCheck, settings
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+from checks import run_machine
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from hypothesis.strategies import integers, sampled_from
-from key_fakes import FATES, FakeSidecar, World
+from key_fakes import FATES, RUNNING_BOUND_S, FakeSidecar, World
 
 from kingcupdyke.claimresult import Unclaimed, WriteBucket
 from kingcupdyke.idempotency import BucketMachine, ClaimMachine, SettleMachine
 from kingcupdyke.keyrecord import KeyBucket, KeyRecord, KeyState, record_key
 
-FUZZ_SETTINGS = settings(
-    max_examples=int(os.environ.get("KINGCUPDYKE_FUZZ_EXAMPLES", "60")),
-    derandomize=True,
-    database=None,
-    deadline=None,
-    stateful_step_count=60,
-    suppress_health_check=list(HealthCheck),
-)
-
 
 def make_record(key="k", attempt_id="A1", **fields):
     return KeyRecord("secretary", key, "b", attempt_id, "A", "A-1", **fields)
@@ -170,8 +159,11 @@
 
     @rule(index=integers(0, 2), verb=sampled_from(["run", "finish", "fail", "submit_again"]))
     def act(self, index, verb):
-        for attempt_id in list(self.sidecars[index].machines)[-2:]:
-            getattr(self.sidecars[index], verb)(attempt_id)
+        sidecar = self.sidecars[index]
+        for attempt_id in list(sidecar.machines)[-2:]:
+            age_s = self.world.now_s - sidecar.records[attempt_id].claimed_unix_s
+            if verb != "submit_again" or age_s < RUNNING_BOUND_S:
+                getattr(sidecar, verb)(attempt_id)
 
     @rule(index=integers(0, 2))
     def run_claimed(self, index):
@@ -215,5 +207,5 @@
 
 
 @then("idempotency keeps its promises in the state machine")
-def run_machine(context):
-    run_state_machine_as_test(AtMostOnceMachine, settings=FUZZ_SETTINGS)
+def check_machine(context):
+    run_machine(AtMostOnceMachine, steps=60)
--- a/packages/kingcupdyke/features/steps/ledger_steps.py
+++ b/packages/kingcupdyke/features/steps/ledger_steps.py
@@ -5,13 +5,10 @@
 Steps for the memory ledger: short events against an engine that does whatever reaches it.
 """
 
-import os
-
-from behave import given, then, when
+from behave import then, when
+from checks import run_machine
 from fake_engine import FakeEngine, FakeStore
 from fake_sidecar import FakeSidecar
-from hypothesis import HealthCheck, settings
-from hypothesis.stateful import run_state_machine_as_test
 from ledger_machine import LedgerMachine
 
 from kingcupdyke.ledger import MemoryLedger
@@ -142,14 +139,10 @@
         assert not FakeSidecar("late", self.engine, self.store).take_over(self.now_s)
 
 
-@given("ledger: an engine of 100 bytes with a role of 10 that {kind}")
-def give_engine(context, kind):
+@when('ledger: "{events}" happens to an engine of 100 bytes with a role of 10 that {kind}')
+def run_events(context, events, kind):
     """A lazy engine takes memory only at the end of a load; others take it at the start."""
     context.story = Story(kind.startswith("checks"), is_eager="laz" not in kind)
-
-
-@when('ledger: "{events}" happens')
-def run_events(context, events):
     context.story.run(events)
 
 
@@ -172,9 +165,7 @@
     assert context.story.ledger.unseen == (order_id,)
 
 
-@when(
-    "ledger: a new one of {capacity:d} bytes with a margin of {margin:d} reads {reported:d} bytes"
-)
+@when("ledger: a new one of {capacity:d} bytes, with {margin:d} kept back, reads {reported:d}")
 def make_ledger(context, capacity, margin, reported):
     context.ledger = MemoryLedger(capacity, margin)
     order = Order("o", "e", "load", "a", order_bytes=1)
@@ -193,14 +184,5 @@
 
 
 @then("ledger: no random order of events overcommits the engine")
-def run_machine(context):
-    examples = int(os.environ.get("KINGCUPDYKE_FUZZ_EXAMPLES", "60"))
-    chosen = settings(
-        max_examples=examples,
-        derandomize=True,
-        database=None,
-        deadline=None,
-        stateful_step_count=50,
-        suppress_health_check=list(HealthCheck),
-    )
-    run_state_machine_as_test(LedgerMachine, settings=chosen)
+def check_machine(context):
+    run_machine(LedgerMachine)
