--- a/packages/kingcupdyke-daemon/features/steps/orders_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/orders_steps.py
@@ -80,7 +80,7 @@
             store, "x", lambda: Holder(engine.incarnation, "x", "d", "r"), lambda _: 1, frozenset
         )
         context.desk = OrderDesk(
-            seat, MemoryLedger(1 << 60), engine, holdings, DrainMachine(), context.checks, 30.0,
+            seat, MemoryLedger(1 << 60), engine, holdings, DrainMachine(), context.checks, 30.0, 5,
             tasks, LoopTimer(tasks), lambda _: 0,
         )  # fmt: skip
         await context.desk.begin()
--- a/packages/kingcupdyke-daemon/features/steps/wiring_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/wiring_steps.py
@@ -135,7 +135,17 @@
     context.retry = RetryPolicy(budget)
     desk = AdmissionDesk(9, TIMER, True)
     parts = CallParts(
-        directory, context.router, desk, context.retry, budget, ignore, TIMER, None, "g", 9
+        directory,
+        context.router,
+        desk,
+        context.retry,
+        budget,
+        ignore,
+        TIMER,
+        None,
+        "g",
+        9,
+        lambda: 1,
     )
     sink = SimpleNamespace(
         committed=False,
