Guard a sidecar's drain by the operators' token

A sidecar takes operator_digest like a gateway; the tool sends the token of KINGCUPDYKE_OPERATOR_TOKEN in the drain's message. A wrong or missing token ends the call with PERMISSION_DENIED, which the tool tells as a refusal, not as "unknown". Orders stay guarded by the planner's lease and fencing number alone.

Failed first: without the check 2 of 4 drains with no or a wrong token began a stop; in the tool the drain of a refusing sidecar, and of one that asks for the token, ended as "unknown whether e1 drains".

--- a/packages/kingcupdyke-daemon/features/steps/wiring_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/wiring_steps.py
@@ -5,6 +5,7 @@
 Steps for parts of the core behind the gateway's calls.
 """
 
+from hashlib import sha256
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from types import SimpleNamespace
@@ -12,6 +13,8 @@
 import anyio
 from behave import given, then, when
 from expression import Ok
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 
 from kingcupdyke.budget import RetryBudget
 from kingcupdyke.error import Failure, Outcome, Step
@@ -24,7 +27,8 @@
 from kingcupdyke_daemon.gateway.limits import AdmissionDesk
 from kingcupdyke_daemon.gateway.planner import make_placement_options
 from kingcupdyke_daemon.settings import GatewaySettings, load_settings
-from kingcupdyke_wire.sidecar_pb2 import End, RunReply, Start
+from kingcupdyke_daemon.sidecar.service import ServiceParts, SidecarService
+from kingcupdyke_wire.sidecar_pb2 import DrainReply, DrainRequest, End, RunReply, Start
 
 COMMON = "{host: g, address: 127.0.0.1, region: north, data_centre: n1, "
 COMMON += "store_url: 'http://127.0.0.1:1', hosts_url: 'http://127.0.0.1:2', "
@@ -168,3 +172,33 @@
 @then("nothing is remembered of its retries")
 def check_forgotten(context):
     assert not context.retry._worst_by_request
+
+
+@when("a sidecar that asks for {asked} is drained with {sent}")
+def drain_sidecar(context, asked, sent):
+    token = {"the token": "right", "another token": "wrong"}.get(sent, "")
+    replies = []
+
+    async def recv_message():
+        return DrainRequest(token=token)
+
+    async def send_message(reply):
+        replies.append(reply)
+
+    fields = dict.fromkeys(ServiceParts._fields) | {
+        "table": SimpleNamespace(running=1),
+        "begin_stop": lambda: replies.append("stop"),
+        "operator_digest": sha256(b"right").hexdigest() if asked == "a token" else "",
+    }
+    stream = SimpleNamespace(recv_message=recv_message, send_message=send_message)
+    try:
+        anyio.run(SidecarService(ServiceParts(**fields)).Drain, stream)
+    except GRPCError as error:
+        replies.append(error.status)
+    context.replies = replies
+
+
+@then("its stop is {stop}")
+def check_stop(context, stop):
+    done = ["stop", DrainReply(in_flight=1)]
+    assert context.replies == {"begun": done, "refused": [Status.PERMISSION_DENIED]}[stop]
--- a/packages/kingcupdyke-daemon/features/wiring.feature
+++ b/packages/kingcupdyke-daemon/features/wiring.feature
@@ -26,3 +26,14 @@
       | an answer   | nothing     | 2     | 1        |
       | no endpoint | an answer   | 3     | 2        |
       | no endpoint | no endpoint | 4     | 4        |
+
+  Scenario Outline: A sidecar is drained by an operator only, where it asks for a token
+    When a sidecar that asks for <asked> is drained with <sent>
+    Then its stop is <stop>
+
+    Examples:
+      | asked    | sent          | stop    |
+      | no token | no token      | begun   |
+      | a token  | the token     | begun   |
+      | a token  | another token | refused |
+      | a token  | no token      | refused |
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/admin.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/admin.py
@@ -6,8 +6,6 @@
 """
 
 from collections.abc import Callable
-from hashlib import sha256
-from hmac import compare_digest
 from random import Random
 from typing import NamedTuple
 from urllib.parse import parse_qs
@@ -22,6 +20,7 @@
 from kingcupdyke_daemon.gateway.planner import RegionPlanner
 from kingcupdyke_daemon.gateway.reply import Send, send_json
 from kingcupdyke_daemon.metrics import DaemonMetrics
+from kingcupdyke_daemon.operator import is_operator
 
 __all__ = ["AdminApp", "AdminParts"]
 
@@ -72,12 +71,9 @@
             await send_json(send, {"error": f"no such path: {scope['path']}"}, 404)
 
     def _is_operator(self, scope: dict) -> bool:
-        digest = self._parts.operator_digest
-        if not digest:
-            return True
         headers = dict(scope["headers"])
         token = headers.get(b"authorization", b"").partition(b" ")[2].strip()
-        return compare_digest(sha256(token).hexdigest(), digest)
+        return is_operator(self._parts.operator_digest, token)
 
     def _make_status(self) -> dict:
         parts = self._parts
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/settings.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/settings.py
@@ -104,6 +104,8 @@
     key_buckets: int
     key_retention_s: float
     tick_s: float
+    #: Hexadecimal SHA-256 of the operators' token; empty where none is asked for.
+    operator_digest: str
 
 
 def _get_address(options: Mapping[str, object], name: str) -> str:
@@ -190,6 +192,7 @@
     "key_buckets": lambda o, n: get_int_opt(o, n, 16_384, 1),
     "key_retention_s": lambda o, n: get_seconds_opt(o, n, 86_400.0),
     "tick_s": lambda o, n: get_seconds_opt(o, n, 0.01),
+    "operator_digest": lambda o, n: get_str_opt(o, n, ""),
 }
 
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
@@ -232,6 +232,7 @@
             self._orders,
             lambda: self._seat.fence if self._seat else 0,
             self._begin_stop,
+            self._settings.operator_digest,
         )
 
     def _start_loops(self) -> None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/service.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/service.py
@@ -10,9 +10,12 @@
 from typing import NamedTuple
 
 from anyio import current_time
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
 
 from kingcupdyke.error import Failure
+from kingcupdyke_daemon.operator import is_operator
 from kingcupdyke_daemon.settings import SidecarSettings
 from kingcupdyke_daemon.sidecar.check import find_order_problem
 from kingcupdyke_daemon.sidecar.health import BackEndHealth
@@ -173,6 +176,7 @@
     orders: OrderDesk | None
     get_fence: Callable[[], int]
     begin_stop: Callable[[], None]
+    operator_digest: str
 
 
 class SidecarService(SidecarBase):
@@ -238,7 +242,11 @@
         await stream.send_message(self._parts.state.describe(self._parts.get_fence()))
 
     async def Drain(self, stream: Stream[DrainRequest, DrainReply]) -> None:  # noqa: N802
-        await stream.recv_message()
+        request = await stream.recv_message()
+        if request is None:
+            return
+        if not is_operator(self._parts.operator_digest, request.token.encode()):
+            raise GRPCError(Status.PERMISSION_DENIED, "an operator's token is needed")
         self._parts.begin_stop()
         await stream.send_message(DrainReply(in_flight=self._parts.table.running))
 
--- a/packages/kingcupdyke-tool/features/hosts.feature
+++ b/packages/kingcupdyke-tool/features/hosts.feature
@@ -29,6 +29,7 @@
       | sidecar gone    | e1   | 5    | nothing was done          |
       | sidecar silent  | e1   | 4    | asking again does no harm |
       | gateway refuses | g1   | 1    | g1 refuses                |
+      | sidecar refuses | e1   | 1    | operator's token          |
 
   Scenario Outline: Explain asks a gateway
     Given tool hosts at version 4 with the fault "<fault>"
--- a/packages/kingcupdyke-tool/features/steps/hosts_steps.py
+++ b/packages/kingcupdyke-tool/features/steps/hosts_steps.py
@@ -14,6 +14,8 @@
 from anyio.abc import SocketAttribute
 from behave import given, then, when
 from expression import Error, Ok
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 from grpclib.server import Server
 
 from kingcupdyke.error import Failure, Outcome, Step
@@ -32,8 +34,9 @@
 class FakeSidecar(SidecarBase):
     """A sidecar that answers what operators ask, or stays silent."""
 
-    def __init__(self, silent):
-        self.silent = silent
+    def __init__(self, fault):
+        self.silent = fault == "sidecar silent"
+        self.token = "another" if fault == "sidecar refuses" else TOKEN
 
     async def Describe(self, stream):  # noqa: N802
         await stream.recv_message()
@@ -45,9 +48,11 @@
         await stream.send_message(reply)
 
     async def Drain(self, stream):  # noqa: N802
-        await stream.recv_message()
+        request = await stream.recv_message()
         if self.silent:
             await sleep_forever()
+        if request.token != self.token:
+            raise GRPCError(Status.PERMISSION_DENIED, "an operator's token is needed")
         await stream.send_message(DrainReply(in_flight=3))
 
     Run = Cancel = Order = Beat = Describe
@@ -82,7 +87,7 @@
 @asynccontextmanager
 async def serve(fault):
     """Run a gateway and a sidecar and give their entries of the host list."""
-    server = Server([FakeSidecar(fault == "sidecar silent")])
+    server = Server([FakeSidecar(fault)])
     await server.start("127.0.0.1", 0)
     sidecar_port = server._server.sockets[0].getsockname()[1]
     listener = await create_tcp_listener(local_host="127.0.0.1")
--- a/packages/kingcupdyke-tool/kingcupdyke_tool/hostcalls.py
+++ b/packages/kingcupdyke-tool/kingcupdyke_tool/hostcalls.py
@@ -14,6 +14,7 @@
 from expression import Error, Ok, Result
 from google.protobuf.json_format import MessageToDict
 from grpclib.client import Channel
+from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from kingcupdyke.error import Failure, Outcome, Step
@@ -64,7 +65,7 @@
         return await self._call("Describe", DescribeRequest())
 
     async def drain(self) -> Answer:
-        return await self._call("Drain", DrainRequest(reason="operator"))
+        return await self._call("Drain", DrainRequest(reason="operator", token=self._token))
 
     async def _call(self, method: str, request: DescribeRequest | DrainRequest) -> Answer:
         channel = Channel(self._host.address, self._host.port)
@@ -77,6 +78,8 @@
                 reply = await getattr(SidecarStub(channel), method)(request)
         except (OSError, TimeoutError, GRPCError, StreamTerminatedError) as error:
             reason = str(error) or type(error).__name__
+            if isinstance(error, GRPCError) and error.status is Status.PERMISSION_DENIED:
+                return Error(self._fail(Outcome.FAILED, Step.AUTHENTICATE, error.message))
             if connected:
                 return Error(self._fail(Outcome.UNKNOWN, Step.RUN, reason))
             return Error(self._fail(Outcome.NOT_RUN, Step.CONNECT, reason))
