--- a/packages/kingcupdyke/kingcupdyke/estimate.py
+++ b/packages/kingcupdyke/kingcupdyke/estimate.py
@@ -67,7 +67,7 @@
     """:return: seconds in the endpoint's queue and batch"""
     joined = view.dispatched_since
     if view.waiting:
-        return _get_service(view, request, 0) + _estimate_queue(view, request)
+        return _get_service(view, request, 0) * (1 + (view.waiting + joined) / max(1, view.running))
     return _get_service(view, request, joined)
 
 
@@ -83,15 +83,6 @@
     return min(MOST_STALE_S, late_s * STALE_COST_S_PER_S)
 
 
-def _estimate_queue(view: EndpointView, request: Request) -> float:
-    """:return: seconds until a place is free; others may ask for longer answers than this one"""
-    ahead = (view.waiting + view.dispatched_since) / max(1, view.running)
-    if not view.token_interval_s and not request.max_tokens:
-        return ahead * _get_service(view, request, 0)
-    others = request._replace(max_tokens=max(request.max_tokens, DEFAULT_TOKENS))
-    return ahead * _get_service(view, others, 0)
-
-
 def _get_service(view: EndpointView, request: Request, joined: int) -> float:
     growth = 1.0 + BATCH_GROWTH * joined
     if not view.token_interval_s and not request.max_tokens:
