--- a/packages/kingcupdyke-daemon/features/steps/wiring_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/wiring_steps.py
@@ -16,6 +16,7 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
+from kingcupdyke.answer import AnswerAssembler
 from kingcupdyke.budget import RetryBudget
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke.placements import get_placement
@@ -28,7 +29,7 @@
 from kingcupdyke_daemon.gateway.planner import make_placement_options
 from kingcupdyke_daemon.settings import GatewaySettings, load_settings
 from kingcupdyke_daemon.sidecar.service import ServiceParts, SidecarService
-from kingcupdyke_wire.sidecar_pb2 import DrainReply, DrainRequest, End, RunReply, Start
+from kingcupdyke_wire.sidecar_pb2 import DrainReply, DrainRequest, End, RunReply, RunRequest, Start
 
 COMMON = "{host: g, address: 127.0.0.1, region: north, data_centre: n1, "
 COMMON += "store_url: 'http://127.0.0.1:1', hosts_url: 'http://127.0.0.1:2', "
@@ -202,3 +203,18 @@
 def check_stop(context, stop):
     done = ["stop", DrainReply(in_flight=1)]
     assert context.replies == {"begun": done, "refused": [Status.PERMISSION_DENIED]}[stop]
+
+
+@when("a call meets the head of a crossed reply")
+def meet_crossed(context):
+    context.heads = []
+    sink = SimpleNamespace(start=lambda *head: context.heads.append(head))
+    message = RunRequest(request_id="one", attempt_id="a1")
+    reply = RunReply(request_id="two", attempt_id="a2", start=Start(status=418))
+    assembler = AnswerAssembler("one", "a1")
+    context.taken = anyio.run(CallHandler(None)._take, message, reply, assembler, sink)
+
+
+@then("the call drops the reply and has no head")
+def check_crossed(context):
+    assert context.taken.is_error() and context.heads == [], context.heads
--- a/packages/kingcupdyke-daemon/features/wiring.feature
+++ b/packages/kingcupdyke-daemon/features/wiring.feature
@@ -37,3 +37,7 @@
       | a token  | the token     | begun   |
       | a token  | another token | refused |
       | a token  | no token      | refused |
+
+  Scenario: The head of another request's answer is not taken
+    When a call meets the head of a crossed reply
+    Then the call drops the reply and has no head
