--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
@@ -124,7 +124,7 @@
         """Refuse new requests, tell peers, give the lease back, finish what runs."""
         _LOGGER.info("leaving: step=admit host=%s", self._settings.common.host)
         self._drain.stop(current_time())
-        self._tasks.start_soon(self._tell)
+        self._tasks.start_soon(self._spreader.insist_leaving, self._drain)
         if self._planner is not None:
             await self._planner.give_back()
         # The balancer needs time to see that this process is no longer ready.
@@ -133,11 +133,6 @@
             await sleep(_STOP_LOOK_S)
         _LOGGER.info("left: step=admit host=%s", self._settings.common.host)
 
-    async def _tell(self) -> None:
-        while not await self._spreader.tell_leaving(True):
-            await sleep(_STOP_LOOK_S)
-        self._drain.told(current_time())
-
     def _make_router(self) -> Router:
         settings = self._settings
         if settings.router != "cost":
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
@@ -141,7 +141,7 @@
         await self._hand_over()
         self._handed_over = True
         self._drain.stop(current_time())
-        self._tasks.start_soon(self._tell)
+        self._tasks.start_soon(self._spreader.insist_leaving, self._drain)
         while not self._drain.may_exit(current_time()) or self._has_undone():
             await sleep(_STOP_LOOK_S)
         await sleep(self._settings.common.beat_s)
@@ -152,11 +152,6 @@
         runs = self._table.runs_by_attempt.values()
         return bool(self._keys.unsettled) or not all(run.delivered for run in runs)
 
-    async def _tell(self) -> None:
-        while not await self._spreader.tell_leaving(True):
-            await sleep(_STOP_LOOK_S)
-        self._drain.told(current_time())
-
     async def _hand_over(self) -> None:
         """Let planners load this endpoint's last replicas elsewhere, within a bound of time."""
         if self._orders is None or not self._orders.ready:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/spread.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/spread.py
@@ -16,6 +16,7 @@
 from grpclib.server import Stream
 
 from kingcupdyke.config import ConfigReplica
+from kingcupdyke.drain import DrainMachine
 from kingcupdyke.host import Host
 from kingcupdyke.membership import (
     LeavingNews,
@@ -43,6 +44,7 @@
 #: Connections to peers that are kept open.
 _MOST_CHANNELS = 32
 _START_RETRY_S = 0.3
+_TELL_RETRY_S = 0.05
 #: Seconds after which a watcher reads the log again, in case its watch went silent.
 _RELIST_S = 4.0
 _RETRY_S = 0.5
@@ -116,13 +118,19 @@
         """:return: what a peer lacks that holds ``version``"""
         return make_news(self.replica, version, self.membership.leaving_news())
 
-    async def tell_leaving(self, leaving: bool) -> bool:
-        """Say of this host that it is leaving, or that it stays after all.
+    async def insist_leaving(self, drain: DrainMachine) -> None:
+        """Say of this host that it is leaving until a peer has taken the news.
 
-        :return: whether a peer has taken the news
+        :param drain: the planned stop, which is told then
         """
+        while not await self._tell_leaving():
+            await sleep(_TELL_RETRY_S)
+        drain.told(self._timer.now())
+
+    async def _tell_leaving(self) -> bool:
+        """:return: whether a peer has taken the news"""
         self._sequence += 1
-        own = LeavingNews(self._settings.host, self._incarnation, self._sequence, leaving)
+        own = LeavingNews(self._settings.host, self._incarnation, self._sequence, True)
         self.membership.hear_leaving(*own, self._timer.now())
         news = make_news(self.replica, self.replica.version, [own])
         told = False
