--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 endif
 PYTHON ?= python3
 BIN := $(VENV)/bin
-PACKAGES := $(wildcard packages/*)
+PACKAGES := $(wildcard packages/*) platform
 empty :=
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(PACKAGES)))
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
@@ -0,0 +1,367 @@
+"""
+kingcupdyke_daemon.forwarder.exchange
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+One request of a client: from its route to its answer, over one endpoint or several.
+"""
+
+import logging
+from enum import StrEnum
+from typing import NamedTuple
+from uuid import uuid4
+
+from anyio import CancelScope, create_task_group, move_on_at
+from h11 import Response
+
+from kingcupdyke.forwarding.board import EndpointBoard
+from kingcupdyke.forwarding.configuration import Configuration, Route, RouteKind
+from kingcupdyke.forwarding.dispatcher import Dispatcher, Refuse, WorkItem
+from kingcupdyke.forwarding.endpoint import Replica
+from kingcupdyke.forwarding.repeats import RepeatBudget
+from kingcupdyke.forwarding.terms import AnswerTerms, RequestTerms, SendTerms
+from kingcupdyke.timer import TimerService
+from kingcupdyke_daemon.forwarder.connection import EndpointConnection, Progress, TransferError
+from kingcupdyke_daemon.forwarder.dialect import Dialect, Headers
+from kingcupdyke_daemon.forwarder.events import EventBuffer
+from kingcupdyke_daemon.forwarder.front import ClientRequest, Reply, RequestHandler
+from kingcupdyke_daemon.forwarder.pool import ConnectionPool
+from kingcupdyke_daemon.forwarder.queue import WaitingQueue
+
+__all__ = ["ExchangeHandler", "ForwarderParts"]
+
+_LOGGER = logging.getLogger(__name__)
+#: Headers of an endpoint's answer that concern its connection only.
+CONNECTION_HEADERS = frozenset(
+    (b"connection", b"keep-alive", b"proxy-connection", b"transfer-encoding", b"upgrade")
+)
+#: Seconds after which a caller is asked to come back where nothing better is known.
+RETRY_AFTER_S = 0.5
+#: Largest answer of an endpoint that is kept back while another endpoint is tried.
+MOST_KEPT_BYTES = 65_536
+STATUS_UNAVAILABLE = 503
+STATUS_BAD_GATEWAY = 502
+STATUS_TIMEOUT = 504
+STATUS_NOT_FOUND = 404
+STATUS_MISDIRECTED = 421
+#: First status of an endpoint's own failures.
+STATUS_FAILURE = 500
+
+
+class ForwarderParts(NamedTuple):
+    """What exchanges work with."""
+
+    dialect: Dialect
+    dispatcher: Dispatcher
+    board: EndpointBoard
+    queue: WaitingQueue
+    pool: ConnectionPool
+    budget: RepeatBudget
+    timer: TimerService
+
+
+class _End(StrEnum):
+    """How a request ended at one endpoint."""
+
+    DELIVERED = "delivered"
+    #: No byte of it was sent there.
+    NOT_SENT = "not_sent"
+    #: The endpoint says, or it is certain, that the request did not run there.
+    NOT_RUN = "not_run"
+    #: The endpoint answered that it failed; the answer is kept.
+    FAILED = "failed"
+    #: It may have run.
+    UNKNOWN = "unknown"
+    #: Part of the answer was passed on before it broke off.
+    BROKEN = "broken"
+
+
+class _KeptAnswer(NamedTuple):
+    """An endpoint's failure, passed on unless another endpoint does better."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class ExchangeHandler(RequestHandler):
+    """Answers clients' requests by the routes in force.
+
+    :param parts: what exchanges work with
+    """
+
+    def __init__(self, parts: ForwarderParts) -> None:
+        self._parts = parts
+        self.configuration: Configuration | None = None
+        #: Whether the configuration was lately confirmed by the store.
+        self.is_confirmed = True
+        #: Gateways that share the budget of repeats.
+        self.gateways = 1
+
+    async def handle(self, request: ClientRequest, reply: Reply) -> None:
+        configuration = self.configuration
+        terms = self._parts.dialect.read_request(request.headers)
+        if configuration is None:
+            await self._refuse(reply, terms, "no configuration is known yet", RETRY_AFTER_S)
+            return
+        route = configuration.table.find(request.host, request.path)
+        if route is None and not self.is_confirmed:
+            await self._refuse(reply, terms, "the routes may have changed", RETRY_AFTER_S)
+            return
+        if route is None:
+            headers = self._parts.dialect.write_refusal(terms.attempt_id, None)
+            await reply.refuse(STATUS_NOT_FOUND, "no route", headers)
+            return
+        await _Exchange(self._parts, self.gateways, route, request, terms, reply).run()
+
+    async def _refuse(
+        self, reply: Reply, terms: RequestTerms, reason: str, retry_after_s: float
+    ) -> None:
+        headers = self._parts.dialect.write_refusal(terms.attempt_id, retry_after_s)
+        await reply.refuse(STATUS_UNAVAILABLE, reason, headers)
+
+
+class _Exchange:
+    """A request under way."""
+
+    def __init__(
+        self,
+        parts: ForwarderParts,
+        gateways: int,
+        route: Route,
+        request: ClientRequest,
+        terms: RequestTerms,
+        reply: Reply,
+    ) -> None:
+        self._parts = parts
+        self._gateways = gateways
+        self._route = route
+        self._request = request
+        self._terms = terms
+        self._reply = reply
+        patience_s = route.timeout_s if terms.patience_s is None else terms.patience_s
+        self._deadline_s = request.arrived_s + min(patience_s, route.timeout_s)
+        self._item = WorkItem(
+            attempt_id=terms.attempt_id or uuid4().hex,
+            service=route.choose_service(terms.attempt_id),
+            model=terms.model,
+            adapter=terms.adapter,
+            parts=terms.parts,
+            prompt_tokens=terms.prompt_tokens,
+            output_tokens=terms.output_tokens,
+            priority=route.priority,
+            arrived_s=request.arrived_s,
+            objective_s=request.arrived_s + route.objective_s,
+            deadline_s=self._deadline_s,
+        )
+        self._excluded: set[str] = set()
+        #: Endpoints at which the request ran or may have run, without the present one.
+        self._runs = 0
+        #: Whether it was sent to an endpoint that has not answered yet.
+        self._is_in_flight = False
+        self._kept: _KeptAnswer | None = None
+        self._reason = ""
+        self._events = EventBuffer() if route.is_resumable else None
+
+    @property
+    def _may_repeat(self) -> bool:
+        return self._route.is_repeatable or self._route.is_resumable
+
+    async def run(self) -> None:
+        """Answer the request, at the latest at its deadline."""
+        self._parts.budget.count_request(self._item.service, self._parts.timer.now())
+        with move_on_at(self._deadline_s) as scope:
+            await self._run_attempts()
+        if scope.cancelled_caught and not self._reply.is_whole:
+            await self._give_up("the deadline passed")
+
+    async def _run_attempts(self) -> None:
+        while True:
+            decision = await self._parts.queue.decide(self._item, frozenset(self._excluded))
+            if isinstance(decision, Refuse):
+                await self._give_up(decision.reason, decision.retry_after_s)
+                return
+            end = await self._try_endpoint(decision.endpoint)
+            if end is _End.DELIVERED:
+                return
+            self._excluded.add(decision.endpoint)
+            self._is_in_flight = False
+            if end not in (_End.NOT_RUN, _End.NOT_SENT):
+                self._runs += 1
+            if not self._may_try_again(end):
+                await self._give_up(self._reason)
+                return
+
+    def _may_try_again(self, end: _End) -> bool:
+        if end is _End.NOT_SENT:
+            return True
+        if end is not _End.NOT_RUN:
+            if not self._may_repeat or self._runs >= self._route.max_attempts:
+                return False
+            if end is _End.BROKEN and self._events is None:
+                return False
+        now_s = self._parts.timer.now()
+        return self._parts.budget.take(self._item.service, self._gateways, now_s)
+
+    async def _give_up(self, reason: str, retry_after_s: float = RETRY_AFTER_S) -> None:
+        """Send the final answer of a request that no endpoint answers."""
+        reply = self._reply
+        _LOGGER.info(
+            "gave up %s on route %s after %d runs: %s",
+            self._item.attempt_id,
+            self._route.name,
+            self._runs,
+            reason,
+        )
+        if reply.has_begun:
+            return
+        if self._kept is not None:
+            await reply.answer(self._kept.status, self._kept.headers, self._kept.body)
+            return
+        write_refusal = self._parts.dialect.write_refusal
+        attempt_id = self._terms.attempt_id
+        if not self._runs and not self._is_in_flight:
+            headers = write_refusal(attempt_id, retry_after_s)
+            await reply.refuse(STATUS_UNAVAILABLE, reason, headers)
+            return
+        is_late = self._parts.timer.now() >= self._deadline_s
+        status = STATUS_TIMEOUT if is_late else STATUS_BAD_GATEWAY
+        await reply.refuse(status, reason, write_refusal(attempt_id, None))
+
+    async def _try_endpoint(self, endpoint: str) -> _End:
+        parts = self._parts
+        address = parts.board.state_by_id[endpoint].entry.address
+        sent_s = parts.timer.now()
+        connection: EndpointConnection | None = None
+        is_sound = False
+        try:
+            connection = await parts.pool.take(endpoint, address, not self._may_repeat)
+            async with create_task_group() as tasks:
+                try:
+                    end, is_sound = await self._forward(tasks, connection, endpoint, sent_s)
+                except TransferError as error:
+                    end = self._explain(endpoint, error)
+                tasks.cancel_scope.cancel()
+        except TransferError as error:
+            end = self._explain(endpoint, error)
+        finally:
+            with CancelScope(shield=True):
+                if connection is not None and not is_sound:
+                    await connection.aclose()
+            seconds = parts.timer.now() - sent_s
+            parts.dispatcher.ended(self._item.attempt_id, endpoint, self._item.service, seconds)
+            parts.queue.poll(parts.timer.now())
+        if is_sound:
+            await parts.pool.give_back(endpoint, connection)
+        return end
+
+    def _explain(self, endpoint: str, error: TransferError) -> _End:
+        self._reason = f"endpoint {endpoint}: {error.reason}"
+        self._parts.board.note_failure(endpoint, self._parts.timer.now(), True)
+        if error.progress is Progress.NOT_SENT:
+            return _End.NOT_SENT
+        return _End.BROKEN if self._reply.has_begun else _End.UNKNOWN
+
+    async def _forward(
+        self, tasks: object, connection: EndpointConnection, endpoint: str, sent_s: float
+    ) -> tuple[_End, bool]:
+        """:return: how it ended, and whether the connection can be used further
+        :raises TransferError: when the connection breaks
+        """
+        parts = self._parts
+        left_s = self._deadline_s - parts.timer.now()
+        terms = SendTerms(endpoint, left_s, self._route.priority)
+        headers = parts.dialect.write_request(self._request.headers, terms)
+        if self._events is not None and self._events.last_id:
+            headers = [each for each in headers if each[0] != b"last-event-id"]
+            headers.append((b"last-event-id", self._events.last_id))
+        body = self._request.body
+        if body or any(name == b"transfer-encoding" for name, _ in self._request.headers):
+            headers.append((b"content-length", str(len(body)).encode()))
+        elif any(name == b"content-length" for name, _ in self._request.headers):
+            headers.append((b"content-length", b"0"))
+        method, target = self._request.method, self._request.target
+        self._is_in_flight = True
+        connection.send(tasks, method, target, headers, body, self._terms.attempt_id)
+        head = await connection.read_head()
+        answer = parts.dialect.read_answer(list(head.headers))
+        if answer.is_not_run or head.status_code == STATUS_MISDIRECTED:
+            return await self._read_not_run(connection, endpoint, head, answer)
+        if not answer.is_stamped:
+            self._reason = f"endpoint {endpoint}: status {head.status_code} without its mark"
+            parts.board.note_failure(endpoint, parts.timer.now(), False)
+            return _End.UNKNOWN if not self._reply.has_begun else _End.BROKEN, False
+        if head.status_code >= STATUS_FAILURE:
+            return await self._keep_failure(connection, endpoint, head)
+        end = await self._relay(connection, endpoint, head, sent_s)
+        parts.board.note_success(endpoint)
+        return end, True
+
+    async def _read_not_run(
+        self,
+        connection: EndpointConnection,
+        endpoint: str,
+        head: Response,
+        answer: AnswerTerms,
+    ) -> tuple[_End, bool]:
+        self._reason = f"endpoint {endpoint}: status {head.status_code}, not run"
+        async for _ in connection.read_body():
+            pass
+        now_s = self._parts.timer.now()
+        is_other = answer.endpoint and answer.endpoint != endpoint
+        if head.status_code == STATUS_MISDIRECTED and not is_other and self._item.model:
+            replica = Replica(endpoint, self._item.model, self._item.adapter)
+            self._parts.board.deny_replica(replica, now_s)
+        elif head.status_code == STATUS_MISDIRECTED:
+            self._parts.board.note_failure(endpoint, now_s, True)
+        return _End.NOT_RUN, True
+
+    async def _keep_failure(
+        self, connection: EndpointConnection, endpoint: str, head: Response
+    ) -> tuple[_End, bool]:
+        """Keep an endpoint's failure back while another endpoint may do better."""
+        self._parts.board.note_failure(endpoint, self._parts.timer.now(), False)
+        self._reason = f"endpoint {endpoint}: status {head.status_code}"
+        body = b""
+        async for data in connection.read_body():
+            body += data
+            if len(body) > MOST_KEPT_BYTES:
+                return _End.FAILED, False
+        if self._reply.has_begun:
+            return _End.BROKEN, True
+        headers = [each for each in _strip(head) if each[0] != b"content-length"]
+        self._kept = _KeptAnswer(head.status_code, headers, body)
+        return _End.FAILED, True
+
+    async def _relay(
+        self, connection: EndpointConnection, endpoint: str, head: Response, sent_s: float
+    ) -> _End:
+        reply = self._reply
+        has_first = False
+        if not reply.has_begun:
+            await reply.begin(head.status_code, _strip(head))
+        async for data in connection.read_body():
+            if not has_first:
+                has_first = True
+                self._note_first(endpoint, sent_s)
+            if self._events is not None:
+                data = self._events.feed(data)
+            if data:
+                await reply.write(data)
+        if self._events is not None and (rest := self._events.take_rest()):
+            await reply.write(rest)
+        await reply.end()
+        return _End.DELIVERED
+
+    def _note_first(self, endpoint: str, sent_s: float) -> None:
+        parts = self._parts
+        if self._route.kind is not RouteKind.STREAMING:
+            return
+        state = parts.board.state_by_id.get(endpoint)
+        tokens = 0 if state is None else state.tokens_by_attempt.get(self._item.attempt_id, 0)
+        seconds = parts.timer.now() - sent_s
+        parts.dispatcher.began(self._item.attempt_id, endpoint, seconds, tokens)
+        parts.queue.poll(parts.timer.now())
+
+
+def _strip(head: Response) -> Headers:
+    return [each for each in head.headers if each[0] not in CONNECTION_HEADERS]
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peers.py
@@ -0,0 +1,145 @@
+"""
+kingcupdyke_daemon.forwarder.peers
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Gateways find each other in the store and tell each other their state by datagrams.
+"""
+
+import json
+import logging
+from collections.abc import Callable
+
+from anyio import Event, create_task_group, create_udp_socket, move_on_after, sleep
+from anyio.abc import UDPSocket
+
+from kingcupdyke.error import OptionError
+from kingcupdyke.forwarding.peerstate import GatewayState, PeerTable
+from kingcupdyke.timer import TimerService
+from kingcupdyke.util import get_int_opt, get_str_opt
+from kingcupdyke_daemon.forwarder.settings import SocketAddress
+from kingcupdyke_wire.store import Conflict, StoreClient, StoreObject
+
+__all__ = ["PEERS_KIND", "PeerExchange"]
+
+_LOGGER = logging.getLogger(__name__)
+#: Kind of the objects by which gateways find each other.
+PEERS_KIND = "kingcupdyke-gateways"
+#: Seconds between messages while work is under way, and while nothing changes.
+BUSY_PERIOD_S = 0.1
+QUIET_PERIOD_S = 0.4
+#: Seconds between attempts to enter oneself in the store.
+ENTER_RETRY_S = 0.5
+
+
+class PeerExchange:
+    """Sends this gateway's state to its peers and takes theirs.
+
+    :param host: name of this host
+    :param address: where this gateway takes messages
+    :param store: the platform's store
+    :param table: the peers' states
+    :param timer: the timer service
+    :param describe: gives this gateway's state with a message's number
+    :param heard: called after each newer state
+    """
+
+    def __init__(
+        self,
+        host: str,
+        address: SocketAddress,
+        store: StoreClient,
+        table: PeerTable,
+        timer: TimerService,
+        describe: Callable[[int], GatewayState],
+        heard: Callable[[GatewayState], None],
+    ) -> None:
+        self._host = host
+        self._address = address
+        self._store = store
+        self._table = table
+        self._timer = timer
+        self._describe = describe
+        self._heard = heard
+        self._address_by_host: dict[str, SocketAddress] = {}
+        self._number = 0
+        self._last: GatewayState | None = None
+        #: Set to send at once.
+        self.changed = Event()
+
+    @property
+    def hosts(self) -> int:
+        """:return: gateways that the store lists, this one included"""
+        return len(self._address_by_host.keys() | {self._host})
+
+    def take_all(self, objects: list[StoreObject], after_outage: bool) -> None:
+        """Take the whole list of gateways."""
+        self._address_by_host.clear()
+        for each in objects:
+            self.take(each)
+
+    def take(self, entry: StoreObject) -> None:
+        """Take a gateway's entry."""
+        if entry.name == self._host:
+            return
+        try:
+            fields = json.loads(entry.value)
+            address = SocketAddress(get_str_opt(fields, "address"), get_int_opt(fields, "port"))
+        except (ValueError, AttributeError, OptionError) as error:
+            _LOGGER.warning("the entry of gateway %s is unreadable: %s", entry.name, error)
+            return
+        self._address_by_host[entry.name] = address
+
+    def remove(self, name: str, after_outage: bool) -> None:
+        """A gateway's entry is gone."""
+        self._address_by_host.pop(name, None)
+
+    async def enter(self) -> None:
+        """Enter this gateway in the store."""
+        value = json.dumps(self._address._asdict(), separators=(",", ":")).encode()
+        version = 0
+        while True:
+            written = await self._store.put(PEERS_KIND, self._host, value, version)
+            if written.is_error():
+                _LOGGER.warning("entering this gateway failed: %s", written.error.reason)
+                await sleep(ENTER_RETRY_S)
+            elif isinstance(written.ok, Conflict):
+                current = written.ok.current
+                if current is not None and current.value == value:
+                    return
+                version = current.version if current is not None else 0
+            else:
+                return
+
+    async def run(self) -> None:
+        """Send and take messages until cancelled."""
+        address, port = self._address
+        socket = await create_udp_socket(local_host=address, local_port=port)
+        async with socket as udp, create_task_group() as tasks:
+            tasks.start_soon(self._receive, udp)
+            tasks.start_soon(self._send, udp)
+
+    async def _receive(self, udp: UDPSocket) -> None:
+        async for data, _ in udp:
+            state = GatewayState.decode(data)
+            if state.is_error():
+                _LOGGER.warning("a peer's message is unreadable: %s", state.error.reason)
+            elif self._table.hear(state.ok, self._timer.now()):
+                self._heard(state.ok)
+
+    async def _send(self, udp: UDPSocket) -> None:
+        while True:
+            self._number += 1
+            state = self._describe(self._number)
+            data = state.encode()
+            for address in self._address_by_host.values():
+                try:
+                    await udp.sendto(data, *address)
+                except OSError as error:
+                    _LOGGER.debug("a message to a peer was not sent: %r", error)
+            is_same = self._last is not None and self._last._replace(number=0) == state._replace(
+                number=0
+            )
+            self._last = state
+            with move_on_after(QUIET_PERIOD_S if is_same else BUSY_PERIOD_S):
+                await self.changed.wait()
+            self.changed = Event()
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
@@ -0,0 +1,297 @@
+"""
+kingcupdyke_daemon.forwarder.placer
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Keeps the planner's lease and, while it is held, gives engines their orders.
+"""
+
+import logging
+from collections.abc import Callable
+from time import CLOCK_BOOTTIME, clock_gettime
+
+from anyio import create_task_group, sleep
+from anyio.abc import TaskGroup
+
+from kingcupdyke.error import Outcome
+from kingcupdyke.forwarding.board import EndpointBoard
+from kingcupdyke.forwarding.configuration import Configuration
+from kingcupdyke.forwarding.dispatcher import Dispatcher
+from kingcupdyke.forwarding.peerstate import Demand, PeerTable, Placement
+from kingcupdyke.forwarding.residencyplan import ResidencyPlan, TimedOrder
+from kingcupdyke.forwarding.seat import OrderReply, Seat
+from kingcupdyke.lease import LeaseCommand, LeaseMachine, LeaseRecord, ReadLease
+from kingcupdyke.placement import Order, OrderKind
+from kingcupdyke_daemon.forwarder.dialect import Dialect
+from kingcupdyke_wire.http import HttpClient
+from kingcupdyke_wire.store import Conflict, StoreClient
+
+__all__ = ["LEASE_NAME", "LEASES_KIND", "Placer"]
+
+_LOGGER = logging.getLogger(__name__)
+#: Kind and name of the lease's object.
+LEASES_KIND = "kingcupdyke-leases"
+LEASE_NAME = "planner"
+#: Seconds after a proof of the lease for which orders are given: what is left of the lease must
+#: outlast the time that a rival waits.
+ORDERS_S = 1.0
+#: Seconds between renewals of the lease, and between looks at it by those who do not hold it.
+RENEW_S = 0.4
+#: Seconds between planning rounds.
+ROUND_S = 0.05
+#: Seconds between looks at whether the lease is due.
+TICK_S = 0.1
+#: Seconds for the answer to an order, and to a question for a report.
+ORDER_S = 1.0
+REPORT_S = 0.6
+#: Longest part of an answer that is logged.
+QUOTED_BYTES = 100
+#: Seconds for which peers are told of a placement.
+TELL_S = 2.0
+
+
+def read_clock() -> float:
+    """:return: seconds of a clock that goes on while the host is suspended"""
+    return clock_gettime(CLOCK_BOOTTIME)
+
+
+class Placer:
+    """The planner's shell.
+
+    :param host: name of this host; orders bear it
+    :param lease: decides on the lease; its times are those of :func:`read_clock`
+    :param orders_wait_s: seconds from taking a lease that another host gave back to the first order
+    :param is_candidate: tells whether this gateway is among the few that contend for the lease
+    """
+
+    def __init__(
+        self,
+        host: str,
+        lease: LeaseMachine,
+        orders_wait_s: float,
+        store: StoreClient,
+        dialect: Dialect,
+        board: EndpointBoard,
+        dispatcher: Dispatcher,
+        peers: PeerTable,
+        is_candidate: Callable[[], bool],
+        get_configuration: Callable[[], Configuration | None],
+        now: Callable[[], float],
+    ) -> None:
+        self._host = host
+        self._lease = lease
+        self._orders_wait_s = orders_wait_s
+        self._store = store
+        self._dialect = dialect
+        self._board = board
+        self._dispatcher = dispatcher
+        self._peers = peers
+        self._is_candidate = is_candidate
+        self._get_configuration = get_configuration
+        self._now = now
+        self._term = 0
+        self._orders_from_s = 0.0
+        self._seat_by_id: dict[str, Seat] = {}
+        self._plan_by_service: dict[str, ResidencyPlan] = {}
+        self._http_by_id: dict[str, HttpClient] = {}
+        self._placements: list[tuple[float, Placement]] = []
+        self._last_owner = ""
+
+    @property
+    def fence(self) -> int:
+        """:return: the fencing number with which orders may be given now, or 0"""
+        now_s = read_clock()
+        fence = self._lease.fence_at(now_s)
+        if fence is None or now_s < self._orders_from_s:
+            return 0
+        return fence if self._lease.proof_age_s(now_s) < ORDERS_S else 0
+
+    def list_placements(self) -> tuple[Placement, ...]:
+        """:return: placements of the last moments, as peers are told"""
+        now_s = self._now()
+        self._placements = [each for each in self._placements if now_s - each[0] < TELL_S]
+        return tuple(
+            each._replace(due_s=round(max(0.0, each.due_s - (now_s - since_s)), 3))
+            for since_s, each in self._placements
+        )
+
+    async def run(self) -> None:
+        """Contend for the lease and plan until cancelled."""
+        async with create_task_group() as tasks:
+            tasks.start_soon(self._keep_lease)
+            while True:
+                await sleep(ROUND_S)
+                if self.fence:
+                    self._plan_round(tasks)
+
+    async def give_back(self) -> None:
+        """Give the lease back at a planned stop."""
+        command = self._lease.release(read_clock())
+        if command is not None:
+            await self._carry(command)
+
+    async def _keep_lease(self) -> None:
+        while True:
+            await sleep(TICK_S)
+            held = self._lease.fence_at(read_clock()) is not None
+            if not held and not self._is_candidate():
+                continue
+            command = self._lease.tick(read_clock())
+            while command is not None:
+                command = await self._carry(command)
+            self._note_term()
+
+    def _note_term(self) -> None:
+        fence = self._lease.fence_at(read_clock())
+        if fence is None or fence == self._term:
+            return
+        self._term = fence
+        self._seat_by_id.clear()
+        self._plan_by_service.clear()
+        _LOGGER.warning("took the planner's lease with fence %d", fence)
+
+    async def _carry(self, command: LeaseCommand) -> LeaseCommand | None:
+        if isinstance(command, ReadLease):
+            answer = await self._store.get(LEASES_KIND, command.name)
+        else:
+            value = command.record.encode()
+            answer = await self._store.put(LEASES_KIND, LEASE_NAME, value, command.if_version)
+        now_s = read_clock()
+        if answer.is_error():
+            return self._lease.store_failed(now_s, answer.error.outcome is not Outcome.NOT_RUN)
+        found = answer.ok
+        is_conflict = isinstance(found, Conflict)
+        if is_conflict:
+            found = found.current
+        elif not isinstance(command, ReadLease):
+            return self._lease.lease_written(found.version, now_s)
+        record = LeaseRecord.decode(found.value) if found else None
+        version = found.version if found else 0
+        if record is not None and not record.owner:
+            # Its last holder may have given orders until just now.
+            self._orders_from_s = max(self._orders_from_s, now_s + self._orders_wait_s)
+        if is_conflict:
+            return self._lease.lease_conflict(record, version, now_s)
+        return self._lease.lease_read(record, version, now_s)
+
+    def _plan_round(self, tasks: TaskGroup) -> None:
+        configuration = self._get_configuration()
+        if configuration is None:
+            return
+        self._update_seats(configuration)
+        now_s = self._now()
+        demands = list(self._dispatcher.list_demands(now_s))
+        for peer in self._peers.live(now_s):
+            demands += peer.demands
+        for name, spec in configuration.services_by_name.items():
+            if spec.engine is not None:
+                self._plan_service(tasks, name, configuration, demands)
+
+    def _update_seats(self, configuration: Configuration) -> None:
+        engines = {
+            name for name, spec in configuration.services_by_name.items() if spec.engine is not None
+        }
+        for endpoint, state in self._board.state_by_id.items():
+            if state.entry.service not in engines:
+                continue
+            seat = self._seat_by_id.get(endpoint)
+            if seat is None:
+                self._seat_by_id[endpoint] = Seat(state.entry)
+            else:
+                seat.observe_entry(state.entry)
+        for endpoint in self._seat_by_id.keys() - self._board.state_by_id.keys():
+            del self._seat_by_id[endpoint]
+
+    def _plan_service(
+        self, tasks: TaskGroup, service: str, configuration: Configuration, demands: list[Demand]
+    ) -> None:
+        now_s = self._now()
+        seats = [each for each in self._seat_by_id.values() if each.entry.service == service]
+        for seat in seats:
+            if seat.wants_report(now_s):
+                tasks.start_soon(self._ask_report, seat)
+            again = seat.wants_resend(now_s)
+            if again is not None:
+                self._start_order(tasks, seat, TimedOrder(again, seat.due_s - now_s))
+        plan = self._plan_by_service.setdefault(service, ResidencyPlan(service))
+        engine = configuration.services_by_name[service].engine
+        for timed in plan.plan(engine, seats, demands, now_s):
+            self._start_order(tasks, self._seat_by_id[timed.order.endpoint], timed)
+
+    def _start_order(self, tasks: TaskGroup, seat: Seat, timed: TimedOrder) -> None:
+        now_s = self._now()
+        seat.begin(timed.order, now_s, timed.expected_s)
+        if timed.order.kind == OrderKind.UNLOAD:
+            self._tell(timed.order, False, 0.0)
+        tasks.start_soon(self._give_order, seat, timed)
+
+    def _tell(self, order: Order, is_present: bool, due_s: float) -> None:
+        placement = Placement(order.endpoint, order.model, order.adapter, is_present, due_s)
+        self._placements.append((self._now(), placement))
+
+    async def _give_order(self, seat: Seat, timed: TimedOrder) -> None:
+        order = timed.order
+        fence = self.fence
+        if not fence:
+            seat.answered(OrderReply.REFUSED, self._now())
+            return
+        body = self._dialect.encode_order(order, seat.order_count, self._host, fence)
+        headers = {"content-type": "application/json"}
+        headers |= self._dialect.expect_endpoint(order.endpoint)
+        http = self._get_http(seat)
+        answer = await http.request("POST", self._dialect.order_path, headers, body, ORDER_S)
+        reply, reason = OrderReply.UNKNOWN, ""
+        if answer.is_ok():
+            reply = self._dialect.read_order_reply(answer.ok.status)
+            reason = answer.ok.body[:QUOTED_BYTES].decode("utf-8", "replace")
+        else:
+            reason = answer.error.reason
+            if answer.error.outcome is Outcome.NOT_RUN:
+                reply = OrderReply.REFUSED
+        _LOGGER.info(
+            "order %s %s %s/%s at %s with count %d: %s %s",
+            order.order_id,
+            order.kind,
+            order.model,
+            order.adapter,
+            order.endpoint,
+            seat.order_count,
+            reply,
+            reason,
+        )
+        seat.answered(reply, self._now())
+        if reply in (OrderReply.ACCEPTED, OrderReply.HOLDS):
+            self._tell_done(timed)
+
+    def _tell_done(self, timed: TimedOrder) -> None:
+        kind = timed.order.kind
+        if kind in (OrderKind.LOAD, OrderKind.LOAD_ADAPTER):
+            self._tell(timed.order, True, timed.expected_s)
+        elif kind == OrderKind.UNLOAD_ADAPTER:
+            self._tell(timed.order, False, 0.0)
+
+    async def _ask_report(self, seat: Seat) -> None:
+        endpoint = seat.entry.endpoint
+        headers = self._dialect.expect_endpoint(endpoint)
+        path = self._dialect.report_path
+        answer = await self._get_http(seat).request("GET", path, headers, timeout_s=REPORT_S)
+        if answer.is_error():
+            _LOGGER.info("no report of %s: %s", endpoint, answer.error.reason)
+            return
+        if answer.ok.status != 200:
+            _LOGGER.info("no report of %s: status %d", endpoint, answer.ok.status)
+            return
+        report = self._dialect.decode_report(answer.ok.body)
+        if report.is_error():
+            _LOGGER.warning("the report of %s is unreadable: %s", endpoint, report.error.reason)
+            return
+        if self._seat_by_id.get(endpoint) is seat:
+            seat.observe_report(report.ok, self._now())
+
+    def _get_http(self, seat: Seat) -> HttpClient:
+        endpoint = seat.entry.endpoint
+        http = self._http_by_id.get(endpoint)
+        if http is None:
+            address, port = seat.entry.address
+            http = HttpClient(f"http://{address}:{port}", ORDER_S, endpoint, reuse=True)
+            self._http_by_id[endpoint] = http
+        return http
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -0,0 +1,330 @@
+"""
+kingcupdyke_daemon.forwarder.process
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The process of a forwarding gateway: its parts, its start and its planned stop.
+"""
+
+import logging
+import signal
+from time import monotonic
+
+from anyio import CancelScope, Event, create_task_group, move_on_after, open_signal_receiver, sleep
+from anyio.abc import TaskGroup
+
+from kingcupdyke.forwarding.board import EndpointBoard
+from kingcupdyke.forwarding.configuration import ClientLimits
+from kingcupdyke.forwarding.dispatcher import Dispatcher
+from kingcupdyke.forwarding.peerstate import GatewayState, PeerTable
+from kingcupdyke.forwarding.repeats import RepeatBudget
+from kingcupdyke.lease import LeaseMachine
+from kingcupdyke_daemon.forwarder.dialect import Dialect
+from kingcupdyke_daemon.forwarder.exchange import ExchangeHandler, ForwarderParts
+from kingcupdyke_daemon.forwarder.follower import StoreFollower
+from kingcupdyke_daemon.forwarder.front import ClientRequest, ClientServer, Reply, RequestHandler
+from kingcupdyke_daemon.forwarder.peers import PEERS_KIND, PeerExchange
+from kingcupdyke_daemon.forwarder.placer import LEASE_NAME, RENEW_S, Placer
+from kingcupdyke_daemon.forwarder.pool import ConnectionPool
+from kingcupdyke_daemon.forwarder.queue import WaitingQueue
+from kingcupdyke_daemon.forwarder.settings import ForwarderSettings
+from kingcupdyke_daemon.process import make_incarnation
+from kingcupdyke_daemon.timer import LoopTimer
+from kingcupdyke_wire.store import StoreClient, StoreObject
+
+__all__ = ["Forwarder", "run_forwarder"]
+
+_LOGGER = logging.getLogger(__name__)
+#: Seconds between looks at requests that wait.
+QUEUE_PERIOD_S = 0.025
+#: Seconds between looks at idle connections and lapsed entries.
+TIDY_PERIOD_S = 0.25
+#: Gateways that contend for the planner's lease.
+CANDIDATES = 2
+#: Seconds for which connections are still taken after a planned stop began: the load balancer
+#: turns away after two misses of one a second.
+TAKE_S = 3.2
+#: Part of the grace after which what still runs is left to its fate.
+GRACE_SHARE = 0.93
+#: Seconds for giving the lease back.
+FAREWELL_S = 0.5
+
+
+class ReadyHandler(RequestHandler):
+    """Answers the load balancer's question whether this gateway takes connections."""
+
+    def __init__(self) -> None:
+        self.is_ready = False
+
+    async def handle(self, request: ClientRequest, reply: Reply) -> None:
+        await reply.answer(200 if self.is_ready else 503, [], b"")
+
+
+class Forwarder:
+    """A forwarding gateway.
+
+    :param settings: its settings
+    :param dialect: how the platform spells things
+    :param store: the platform's store
+    :param tasks: carries its tasks
+    """
+
+    def __init__(
+        self,
+        settings: ForwarderSettings,
+        dialect: Dialect,
+        store: StoreClient,
+        tasks: TaskGroup,
+    ) -> None:
+        self._settings = settings
+        self._dialect = dialect
+        self._tasks = tasks
+        self._incarnation = make_incarnation()
+        self._is_stopping = False
+        self._timer = LoopTimer(tasks)
+        self._board = EndpointBoard()
+        self._dispatcher = Dispatcher(
+            self._board, settings.data_centre, settings.region_by_data_centre
+        )
+        self._queue = WaitingQueue(self._dispatcher, self._timer)
+        self._pool = ConnectionPool(dialect, self._timer)
+        self._exchanges = ExchangeHandler(
+            ForwarderParts(
+                dialect,
+                self._dispatcher,
+                self._board,
+                self._queue,
+                self._pool,
+                RepeatBudget(
+                    settings.repeat_share, settings.repeat_allowance, settings.repeat_window_s
+                ),
+                self._timer,
+            )
+        )
+        self._ready = ReadyHandler()
+        self._front_server = ClientServer(self._exchanges, self._get_limits, self._timer.now)
+        self._ready_server = ClientServer(self._ready, ClientLimits, self._timer.now)
+        self._peer_table = PeerTable()
+        self._peers = PeerExchange(
+            settings.host,
+            settings.peer,
+            store,
+            self._peer_table,
+            self._timer,
+            self._describe,
+            self._hear_peer,
+        )
+        self._placer = self._make_placer(store)
+        self._configurations = StoreFollower(
+            store,
+            dialect.configuration_kind,
+            self._timer,
+            self._take_configurations,
+            self._take_configuration,
+            lambda name, was_away: None,
+        )
+        self._endpoints = StoreFollower(
+            store,
+            dialect.endpoint_kind,
+            self._timer,
+            self._take_endpoints,
+            self._take_endpoint,
+            self._remove_endpoint,
+        )
+        self._gateways = StoreFollower(
+            store,
+            PEERS_KIND,
+            self._timer,
+            self._peers.take_all,
+            self._peers.take,
+            self._peers.remove,
+        )
+
+    async def run(self, stop: Event) -> None:
+        """Serve until a planned stop has ended.
+
+        :param stop: set when a planned stop begins
+        """
+        settings = self._settings
+        ready = await self._ready_server.listen(settings.ready)
+        front = await self._front_server.listen(settings.front)
+        front_scope = CancelScope()
+        self._tasks.start_soon(self._ready_server.serve, ready)
+        self._tasks.start_soon(self._front_server.serve, front)
+        for follower in (self._configurations, self._endpoints, self._gateways):
+            self._tasks.start_soon(follower.follow_forever)
+        self._tasks.start_soon(self._peers.run)
+        self._tasks.start_soon(self._peers.enter)
+        self._tasks.start_soon(self._placer.run)
+        self._tasks.start_soon(self._forward_demand)
+        self._timer.subscribe("queue", QUEUE_PERIOD_S, self._queue.poll)
+        self._timer.subscribe("tidy", TIDY_PERIOD_S, self._tidy)
+        _LOGGER.warning("started as %s", settings.host)
+        await stop.wait()
+        await self._stop(front, front_scope)
+
+    async def _stop(self, front: object, scope: CancelScope) -> None:
+        _LOGGER.warning("stopping")
+        began_s = self._timer.now()
+        self._is_stopping = True
+        self._ready.is_ready = False
+        self._front_server.is_stopping = True
+        self._peers.changed.set()
+        with move_on_after(FAREWELL_S):
+            await self._placer.give_back()
+        end_s = began_s + self._settings.grace_s * GRACE_SHARE
+        await sleep(max(0.0, began_s + TAKE_S - self._timer.now()))
+        await front.aclose()
+        await self._front_server.close_idle()
+        while self._front_server.busy and self._timer.now() < end_s:
+            await sleep(QUEUE_PERIOD_S)
+        _LOGGER.warning("stopped with %d requests under way", self._front_server.busy)
+
+    def _make_placer(self, store: StoreClient) -> Placer:
+        settings = self._settings
+        # Twice the time in which orders are given, beyond what must lie between two planners.
+        lease = LeaseMachine(
+            LEASE_NAME,
+            f"{settings.host}/{self._incarnation}",
+            settings.lease_s + 1.2,
+            RENEW_S,
+            outlives_outage=False,
+        )
+        return Placer(
+            settings.host,
+            lease,
+            settings.lease_s,
+            store,
+            self._dialect,
+            self._board,
+            self._dispatcher,
+            self._peer_table,
+            self._is_candidate,
+            lambda: self._exchanges.configuration,
+            self._timer.now,
+        )
+
+    def _get_limits(self) -> ClientLimits:
+        configuration = self._exchanges.configuration
+        return ClientLimits() if configuration is None else configuration.limits
+
+    def _is_candidate(self) -> bool:
+        if self._is_stopping or not self._endpoints.is_listed:
+            return False
+        live = self._peer_table.live(self._timer.now())
+        hosts = sorted(each.host for each in live if not each.is_stopping)
+        return sum(host < self._settings.host for host in hosts) < CANDIDATES
+
+    def _take_configurations(self, objects: list[StoreObject], after_outage: bool) -> None:
+        for each in objects:
+            self._take_configuration(each)
+
+    def _take_configuration(self, found: StoreObject) -> None:
+        if found.name != self._dialect.configuration_name:
+            return
+        decoded = self._dialect.decode_configuration(found.value)
+        if decoded.is_error():
+            _LOGGER.error("the configuration is unreadable: %s", decoded.error.reason)
+            return
+        configuration = decoded.ok
+        known = self._exchanges.configuration
+        if known is not None and configuration.version <= known.version:
+            return
+        _LOGGER.warning("configuration %d is in force", configuration.version)
+        self._exchanges.configuration = configuration
+        self._dispatcher.configure(configuration.services_by_name)
+        self._queue.poll(self._timer.now())
+        self._note_ready()
+
+    def _take_endpoints(self, objects: list[StoreObject], after_outage: bool) -> None:
+        entries = [self._dialect.decode_endpoint(each.name, each.value) for each in objects]
+        for each in entries:
+            if each.is_error():
+                _LOGGER.warning("an endpoint's entry is unusable: %s", each.error.reason)
+        usable = [each.ok for each in entries if each.is_ok()]
+        self._board.replace_all(usable, self._timer.now(), after_outage)
+        self._queue.poll(self._timer.now())
+        self._note_ready()
+
+    def _take_endpoint(self, found: StoreObject) -> None:
+        entry = self._dialect.decode_endpoint(found.name, found.value)
+        if entry.is_error():
+            _LOGGER.warning("an endpoint's entry is unusable: %s", entry.error.reason)
+            return
+        self._board.put(entry.ok)
+        self._queue.poll(self._timer.now())
+
+    def _remove_endpoint(self, name: str, was_away: bool) -> None:
+        self._board.remove(name, self._timer.now(), was_away)
+
+    def _note_ready(self) -> None:
+        is_known = self._exchanges.configuration is not None and self._endpoints.is_listed
+        if is_known and not self._ready.is_ready and not self._is_stopping:
+            self._ready.is_ready = True
+            _LOGGER.warning("ready")
+
+    def _tidy(self, now_s: float) -> None:
+        self._board.drop_lapsed(now_s)
+        self._board.hear_peers(self._peer_table.live(now_s), now_s)
+        self._exchanges.gateways = self._peers.hosts
+        confirmed_s = now_s - self._configurations.heard_s
+        self._exchanges.is_confirmed = confirmed_s < 4 * self._settings.apply_s
+        self._tasks.start_soon(self._pool.close_expired)
+        self._note_ready()
+
+    async def _forward_demand(self) -> None:
+        """Tell the planner at once when a request begins to wait."""
+        while True:
+            await self._queue.demand_changed.wait()
+            self._queue.demand_changed = Event()
+            self._peers.changed.set()
+            await sleep(QUEUE_PERIOD_S)
+
+    def _describe(self, number: int) -> GatewayState:
+        now_s = self._timer.now()
+        configuration = self._exchanges.configuration
+        state = GatewayState(
+            host=self._settings.host,
+            incarnation=self._incarnation,
+            number=number,
+            is_stopping=self._is_stopping,
+            version=0 if configuration is None else configuration.version,
+            loads=self._dispatcher.list_loads(),
+            demands=self._dispatcher.list_demands(now_s),
+            fence=self._placer.fence,
+            placements=self._placer.list_placements(),
+        )
+        if state.fence:
+            self._board.hear_placements(state, now_s)
+            self._queue.poll(now_s)
+        return state
+
+    def _hear_peer(self, state: GatewayState) -> None:
+        now_s = self._timer.now()
+        self._board.hear_peers(self._peer_table.live(now_s), now_s)
+        if state.fence:
+            self._board.hear_placements(state, now_s)
+        self._queue.poll(now_s)
+
+
+async def run_forwarder(settings: ForwarderSettings, dialect: Dialect, store: StoreClient) -> int:
+    """Run a forwarding gateway until its planned stop has ended.
+
+    :return: the exit status
+    """
+    began_s = monotonic()
+    async with create_task_group() as tasks:
+        stop = Event()
+        tasks.start_soon(_watch_signals, stop)
+        await Forwarder(settings, dialect, store, tasks).run(stop)
+        tasks.cancel_scope.cancel()
+    _LOGGER.warning("ended after %.1f s", monotonic() - began_s)
+    return 0
+
+
+async def _watch_signals(stop: Event) -> None:
+    """A SIGTERM or SIGINT begins a planned stop; SIGHUP changes nothing that is in use."""
+    with open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for each in signals:
+            _LOGGER.warning("signal %s", signal.Signals(each).name)
+            if each != signal.SIGHUP:
+                stop.set()
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/queue.py
@@ -0,0 +1,55 @@
+"""
+kingcupdyke_daemon.forwarder.queue
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Requests that wait for the dispatcher's decision.
+"""
+
+from anyio import Event
+
+from kingcupdyke.forwarding.dispatcher import Dispatcher, Refuse, Send, Wait, WorkItem
+from kingcupdyke.timer import TimerService
+
+__all__ = ["WaitingQueue"]
+
+
+class WaitingQueue:
+    """Carries decisions to the tasks that wait for them.
+
+    :param dispatcher: decides
+    :param timer: the timer service
+    """
+
+    def __init__(self, dispatcher: Dispatcher, timer: TimerService) -> None:
+        self._dispatcher = dispatcher
+        self._timer = timer
+        self._event_by_attempt: dict[str, Event] = {}
+        self._decision_by_attempt: dict[str, Send | Refuse] = {}
+        #: Set when a request begins to wait for a model; whoever tells peers replaces it.
+        self.demand_changed = Event()
+
+    async def decide(self, item: WorkItem, excluded: frozenset[str]) -> Send | Refuse:
+        """:return: the decision on a request, after waiting for it where it has to wait"""
+        attempt_id = item.attempt_id
+        decision = self._dispatcher.submit(item, excluded, self._timer.now())
+        if not isinstance(decision, Wait):
+            return decision
+        self.demand_changed.set()
+        event = self._event_by_attempt[attempt_id] = Event()
+        try:
+            await event.wait()
+            return self._decision_by_attempt[attempt_id]
+        finally:
+            self._dispatcher.withdraw(attempt_id)
+            self._event_by_attempt.pop(attempt_id, None)
+            self._decision_by_attempt.pop(attempt_id, None)
+
+    def poll(self, now_s: float) -> None:
+        """Wake the requests that the dispatcher has decided on."""
+        if not self._dispatcher.waiting:
+            return
+        for attempt_id, decision in self._dispatcher.poll(now_s).items():
+            event = self._event_by_attempt.get(attempt_id)
+            if event is not None:
+                self._decision_by_attempt[attempt_id] = decision
+                event.set()
--- a/packages/kingcupdyke-wire/features/steps/store_steps.py
+++ b/packages/kingcupdyke-wire/features/steps/store_steps.py
@@ -107,7 +107,7 @@
             position, context.listed = (await client.list(KIND, prefix)).ok
             async with create_task_group() as tasks:
                 tasks.start_soon(make_later, client)
-                context.events = (await client.watch(KIND, position, WATCH_S)).ok
+                context.events = (await client.watch(KIND, position, WATCH_S)).ok.events
             context.position = position
 
     run(job)
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/configlog.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/configlog.py
@@ -136,15 +136,14 @@
     if watched.is_error():
         return Error(watched.error)
     changes = []
-    for event in watched.ok:
-        position = max(position, event.position)
+    for event in watched.ok.events:
         if event.current is None:
             continue
         change = _decode(decode_change, event.current)
         if change.is_error():
             return Error(change.error)
         changes.append(change.ok)
-    return Ok((position, tuple(changes)))
+    return Ok((watched.ok.position, tuple(changes)))
 
 
 async def find_change(store: StoreClient, version: int) -> Result[ConfigChange | None, Failure]:
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/http.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/http.py
@@ -5,7 +5,7 @@
 HTTP client that tells what may have run from what has not.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 from urllib.parse import urlsplit
@@ -89,6 +89,7 @@
     :param step: step in failures that arise after the connection stood
     :param reuse: whether a connection serves further requests; if so, a server that sends
         an answer twice gives the second one to the next request
+    :param socket_options: level, option and value of options to set on each connection
     """
 
     def __init__(
@@ -98,6 +99,7 @@
         peer: str | None = None,
         step: Step = Step.RUN,
         reuse: bool = False,
+        socket_options: Iterable[tuple[int, int, int]] = (),
     ) -> None:
         parts = urlsplit(base_url)
         self._scheme = parts.scheme
@@ -110,6 +112,7 @@
             max_connections=None,
             max_keepalive_connections=MAX_IDLE_CONNECTIONS if reuse else 0,
             keepalive_expiry=KEEPALIVE_S,
+            socket_options=list(socket_options),
         )
 
     async def request(
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/memorystore.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/memorystore.py
@@ -12,7 +12,14 @@
 
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke_wire.objecttable import ObjectTable
-from kingcupdyke_wire.store import Conflict, StoreClient, StoreObject, WatchEvent
+from kingcupdyke_wire.store import (
+    COMPACTED,
+    Conflict,
+    StoreClient,
+    StoreObject,
+    WatchAnswer,
+    follow,
+)
 
 __all__ = ["MemoryStoreClient"]
 
@@ -50,14 +57,14 @@
 
     async def watch(
         self, kind: str, position: int, timeout_s: float
-    ) -> Result[list[WatchEvent], Failure]:
+    ) -> Result[WatchAnswer, Failure]:
         with move_on_after(timeout_s):
             while not self.down and self._table.changes_after(kind, position) == []:
                 await self._changed.wait()
         answer = self._answer(lambda: self._table.changes_after(kind, position))
         if answer.is_ok() and answer.ok is None:
-            return Error(_fail(Outcome.FAILED, "compacted"))
-        return answer
+            return Error(_fail(Outcome.FAILED, COMPACTED))
+        return answer.map(lambda each: follow(position, each))
 
     def _answer(self, read):
         self.calls += 1
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/store.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/store.py
@@ -18,7 +18,19 @@
 from kingcupdyke_wire.decode import decode, refuse
 from kingcupdyke_wire.http import HttpAnswer, HttpClient
 
-__all__ = ["Conflict", "HttpStoreClient", "StoreClient", "StoreObject", "WatchEvent"]
+__all__ = [
+    "COMPACTED",
+    "Conflict",
+    "HttpStoreClient",
+    "StoreClient",
+    "StoreObject",
+    "WatchAnswer",
+    "WatchEvent",
+    "follow",
+]
+
+#: Reason of a failed watch whose position is too old: the objects have to be listed again.
+COMPACTED = "compacted"
 
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
@@ -53,6 +65,14 @@
     name: str
 
 
+class WatchAnswer(NamedTuple):
+    """What a watch has seen."""
+
+    #: Position from which the next watch goes on.
+    position: int
+    events: list[WatchEvent]
+
+
 class StoreClient(ABC):
     """Objects with versions, conditional updates and watches.
 
@@ -89,12 +109,12 @@
     @abstractmethod
     async def watch(
         self, kind: str, position: int, timeout_s: float
-    ) -> Result[list[WatchEvent], Failure]:
+    ) -> Result[WatchAnswer, Failure]:
         """Wait for changes after a position.
 
-        :param timeout_s: seconds to wait; an empty list is returned when nothing changed
+        :param timeout_s: seconds to wait; there are no events when nothing changed
         :return: events in order, or a failure; a position that is too old to be
-            replayed fails with the reason "compacted"
+            replayed fails with the reason :data:`COMPACTED`
         """
 
 
@@ -138,11 +158,11 @@
 
     async def watch(
         self, kind: str, position: int, timeout_s: float
-    ) -> Result[list[WatchEvent], Failure]:
+    ) -> Result[WatchAnswer, Failure]:
         query = urlencode({"position": position, "timeout": timeout_s})
         path = f"/v1/watch/{quote(kind, safe='')}?{query}"
         answer = await self._http.request("GET", path, timeout_s=timeout_s + self._timeout_s)
-        return answer.bind(lambda each: self._read_watch(kind, each))
+        return answer.bind(lambda each: self._read_watch(kind, position, each))
 
     async def aclose(self) -> None:
         """Close all connections."""
@@ -193,10 +213,18 @@
             reason = "answer without X-Version"
             return Error(Failure(Outcome.UNKNOWN, Step.STORE, self._http.peer, reason))
 
-    def _read_watch(self, kind: str, answer: HttpAnswer) -> Result[list[WatchEvent], Failure]:
+    def _read_watch(
+        self, kind: str, position: int, answer: HttpAnswer
+    ) -> Result[WatchAnswer, Failure]:
         if answer.status == STATUS_GONE:
-            return Error(Failure(Outcome.FAILED, Step.STORE, self._http.peer, "compacted"))
-        return decode(answer, Step.STORE, self._http.peer, lambda d: _read_events(kind, d))
+            return Error(Failure(Outcome.FAILED, Step.STORE, self._http.peer, COMPACTED))
+        events = decode(answer, Step.STORE, self._http.peer, lambda d: _read_events(kind, d))
+        return events.map(lambda each: follow(position, each))
+
+
+def follow(position: int, events: list[WatchEvent]) -> WatchAnswer:
+    """:return: the answer of a watch from a position that saw some events"""
+    return WatchAnswer(max([position, *(each.position for each in events)]), events)
 
 
 def _path(kind: str, name: str) -> str:
--- /dev/null
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/__init__.py
@@ -0,0 +1,6 @@
+"""
+kingcupdyke.forwarding
+~~~~~~~~~~~~~~~~~~~~~~
+
+Decisions of a gateway that forwards HTTP requests straight to endpoints.
+"""
--- /dev/null
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/board.py
@@ -0,0 +1,225 @@
+"""
+kingcupdyke.forwarding.board
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The endpoints that a gateway knows: their entries, the work at each, and how they behaved lately.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+from kingcupdyke.forwarding.endpoint import EndpointEntry, Replica
+from kingcupdyke.forwarding.peerstate import GatewayState
+from kingcupdyke.forwarding.terms import PromptPart
+
+__all__ = ["EndpointBoard", "EndpointState"]
+
+#: Seconds for which an entry that lapsed in an outage of the store is kept: a live endpoint is
+#: listed again within about two seconds.
+LAPSED_S = 2.0
+#: Seconds for which a planner's word on a replica goes before the endpoint's own entry.
+PLACEMENT_S = 3.0
+#: Seconds without new work after a first failure, doubled by each further one.
+SHUN_S = 0.4
+#: Most seconds without new work after failures.
+SHUN_MOST_S = 3.0
+#: Heads of prompts that are remembered for each endpoint.
+MOST_HEADS = 512
+#: Weight of the newest result in an endpoint's share of failures.
+FAILURE_WEIGHT = 0.15
+
+
+class EndpointState:
+    """One endpoint and what this gateway knows of it."""
+
+    def __init__(self, entry: EndpointEntry) -> None:
+        self.entry = entry
+        #: Unread prompt tokens of this gateway's requests under way, by attempt.
+        self.tokens_by_attempt: dict[str, int] = {}
+        self.peer_requests = 0
+        self.peer_tokens = 0
+        self.shunned_until_s = 0.0
+        self.strikes = 0
+        #: Share of requests that failed lately.
+        self.failure_share = 0.0
+        #: Time at which a lapsed entry is given up, or None while it is listed.
+        self.lapses_s: float | None = None
+        self._heads: OrderedDict[tuple[str, ...], None] = OrderedDict()
+
+    @property
+    def requests(self) -> int:
+        """:return: requests under way from all gateways"""
+        return len(self.tokens_by_attempt) + self.peer_requests
+
+    @property
+    def own_tokens(self) -> int:
+        """:return: prompt tokens that are still to be read, of this gateway's requests"""
+        return sum(self.tokens_by_attempt.values())
+
+    @property
+    def unread_tokens(self) -> int:
+        """:return: prompt tokens that are still to be read, of all gateways' requests"""
+        return self.own_tokens + self.peer_tokens
+
+    def count_kept_tokens(self, model: str, parts: tuple[PromptPart, ...]) -> int:
+        """:return: tokens at the head of a prompt that were sent there lately"""
+        kept = 0
+        key: tuple[str, ...] = (model,)
+        for part in parts:
+            key = (*key, part.part_id)
+            if key not in self._heads:
+                break
+            kept += part.tokens
+        return kept
+
+    def remember_parts(self, model: str, parts: tuple[PromptPart, ...]) -> None:
+        """Note the parts of a prompt that the endpoint now reads."""
+        key: tuple[str, ...] = (model,)
+        for part in parts:
+            key = (*key, part.part_id)
+            self._heads[key] = None
+            self._heads.move_to_end(key)
+        while len(self._heads) > MOST_HEADS:
+            self._heads.popitem(last=False)
+
+    def forget_parts(self) -> None:
+        """The endpoint has started anew or dropped a model."""
+        self._heads.clear()
+
+
+class EndpointBoard:
+    """Endpoints by id, from the list, from peers and from this gateway's own requests."""
+
+    def __init__(self) -> None:
+        self.state_by_id: dict[str, EndpointState] = {}
+        self._word_by_replica: dict[Replica, tuple[bool, float, float]] = {}
+        self._fence = 0
+
+    def replace_all(
+        self, entries: Iterable[EndpointEntry], now_s: float, after_outage: bool
+    ) -> None:
+        """Take a whole list.
+
+        :param after_outage: whether the store was away, so that entries may have lapsed
+        """
+        listed = {each.endpoint for each in entries}
+        for entry in entries:
+            self.put(entry)
+        for endpoint in [each for each in self.state_by_id if each not in listed]:
+            self.remove(endpoint, now_s, after_outage)
+
+    def put(self, entry: EndpointEntry) -> None:
+        """Take a new or changed entry."""
+        state = self.state_by_id.get(entry.endpoint)
+        if state is None:
+            self.state_by_id[entry.endpoint] = EndpointState(entry)
+            return
+        if entry.born_ms < state.entry.born_ms:
+            return
+        if entry.born_ms > state.entry.born_ms:
+            state.forget_parts()
+            state.strikes = 0
+            state.shunned_until_s = 0.0
+        state.entry = entry
+        state.lapses_s = None
+
+    def remove(self, endpoint: str, now_s: float, after_outage: bool) -> None:
+        """An entry is no longer listed."""
+        state = self.state_by_id.get(endpoint)
+        if state is None:
+            return
+        if not after_outage:
+            del self.state_by_id[endpoint]
+        elif state.lapses_s is None:
+            state.lapses_s = now_s + LAPSED_S
+
+    def drop_lapsed(self, now_s: float) -> None:
+        """Give up entries that did not come back after an outage."""
+        for endpoint, state in list(self.state_by_id.items()):
+            if state.lapses_s is not None and now_s >= state.lapses_s:
+                del self.state_by_id[endpoint]
+        for replica, (_, _, until_s) in list(self._word_by_replica.items()):
+            if now_s >= until_s:
+                del self._word_by_replica[replica]
+
+    def hear_peers(self, peers: list[GatewayState], now_s: float) -> None:
+        """Take the loads and placements that live peers tell."""
+        for state in self.state_by_id.values():
+            state.peer_requests = 0
+            state.peer_tokens = 0
+        for peer in peers:
+            for load in peer.loads:
+                state = self.state_by_id.get(load.endpoint)
+                if state is not None:
+                    state.peer_requests += load.requests
+                    state.peer_tokens += load.prompt_tokens
+
+    def hear_placements(self, planner: GatewayState, now_s: float) -> None:
+        """Take the planner's word on replicas; an older planner's is ignored."""
+        if planner.fence < self._fence:
+            return
+        self._fence = planner.fence
+        for each in planner.placements:
+            replica = Replica(each.endpoint, each.model, each.adapter)
+            word = (each.is_present, now_s + each.due_s, now_s + each.due_s + PLACEMENT_S)
+            self._word_by_replica[replica] = word
+
+    def list_ready(self, service: str) -> list[EndpointState]:
+        """:return: endpoints of a service that take new work"""
+        return [
+            state
+            for state in self.state_by_id.values()
+            if state.entry.service == service and not state.entry.is_leaving
+        ]
+
+    def has_replica(self, replica: Replica, now_s: float) -> bool:
+        """:return: whether a model, or an adapter of it, is ready at an endpoint"""
+        word = self._word_by_replica.get(replica)
+        if word is not None:
+            is_present, due_s, until_s = word
+            if not is_present:
+                return False
+            if due_s <= now_s < until_s and replica.adapter:
+                return True
+        state = self.state_by_id.get(replica.endpoint)
+        if state is None:
+            return False
+        for held in state.entry.models:
+            if held.name == replica.model:
+                return not replica.adapter or replica.adapter in held.adapters
+        return False
+
+    def due_s(self, model: str, adapter: str, now_s: float) -> float | None:
+        """:return: seconds until an ordered replica is there, or None where none is ordered"""
+        due = [
+            due_s - now_s
+            for replica, (is_present, due_s, _) in self._word_by_replica.items()
+            if is_present and replica.model == model and replica.adapter in ("", adapter)
+        ]
+        return max(0.0, min(due)) if due else None
+
+    def deny_replica(self, replica: Replica, now_s: float) -> None:
+        """An endpoint has refused a request as it does not hold the replica."""
+        until_s = now_s + PLACEMENT_S
+        self._word_by_replica[replica] = (False, now_s, until_s)
+
+    def note_failure(self, endpoint: str, now_s: float, is_unreachable: bool) -> None:
+        """A request failed at an endpoint.
+
+        :param is_unreachable: whether the connection failed, so that it is left alone for a while
+        """
+        state = self.state_by_id.get(endpoint)
+        if state is None:
+            return
+        state.failure_share += FAILURE_WEIGHT * (1.0 - state.failure_share)
+        if is_unreachable:
+            state.shunned_until_s = now_s + min(SHUN_S * 2**state.strikes, SHUN_MOST_S)
+            state.strikes = min(state.strikes + 1, 8)
+
+    def note_success(self, endpoint: str) -> None:
+        """A request was answered well."""
+        state = self.state_by_id.get(endpoint)
+        if state is not None:
+            state.failure_share -= FAILURE_WEIGHT * state.failure_share
+            state.strikes = 0
+            state.shunned_until_s = 0.0
--- /dev/null
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -0,0 +1,322 @@
+"""
+kingcupdyke.forwarding.dispatcher
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Decides for each request whether it is sent, where, whether it waits, or is refused.
+"""
+
+from math import inf
+from typing import NamedTuple
+
+from kingcupdyke.forwarding.board import EndpointBoard, EndpointState
+from kingcupdyke.forwarding.configuration import EngineSpec, ServiceSpec
+from kingcupdyke.forwarding.endpoint import Replica
+from kingcupdyke.forwarding.peerstate import Demand, EndpointLoad
+from kingcupdyke.forwarding.terms import PromptPart
+
+__all__ = ["Decision", "Dispatcher", "Refuse", "Send", "Wait", "WorkItem"]
+
+#: Prompt tokens a second that an endpoint is taken to read until its answers say more.
+TOKENS_PER_S = 20_000.0
+#: Seconds that each running request adds to the time to a first event.
+RUNNING_S = 0.001
+#: Seconds that an endpoint in another data centre, or in another region, counts for.
+OTHER_DATA_CENTRE_S = 0.01
+OTHER_REGION_S = 0.12
+#: Seconds from a demand to the planner's order for it.
+ORDERING_S = 0.3
+#: Seconds that a request on an endpoint with a failure share of one counts for.
+FAILING_S = 2.0
+#: Seconds after which a refused caller is asked to come back where nothing better is known.
+RETRY_AFTER_S = 0.5
+#: Least seconds left of a deadline for which a request is still sent.
+LEAST_LEFT_S = 0.03
+#: Part of an engine's token memory that requests are sent for.
+KV_SHARE = 0.95
+#: Seconds over which demand is averaged.
+DEMAND_WINDOW_S = 3.0
+#: Weight of the newest answer in what is learnt of an endpoint's speed.
+LEARN_WEIGHT = 0.1
+
+
+class WorkItem(NamedTuple):
+    """A request as the dispatcher sees it."""
+
+    attempt_id: str
+    service: str
+    model: str
+    adapter: str
+    parts: tuple[PromptPart, ...]
+    prompt_tokens: int
+    output_tokens: int
+    #: Rank; 0 is the most urgent.
+    priority: int
+    arrived_s: float
+    #: Time by which the first word is on time.
+    objective_s: float
+    #: Time by which the answer must be whole.
+    deadline_s: float
+
+
+class Send(NamedTuple):
+    """Send the request to an endpoint."""
+
+    endpoint: str
+
+
+class Wait(NamedTuple):
+    """Keep the request until something changes."""
+
+    reason: str
+
+
+class Refuse(NamedTuple):
+    """Refuse the request: it can't be served in time."""
+
+    reason: str
+    retry_after_s: float
+
+
+Decision = Send | Wait | Refuse
+
+
+class _Meter:
+    """A rate that fades out over a window."""
+
+    def __init__(self) -> None:
+        self._level = 0.0
+        self._seen_s = 0.0
+
+    def add(self, amount: float, now_s: float) -> None:
+        """Count an amount."""
+        self._level = self.read(now_s) + amount / DEMAND_WINDOW_S
+        self._seen_s = now_s
+
+    def read(self, now_s: float) -> float:
+        """:return: the rate a second"""
+        passed_s = max(0.0, now_s - self._seen_s)
+        return self._level * max(0.0, 1.0 - passed_s / (2 * DEMAND_WINDOW_S)) ** 2
+
+
+class Dispatcher:
+    """Queue and choice of one gateway over all services.
+
+    Waiting requests are decided in order of priority, then of objective. Requests in flight are
+    counted over all gateways, so that no endpoint gets more than it works on.
+
+    :param board: the endpoints
+    :param data_centre: where this gateway stands
+    :param region_by_data_centre: the region of each data centre
+    """
+
+    def __init__(
+        self, board: EndpointBoard, data_centre: str, region_by_data_centre: dict[str, str]
+    ) -> None:
+        self._board = board
+        self._data_centre = data_centre
+        self._region_by_data_centre = region_by_data_centre
+        self._service_by_name: dict[str, ServiceSpec] = {}
+        self._waiting_by_id: dict[str, tuple[WorkItem, frozenset[str]]] = {}
+        self._meter_by_model: dict[tuple[str, str], _Meter] = {}
+        self._tokens_per_s = TOKENS_PER_S
+        self._service_s_by_name: dict[str, float] = {}
+
+    def configure(self, service_by_name: dict[str, ServiceSpec]) -> None:
+        """Take the services of a new configuration."""
+        self._service_by_name = service_by_name
+
+    @property
+    def waiting(self) -> int:
+        """:return: requests that wait"""
+        return len(self._waiting_by_id)
+
+    def submit(self, item: WorkItem, excluded: frozenset[str], now_s: float) -> Decision:
+        """Decide on a request that has come, or has come back from an endpoint.
+
+        :param excluded: endpoints that must not get it again
+        :return: the decision; a request that waits is decided on by :meth:`poll`
+        """
+        self._meter(item).add(max(1, item.prompt_tokens), now_s)
+        decision = self._decide(item, excluded, now_s)
+        if isinstance(decision, Send):
+            self._begin(item, decision.endpoint)
+        elif isinstance(decision, Wait):
+            self._waiting_by_id[item.attempt_id] = (item, excluded)
+        return decision
+
+    def poll(self, now_s: float) -> dict[str, Send | Refuse]:
+        """:return: decisions on requests that waited, by attempt"""
+        decisions: dict[str, Send | Refuse] = {}
+        waiting = sorted(
+            self._waiting_by_id.values(), key=lambda each: (each[0].priority, each[0].objective_s)
+        )
+        for item, excluded in waiting:
+            decision = self._decide(item, excluded, now_s)
+            if isinstance(decision, Wait):
+                continue
+            del self._waiting_by_id[item.attempt_id]
+            decisions[item.attempt_id] = decision
+            if isinstance(decision, Send):
+                self._begin(item, decision.endpoint)
+        return decisions
+
+    def withdraw(self, attempt_id: str) -> None:
+        """A waiting request is given up."""
+        self._waiting_by_id.pop(attempt_id, None)
+
+    def began(self, attempt_id: str, endpoint: str, seconds: float, tokens: int) -> None:
+        """The first event of a stream came.
+
+        :param seconds: since the request was sent
+        :param tokens: unread tokens at the endpoint when it was sent
+        """
+        state = self._board.state_by_id.get(endpoint)
+        if state is not None and attempt_id in state.tokens_by_attempt:
+            state.tokens_by_attempt[attempt_id] = 0
+        if tokens > 0 and seconds > 0:
+            rate = min(max(tokens / seconds, TOKENS_PER_S / 8), TOKENS_PER_S * 4)
+            self._tokens_per_s += LEARN_WEIGHT * (rate - self._tokens_per_s)
+
+    def ended(self, attempt_id: str, endpoint: str, service: str, seconds: float) -> None:
+        """A request has left its endpoint.
+
+        :param seconds: since it was sent
+        """
+        state = self._board.state_by_id.get(endpoint)
+        if state is not None:
+            state.tokens_by_attempt.pop(attempt_id, None)
+        known_s = self._service_s_by_name.get(service, seconds)
+        self._service_s_by_name[service] = known_s + LEARN_WEIGHT * (seconds - known_s)
+
+    def list_loads(self) -> tuple[EndpointLoad, ...]:
+        """:return: this gateway's own work at each endpoint"""
+        return tuple(
+            EndpointLoad(
+                endpoint, len(state.tokens_by_attempt), sum(state.tokens_by_attempt.values())
+            )
+            for endpoint, state in self._board.state_by_id.items()
+            if state.tokens_by_attempt
+        )
+
+    def list_demands(self, now_s: float) -> tuple[Demand, ...]:
+        """:return: this gateway's demand for each model and adapter"""
+        waiting: dict[tuple[str, str], int] = {}
+        for item, _ in self._waiting_by_id.values():
+            if item.model:
+                key = (item.model, item.adapter)
+                waiting[key] = waiting.get(key, 0) + 1
+        demands = []
+        for (model, adapter), meter in self._meter_by_model.items():
+            rate = meter.read(now_s)
+            count = waiting.get((model, adapter), 0)
+            if model and (rate >= 1.0 or count):
+                demands.append(Demand(model, adapter, count, round(rate, 1)))
+        return tuple(demands)
+
+    def _meter(self, item: WorkItem) -> _Meter:
+        return self._meter_by_model.setdefault((item.model, item.adapter), _Meter())
+
+    def _begin(self, item: WorkItem, endpoint: str) -> None:
+        state = self._board.state_by_id[endpoint]
+        kept = state.count_kept_tokens(item.model, item.parts)
+        state.tokens_by_attempt[item.attempt_id] = max(1, item.prompt_tokens - kept)
+        state.remember_parts(item.model, item.parts)
+
+    def _decide(self, item: WorkItem, excluded: frozenset[str], now_s: float) -> Decision:
+        if item.deadline_s - now_s < LEAST_LEFT_S:
+            return Refuse("the deadline has passed", RETRY_AFTER_S)
+        ready = self._board.list_ready(item.service)
+        if not ready:
+            return Refuse("no endpoint of the service", RETRY_AFTER_S)
+        states = [each for each in ready if each.entry.endpoint not in excluded]
+        if not states:
+            return Refuse("no further endpoint to try", RETRY_AFTER_S)
+        spec = self._service_by_name.get(item.service)
+        engine = spec.engine if spec is not None else None
+        if engine is not None and item.model:
+            if item.model not in engine.models_by_name:
+                return Refuse("the service has no such model", RETRY_AFTER_S)
+            holding = [each for each in states if self._holds(each, item, now_s)]
+            if not holding:
+                return self._await_replica(item, engine, states, now_s)
+            states = holding
+        reachable = [each for each in states if each.shunned_until_s <= now_s] or states
+        open_states = [each for each in reachable if self._has_room(each, engine, item)]
+        if open_states:
+            best = min(open_states, key=lambda each: self._cost_s(each, item, now_s))
+            return Send(best.entry.endpoint)
+        return self._await_room(item, reachable, now_s)
+
+    def _holds(self, state: EndpointState, item: WorkItem, now_s: float) -> bool:
+        endpoint = state.entry.endpoint
+        if not self._board.has_replica(Replica(endpoint, item.model), now_s):
+            return False
+        if not item.adapter:
+            return True
+        return self._board.has_replica(Replica(endpoint, item.model, item.adapter), now_s)
+
+    @staticmethod
+    def _has_room(state: EndpointState, engine: EngineSpec | None, item: WorkItem) -> bool:
+        return state.requests < max(1, state.entry.slots)
+
+    def _cost_s(self, state: EndpointState, item: WorkItem, now_s: float) -> float:
+        """:return: expected seconds to the first word, with what distance and failures cost"""
+        kept = state.count_kept_tokens(item.model, item.parts)
+        tokens = state.unread_tokens + max(0, item.prompt_tokens - kept)
+        cost_s = tokens / self._tokens_per_s + state.requests * RUNNING_S
+        if not item.model:
+            mean_s = self._service_s_by_name.get(item.service, 0.05)
+            cost_s = mean_s * state.requests / max(1, state.entry.slots)
+        return cost_s + self._distance_s(state) + FAILING_S * state.failure_share
+
+    def _distance_s(self, state: EndpointState) -> float:
+        other = state.entry.data_centre
+        if other == self._data_centre:
+            return 0.0
+        regions = self._region_by_data_centre
+        if regions.get(other) == regions.get(self._data_centre):
+            return OTHER_DATA_CENTRE_S
+        return OTHER_REGION_S
+
+    def _await_replica(
+        self, item: WorkItem, engine: EngineSpec, states: list[EndpointState], now_s: float
+    ) -> Decision:
+        """Wait for the planner to place the model, or refuse where that takes too long."""
+        wait_s = self._board.due_s(item.model, item.adapter, now_s)
+        if wait_s is None:
+            wait_s = ORDERING_S + self._load_s(item, engine, states, now_s)
+            wait_s -= now_s - item.arrived_s
+        left_s = item.deadline_s - now_s
+        if max(0.0, wait_s) + LEAST_LEFT_S > left_s:
+            return Refuse("the model is not ready in time", max(0.1, wait_s))
+        return Wait("no replica of the model yet")
+
+    def _load_s(
+        self, item: WorkItem, engine: EngineSpec, states: list[EndpointState], now_s: float
+    ) -> float:
+        spec = engine.models_by_name[item.model]
+        least_s = spec.load_s
+        for state in states:
+            if self._board.has_replica(Replica(state.entry.endpoint, item.model), now_s):
+                return 0.0
+            if item.model in state.entry.in_memory:
+                least_s = min(least_s, spec.memory_load_s)
+            elif item.model in state.entry.on_disk:
+                least_s = min(least_s, spec.disk_load_s)
+        return least_s
+
+    def _await_room(self, item: WorkItem, states: list[EndpointState], now_s: float) -> Decision:
+        """Wait for room, or refuse where the requests before this one take too long."""
+        mean_s = self._service_s_by_name.get(item.service, 0.05)
+        slots = sum(max(1, each.entry.slots) for each in states)
+        before = sum(
+            1
+            for other, _ in self._waiting_by_id.values()
+            if other.service == item.service
+            and other.attempt_id != item.attempt_id
+            and (other.priority, other.objective_s) <= (item.priority, item.objective_s)
+        )
+        wait_s = mean_s * (before + 1) / slots if slots else inf
+        if now_s + wait_s > item.deadline_s:
+            return Refuse("the queue is longer than the deadline", max(0.1, wait_s))
+        return Wait("all endpoints are full")
--- /dev/null
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
@@ -0,0 +1,117 @@
+"""
+kingcupdyke.forwarding.peerstate
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What gateways tell each other: work under way, demand for models, and placements under way.
+"""
+
+import json
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from kingcupdyke.error import Failure, Outcome, Step
+
+__all__ = ["Demand", "EndpointLoad", "GatewayState", "PeerTable", "Placement"]
+
+#: Seconds without a word after which a peer's figures no longer count.
+PEER_SILENCE_S = 1.5
+
+
+class EndpointLoad(NamedTuple):
+    """Work of one gateway at one endpoint."""
+
+    endpoint: str
+    #: Requests under way.
+    requests: int
+    #: Prompt tokens of requests that have not begun their answer.
+    prompt_tokens: int
+
+
+class Demand(NamedTuple):
+    """Demand for a model, or for one adapter of it."""
+
+    model: str
+    adapter: str
+    #: Requests that wait for a replica.
+    waiting: int
+    #: Tokens a second asked for lately.
+    tokens_per_s: float
+
+
+class Placement(NamedTuple):
+    """A replica that the planner has ordered or removed lately."""
+
+    endpoint: str
+    model: str
+    adapter: str
+    is_present: bool
+    #: Seconds until it is there, as of the message.
+    due_s: float
+
+
+class GatewayState(NamedTuple):
+    """One message of a gateway to its peers."""
+
+    host: str
+    #: Start of the process; a later one replaces an earlier one.
+    incarnation: str
+    #: Number of the message within the incarnation.
+    number: int
+    is_stopping: bool
+    #: Version of the configuration in force there.
+    version: int
+    loads: tuple[EndpointLoad, ...]
+    demands: tuple[Demand, ...]
+    #: Fencing number where this gateway holds the planner's lease, else 0.
+    fence: int
+    placements: tuple[Placement, ...]
+
+    def encode(self) -> bytes:
+        """:return: the message as JSON"""
+        return json.dumps(self, separators=(",", ":")).encode()
+
+    @classmethod
+    def decode(cls, value: bytes) -> Result["GatewayState", Failure]:
+        """:return: the message, or a failure where the bytes are none"""
+        try:
+            fields = cls(*json.loads(value))
+            return Ok(
+                fields._replace(
+                    loads=tuple(EndpointLoad(*each) for each in fields.loads),
+                    demands=tuple(Demand(*each) for each in fields.demands),
+                    placements=tuple(Placement(*each) for each in fields.placements),
+                )
+            )
+        except (ValueError, TypeError) as error:
+            reason = f"not a gateway's state: {error!r}"
+            return Error(Failure(Outcome.FAILED, Step.PARSE, "", reason))
+
+
+class PeerTable:
+    """The latest state of each peer."""
+
+    def __init__(self) -> None:
+        self._state_by_host: dict[str, GatewayState] = {}
+        self._heard_by_host: dict[str, float] = {}
+
+    def hear(self, state: GatewayState, now_s: float) -> bool:
+        """Take a message.
+
+        :return: whether it is newer than what was known of its sender
+        """
+        known = self._state_by_host.get(state.host)
+        order = (state.incarnation, state.number)
+        if known is not None and order <= (known.incarnation, known.number):
+            return False
+        self._state_by_host[state.host] = state
+        self._heard_by_host[state.host] = now_s
+        return True
+
+    def live(self, now_s: float) -> list[GatewayState]:
+        """:return: states of the peers that were heard lately"""
+        return [
+            state
+            for host, state in self._state_by_host.items()
+            if now_s - self._heard_by_host[host] < PEER_SILENCE_S
+        ]
--- /dev/null
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/seat.py
@@ -0,0 +1,230 @@
+"""
+kingcupdyke.forwarding.seat
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What a planner knows of one model engine that it gives orders to.
+"""
+
+from enum import StrEnum
+
+from kingcupdyke.forwarding.endpoint import EndpointEntry, EndpointReport, HeldModel
+from kingcupdyke.placement import Order, OrderKind
+
+__all__ = ["OrderReply", "Seat"]
+
+#: Seconds after which an order without an answer is sent again.
+RESEND_S = 0.6
+#: Seconds beyond an order's expected end after which the endpoint's report is asked for.
+OVERDUE_S = 0.5
+#: Seconds between two questions for a report.
+REPORT_PAUSE_S = 0.3
+
+
+class OrderReply(StrEnum):
+    """How an endpoint answered an order."""
+
+    #: The order is being carried out.
+    ACCEPTED = "accepted"
+    #: What was ordered already holds.
+    HOLDS = "holds"
+    #: Another order is under way, or other orders came before.
+    CONFLICT = "conflict"
+    #: A planner with a higher fencing number has given orders.
+    FENCED = "fenced"
+    #: The endpoint will not carry it out.
+    REFUSED = "refused"
+    #: No answer came: it may have been carried out, or may be later.
+    UNKNOWN = "unknown"
+
+
+class Seat:
+    """One engine: what it holds, and the order that is open there.
+
+    Each order names the number of orders that the engine is expected to have accepted, so of
+    several orders with the same number at most one takes effect. An order without an answer is
+    therefore sent again with its number until the engine's count has moved on; until then nothing
+    else is ordered there. Memory is judged only by a reading that was taken with no order open.
+
+    :param entry: the engine's entry in the list
+    """
+
+    def __init__(self, entry: EndpointEntry) -> None:
+        self.entry = entry
+        #: Whether a report was read since this planner's term began or the engine started.
+        self.is_known = False
+        #: Orders that the engine has accepted since its start; reports say it.
+        self.order_count = 0
+        self.models_by_name = _by_name(entry.models)
+        #: Names of adapters that were ordered and not yet reported, with their models.
+        self.ordered_adapters: set[tuple[str, str]] = set()
+        self.open_order: Order | None = None
+        self.is_call_open = False
+        self.is_busy = False
+        self.due_s = 0.0
+        self._resend_s = 0.0
+        self._report_s = 0.0
+        self._wants_report = True
+
+    @property
+    def takes_orders(self) -> bool:
+        """:return: whether a new order may be given"""
+        is_idle = self.open_order is None and not self.is_call_open and not self.is_busy
+        return is_idle and self.is_known and not self.entry.is_leaving
+
+    @property
+    def coming_model(self) -> str:
+        """:return: the model that an open order loads, or the empty string"""
+        if self.open_order is not None and self.open_order.kind == OrderKind.LOAD:
+            return self.open_order.model
+        return ""
+
+    @property
+    def leaving_model(self) -> str:
+        """:return: the model that an open order unloads, or the empty string"""
+        if self.open_order is not None and self.open_order.kind == OrderKind.UNLOAD:
+            return self.open_order.model
+        return ""
+
+    def has_adapter(self, model: str, adapter: str) -> bool:
+        """:return: whether an adapter is there or ordered"""
+        held = self.models_by_name.get(model)
+        is_held = held is not None and adapter in held.adapters
+        return is_held or (model, adapter) in self.ordered_adapters
+
+    def list_adapters(self) -> set[tuple[str, str]]:
+        """:return: adapters that are there or ordered, with their models"""
+        held = {
+            (model.name, name) for model in self.models_by_name.values() for name in model.adapters
+        }
+        return held | self.ordered_adapters
+
+    def observe_entry(self, entry: EndpointEntry) -> None:
+        """Take the engine's entry from the list."""
+        known = self.entry
+        if (entry.born_ms, entry.heartbeat) <= (known.born_ms, known.heartbeat):
+            return
+        self.entry = entry
+        if entry.born_ms > known.born_ms:
+            self._restart()
+        elif not self.is_call_open:
+            self._take_models(entry.models)
+
+    def observe_report(self, report: EndpointReport, now_s: float) -> None:
+        """Take the engine's report."""
+        if report.order_count < self.order_count and self.is_known:
+            # The report is some moments old: ask again.
+            self._wants_report = True
+            return
+        self.is_known = True
+        self.is_busy = report.is_busy
+        self._wants_report = report.is_busy
+        has_moved = report.order_count > self.order_count
+        self.order_count = report.order_count
+        if report.is_busy:
+            return
+        self.models_by_name = _by_name(report.models)
+        coming = set(report.coming_adapters)
+        self.ordered_adapters = coming
+        if self.open_order is not None and (has_moved or self._is_settled()):
+            self.open_order = None
+
+    def wants_report(self, now_s: float) -> bool:
+        """:return: whether the engine's report is to be asked for now; it counts as asked"""
+        is_overdue = self.open_order is not None and now_s > self.due_s + OVERDUE_S
+        is_wanted = self._wants_report or not self.is_known or is_overdue
+        if not is_wanted or self.is_call_open or now_s < self._report_s:
+            return False
+        self._report_s = now_s + REPORT_PAUSE_S
+        return True
+
+    def begin(self, order: Order, now_s: float, expected_s: float) -> None:
+        """An order is sent; further ones wait for its answer.
+
+        :param expected_s: seconds that it is expected to take
+        """
+        self.open_order = order
+        self.is_call_open = True
+        self.due_s = now_s + expected_s
+
+    def wants_resend(self, now_s: float) -> Order | None:
+        """:return: the open order if it is to be sent again, as no answer came"""
+        is_silent = self._resend_s and now_s >= self._resend_s
+        if self.open_order is None or self.is_call_open or not is_silent:
+            return None
+        return self.open_order
+
+    def answered(self, reply: OrderReply, now_s: float) -> None:
+        """Take the answer to the order that was sent last."""
+        self.is_call_open = False
+        self._resend_s = 0.0
+        order = self.open_order
+        if order is None:
+            return
+        if reply is OrderReply.UNKNOWN:
+            self._resend_s = now_s + RESEND_S
+            return
+        if reply is OrderReply.ACCEPTED:
+            self._accept(order)
+        elif reply is OrderReply.HOLDS:
+            self._accept(order)
+            self.open_order = None
+            self._wants_report = True
+        else:
+            self._wants_report = True
+            self.is_known = False
+            self.open_order = None if reply is not OrderReply.CONFLICT else order
+
+    def _accept(self, order: Order) -> None:
+        self.order_count += 1
+        key = (order.model, order.adapter)
+        if order.kind == OrderKind.LOAD_ADAPTER:
+            self.ordered_adapters.add(key)
+            self.open_order = None
+        elif order.kind == OrderKind.UNLOAD_ADAPTER:
+            self.ordered_adapters.discard(key)
+            held = self.models_by_name.get(order.model)
+            if held is not None:
+                adapters = held.adapters - {order.adapter}
+                self.models_by_name[order.model] = held._replace(adapters=adapters)
+            self.open_order = None
+
+    def _take_models(self, models: tuple[HeldModel, ...]) -> None:
+        """Take what an entry says that the engine holds."""
+        listed = _by_name(models)
+        self.ordered_adapters -= self._held_adapters(listed)
+        order = self.open_order
+        if order is None:
+            self.models_by_name = listed
+            return
+        is_done = (order.model in listed) == (order.kind == OrderKind.LOAD)
+        if is_done and order.kind in (OrderKind.LOAD, OrderKind.UNLOAD) and not self._resend_s:
+            self.models_by_name = listed
+            self.open_order = None
+            self.is_busy = False
+
+    def _is_settled(self) -> bool:
+        order = self.open_order
+        if order is None or self.is_call_open:
+            return False
+        if order.kind == OrderKind.LOAD:
+            return order.model in self.models_by_name
+        if order.kind == OrderKind.UNLOAD:
+            return order.model not in self.models_by_name
+        return not self._resend_s
+
+    def _restart(self) -> None:
+        self.is_known = False
+        self.is_busy = False
+        self.order_count = 0
+        self.models_by_name = _by_name(self.entry.models)
+        self.ordered_adapters.clear()
+        self.open_order = None
+        self._resend_s = 0.0
+
+    @staticmethod
+    def _held_adapters(models_by_name: dict[str, HeldModel]) -> set[tuple[str, str]]:
+        return {(model.name, name) for model in models_by_name.values() for name in model.adapters}
+
+
+def _by_name(models: tuple[HeldModel, ...]) -> dict[str, HeldModel]:
+    return {each.name: each for each in models}
--- a/packages/kingcupdyke/kingcupdyke/lease.py
+++ b/packages/kingcupdyke/kingcupdyke/lease.py
@@ -23,6 +23,8 @@
     fence: int
     #: Seconds without a new version after which others may take it.
     duration_s: float
+    #: Number of the write: a store may take an unchanged object for no write at all.
+    writes: int = 0
 
     def encode(self) -> bytes:
         """:return: the record as JSON"""
@@ -69,16 +71,26 @@
     :param owner: name of this process, never used by another or before
     :param duration_s: seconds without renewal after which others may take the lease
     :param renew_s: seconds between renewals, or between reads while another holds it
+    :param outlives_outage: whether the holder goes on while the store is away; not where the
+        store may serve a rival meanwhile
     :raises OptionError: when two renewals do not fit in the duration
     """
 
-    def __init__(self, name: str, owner: str, duration_s: float, renew_s: float) -> None:
+    def __init__(
+        self,
+        name: str,
+        owner: str,
+        duration_s: float,
+        renew_s: float,
+        outlives_outage: bool = True,
+    ) -> None:
         if not 0 < renew_s <= duration_s / 2:
             raise OptionError("renew_s", renew_s, "give at most half of duration_s")
         self._name = name
         self._owner = owner
         self._duration_s = duration_s
         self._renew_s = renew_s
+        self._outlives_outage = outlives_outage
         self._record: LeaseRecord | None = None
         self._version = 0
         #: Time at which the version was first seen.
@@ -111,6 +123,10 @@
         """
         return None if self._has_lapsed(now_s) else self._fence
 
+    def proof_age_s(self, now_s: float) -> float:
+        """:return: seconds since the last proof that this process held the lease"""
+        return now_s - self._proved_s
+
     def tick(self, now_s: float) -> LeaseCommand | None:
         """Renew, read or take the lease when it is time to.
 
@@ -134,7 +150,7 @@
         self._fence = None
         if fence is None or self._asked is not None:
             return None
-        record = LeaseRecord(self._name, "", fence, self._duration_s)
+        record = LeaseRecord(self._name, "", fence, self._duration_s, self._count_write())
         return self._ask(WriteLease(record, self._version), now_s)
 
     def lease_read(
@@ -203,7 +219,7 @@
         if self._fence is None or now_s - self._proved_s < self._duration_s:
             return False
         is_paused = now_s - self._event_s >= self._duration_s - self._renew_s
-        return is_paused or not self._is_store_down
+        return is_paused or not (self._outlives_outage and self._is_store_down)
 
     def _answer(self, now_s: float) -> None:
         self._note(now_s)
@@ -236,9 +252,13 @@
         return record.owner == self._owner and record.fence in (self._fence, self._tried_fence)
 
     def _write(self, fence: int, now_s: float) -> LeaseCommand:
-        record = LeaseRecord(self._name, self._owner, fence, self._duration_s)
+        writes = self._count_write()
+        record = LeaseRecord(self._name, self._owner, fence, self._duration_s, writes)
         return self._ask(WriteLease(record, self._version), now_s)
 
+    def _count_write(self) -> int:
+        return 1 if self._record is None else self._record.writes + 1
+
     def _ask(self, command: LeaseCommand, now_s: float) -> LeaseCommand:
         self._asked = command
         self._asked_s = now_s
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -35,7 +35,7 @@
 
 def find_suites(only: str | None) -> list[Path]:
     """:return: folders of features to run together, and features with a site of their own"""
-    folders = [*sorted((ROOT / "packages").iterdir()), ROOT]
+    folders = [*sorted((ROOT / "packages").iterdir()), ROOT / "platform", ROOT]
     suites = [each / "features" for each in folders if list((each / "features").glob("*.feature"))]
     if suites and suites[-1].parent == ROOT:
         # Each of these features has a site of its own.
