Give overloaded models replicas, keep engines' backlogs short, refuse what can't begin in time

Cause: one replica carried most of the demand (first events after 0.9 to 2.3 s) as replicas were added only while nothing was missing, which never holds with more models than room; requests went into engines' own queues until their clients left.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
@@ -23,9 +23,10 @@
 from kingcupdyke_daemon.forwarder.connection import EndpointConnection, Progress, TransferError
 from kingcupdyke_daemon.forwarder.dialect import Dialect, Headers
 from kingcupdyke_daemon.forwarder.events import EventBuffer
-from kingcupdyke_daemon.forwarder.front import ClientRequest, Reply, RequestHandler
+from kingcupdyke_daemon.forwarder.front import ClientLeftError, ClientRequest, Reply, RequestHandler
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
+from kingcupdyke_daemon.logs import log_record
 
 __all__ = ["ExchangeHandler", "ForwarderParts"]
 
@@ -75,6 +76,29 @@
     BROKEN = "broken"
 
 
+class RequestRecord(NamedTuple):
+    """What is logged of a request at its end."""
+
+    request: str
+    route: str
+    version: int
+    model: str
+    adapter: str
+    #: Endpoints that it was sent to, in order.
+    endpoints: tuple[str, ...]
+    #: Status that the client got, or 0 where it got none.
+    status: int
+    outcome: str
+    reason: str
+    #: Milliseconds that it waited in the queue before each send, together.
+    queued_ms: int
+    #: Milliseconds from its arrival to the first part of the answer, or -1 where none came.
+    first_ms: int
+    #: Milliseconds from its arrival to its end, and to its deadline.
+    total_ms: int
+    limit_ms: int
+
+
 class _KeptAnswer(NamedTuple):
     """An endpoint's failure, passed on unless another endpoint does better."""
 
@@ -111,7 +135,8 @@
             headers = self._parts.dialect.write_refusal(terms.attempt_id, None)
             await reply.refuse(STATUS_NOT_FOUND, "no route", headers)
             return
-        await _Exchange(self._parts, self.gateways, route, request, terms, reply).run()
+        version = configuration.version
+        await _Exchange(self._parts, self.gateways, version, route, request, terms, reply).run()
 
     async def _refuse(
         self, reply: Reply, terms: RequestTerms, reason: str, retry_after_s: float
@@ -127,6 +152,7 @@
         self,
         parts: ForwarderParts,
         gateways: int,
+        version: int,
         route: Route,
         request: ClientRequest,
         terms: RequestTerms,
@@ -134,6 +160,7 @@
     ) -> None:
         self._parts = parts
         self._gateways = gateways
+        self._version = version
         self._route = route
         self._request = request
         self._terms = terms
@@ -151,6 +178,7 @@
             priority=route.priority,
             arrived_s=request.arrived_s,
             objective_s=request.arrived_s + route.objective_s,
+            first_by_s=request.arrived_s + route.first_patience_s,
             deadline_s=self._deadline_s,
         )
         self._excluded: set[str] = set()
@@ -160,6 +188,11 @@
         self._is_in_flight = False
         self._kept: _KeptAnswer | None = None
         self._reason = ""
+        self._sent_to: list[str] = []
+        self._queued_s = 0.0
+        self._first_s: float | None = None
+        self._status = 0
+        self._unread_tokens = 0
         self._events = EventBuffer() if route.is_resumable else None
 
     @property
@@ -169,17 +202,45 @@
     async def run(self) -> None:
         """Answer the request, at the latest at its deadline."""
         self._parts.budget.count_request(self._item.service, self._parts.timer.now())
-        with move_on_at(self._deadline_s) as scope:
-            await self._run_attempts()
-        if scope.cancelled_caught and not self._reply.is_whole:
-            await self._give_up("the deadline passed")
+        outcome = "left"
+        try:
+            with move_on_at(self._deadline_s) as scope:
+                await self._run_attempts()
+            if scope.cancelled_caught and not self._reply.is_whole:
+                await self._give_up("the deadline passed")
+            outcome = "answered" if self._reply.is_whole else "cut"
+        finally:
+            self._log(outcome)
+
+    def _log(self, outcome: str) -> None:
+        arrived_s = self._request.arrived_s
+        first_s = self._first_s
+        record = RequestRecord(
+            request=self._item.attempt_id,
+            route=self._route.name,
+            version=self._version,
+            model=self._item.model,
+            adapter=self._item.adapter,
+            endpoints=tuple(self._sent_to),
+            status=self._status,
+            outcome=outcome,
+            reason=self._reason,
+            queued_ms=round(self._queued_s * 1000),
+            first_ms=-1 if first_s is None else round((first_s - arrived_s) * 1000),
+            total_ms=round((self._parts.timer.now() - arrived_s) * 1000),
+            limit_ms=round((self._deadline_s - arrived_s) * 1000),
+        )
+        log_record(_LOGGER, "request ended", record)
 
     async def _run_attempts(self) -> None:
         while True:
+            since_s = self._parts.timer.now()
             decision = await self._parts.queue.decide(self._item, frozenset(self._excluded))
+            self._queued_s += self._parts.timer.now() - since_s
             if isinstance(decision, Refuse):
                 await self._give_up(decision.reason, decision.retry_after_s)
                 return
+            self._sent_to.append(decision.endpoint)
             end = await self._try_endpoint(decision.endpoint)
             if end is _End.DELIVERED:
                 return
@@ -205,34 +266,33 @@
     async def _give_up(self, reason: str, retry_after_s: float = RETRY_AFTER_S) -> None:
         """Send the final answer of a request that no endpoint answers."""
         reply = self._reply
-        _LOGGER.info(
-            "gave up %s on route %s after %d runs: %s",
-            self._item.attempt_id,
-            self._route.name,
-            self._runs,
-            reason,
-        )
+        self._reason = reason
         if reply.has_begun:
             return
         if self._kept is not None:
+            self._status = self._kept.status
             await reply.answer(self._kept.status, self._kept.headers, self._kept.body)
             return
         write_refusal = self._parts.dialect.write_refusal
         attempt_id = self._terms.attempt_id
         if not self._runs and not self._is_in_flight:
             headers = write_refusal(attempt_id, retry_after_s)
-            await reply.refuse(STATUS_UNAVAILABLE, reason, headers)
+            self._status = STATUS_UNAVAILABLE
+            await reply.refuse(self._status, reason, headers)
             return
         is_late = self._parts.timer.now() >= self._deadline_s
-        status = STATUS_TIMEOUT if is_late else STATUS_BAD_GATEWAY
-        await reply.refuse(status, reason, write_refusal(attempt_id, None))
+        self._status = STATUS_TIMEOUT if is_late else STATUS_BAD_GATEWAY
+        await reply.refuse(self._status, reason, write_refusal(attempt_id, None))
 
     async def _try_endpoint(self, endpoint: str) -> _End:
         parts = self._parts
-        address = parts.board.state_by_id[endpoint].entry.address
+        state = parts.board.state_by_id[endpoint]
+        address = state.entry.address
+        self._unread_tokens = state.unread_tokens
         sent_s = parts.timer.now()
         connection: EndpointConnection | None = None
         is_sound = False
+        left: ClientLeftError | None = None
         try:
             connection = await parts.pool.take(endpoint, address, not self._may_repeat)
             async with create_task_group() as tasks:
@@ -240,7 +300,11 @@
                     end, is_sound = await self._forward(tasks, connection, endpoint, sent_s)
                 except TransferError as error:
                     end = self._explain(endpoint, error)
+                except ClientLeftError as error:
+                    left = error
                 tasks.cancel_scope.cancel()
+            if left is not None:
+                raise left
         except TransferError as error:
             end = self._explain(endpoint, error)
         finally:
@@ -338,10 +402,12 @@
         reply = self._reply
         has_first = False
         if not reply.has_begun:
+            self._status = head.status_code
             await reply.begin(head.status_code, _strip(head))
         async for data in connection.read_body():
             if not has_first:
                 has_first = True
+                self._first_s = self._first_s or self._parts.timer.now()
                 self._note_first(endpoint, sent_s)
             if self._events is not None:
                 data = self._events.feed(data)
@@ -356,10 +422,8 @@
         parts = self._parts
         if self._route.kind is not RouteKind.STREAMING:
             return
-        state = parts.board.state_by_id.get(endpoint)
-        tokens = 0 if state is None else state.tokens_by_attempt.get(self._item.attempt_id, 0)
         seconds = parts.timer.now() - sent_s
-        parts.dispatcher.began(self._item.attempt_id, endpoint, seconds, tokens)
+        parts.dispatcher.began(self._item.attempt_id, endpoint, seconds, self._unread_tokens)
         parts.queue.poll(parts.timer.now())
 
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/front.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/front.py
@@ -22,7 +22,7 @@
     create_tcp_listener,
     fail_after,
 )
-from anyio.abc import SocketAttribute, SocketListener, SocketStream
+from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
 from h11 import (
     DONE,
     IDLE,
@@ -47,7 +47,7 @@
 from kingcupdyke_daemon.forwarder.dialect import Headers
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
 
-__all__ = ["ClientRequest", "ClientServer", "Reply", "RequestHandler"]
+__all__ = ["ClientLeftError", "ClientRequest", "ClientServer", "Reply", "RequestHandler"]
 
 _LOGGER = logging.getLogger(__name__)
 READ_BYTES = 65_536
@@ -88,6 +88,10 @@
         return self.target.split(b"?", 1)[0].decode("latin-1")
 
 
+class ClientLeftError(Exception):
+    """The client's connection broke while an answer was written."""
+
+
 class Reply(ABC):
     """Where the answer to one request goes."""
 
@@ -171,9 +175,15 @@
         listener = await create_tcp_listener(local_host=address.address, local_port=address.port)
         return listener.listeners[0]
 
-    async def serve(self, listener: SocketListener) -> None:
-        """Serve until cancelled."""
-        await listener.serve(self._serve_connection)
+    async def serve(self, listener: SocketListener, tasks: TaskGroup) -> None:
+        """Serve until cancelled or the listener is closed.
+
+        :param tasks: carries the connections, which outlive the listener
+        """
+        try:
+            await listener.serve(self._serve_connection, tasks)
+        except ClosedResourceError:
+            _LOGGER.debug("a listener was closed")
 
     async def close_idle(self) -> None:
         """Close the connections on which no request is under way."""
@@ -191,7 +201,7 @@
         connection = _ClientConnection(self, stream)
         try:
             await connection.serve()
-        except CLIENT_GONE as error:
+        except (ClientLeftError, *CLIENT_GONE) as error:
             _LOGGER.debug("a client's connection ended: %r", error)
         except Exception:
             _LOGGER.exception("a client's connection failed")
@@ -252,8 +262,12 @@
 
     async def _send(self, event: object) -> None:
         data = self._http.send(event)
-        if data:
+        if not data:
+            return
+        try:
             await self._stream.send(data)
+        except CLIENT_GONE as error:
+            raise ClientLeftError(repr(error)) from error
 
     async def _handle(self, request: ClientRequest) -> None:
         self.has_begun = False
@@ -266,8 +280,8 @@
                 tasks.start_soon(self._watch_client, tasks)
                 try:
                     await server.handler.handle(request, self)
-                except CLIENT_GONE as error:
-                    _LOGGER.debug("the client left: %r", error)
+                except ClientLeftError as error:
+                    _LOGGER.debug("the client left: %s", error)
                 except LocalProtocolError as error:
                     _LOGGER.warning("an answer broke the protocol: %r", error)
                 tasks.cancel_scope.cancel()
@@ -373,7 +387,7 @@
                 # Unread bytes would turn the close into a reset that overtakes the refusal.
                 while True:
                     await self._stream.receive(READ_BYTES)
-        except (LocalProtocolError, TimeoutError, *CLIENT_GONE) as problem:
+        except (ClientLeftError, LocalProtocolError, TimeoutError, *CLIENT_GONE) as problem:
             _LOGGER.debug("a refusal could not be written: %r", problem)
 
     def _abort(self) -> None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peers.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peers.py
@@ -131,7 +131,7 @@
             self._number += 1
             state = self._describe(self._number)
             data = state.encode()
-            for address in self._address_by_host.values():
+            for address in list(self._address_by_host.values()):
                 try:
                     await udp.sendto(data, *address)
                 except OSError as error:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
@@ -214,7 +214,8 @@
                 self._start_order(tasks, seat, TimedOrder(again, seat.due_s - now_s))
         plan = self._plan_by_service.setdefault(service, ResidencyPlan(service))
         engine = configuration.services_by_name[service].engine
-        for timed in plan.plan(engine, seats, demands, now_s):
+        tokens_per_s = self._dispatcher.tokens_per_s
+        for timed in plan.plan(engine, seats, demands, tokens_per_s, now_s):
             self._start_order(tasks, self._seat_by_id[timed.order.endpoint], timed)
 
     def _start_order(self, tasks: TaskGroup, seat: Seat, timed: TimedOrder) -> None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -9,8 +9,8 @@
 import signal
 from time import monotonic
 
-from anyio import CancelScope, Event, create_task_group, move_on_after, open_signal_receiver, sleep
-from anyio.abc import TaskGroup
+from anyio import Event, create_task_group, move_on_after, open_signal_receiver, sleep
+from anyio.abc import SocketListener, TaskGroup
 
 from kingcupdyke.forwarding.board import EndpointBoard
 from kingcupdyke.forwarding.configuration import ClientLimits
@@ -147,9 +147,8 @@
         settings = self._settings
         ready = await self._ready_server.listen(settings.ready)
         front = await self._front_server.listen(settings.front)
-        front_scope = CancelScope()
-        self._tasks.start_soon(self._ready_server.serve, ready)
-        self._tasks.start_soon(self._front_server.serve, front)
+        self._tasks.start_soon(self._ready_server.serve, ready, self._tasks)
+        self._tasks.start_soon(self._front_server.serve, front, self._tasks)
         for follower in (self._configurations, self._endpoints, self._gateways):
             self._tasks.start_soon(follower.follow_forever)
         self._tasks.start_soon(self._peers.run)
@@ -160,9 +159,9 @@
         self._timer.subscribe("tidy", TIDY_PERIOD_S, self._tidy)
         _LOGGER.warning("started as %s", settings.host)
         await stop.wait()
-        await self._stop(front, front_scope)
+        await self._stop(front)
 
-    async def _stop(self, front: object, scope: CancelScope) -> None:
+    async def _stop(self, front: SocketListener) -> None:
         _LOGGER.warning("stopping")
         began_s = self._timer.now()
         self._is_stopping = True
@@ -188,6 +187,7 @@
             settings.lease_s + 1.2,
             RENEW_S,
             outlives_outage=False,
+            earlier_owners=f"{settings.host}/",
         )
         return Placer(
             settings.host,
--- a/packages/kingcupdyke/kingcupdyke/forwarding/board.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/board.py
@@ -27,6 +27,15 @@
 MOST_HEADS = 512
 #: Weight of the newest result in an endpoint's share of failures.
 FAILURE_WEIGHT = 0.15
+#: Prompt tokens a second that an endpoint is taken to read until its answers say more.
+TOKENS_PER_S = 20_000.0
+#: Factor by which the learnt speed may differ from that, and the weight of the newest sample.
+SPEED_RANGE = 8.0
+SPEED_WEIGHT = 0.1
+#: Seconds to a first event that do not depend on the prompt.
+FIXED_S = 0.03
+#: Prompt tokens below which a first event says little on the speed of reading.
+LEAST_TOKENS = 800
 
 
 class EndpointState:
@@ -42,6 +51,8 @@
         self.strikes = 0
         #: Share of requests that failed lately.
         self.failure_share = 0.0
+        #: Prompt tokens a second that it reads, as learnt from its answers.
+        self.tokens_per_s = TOKENS_PER_S
         #: Time at which a lapsed entry is given up, or None while it is listed.
         self.lapses_s: float | None = None
         self._heads: OrderedDict[tuple[str, ...], None] = OrderedDict()
@@ -61,6 +72,20 @@
         """:return: prompt tokens that are still to be read, of all gateways' requests"""
         return self.own_tokens + self.peer_tokens
 
+    def learn_speed(self, tokens: int, seconds: float) -> None:
+        """Learn from a first event.
+
+        :param tokens: prompt tokens that were to be read when the request was sent
+        :param seconds: until the first event came
+        """
+        reading_s = seconds - FIXED_S
+        if tokens < LEAST_TOKENS or reading_s <= 0:
+            return
+        sample = min(
+            max(tokens / reading_s, TOKENS_PER_S / SPEED_RANGE), TOKENS_PER_S * SPEED_RANGE
+        )
+        self.tokens_per_s += SPEED_WEIGHT * (sample - self.tokens_per_s)
+
     def count_kept_tokens(self, model: str, parts: tuple[PromptPart, ...]) -> int:
         """:return: tokens at the head of a prompt that were sent there lately"""
         kept = 0
--- a/packages/kingcupdyke/kingcupdyke/forwarding/configuration.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/configuration.py
@@ -6,6 +6,7 @@
 """
 
 from enum import StrEnum
+from math import inf
 from typing import NamedTuple
 
 from kingcupdyke.util import hash_score
@@ -23,6 +24,13 @@
 ]
 
 
+#: A client gives up a stream after the longest of these pauses: in seconds, in objectives, and in
+#: gap targets of its route.
+LEAST_STREAM_PATIENCE_S = 2.0
+STREAM_PATIENCE_OBJECTIVES = 4
+STREAM_PATIENCE_GAPS = 8
+
+
 class RouteKind(StrEnum):
     """What may be repeated on a route."""
 
@@ -67,6 +75,17 @@
         """:return: whether a request may run more than once"""
         return self.kind is RouteKind.IDEMPOTENT
 
+    @property
+    def first_patience_s(self) -> float:
+        """:return: seconds after which a client gives up a stream that has not begun"""
+        if self.kind is not RouteKind.STREAMING:
+            return inf
+        return max(
+            LEAST_STREAM_PATIENCE_S,
+            STREAM_PATIENCE_OBJECTIVES * self.objective_s,
+            STREAM_PATIENCE_GAPS * self.gap_target_s,
+        )
+
     def choose_service(self, attempt_id: str) -> str:
         """:return: the service of an attempt, always the same for the same attempt"""
         if len(self.services) == 1:
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -5,10 +5,9 @@
 Decides for each request whether it is sent, where, whether it waits, or is refused.
 """
 
-from math import inf
 from typing import NamedTuple
 
-from kingcupdyke.forwarding.board import EndpointBoard, EndpointState
+from kingcupdyke.forwarding.board import TOKENS_PER_S, EndpointBoard, EndpointState
 from kingcupdyke.forwarding.configuration import EngineSpec, ServiceSpec
 from kingcupdyke.forwarding.endpoint import Replica
 from kingcupdyke.forwarding.peerstate import Demand, EndpointLoad
@@ -16,8 +15,9 @@
 
 __all__ = ["Decision", "Dispatcher", "Refuse", "Send", "Wait", "WorkItem"]
 
-#: Prompt tokens a second that an endpoint is taken to read until its answers say more.
-TOKENS_PER_S = 20_000.0
+#: Seconds of unread prompts up to which an engine gets more: enough to keep it busy, and little
+#: enough that an urgent request does not wait long behind others.
+BACKLOG_S = 0.35
 #: Seconds that each running request adds to the time to a first event.
 RUNNING_S = 0.001
 #: Seconds that an endpoint in another data centre, or in another region, counts for.
@@ -31,8 +31,8 @@
 RETRY_AFTER_S = 0.5
 #: Least seconds left of a deadline for which a request is still sent.
 LEAST_LEFT_S = 0.03
-#: Part of an engine's token memory that requests are sent for.
-KV_SHARE = 0.95
+#: Seconds that a request of a plain service is taken to last until one has ended.
+MEAN_S = 0.05
 #: Seconds over which demand is averaged.
 DEMAND_WINDOW_S = 3.0
 #: Weight of the newest answer in what is learnt of an endpoint's speed.
@@ -54,6 +54,8 @@
     arrived_s: float
     #: Time by which the first word is on time.
     objective_s: float
+    #: Time by which the answer must have begun, or its client has left.
+    first_by_s: float
     #: Time by which the answer must be whole.
     deadline_s: float
 
@@ -118,7 +120,6 @@
         self._service_by_name: dict[str, ServiceSpec] = {}
         self._waiting_by_id: dict[str, tuple[WorkItem, frozenset[str]]] = {}
         self._meter_by_model: dict[tuple[str, str], _Meter] = {}
-        self._tokens_per_s = TOKENS_PER_S
         self._service_s_by_name: dict[str, float] = {}
 
     def configure(self, service_by_name: dict[str, ServiceSpec]) -> None:
@@ -144,12 +145,16 @@
             self._waiting_by_id[item.attempt_id] = (item, excluded)
         return decision
 
+    @property
+    def tokens_per_s(self) -> float:
+        """:return: prompt tokens a second that an endpoint reads, as learnt on the average"""
+        speeds = [each.tokens_per_s for each in self._board.state_by_id.values()]
+        return sum(speeds) / len(speeds) if speeds else TOKENS_PER_S
+
     def poll(self, now_s: float) -> dict[str, Send | Refuse]:
         """:return: decisions on requests that waited, by attempt"""
         decisions: dict[str, Send | Refuse] = {}
-        waiting = sorted(
-            self._waiting_by_id.values(), key=lambda each: (each[0].priority, each[0].objective_s)
-        )
+        waiting = sorted(self._waiting_by_id.values(), key=lambda each: _rank(each[0], now_s))
         for item, excluded in waiting:
             decision = self._decide(item, excluded, now_s)
             if isinstance(decision, Wait):
@@ -173,9 +178,7 @@
         state = self._board.state_by_id.get(endpoint)
         if state is not None and attempt_id in state.tokens_by_attempt:
             state.tokens_by_attempt[attempt_id] = 0
-        if tokens > 0 and seconds > 0:
-            rate = min(max(tokens / seconds, TOKENS_PER_S / 8), TOKENS_PER_S * 4)
-            self._tokens_per_s += LEARN_WEIGHT * (rate - self._tokens_per_s)
+            state.learn_speed(tokens, seconds)
 
     def ended(self, attempt_id: str, endpoint: str, service: str, seconds: float) -> None:
         """A request has left its endpoint.
@@ -223,7 +226,7 @@
         state.remember_parts(item.model, item.parts)
 
     def _decide(self, item: WorkItem, excluded: frozenset[str], now_s: float) -> Decision:
-        if item.deadline_s - now_s < LEAST_LEFT_S:
+        if min(item.deadline_s, item.first_by_s) - now_s < LEAST_LEFT_S:
             return Refuse("the deadline has passed", RETRY_AFTER_S)
         ready = self._board.list_ready(item.service)
         if not ready:
@@ -241,7 +244,7 @@
                 return self._await_replica(item, engine, states, now_s)
             states = holding
         reachable = [each for each in states if each.shunned_until_s <= now_s] or states
-        open_states = [each for each in reachable if self._has_room(each, engine, item)]
+        open_states = [each for each in reachable if self._has_room(each, engine)]
         if open_states:
             best = min(open_states, key=lambda each: self._cost_s(each, item, now_s))
             return Send(best.entry.endpoint)
@@ -256,16 +259,18 @@
         return self._board.has_replica(Replica(endpoint, item.model, item.adapter), now_s)
 
     @staticmethod
-    def _has_room(state: EndpointState, engine: EngineSpec | None, item: WorkItem) -> bool:
-        return state.requests < max(1, state.entry.slots)
+    def _has_room(state: EndpointState, engine: EngineSpec | None) -> bool:
+        if state.requests >= max(1, state.entry.slots):
+            return False
+        return engine is None or state.unread_tokens <= BACKLOG_S * state.tokens_per_s
 
     def _cost_s(self, state: EndpointState, item: WorkItem, now_s: float) -> float:
         """:return: expected seconds to the first word, with what distance and failures cost"""
         kept = state.count_kept_tokens(item.model, item.parts)
         tokens = state.unread_tokens + max(0, item.prompt_tokens - kept)
-        cost_s = tokens / self._tokens_per_s + state.requests * RUNNING_S
+        cost_s = tokens / state.tokens_per_s + state.requests * RUNNING_S
         if not item.model:
-            mean_s = self._service_s_by_name.get(item.service, 0.05)
+            mean_s = self._service_s_by_name.get(item.service, MEAN_S)
             cost_s = mean_s * state.requests / max(1, state.entry.slots)
         return cost_s + self._distance_s(state) + FAILING_S * state.failure_share
 
@@ -286,7 +291,7 @@
         if wait_s is None:
             wait_s = ORDERING_S + self._load_s(item, engine, states, now_s)
             wait_s -= now_s - item.arrived_s
-        left_s = item.deadline_s - now_s
+        left_s = min(item.deadline_s, item.first_by_s) - now_s
         if max(0.0, wait_s) + LEAST_LEFT_S > left_s:
             return Refuse("the model is not ready in time", max(0.1, wait_s))
         return Wait("no replica of the model yet")
@@ -307,16 +312,28 @@
 
     def _await_room(self, item: WorkItem, states: list[EndpointState], now_s: float) -> Decision:
         """Wait for room, or refuse where the requests before this one take too long."""
-        mean_s = self._service_s_by_name.get(item.service, 0.05)
-        slots = sum(max(1, each.entry.slots) for each in states)
-        before = sum(
-            1
+        rank = _rank(item, now_s)
+        before = [
+            other
             for other, _ in self._waiting_by_id.values()
             if other.service == item.service
+            and other.model == item.model
             and other.attempt_id != item.attempt_id
-            and (other.priority, other.objective_s) <= (item.priority, item.objective_s)
-        )
-        wait_s = mean_s * (before + 1) / slots if slots else inf
-        if now_s + wait_s > item.deadline_s:
+            and _rank(other, now_s) < rank
+        ]
+        if item.model:
+            tokens = sum(each.prompt_tokens for each in before) + item.prompt_tokens
+            tokens += sum(each.unread_tokens for each in states)
+            wait_s = tokens / sum(each.tokens_per_s for each in states)
+        else:
+            mean_s = self._service_s_by_name.get(item.service, MEAN_S)
+            slots = sum(max(1, each.entry.slots) for each in states)
+            wait_s = mean_s * (len(before) + 1) / slots
+        if now_s + wait_s > min(item.deadline_s, item.first_by_s):
             return Refuse("the queue is longer than the deadline", max(0.1, wait_s))
         return Wait("all endpoints are full")
+
+
+def _rank(item: WorkItem, now_s: float) -> tuple[int, bool, float]:
+    """:return: the key by which waiting requests are served, the least first"""
+    return item.priority, now_s > item.objective_s, item.objective_s
--- a/packages/kingcupdyke/kingcupdyke/forwarding/residencyplan.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/residencyplan.py
@@ -29,14 +29,14 @@
 WAITING_TOKENS_PER_S = 400.0
 #: Demand in tokens a second for which a model without a replica is loaded with nobody waiting.
 LEAST_TOKENS_PER_S = 150.0
-#: Tokens a second of one replica beyond which another one is worth a load.
-REPLICA_TOKENS_PER_S = 5_000.0
+#: Part of the tokens a second that an engine reads beyond which its models get further replicas.
+BUSY_SHARE = 0.35
 #: How much more a new replica must carry than what is unloaded for it.
 REPLICA_GAIN = 2.0
 #: Seconds for which a replica stays after its load, unless nobody asks for it.
 STAY_S = 2.0
 #: Seconds for which room that is being made is kept in mind.
-ROOM_S = 10.0
+ROOM_S = 6.0
 #: Seconds that an adapter takes at most in the usual case.
 ADAPTER_S = 0.03
 #: Seconds that an unload is expected to take.
@@ -77,15 +77,21 @@
         self._loaded_s: dict[tuple[str, str], float] = {}
 
     def plan(
-        self, engine: EngineSpec, seats: Iterable[Seat], demands: Iterable[Demand], now_s: float
+        self,
+        engine: EngineSpec,
+        seats: Iterable[Seat],
+        demands: Iterable[Demand],
+        tokens_per_s: float,
+        now_s: float,
     ) -> list[TimedOrder]:
         """Propose orders for one round, at most one for each seat.
 
         :param seats: all engines of the service
         :param demands: demand as told by all gateways; several for one model add up
+        :param tokens_per_s: prompt tokens a second that one engine reads
         :param now_s: time in seconds
         """
-        return _Round(self, engine, list(seats), demands, now_s).run()
+        return _Round(self, engine, list(seats), demands, tokens_per_s, now_s).run()
 
     def take_load(self, engine: EngineSpec, now_s: float) -> bool:
         """:return: whether the weight store's rate allows a load, which counts then"""
@@ -109,6 +115,14 @@
         endpoint, until_s = self._room_by_model.get(model, ("", 0.0))
         return endpoint if now_s < until_s else ""
 
+    def list_rooms(self, model: str, now_s: float) -> set[str]:
+        """:return: endpoints at which room is being made for other models"""
+        return {
+            endpoint
+            for other, (endpoint, until_s) in self._room_by_model.items()
+            if other != model and now_s < until_s
+        }
+
     def note_load(self, endpoint: str, model: str, now_s: float) -> None:
         """Remember when a replica was loaded."""
         self._room_by_model.pop(model, None)
@@ -128,8 +142,10 @@
         engine: EngineSpec,
         seats: list[Seat],
         demands: Iterable[Demand],
+        tokens_per_s: float,
         now_s: float,
     ) -> None:
+        self._busy_tokens_per_s = BUSY_SHARE * tokens_per_s
         self._plan = plan
         self._engine = engine
         self._now_s = now_s
@@ -146,14 +162,18 @@
             self._waiting_by_model[model] += count
         for (model, _), rate in self._rate.items():
             self._rate_by_model[model] += rate
+        # Reading adds no keys from here on.
+        for table in (self._waiting, self._rate, self._waiting_by_model, self._rate_by_model):
+            table.default_factory = None
         self._orders: list[TimedOrder] = []
 
     def run(self) -> list[TimedOrder]:
         """:return: the orders of this round"""
         self._place_adapters()
-        is_short = self._place_missing()
-        if not is_short:
-            self._add_replica()
+        proposals = self._propose_missing() + self._propose_replica()
+        for benefit, model in sorted(proposals, reverse=True):
+            spec = self._engine.models_by_name[model]
+            self._place_model(spec, benefit)
         return self._orders
 
     def _holders(self, model: str) -> list[Seat]:
@@ -173,7 +193,7 @@
 
     def _place_adapters(self) -> None:
         wanted = [key for key in self._rate.keys() | self._waiting.keys() if key[1]]
-        wanted.sort(key=lambda key: (-self._waiting[key], -self._rate[key], key))
+        wanted.sort(key=lambda key: (-self._waiting.get(key, 0), -self._rate.get(key, 0.0), key))
         for model, adapter in wanted:
             holders = self._holders(model)
             if any(seat.has_adapter(model, adapter) for seat in holders):
@@ -200,10 +220,12 @@
         if not is_full and self._free_bytes(seat) >= spec.adapter_bytes:
             self._issue(seat, OrderKind.LOAD_ADAPTER, model, adapter, ADAPTER_S)
             return
-        idle = [key for key in present if not self._waiting[key] and key != (model, adapter)]
+        idle = [key for key in present if not self._waiting.get(key, 0) and key != (model, adapter)]
         if idle:
-            victim = min(idle, key=lambda key: (self._rate[key], key))
-            if self._rate[victim] <= self._rate[(model, adapter)] or not self._rate[victim]:
+            victim = min(idle, key=lambda key: (self._rate.get(key, 0.0), key))
+            if self._rate.get(victim, 0.0) <= self._rate.get(
+                (model, adapter), 0.0
+            ) or not self._rate.get(victim, 0.0):
                 self._issue(seat, OrderKind.UNLOAD_ADAPTER, *victim, ADAPTER_S)
 
     def _free_bytes(self, seat: Seat) -> int:
@@ -216,33 +238,52 @@
             used += spec.adapter_bytes if spec is not None else 0
         return self._engine.memory_bytes - used
 
-    def _place_missing(self) -> bool:
-        """Load the models that are asked for and that nobody holds.
-
-        :return: whether some model still lacks a replica
-        """
-        missing = [
-            model
+    def _propose_missing(self) -> list[tuple[float, str]]:
+        """:return: models that are asked for and that nobody holds, with their demand"""
+        return [
+            (self._value(model), model)
             for model in self._rate_by_model.keys() | self._waiting_by_model.keys()
             if model in self._engine.models_by_name
-            and (self._waiting_by_model[model] or self._rate_by_model[model] >= LEAST_TOKENS_PER_S)
+            and (
+                self._waiting_by_model.get(model, 0)
+                or self._rate_by_model.get(model, 0.0) >= LEAST_TOKENS_PER_S
+            )
             and not self._holders(model)
             and not self._is_coming(model)
         ]
-        missing.sort(key=lambda model: (-self._value(model), model))
-        for model in missing:
-            self._place_model(self._engine.models_by_name[model], self._value(model))
-        return bool(missing)
+
+    def _propose_replica(self) -> list[tuple[float, str]]:
+        """:return: the model that most needs a further replica, with the demand that it moves"""
+        best: list[tuple[float, str]] = []
+        for model, rate in self._rate_by_model.items():
+            holders = self._holders(model)
+            if not holders or model not in self._engine.models_by_name or self._is_coming(model):
+                continue
+            load = min(self._load(seat) for seat in holders)
+            if load > self._busy_tokens_per_s:
+                moved = min(rate / len(holders), load - self._busy_tokens_per_s)
+                best.append((moved / REPLICA_GAIN, model))
+        return sorted(best)[-1:]
+
+    def _load(self, seat: Seat) -> float:
+        """:return: tokens a second that a seat's models bring it"""
+        return sum(
+            self._rate_by_model.get(model, 0.0) / max(1, len(self._holders(model)))
+            for model in seat.models_by_name
+        )
 
     def _value(self, model: str) -> float:
-        waiting = self._waiting_by_model[model] * WAITING_TOKENS_PER_S
-        return self._rate_by_model[model] + waiting
+        waiting = self._waiting_by_model.get(model, 0) * WAITING_TOKENS_PER_S
+        return self._rate_by_model.get(model, 0.0) + waiting
 
     def _place_model(self, spec: ModelSpec, value: float) -> bool:
         room = self._plan.get_room(spec.name, self._now_s)
         if room and room not in self._free:
             return False
-        seats = [self._free[room]] if room else list(self._free.values())
+        taken = self._plan.list_rooms(spec.name, self._now_s)
+        seats = [each for each in self._free.values() if each.entry.endpoint not in taken]
+        if room:
+            seats = [self._free[room]]
         choices = [self._weigh(seat, spec) for seat in seats]
         allowed = [each for each in choices if each is not None and each.loss < value]
         if not allowed:
@@ -252,9 +293,9 @@
             self._issue(best.seat, OrderKind.UNLOAD, best.victims[0], "", UNLOAD_S)
             self._plan.keep_room(spec.name, best.seat.entry.endpoint, self._now_s)
             return True
-        return self._load(best.seat, spec)
+        return self._order_load(best.seat, spec)
 
-    def _load(self, seat: Seat, spec: ModelSpec) -> bool:
+    def _order_load(self, seat: Seat, spec: ModelSpec) -> bool:
         is_cold = not _is_at_hand(seat, spec)
         if is_cold and not self._plan.take_load(self._engine, self._now_s):
             return False
@@ -289,24 +330,8 @@
         if others <= 0:
             recent = self._plan.is_recent(seat.entry.endpoint, model, self._now_s)
             return value * 2 if recent and value else value
-        return value / (others + 1) / 2
-
-    def _add_replica(self) -> None:
-        """Add one replica of the model whose replicas carry most."""
-        if any(seat.coming_model or seat.leaving_model for seat in self._seats):
-            return
-        pressed = [
-            (self._rate_by_model[model] / len(holders), model)
-            for model in self._rate_by_model
-            if (holders := self._holders(model)) and model in self._engine.models_by_name
-        ]
-        for pressure, model in sorted(pressed, reverse=True):
-            if pressure < REPLICA_TOKENS_PER_S:
-                return
-            replicas = len(self._holders(model))
-            gain = pressure - pressure * replicas / (replicas + 1)
-            if self._place_model(self._engine.models_by_name[model], gain / REPLICA_GAIN):
-                return
+        over = self._rate_by_model.get(model, 0.0) / others - self._busy_tokens_per_s
+        return max(0.0, over) * others + value / (others + 1) / 10
 
 
 def _is_at_hand(seat: Seat, spec: ModelSpec) -> bool:
--- a/packages/kingcupdyke/kingcupdyke/lease.py
+++ b/packages/kingcupdyke/kingcupdyke/lease.py
@@ -73,6 +73,8 @@
     :param renew_s: seconds between renewals, or between reads while another holds it
     :param outlives_outage: whether the holder goes on while the store is away; not where the
         store may serve a rival meanwhile
+    :param earlier_owners: how the names of earlier runs of this process begin; they are dead, so
+        their lease is taken over at once
     :raises OptionError: when two renewals do not fit in the duration
     """
 
@@ -83,6 +85,7 @@
         duration_s: float,
         renew_s: float,
         outlives_outage: bool = True,
+        earlier_owners: str = "",
     ) -> None:
         if not 0 < renew_s <= duration_s / 2:
             raise OptionError("renew_s", renew_s, "give at most half of duration_s")
@@ -91,6 +94,7 @@
         self._duration_s = duration_s
         self._renew_s = renew_s
         self._outlives_outage = outlives_outage
+        self._earlier_owners = earlier_owners
         self._record: LeaseRecord | None = None
         self._version = 0
         #: Time at which the version was first seen.
@@ -244,7 +248,9 @@
         self._tried_fence = None
         if record is None:
             return self._write(self._highest_fence + 1, now_s)
-        if not record.owner or now_s - self._seen_s >= record.duration_s:
+        is_dead = self._earlier_owners and record.owner.startswith(self._earlier_owners)
+        is_free = not record.owner or is_dead
+        if is_free or now_s - self._seen_s >= record.duration_s:
             return self._write(record.fence + 1, now_s)
         return None
 
