Refuse new work late in a planned stop; keep a model's replicas apart while one round unloads

LOST: a request sent later than three seconds after SIGTERM was begun and cut at the end of the grace; it is now refused truly from 2.6 s on.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
@@ -37,6 +37,8 @@
 )
 #: Seconds after which a caller is asked to come back where nothing better is known.
 RETRY_AFTER_S = 0.5
+#: Seconds after which a caller comes back from a gateway that is stopping, to another one.
+STOPPING_RETRY_S = 0.01
 #: Largest answer of an endpoint that is kept back while another endpoint is tried.
 MOST_KEPT_BYTES = 65_536
 STATUS_UNAVAILABLE = 503
@@ -120,10 +122,15 @@
         self.is_confirmed = True
         #: Gateways that share the budget of repeats.
         self.gateways = 1
+        #: Whether the process ends too soon for further requests.
+        self.is_refusing = False
 
     async def handle(self, request: ClientRequest, reply: Reply) -> None:
         configuration = self.configuration
         terms = self._parts.dialect.read_request(request.headers)
+        if self.is_refusing:
+            await self._refuse(reply, terms, "this gateway is stopping", STOPPING_RETRY_S)
+            return
         if configuration is None:
             await self._refuse(reply, terms, "no configuration is known yet", RETRY_AFTER_S)
             return
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/front.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/front.py
@@ -166,7 +166,7 @@
         #: Whether answers ask clients to close their connections.
         self.is_stopping = False
         self.held_body_bytes = 0
-        #: Requests that were read and are not answered yet.
+        #: Requests whose head was read and that are not answered yet.
         self.busy = 0
         self._idle: set[_ClientConnection] = set()
 
@@ -308,9 +308,13 @@
         head = await self._read_head(limits)
         if head is None:
             return None
-        arrived_s = self._server.now()
-        _check_head(head, limits)
-        body = await self._read_body(limits)
+        self._server.busy += 1
+        try:
+            arrived_s = self._server.now()
+            _check_head(head, limits)
+            body = await self._read_body(limits)
+        finally:
+            self._server.busy -= 1
         return ClientRequest(head.method, head.target, list(head.headers), body, arrived_s)
 
     async def _read_head(self, limits: ClientLimits) -> Request | None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
@@ -198,6 +198,7 @@
                 self._seat_by_id[endpoint] = Seat(state.entry)
             else:
                 seat.observe_entry(state.entry)
+                seat.is_reachable = state.is_reachable
         for endpoint in self._seat_by_id.keys() - self._board.state_by_id.keys():
             del self._seat_by_id[endpoint]
 
@@ -211,7 +212,7 @@
                 tasks.start_soon(self._ask_report, seat)
             again = seat.wants_resend(now_s)
             if again is not None:
-                self._start_order(tasks, seat, TimedOrder(again, seat.due_s - now_s))
+                self._start_order(tasks, seat, TimedOrder(again, seat.due_s - now_s, "", 0.0))
         plan = self._plan_by_service.setdefault(service, ResidencyPlan(service))
         engine = configuration.services_by_name[service].engine
         tokens_per_s = self._dispatcher.tokens_per_s
@@ -223,6 +224,9 @@
         seat.begin(timed.order, now_s, timed.expected_s)
         if timed.order.kind == OrderKind.UNLOAD:
             self._tell(timed.order, False, 0.0)
+            successor = timed.order._replace(model=timed.successor)
+            if timed.successor:
+                self._tell(successor, True, timed.successor_s)
         tasks.start_soon(self._give_order, seat, timed)
 
     def _tell(self, order: Order, is_present: bool, due_s: float) -> None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -40,9 +40,11 @@
 TIDY_PERIOD_S = 0.25
 #: Gateways that contend for the planner's lease.
 CANDIDATES = 2
-#: Seconds for which connections are still taken after a planned stop began: the load balancer
-#: turns away after two misses of one a second.
-TAKE_S = 3.2
+#: Seconds for which requests are still taken after a planned stop began: the load balancer turns
+#: away after two misses of one a second.
+TAKE_S = 2.6
+#: Seconds for which they are refused after that, before the process may end.
+REFUSE_S = 0.6
 #: Part of the grace after which what still runs is left to its fate.
 GRACE_SHARE = 0.93
 #: Seconds for giving the lease back.
@@ -172,6 +174,9 @@
             await self._placer.give_back()
         end_s = began_s + self._settings.grace_s * GRACE_SHARE
         await sleep(max(0.0, began_s + TAKE_S - self._timer.now()))
+        self._exchanges.is_refusing = True
+        await self._front_server.close_idle()
+        await sleep(REFUSE_S)
         await front.aclose()
         await self._front_server.close_idle()
         while self._front_server.busy and self._timer.now() < end_s:
--- a/packages/kingcupdyke/kingcupdyke/forwarding/board.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/board.py
@@ -19,10 +19,14 @@
 LAPSED_S = 2.0
 #: Seconds for which a planner's word on a replica goes before the endpoint's own entry.
 PLACEMENT_S = 3.0
+#: Seconds after its expected time at which a replica is no longer counted on.
+OVERDUE_S = 1.0
 #: Seconds without new work after a first failure, doubled by each further one.
 SHUN_S = 0.4
 #: Most seconds without new work after failures.
 SHUN_MOST_S = 3.0
+#: Failed connections in a row from which on an endpoint counts as out of reach.
+UNREACHABLE_STRIKES = 2
 #: Heads of prompts that are remembered for each endpoint.
 MOST_HEADS = 512
 #: Weight of the newest result in an endpoint's share of failures.
@@ -86,6 +90,11 @@
         )
         self.tokens_per_s += SPEED_WEIGHT * (sample - self.tokens_per_s)
 
+    @property
+    def is_reachable(self) -> bool:
+        """:return: whether it has answered lately, or not failed repeatedly"""
+        return self.strikes < UNREACHABLE_STRIKES
+
     def count_kept_tokens(self, model: str, parts: tuple[PromptPart, ...]) -> int:
         """:return: tokens at the head of a prompt that were sent there lately"""
         kept = 0
@@ -221,7 +230,8 @@
             for replica, (is_present, due_s, _) in self._word_by_replica.items()
             if is_present and replica.model == model and replica.adapter in ("", adapter)
         ]
-        return max(0.0, min(due)) if due else None
+        coming = [each for each in due if each > -OVERDUE_S]
+        return max(0.0, min(coming)) if coming else None
 
     def deny_replica(self, replica: Replica, now_s: float) -> None:
         """An endpoint has refused a request as it does not hold the replica."""
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -290,7 +290,6 @@
         wait_s = self._board.due_s(item.model, item.adapter, now_s)
         if wait_s is None:
             wait_s = ORDERING_S + self._load_s(item, engine, states, now_s)
-            wait_s -= now_s - item.arrived_s
         left_s = min(item.deadline_s, item.first_by_s) - now_s
         if max(0.0, wait_s) + LEAST_LEFT_S > left_s:
             return Refuse("the model is not ready in time", max(0.1, wait_s))
--- a/packages/kingcupdyke/kingcupdyke/forwarding/residencyplan.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/residencyplan.py
@@ -41,8 +41,11 @@
 ADAPTER_S = 0.03
 #: Seconds that an unload is expected to take.
 UNLOAD_S = 0.5
-#: Seconds of waiting that a unit of unloaded demand, in tokens a second, counts for.
-LOSS_S_PER_TOKEN = 0.002
+#: Seconds for which demand that an unload harms goes unserved.
+LOSS_S = 6.0
+#: Demand in tokens a second that the last replica of a model is worth beyond what is known, where
+#: another model is to have a further replica.
+LAST_TOKENS_PER_S = 500.0
 #: Adapters that may be on their way to one endpoint.
 ADAPTERS_COMING = 4
 
@@ -52,6 +55,9 @@
 
     order: Order
     expected_s: float
+    #: The model that an unload makes room for, and seconds until it is there.
+    successor: str
+    successor_s: float
 
 
 class _Choice(NamedTuple):
@@ -149,7 +155,7 @@
         self._plan = plan
         self._engine = engine
         self._now_s = now_s
-        self._seats = [each for each in seats if not each.entry.is_leaving]
+        self._seats = [each for each in seats if not each.entry.is_leaving and each.is_reachable]
         self._free = {each.entry.endpoint: each for each in self._seats if each.takes_orders}
         self._waiting: dict[tuple[str, str], int] = defaultdict(int)
         self._rate: dict[tuple[str, str], float] = defaultdict(float)
@@ -166,6 +172,8 @@
         for table in (self._waiting, self._rate, self._waiting_by_model, self._rate_by_model):
             table.default_factory = None
         self._orders: list[TimedOrder] = []
+        #: Replicas that this round unloads.
+        self._leaving: set[tuple[str, str]] = set()
 
     def run(self) -> list[TimedOrder]:
         """:return: the orders of this round"""
@@ -180,19 +188,33 @@
         return [
             seat
             for seat in self._seats
-            if model in seat.models_by_name and seat.leaving_model != model
+            if model in seat.models_by_name
+            and seat.leaving_model != model
+            and (seat.entry.endpoint, model) not in self._leaving
         ]
 
     def _is_coming(self, model: str) -> bool:
         return any(seat.coming_model == model for seat in self._seats)
 
-    def _issue(self, seat: Seat, kind: str, model: str, adapter: str, expected_s: float) -> None:
+    def _issue(
+        self,
+        seat: Seat,
+        kind: str,
+        model: str,
+        adapter: str,
+        expected_s: float,
+        successor: ModelSpec | None = None,
+    ) -> None:
+        if kind == OrderKind.UNLOAD:
+            self._leaving.add((seat.entry.endpoint, model))
         order = Order(self._plan.next_id(), seat.entry.endpoint, kind, model, adapter)
-        self._orders.append(TimedOrder(order, expected_s))
+        name = successor.name if successor is not None else ""
+        successor_s = expected_s + _load_s(seat, successor) if successor is not None else 0.0
+        self._orders.append(TimedOrder(order, expected_s, name, successor_s))
         self._free.pop(seat.entry.endpoint, None)
 
     def _place_adapters(self) -> None:
-        wanted = [key for key in self._rate.keys() | self._waiting.keys() if key[1]]
+        wanted = [key for key, count in self._waiting.items() if key[1] and count]
         wanted.sort(key=lambda key: (-self._waiting.get(key, 0), -self._rate.get(key, 0.0), key))
         for model, adapter in wanted:
             holders = self._holders(model)
@@ -284,13 +306,13 @@
         seats = [each for each in self._free.values() if each.entry.endpoint not in taken]
         if room:
             seats = [self._free[room]]
-        choices = [self._weigh(seat, spec) for seat in seats]
+        choices = [self._weigh(seat, spec, value) for seat in seats]
         allowed = [each for each in choices if each is not None and each.loss < value]
         if not allowed:
             return False
         best = min(allowed, key=lambda each: (each.cost, each.seat.entry.endpoint))
         if best.victims:
-            self._issue(best.seat, OrderKind.UNLOAD, best.victims[0], "", UNLOAD_S)
+            self._issue(best.seat, OrderKind.UNLOAD, best.victims[0], "", UNLOAD_S, spec)
             self._plan.keep_room(spec.name, best.seat.entry.endpoint, self._now_s)
             return True
         return self._order_load(best.seat, spec)
@@ -303,31 +325,39 @@
         self._plan.note_load(seat.entry.endpoint, spec.name, self._now_s)
         return True
 
-    def _weigh(self, seat: Seat, spec: ModelSpec) -> _Choice | None:
+    def _weigh(self, seat: Seat, spec: ModelSpec, value: float) -> _Choice | None:
         """:return: what a load costs at a seat, or None where no room can be made"""
         if spec.name in seat.models_by_name:
             return None
         free = self._free_bytes(seat)
         victims: list[str] = []
         loss = 0.0
-        kept = sorted(seat.models_by_name, key=lambda name: (self._loss(seat, name), name))
+        is_further = bool(self._holders(spec.name))
+        losses = {name: self._loss(seat, name, is_further) for name in seat.models_by_name}
+        kept = sorted(losses, key=lambda name: (losses[name], name))
         for name in kept:
             if free >= spec.weights_bytes:
                 break
             victims.append(name)
-            loss += self._loss(seat, name)
+            loss += losses[name]
             held = self._engine.models_by_name.get(name)
             free += held.weights_bytes if held is not None else self._engine.memory_bytes
         if free < spec.weights_bytes:
             return None
-        cost = _load_s(seat, spec) + UNLOAD_S * len(victims) + LOSS_S_PER_TOKEN * loss
+        delay_s = _load_s(seat, spec) + UNLOAD_S * len(victims)
+        cost = value * delay_s + loss * LOSS_S
         return _Choice(seat, tuple(victims), cost, loss)
 
-    def _loss(self, seat: Seat, model: str) -> float:
-        """:return: demand in tokens a second that an unload harms"""
+    def _loss(self, seat: Seat, model: str, is_further: bool) -> float:
+        """:return: demand in tokens a second that an unload harms
+
+        :param is_further: whether the room is for a further replica
+        """
         value = self._value(model)
         others = len(self._holders(model)) - 1
         if others <= 0:
+            if is_further:
+                value += LAST_TOKENS_PER_S
             recent = self._plan.is_recent(seat.entry.endpoint, model, self._now_s)
             return value * 2 if recent and value else value
         over = self._rate_by_model.get(model, 0.0) / others - self._busy_tokens_per_s
--- a/packages/kingcupdyke/kingcupdyke/forwarding/seat.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/seat.py
@@ -50,6 +50,8 @@
 
     def __init__(self, entry: EndpointEntry) -> None:
         self.entry = entry
+        #: Whether this gateway reaches it.
+        self.is_reachable = True
         #: Whether a report was read since this planner's term began or the engine started.
         self.is_known = False
         #: Orders that the engine has accepted since its start; reports say it.
