Test the decisions of a forwarding gateway without a network

The dispatcher's queue length ignored waiting requests of equal rank (seen red first: 'a queue longer than the deadline is said at once'); a rank now ends in arrival and id.

--- /dev/null
+++ b/packages/kingcupdyke/features/residencyplan.feature
@@ -0,0 +1,39 @@
+Feature: The planner holds what is asked for, within room and rates
+
+  Scenario Outline: <case>
+    Given residencyplan: engines "<engines>" of 200 GB with models of "<sizes>" GB
+    When residencyplan: "<demand>" is asked for
+    Then residencyplan: the orders are "<orders>"
+
+    Examples:
+      | case | engines | sizes | demand | orders |
+      | what nobody holds and somebody waits for is loaded where there is room | e1=m1+e2=m1,m2 | 90 90 90 | m3 1 0 | load m3 e1 |
+      | nothing is loaded for what is held | e1=m1 | 90 90 | m1 3 500 | |
+      | nothing is loaded twice at once | e1=m1+e2=m2 | 90 90 90 | m3 3 0 | load m3 e1 |
+      | a copy on disk goes before a fetch from the store | e1=m1+e2=m2/m3 | 90 90 90 | m3 1 0 | load m3 e2 |
+      | what nobody asks for makes way | e1=m1,m2 | 90 90 90 | m3 1 0; m1 0 800 | unload m2 e1 |
+      | a further replica makes way before the last one | e1=m1,m2+e2=m2,m4 | 90 90 90 90 | m3 1 0; m1 0 900; m2 0 100; m4 0 900 | unload m2 e1 |
+      | what is asked for more does not make way | e1=m1,m2 | 90 90 90 | m3 1 0; m1 0 9000; m2 0 9000 | |
+      | recent demand is enough to load with nobody waiting | e1=m1 | 90 90 | m2 0 400 | load m2 e1 |
+      | a trace of it is not | e1=m1 | 90 90 | m2 0 50 | |
+      | an overloaded model gets a further replica | e1=m1+e2=m2 | 90 90 | m1 0 20000 | load m1 e2 |
+      | not at the cost of what is asked for | e1=m1,m4+e2=m2,m3 | 90 90 90 90 | m1 0 9000; m2 0 6000; m3 0 6000; m4 0 6000 | |
+      | an adapter is loaded where its model is | e1=m1+e2=m2 | 90 90 | m1+a1 1 100 | load_adapter m1+a1 e1 |
+      | on the holder with fewest adapters | e1=m1:a1:a2+e2=m1:a1 | 90 | m1+a3 1 100 | load_adapter m1+a3 e2 |
+      | the idle adapter makes way | e1=m1:a1:a2 | 90 | m1+a3 1 100; m1+a1 0 900 | unload_adapter m1+a2 e1 |
+      | an adapter that nobody waits for is not loaded | e1=m1 | 90 | m1+a1 0 900 | |
+      | a leaving engine is given nothing, and what it holds does not count | e1=m1!leaving+e2=m2 | 90 90 | m1 1 0 | load m1 e2 |
+      | the same for one out of reach | e1=m1!unreachable+e2=m2 | 90 90 | m1 1 0 | load m1 e2 |
+      | one that carries out an order is given none | e1=m1!busy | 90 90 | m2 1 0 | |
+
+  Scenario: Two models that need room at once do not unload both replicas of a third
+    Given residencyplan: engines "e1=m1,m2+e2=m1,m3" of 200 GB with models of "90 90 90 90 90" GB
+    When residencyplan: "m4 1 0; m5 1 0; m1 0 900; m2 0 5000; m3 0 5000" is asked for
+    Then residencyplan: the orders are "unload m1 e1"
+
+  Scenario: Room that is being made is not given to another model
+    Given residencyplan: engines "e1=m1" of 100 GB with models of "90 90 90" GB
+    When residencyplan: "m2 1 0" is asked for
+    And residencyplan: the orders are carried out
+    And residencyplan: "m2 1 0; m3 3 900" is asked for
+    Then residencyplan: the orders are "load m2 e1"
--- /dev/null
+++ b/packages/kingcupdyke/features/steps/peerstate_steps.py
@@ -0,0 +1,49 @@
+"""
+peerstate_steps
+~~~~~~~~~~~~~~~
+
+Steps for the messages between gateways.
+"""
+
+from behave import then, when
+
+from kingcupdyke.forwarding.peerstate import (
+    Demand,
+    EndpointLoad,
+    GatewayState,
+    PeerTable,
+    Placement,
+)
+
+EMPTY = GatewayState("h", "i", 1, False, 1, (), (), 0, ())
+
+
+@then("peerstate: a full message is the same when read back")
+def check_round_trip(context):
+    state = EMPTY._replace(
+        loads=(EndpointLoad("e", 2, 100),),
+        demands=(Demand("m", "a", 3, 10.5),),
+        fence=4,
+        placements=(Placement("e", "m", "", True, 1.5),),
+    )
+    assert GatewayState.decode(state.encode()).ok == state
+
+
+@then('peerstate: "{value}" is refused')
+def check_refused(context, value):
+    assert GatewayState.decode(value.encode()).is_error(), value
+
+
+@when('peerstate: messages "{messages}" are heard')
+def hear(context, messages):
+    context.peers = PeerTable()
+    for message in messages.split(", "):
+        at_s, host, incarnation, number = message.split()
+        state = EMPTY._replace(host=host, incarnation=incarnation, number=int(number))
+        context.peers.hear(state, float(at_s))
+
+
+@then('peerstate: at second {at_s:g} the live peers are "{live}"')
+def check_live(context, at_s, live):
+    found = " ".join(f"{each.host}:{each.number}" for each in context.peers.live(at_s))
+    assert found == live, found
--- /dev/null
+++ b/packages/kingcupdyke/features/steps/residencyplan_steps.py
@@ -0,0 +1,82 @@
+"""
+residencyplan_steps
+~~~~~~~~~~~~~~~~~~~
+
+Steps for the plan of what engines hold.
+"""
+
+from behave import given, then, when
+from forwarding_builders import make_engine, make_entry, make_held
+
+from kingcupdyke.forwarding.endpoint import EndpointReport
+from kingcupdyke.forwarding.peerstate import Demand
+from kingcupdyke.forwarding.residencyplan import ResidencyPlan
+from kingcupdyke.forwarding.seat import Seat
+from kingcupdyke.placement import OrderKind
+
+TOKENS_PER_S = 20_000.0
+
+
+def make_seat(text):
+    """:return: a seat of a text such as ``e1=m1:a1,m2/m3!busy``, disk copies after the slash"""
+    name, _, held = text.partition("=")
+    held, _, mark = held.partition("!")
+    held, _, on_disk = held.partition("/")
+    models = make_held(held.replace(":", "+").replace(",", " "))
+    entry = make_entry(
+        name,
+        models=models,
+        is_leaving=mark == "leaving",
+        on_disk=frozenset(filter(None, [on_disk])),
+    )
+    seat = Seat(entry)
+    report = EndpointReport(models, mark == "busy", 0, 0, 0, (), frozenset(), frozenset())
+    seat.observe_report(report, 0.0)
+    seat.is_reachable = mark != "unreachable"
+    return seat
+
+
+@given('residencyplan: engines "{engines}" of {memory:d} GB with models of "{sizes}" GB')
+def make_seats(context, engines, memory, sizes):
+    context.engine = make_engine(tuple(int(each) for each in sizes.split()), memory_gb=memory)
+    context.seats = {}
+    for text in engines.replace("+e", " e").split():
+        seat = make_seat(text)
+        context.seats[seat.entry.endpoint] = seat
+    context.plan = ResidencyPlan("service")
+    context.now_s = 0.0
+
+
+@when('residencyplan: "{demand}" is asked for')
+def ask(context, demand):
+    demands = []
+    for text in demand.split("; "):
+        replica, waiting, rate = text.split()
+        model, _, adapter = replica.partition("+")
+        demands.append(Demand(model, adapter, int(waiting), float(rate)))
+    context.now_s += 1.0
+    seats = context.seats.values()
+    context.orders = context.plan.plan(context.engine, seats, demands, TOKENS_PER_S, context.now_s)
+
+
+@when("residencyplan: the orders are carried out")
+def carry_out(context):
+    for timed in context.orders:
+        order = timed.order
+        seat = context.seats[order.endpoint]
+        if order.kind == OrderKind.UNLOAD:
+            del seat.models_by_name[order.model]
+
+
+@then('residencyplan: the orders are "{orders}"')
+def check_orders(context, orders):
+    found = []
+    for each in (timed.order for timed in context.orders):
+        replica = f"{each.model}+{each.adapter}" if each.adapter else each.model
+        found.append(f"{each.kind} {replica} {each.endpoint}")
+    assert "; ".join(found) == orders, found
+
+
+@then('residencyplan: the orders are ""')
+def check_no_orders(context):
+    assert context.orders == [], context.orders
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -333,6 +333,7 @@
         return Wait("all endpoints are full")
 
 
-def _rank(item: WorkItem, now_s: float) -> tuple[int, bool, float]:
+def _rank(item: WorkItem, now_s: float) -> tuple[int, bool, float, float, str]:
     """:return: the key by which waiting requests are served, the least first"""
-    return item.priority, now_s > item.objective_s, item.objective_s
+    is_late = now_s > item.objective_s
+    return item.priority, is_late, item.objective_s, item.arrived_s, item.attempt_id
