--- /dev/null
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -0,0 +1,343 @@
+"""
+forwarder_rig
+~~~~~~~~~~~~~
+
+A forwarding gateway's front over real sockets, between raw clients and scripted endpoints.
+"""
+
+from contextlib import asynccontextmanager
+
+from anyio import (
+    BrokenResourceError,
+    ClosedResourceError,
+    EndOfStream,
+    connect_tcp,
+    create_task_group,
+    create_tcp_listener,
+    current_time,
+    fail_after,
+    sleep,
+)
+from anyio.abc import SocketAttribute
+
+from kingcupdyke.forwarding.board import EndpointBoard
+from kingcupdyke.forwarding.configuration import (
+    ClientLimits,
+    Configuration,
+    Route,
+    RouteKind,
+    ServiceSpec,
+    WeightedService,
+)
+from kingcupdyke.forwarding.dispatcher import Dispatcher
+from kingcupdyke.forwarding.endpoint import EndpointEntry
+from kingcupdyke.forwarding.repeats import RepeatBudget
+from kingcupdyke.forwarding.terms import AnswerTerms, RequestTerms
+from kingcupdyke_daemon.forwarder.dialect import Dialect
+from kingcupdyke_daemon.forwarder.exchange import ExchangeHandler, ForwarderParts
+from kingcupdyke_daemon.forwarder.front import ClientServer
+from kingcupdyke_daemon.forwarder.pool import ConnectionPool
+from kingcupdyke_daemon.forwarder.queue import WaitingQueue
+from kingcupdyke_daemon.forwarder.settings import SocketAddress
+from kingcupdyke_daemon.timer import LoopTimer
+
+__all__ = ["ForwarderRig", "ScriptedEndpoint", "open_rig"]
+
+GONE = (BrokenResourceError, ClosedResourceError, EndOfStream, OSError)
+ROUTES = {
+    "/safe/": RouteKind.IDEMPOTENT,
+    "/once/": RouteKind.NON_IDEMPOTENT,
+    "/stream/": RouteKind.STREAMING,
+    "/resume/": RouteKind.STREAMING,
+}
+
+
+class PlainDialect(Dialect):
+    """Headers x-id, x-limit-s, x-mark, x-not-run and x-endpoint; the rest is not needed here."""
+
+    def read_request(self, headers):
+        values = dict(headers)
+        limit = values.get(b"x-limit-s")
+        patience_s = float(limit) if limit else None
+        return RequestTerms(values.get(b"x-id", b"").decode(), patience_s, "", "", 0, 0, ())
+
+    def write_request(self, headers, terms):
+        dropped = (b"connection", b"content-length", b"transfer-encoding", b"x-endpoint")
+        kept = [each for each in headers if each[0] not in dropped]
+        return [*kept, (b"x-endpoint", terms.endpoint.encode())]
+
+    def read_answer(self, headers):
+        values = dict(headers)
+        return AnswerTerms(
+            values.get(b"x-id", b"").decode(),
+            b"x-not-run" in values,
+            b"x-mark" in values,
+            values.get(b"x-endpoint", b"").decode(),
+            None,
+        )
+
+    def write_refusal(self, attempt_id, retry_after_s):
+        return [] if retry_after_s is None else [(b"retry-after", str(retry_after_s).encode())]
+
+    def expect_endpoint(self, endpoint):
+        return {}
+
+    def decode_configuration(self, value):
+        raise NotImplementedError
+
+    def decode_endpoint(self, endpoint, value):
+        raise NotImplementedError
+
+    def decode_report(self, value):
+        raise NotImplementedError
+
+    def encode_order(self, order, expected, holder, fence):
+        raise NotImplementedError
+
+    def read_order_reply(self, status):
+        raise NotImplementedError
+
+
+class ScriptedEndpoint:
+    """An endpoint that does what its script says, one word a request, the last word for ever."""
+
+    def __init__(self, name, script):
+        self.name = name
+        self.script = script.split()
+        #: Requests as they came: head and body.
+        self.requests = []
+        self.connections = 0
+        #: Times at which connections were closed by the gateway while a request was under way.
+        self.left_s = []
+        self.address = ("127.0.0.1", 1)
+
+    async def serve(self, listener):
+        await listener.serve(self.handle)
+
+    async def handle(self, stream):
+        self.connections += 1
+        async with stream:
+            try:
+                data = b""
+                while True:
+                    head, body, data = await self.read(stream, data)
+                    self.requests.append((head, body))
+                    word = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+                    if not await getattr(self, f"do_{word}")(stream, find(head, "x-id")):
+                        return
+            except GONE:
+                pass
+
+    async def read(self, stream, data):
+        while b"\r\n\r\n" not in data:
+            data += await stream.receive()
+        head, _, data = data.partition(b"\r\n\r\n")
+        length = int(find(head.decode(), "content-length") or 0)
+        while len(data) < length:
+            data += await stream.receive()
+        return head.decode(), data[:length], data[length:]
+
+    async def answer(
+        self, stream, attempt_id, status=200, body=b"hello", extra="", mark="x-mark: m"
+    ):
+        head = f"HTTP/1.1 {status} X\r\nx-id: {attempt_id}\r\n{mark}\r\n{extra}"
+        head = head.replace("\r\n\r\n", "\r\n")
+        await stream.send(f"{head}content-length: {len(body)}\r\n\r\n".encode() + body)
+
+    async def do_ok(self, stream, attempt_id):
+        await self.answer(stream, attempt_id, body=self.name.encode())
+        return True
+
+    async def do_fail(self, stream, attempt_id):
+        await self.answer(stream, attempt_id, 500, b"failed")
+        return True
+
+    async def do_notrun(self, stream, attempt_id):
+        await self.answer(stream, attempt_id, 503, b"full", "x-not-run: 1\r\n", "x-a: b")
+        return True
+
+    async def do_misdirected(self, stream, attempt_id):
+        extra = "x-not-run: 1\r\nx-endpoint: another\r\n"
+        await self.answer(stream, attempt_id, 421, b"", extra, "x-a: b")
+        return True
+
+    async def do_unmarked(self, stream, attempt_id):
+        await self.answer(stream, attempt_id, mark="x-a: b")
+        return True
+
+    async def do_crossed(self, stream, attempt_id):
+        await self.answer(stream, "another")
+        return False
+
+    async def do_stray(self, stream, attempt_id):
+        await self.answer(stream, "another", body=b"stray")
+        await self.answer(stream, attempt_id, body=b"own")
+        return True
+
+    async def do_twice(self, stream, attempt_id):
+        await self.answer(stream, attempt_id, body=b"first")
+        await sleep(0.02)
+        await self.answer(stream, attempt_id, body=b"again")
+        return True
+
+    async def do_cut(self, stream, attempt_id):
+        head = f"HTTP/1.1 200 X\r\nx-id: {attempt_id}\r\nx-mark: m\r\ncontent-length: 50\r\n\r\n"
+        await stream.send(head.encode() + b"only a part")
+        await sleep(0.02)
+        return False
+
+    async def do_unframed(self, stream, attempt_id):
+        head = f"HTTP/1.1 200 X\r\nx-id: {attempt_id}\r\nx-mark: m\r\n\r\n"
+        await stream.send(head.encode() + b"until the end")
+        return False
+
+    async def do_garbage(self, stream, attempt_id):
+        await stream.send(b"\x00\x01 this is no answer\r\n\r\n")
+        return False
+
+    async def do_close(self, stream, attempt_id):
+        return False
+
+    async def do_hang(self, stream, attempt_id):
+        try:
+            await stream.receive()
+        except GONE:
+            self.left_s.append(current_time())
+        return False
+
+    async def do_events(self, stream, attempt_id, first=1, last=4, cut=False):
+        head = f"HTTP/1.1 200 X\r\nx-id: {attempt_id}\r\nx-mark: m\r\n"
+        await stream.send(f"{head}transfer-encoding: chunked\r\n\r\n".encode())
+        for number in range(first, last + 1):
+            event = f"id: {number}\ndata: {self.name}\n\n".encode()
+            await stream.send(b"%x\r\n%s\r\n" % (len(event), event))
+            await sleep(0.01)
+        if cut:
+            await stream.send(b"8\r\nid: 9\nda\r\n")
+            await sleep(0.01)
+            return False
+        await stream.send(b"0\r\n\r\n")
+        return True
+
+    async def do_cutevents(self, stream, attempt_id):
+        return await self.do_events(stream, attempt_id, last=2, cut=True)
+
+    async def do_rest(self, stream, attempt_id):
+        last_id = int(find(self.requests[-1][0], "last-event-id") or 0)
+        return await self.do_events(stream, attempt_id, first=last_id + 1)
+
+
+def find(head, name):
+    """:return: the value of a header field, or the empty string"""
+    for line in head.split("\r\n")[1:]:
+        key, _, value = line.partition(":")
+        if key.lower() == name:
+            return value.strip()
+    return ""
+
+
+class ForwarderRig:
+    """A front, its parts and its endpoints."""
+
+    def __init__(self, tasks, endpoints, allowance=100.0):
+        timer = LoopTimer(tasks)
+        self.board = EndpointBoard()
+        self.dispatcher = Dispatcher(self.board, "n1", {"n1": "north"})
+        queue = WaitingQueue(self.dispatcher, timer)
+        self.pool = ConnectionPool(PlainDialect(), timer)
+        budget = RepeatBudget(0.2, allowance, 10.0)
+        parts = ForwarderParts(
+            PlainDialect(), self.dispatcher, self.board, queue, self.pool, budget, timer
+        )
+        self.handler = ExchangeHandler(parts)
+        self.limits = ClientLimits(2000, 10_000, 0.3, 0.6)
+        self.handler.configuration = self.make_configuration(1)
+        self.server = ClientServer(self.handler, lambda: self.limits, timer.now)
+        self.endpoints = endpoints
+        self.address = SocketAddress("127.0.0.1", 0)
+        timer.subscribe("queue", 0.01, queue.poll)
+
+    def make_configuration(self, version, timeout_s=1.0):
+        routes = tuple(
+            Route(
+                name=prefix.strip("/"),
+                host="a.example",
+                path_prefix=prefix,
+                kind=kind,
+                services=(WeightedService("service", 1.0),),
+                timeout_s=timeout_s,
+                objective_s=0.5,
+                gap_target_s=0.2,
+                priority=1,
+                max_attempts=2,
+                is_resumable=prefix == "/resume/",
+            )
+            for prefix, kind in ROUTES.items()
+        )
+        return Configuration(version, routes, (ServiceSpec("service", "/", 10, None),), self.limits)
+
+    def list_endpoint(self, endpoint):
+        self.board.put(
+            EndpointEntry(
+                endpoint=endpoint.name,
+                service="service",
+                address=endpoint.address,
+                data_centre="n1",
+                slots=4,
+                is_leaving=False,
+                remaining_s=None,
+                heartbeat=1,
+                born_ms=1,
+                models=(),
+                in_memory=frozenset(),
+                on_disk=frozenset(),
+            )
+        )
+
+    async def send(self, data):
+        """:return: a connection on which bytes were sent"""
+        stream = await connect_tcp(*self.address)
+        await stream.send(data)
+        return stream
+
+    async def ask(self, data, limit_s=3.0):
+        """:return: all that comes on a connection on which bytes were sent"""
+        stream = await self.send(data)
+        return await self.read_all(stream, limit_s)
+
+    async def read_all(self, stream, limit_s=3.0):
+        """:return: all that comes on a connection until it ends; ``!`` marks a reset"""
+        found = b""
+        with fail_after(limit_s):
+            try:
+                while True:
+                    found += await stream.receive()
+            except EndOfStream:
+                pass
+            except (BrokenResourceError, ClosedResourceError):
+                found += b"!"
+        await stream.aclose()
+        return found
+
+
+@asynccontextmanager
+async def open_rig(scripts, allowance=100.0):
+    """Serve while the context is open.
+
+    :param scripts: a script for each endpoint, e1, e2 ... in order; ``down`` listens nowhere
+    """
+    endpoints = [ScriptedEndpoint(f"e{n}", each) for n, each in enumerate(scripts, 1)]
+    async with create_task_group() as tasks:
+        rig = ForwarderRig(tasks, endpoints, allowance)
+        for endpoint in endpoints:
+            if endpoint.script != ["down"]:
+                listener = (await create_tcp_listener(local_host="127.0.0.1")).listeners[0]
+                endpoint.address = listener.extra(SocketAttribute.local_address)
+                tasks.start_soon(endpoint.serve, listener)
+            rig.list_endpoint(endpoint)
+        front = await rig.server.listen(SocketAddress("127.0.0.1", 0))
+        rig.address = front.extra(SocketAttribute.local_address)
+        tasks.start_soon(rig.server.serve, front, tasks)
+        yield rig
+        await rig.pool.aclose()
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/packages/kingcupdyke-daemon/features/steps/forwarder_steps.py
@@ -0,0 +1,309 @@
+"""
+forwarder_steps
+~~~~~~~~~~~~~~~
+
+Steps for the front of a forwarding gateway.
+"""
+
+import re
+
+from anyio import create_task_group, current_time, run, sleep
+from behave import then, when
+from forwarder_rig import open_rig
+
+TAIL = "HTTP/1.1\r\nhost: a.example\r\nx-id: {id}\r\nconnection: close\r\n\r\n"
+EVENT_ID = re.compile(rb"id: (\d+)")
+
+
+def write_request(line, attempt_id="r1", is_last=True):
+    text = f"{line} {TAIL}".replace("{id}", attempt_id)
+    return (text if is_last else text.replace("connection: close\r\n", "")).encode()
+
+
+def describe(answer):
+    """:return: status and body, or ``cut`` where the answer is not whole"""
+    head, _, body = answer.partition(b"\r\n\r\n")
+    if not answer:
+        return "closed"
+    status = head.split()[1].decode()
+    if b"transfer-encoding: chunked" in head.lower():
+        if not body.endswith(b"0\r\n\r\n"):
+            return "cut"
+        ids = b",".join(EVENT_ID.findall(body)).decode()
+        if ids:
+            return f"{status} events {ids}"
+        text = b"".join(body.split(b"\r\n")[1::2]).decode()
+        return f"{status} {text}"
+    length = int(re.search(rb"content-length: (\d+)", head.lower()).group(1))
+    if len(body) != length:
+        return "cut"
+    is_own = b'"error"' in body
+    return status if is_own else f"{status} {body.decode()}"
+
+
+def ask(context, data, scripts, prepare=lambda rig: None):
+    async def job():
+        async with open_rig(scripts) as rig:
+            prepare(rig)
+            context.raw = await rig.ask(data)
+            context.endpoints = rig.endpoints
+
+    run(job)
+
+
+@when('forwarder: "{request}" goes to endpoints with the scripts "{scripts}"')
+def send_request(context, request, scripts):
+    ask(context, write_request(request), scripts.split("; "))
+
+
+@then('forwarder: the answer is "{answer}"')
+def check_answer(context, answer):
+    assert describe(context.raw) == answer, context.raw
+
+
+@then('forwarder: the endpoints were asked "{counts}" times')
+def check_asked(context, counts):
+    found = " ".join(str(len(each.requests)) for each in context.endpoints)
+    assert found == counts, found
+
+
+@when(
+    "forwarder: {count:d} repeatable requests fail at two endpoints with a budget of {budget:d} "
+    "repeats"
+)
+def fail_often(context, count, budget):
+    async def job():
+        async with open_rig(["fail", "fail"], allowance=budget) as rig:
+            for number in range(count):
+                await rig.ask(write_request("GET /safe/1", f"r{number}"))
+            context.endpoints = rig.endpoints
+
+    run(job)
+
+
+@then("forwarder: the endpoints were asked at most {most:d} times in all")
+def check_total(context, most):
+    total = sum(len(each.requests) for each in context.endpoints)
+    assert 20 < total <= most, total
+
+
+def forget_configuration(rig):
+    rig.handler.configuration = None
+
+
+def doubt_routes(rig):
+    rig.handler.is_confirmed = False
+
+
+def refuse_all(rig):
+    rig.handler.is_refusing = True
+
+
+SITUATIONS = {
+    "no configuration is known": ("GET /safe/1", forget_configuration),
+    "the routes may have changed and none fits": ("GET /none/1", doubt_routes),
+    "the gateway refuses as it is stopping": ("GET /safe/1", refuse_all),
+}
+
+
+@when("forwarder: a request comes while {situation}")
+def ask_in_situation(context, situation):
+    line, prepare = SITUATIONS[situation]
+    ask(context, write_request(line), ["ok"], prepare)
+
+
+@then("forwarder: it says when to come back")
+def check_retry_after(context):
+    assert b"retry-after: " in context.raw.lower(), context.raw
+
+
+@when("forwarder: a client leaves while the endpoint works")
+def leave_during_work(context):
+    async def job():
+        async with open_rig(["hang"]) as rig:
+            stream = await rig.send(write_request("GET /safe/1"))
+            await sleep(0.1)
+            assert len(rig.endpoints[0].requests) == 1
+            context.left_s = current_time()
+            await stream.aclose()
+            await sleep(0.25)
+            context.endpoints = rig.endpoints
+            context.loads = rig.dispatcher.list_loads()
+
+    run(job)
+
+
+@then("forwarder: the endpoint's connection is closed within {limit:g} s")
+def check_closed(context, limit):
+    (closed_s,) = context.endpoints[0].left_s
+    assert closed_s - context.left_s <= limit, closed_s - context.left_s
+
+
+@then("forwarder: nothing counts as under way")
+def check_idle(context):
+    assert context.loads == (), context.loads
+
+
+@when("forwarder: a client leaves while its request waits for a place")
+def leave_while_waiting(context):
+    async def job():
+        async with open_rig(["hang hang hang hang ok"]) as rig:
+            busy = [await rig.send(write_request("GET /safe/1", f"b{n}")) for n in range(4)]
+            await sleep(0.1)
+            waiting = await rig.send(write_request("GET /safe/1", "late"))
+            await sleep(0.05)
+            assert rig.dispatcher.waiting == 1
+            await waiting.aclose()
+            for each in busy:
+                await each.aclose()
+            await sleep(0.2)
+            context.endpoints = rig.endpoints
+            context.loads = rig.dispatcher.list_loads()
+
+    run(job)
+
+
+@then("forwarder: its request never reaches the endpoint")
+def check_never_sent(context):
+    assert len(context.endpoints[0].requests) == 4, context.endpoints[0].requests
+
+
+@when('forwarder: the bytes "{text}" come')
+def send_bytes(context, text):
+    text = text.replace("\\r", "\r").replace("\\n", "\n")
+    text = re.sub(r"\{(\d+)\}", lambda match: "x" * int(match[1]), text)
+    ask(context, text.encode(), ["ok"])
+
+
+@when("forwarder: a body holds a second request")
+def smuggle(context):
+    context.body = b"GET /safe/2 HTTP/1.1\r\nhost: a.example\r\nx-id: r2\r\n\r\n"
+    head = write_request("POST /safe/1").replace(
+        b"\r\n\r\n", b"\r\ncontent-length: %d\r\n\r\n" % len(context.body)
+    )
+    ask(context, head + context.body, ["ok"])
+
+
+@then("forwarder: the endpoint gets one request with that body")
+def check_smuggled(context):
+    ((_, body),) = context.endpoints[0].requests
+    assert body == context.body
+    assert describe(context.raw) == "200 e1"
+
+
+@when("forwarder: three requests are sent at once on one connection")
+def send_ahead(context):
+    lines = [("GET /safe/1", "r1"), ("GET /safe/2", "r2"), ("GET /safe/3", "r3")]
+    data = b"".join(write_request(line, name, name == "r3") for line, name in lines)
+    ask(context, data, ["ok"])
+
+
+@then("forwarder: three answers come in their order")
+def check_ahead(context):
+    assert re.findall(rb"x-id: (\w+)", context.raw) == [b"r1", b"r2", b"r3"], context.raw
+
+
+@when("forwarder: a body comes in chunks")
+def send_chunks(context):
+    head = write_request("POST /safe/1").replace(
+        b"\r\n\r\n", b"\r\ntransfer-encoding: chunked\r\n\r\n"
+    )
+    ask(context, head + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n", ["ok"])
+
+
+@then("forwarder: the endpoint gets the whole body")
+def check_body(context):
+    ((_, body),) = context.endpoints[0].requests
+    assert body == b"abcde", body
+
+
+@when("forwarder: half a head comes")
+def send_half(context):
+    async def job():
+        async with open_rig(["ok"]) as rig:
+            began_s = current_time()
+            context.raw = await rig.ask(b"GET /safe/1 HTTP/1.1\r\nhost: a")
+            context.seconds = current_time() - began_s
+
+    run(job)
+
+
+@then("forwarder: the connection is closed within {limit:g} s")
+def check_seconds(context, limit):
+    assert context.seconds <= limit, context.seconds
+
+
+@when("forwarder: a connection is used twice {pause:g} s apart")
+def use_twice(context, pause):
+    async def job():
+        async with open_rig(["ok"]) as rig:
+            stream = await rig.send(write_request("GET /safe/1", "r1", False))
+            context.first = await stream.receive()
+            await sleep(pause)
+            await stream.send(write_request("GET /safe/1", "r2", False))
+            context.second = await stream.receive()
+            began_s = current_time()
+            await rig.read_all(stream)
+            context.seconds = current_time() - began_s
+
+    run(job)
+
+
+@then("forwarder: both requests are answered")
+def check_both(context):
+    assert b"x-id: r1" in context.first
+    assert b"x-id: r2" in context.second
+
+
+@then("forwarder: the connection is closed within {limit:g} s after that")
+def check_idle_end(context, limit):
+    assert 0.3 <= context.seconds <= limit, context.seconds
+
+
+@when("forwarder: {count:d} requests come one after the other")
+def send_many(context, count):
+    async def job():
+        async with open_rig(["ok"]) as rig:
+            for number in range(count):
+                await rig.ask(write_request("POST /once/1", f"r{number}"))
+            context.endpoints = rig.endpoints
+
+    run(job)
+
+
+@then("forwarder: the endpoint saw one connection")
+def check_connections(context):
+    assert context.endpoints[0].connections == 1, context.endpoints[0].connections
+
+
+@when("forwarder: an endpoint answers twice and gets a second request")
+def answer_twice(context):
+    async def job():
+        async with open_rig(["twice ok"]) as rig:
+            context.first = await rig.ask(write_request("GET /safe/1", "r1"))
+            await sleep(0.05)
+            context.second = await rig.ask(write_request("GET /safe/1", "r2"))
+
+    run(job)
+
+
+@then("forwarder: each request got its own answer")
+def check_own(context):
+    assert describe(context.first) == "200 first"
+    assert describe(context.second) == "200 e1"
+
+
+@when("forwarder: the process ends while an endpoint works")
+def end_during_work(context):
+    async def job():
+        async with open_rig(["hang"]) as rig:
+
+            async def ask_one():
+                context.raw = await rig.ask(write_request("POST /once/1"))
+
+            async with create_task_group() as tasks:
+                tasks.start_soon(ask_one)
+                await sleep(0.1)
+                rig.handler.end_all()
+
+    run(job)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
@@ -10,12 +10,12 @@
 from typing import NamedTuple
 from uuid import uuid4
 
-from anyio import CancelScope, create_task_group, move_on_at
+from anyio import CancelScope, create_task_group, get_cancelled_exc_class, move_on_after
 from h11 import Response
 
 from kingcupdyke.forwarding.board import EndpointBoard
 from kingcupdyke.forwarding.configuration import Configuration, Route, RouteKind
-from kingcupdyke.forwarding.dispatcher import Dispatcher, Refuse, WorkItem
+from kingcupdyke.forwarding.dispatcher import STOPPING_RETRY_S, Dispatcher, Refuse, WorkItem
 from kingcupdyke.forwarding.endpoint import Replica
 from kingcupdyke.forwarding.repeats import RepeatBudget
 from kingcupdyke.forwarding.terms import AnswerTerms, RequestTerms, SendTerms
@@ -37,8 +37,8 @@
 )
 #: Seconds after which a caller is asked to come back where nothing better is known.
 RETRY_AFTER_S = 0.5
-#: Seconds after which a caller comes back from a gateway that is stopping, to another one.
-STOPPING_RETRY_S = 0.01
+#: Seconds for writing a final answer of the gateway's own.
+LAST_WORDS_S = 1.0
 #: Largest answer of an endpoint that is kept back while another endpoint is tried.
 MOST_KEPT_BYTES = 65_536
 STATUS_UNAVAILABLE = 503
@@ -124,6 +124,7 @@
         self.gateways = 1
         #: Whether the process ends too soon for further requests.
         self.is_refusing = False
+        self._scopes: set[CancelScope] = set()
 
     async def handle(self, request: ClientRequest, reply: Reply) -> None:
         configuration = self.configuration
@@ -143,7 +144,19 @@
             await reply.refuse(STATUS_NOT_FOUND, "no route", headers)
             return
         version = configuration.version
-        await _Exchange(self._parts, self.gateways, version, route, request, terms, reply).run()
+        exchange = _Exchange(self._parts, self.gateways, version, route, request, terms, reply)
+        with exchange.scope:
+            self._scopes.add(exchange.scope)
+            try:
+                await exchange.run()
+            finally:
+                self._scopes.discard(exchange.scope)
+        await exchange.finish()
+
+    def end_all(self) -> None:
+        """Give what is under way its final answer, as the process ends."""
+        for scope in self._scopes:
+            scope.cancel()
 
     async def _refuse(
         self, reply: Reply, terms: RequestTerms, reason: str, retry_after_s: float
@@ -188,6 +201,9 @@
             first_by_s=request.arrived_s + route.first_patience_s,
             deadline_s=self._deadline_s,
         )
+        #: Ends the attempts at the deadline, or when the process ends.
+        self.scope = CancelScope(deadline=self._deadline_s)
+        self._is_given_up = False
         self._excluded: set[str] = set()
         #: Endpoints at which the request ran or may have run, without the present one.
         self._runs = 0
@@ -207,17 +223,20 @@
         return self._route.is_repeatable or self._route.is_resumable
 
     async def run(self) -> None:
-        """Answer the request, at the latest at its deadline."""
+        """Try endpoints until one answers; the scope ends it at the request's deadline."""
         self._parts.budget.count_request(self._item.service, self._parts.timer.now())
-        outcome = "left"
         try:
-            with move_on_at(self._deadline_s) as scope:
-                await self._run_attempts()
-            if scope.cancelled_caught and not self._reply.is_whole:
-                await self._give_up("the deadline passed")
-            outcome = "answered" if self._reply.is_whole else "cut"
-        finally:
-            self._log(outcome)
+            await self._run_attempts()
+        except get_cancelled_exc_class():
+            if not self.scope.cancel_called:
+                self._log("left")
+            raise
+
+    async def finish(self) -> None:
+        """Send the final answer where none was sent, and log how the request ended."""
+        if not self._reply.is_whole and not self._is_given_up:
+            await self._give_up("the deadline passed")
+        self._log("answered" if self._reply.is_whole else "cut")
 
     def _log(self, outcome: str) -> None:
         arrived_s = self._request.arrived_s
@@ -253,6 +272,8 @@
                 return
             self._excluded.add(decision.endpoint)
             self._is_in_flight = False
+            if self._events is not None:
+                self._events.drop_partial()
             if end not in (_End.NOT_RUN, _End.NOT_SENT):
                 self._runs += 1
             if not self._may_try_again(end):
@@ -272,8 +293,14 @@
 
     async def _give_up(self, reason: str, retry_after_s: float = RETRY_AFTER_S) -> None:
         """Send the final answer of a request that no endpoint answers."""
-        reply = self._reply
+        self._is_given_up = True
         self._reason = reason
+        # The deadline must not cut a refusal off.
+        with move_on_after(LAST_WORDS_S, shield=True):
+            await self._refuse(reason, retry_after_s)
+
+    async def _refuse(self, reason: str, retry_after_s: float) -> None:
+        reply = self._reply
         if reply.has_begun:
             return
         if self._kept is not None:
@@ -293,7 +320,9 @@
 
     async def _try_endpoint(self, endpoint: str) -> _End:
         parts = self._parts
-        state = parts.board.state_by_id[endpoint]
+        state = parts.board.state_by_id.get(endpoint)
+        if state is None:
+            return _End.NOT_SENT
         address = state.entry.address
         self._unread_tokens = state.unread_tokens
         sent_s = parts.timer.now()
@@ -363,6 +392,9 @@
             return _End.UNKNOWN if not self._reply.has_begun else _End.BROKEN, False
         if head.status_code >= STATUS_FAILURE:
             return await self._keep_failure(connection, endpoint, head)
+        if self._reply.has_begun and head.status_code != self._status:
+            self._reason = f"endpoint {endpoint}: status {head.status_code} on resuming"
+            return _End.BROKEN, False
         end = await self._relay(connection, endpoint, head, sent_s)
         parts.board.note_success(endpoint)
         return end, True
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -45,8 +45,12 @@
 TAKE_S = 2.6
 #: Seconds for which they are refused after that, before the process may end.
 REFUSE_S = 0.6
-#: Part of the grace after which what still runs is left to its fate.
-GRACE_SHARE = 0.93
+#: Parts of the grace after which nothing more is sent to endpoints, and after which what still
+#: runs gets its final answer or is cut.
+SEND_SHARE = 0.55
+GRACE_SHARE = 0.9
+#: Seconds for writing those final answers.
+LAST_ANSWERS_S = 0.15
 #: Seconds for giving the lease back.
 FAREWELL_S = 0.5
 
@@ -167,6 +171,7 @@
         _LOGGER.warning("stopping")
         began_s = self._timer.now()
         self._is_stopping = True
+        self._dispatcher.send_by_s = began_s + self._settings.grace_s * SEND_SHARE
         self._ready.is_ready = False
         self._front_server.is_stopping = True
         self._peers.changed.set()
@@ -181,6 +186,9 @@
         await self._front_server.close_idle()
         while self._front_server.busy and self._timer.now() < end_s:
             await sleep(QUEUE_PERIOD_S)
+        if self._front_server.busy:
+            self._exchanges.end_all()
+            await sleep(LAST_ANSWERS_S)
         _LOGGER.warning("stopped with %d requests under way", self._front_server.busy)
 
     def _make_placer(self, store: StoreClient) -> Placer:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/queue.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/queue.py
@@ -36,13 +36,18 @@
             return decision
         self.demand_changed.set()
         event = self._event_by_attempt[attempt_id] = Event()
+        decision = None
         try:
             await event.wait()
-            return self._decision_by_attempt[attempt_id]
+            decision = self._decision_by_attempt[attempt_id]
+            return decision
         finally:
             self._dispatcher.withdraw(attempt_id)
             self._event_by_attempt.pop(attempt_id, None)
-            self._decision_by_attempt.pop(attempt_id, None)
+            granted = self._decision_by_attempt.pop(attempt_id, None)
+            if decision is None and isinstance(granted, Send):
+                # The client left at the moment at which a place became free.
+                self._dispatcher.cancel(attempt_id, granted.endpoint)
 
     def poll(self, now_s: float) -> None:
         """Wake the requests that the dispatcher has decided on."""
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -5,6 +5,7 @@
 Decides for each request whether it is sent, where, whether it waits, or is refused.
 """
 
+from math import inf
 from typing import NamedTuple
 
 from kingcupdyke.forwarding.board import TOKENS_PER_S, EndpointBoard, EndpointState
@@ -13,7 +14,7 @@
 from kingcupdyke.forwarding.peerstate import Demand, EndpointLoad
 from kingcupdyke.forwarding.terms import PromptPart
 
-__all__ = ["Decision", "Dispatcher", "Refuse", "Send", "Wait", "WorkItem"]
+__all__ = ["STOPPING_RETRY_S", "Decision", "Dispatcher", "Refuse", "Send", "Wait", "WorkItem"]
 
 #: Seconds of unread prompts up to which an engine gets more: enough to keep it busy, and little
 #: enough that an urgent request does not wait long behind others.
@@ -29,6 +30,8 @@
 FAILING_S = 2.0
 #: Seconds after which a refused caller is asked to come back where nothing better is known.
 RETRY_AFTER_S = 0.5
+#: Seconds after which a caller comes back from a gateway that is stopping, to another one.
+STOPPING_RETRY_S = 0.01
 #: Least seconds left of a deadline for which a request is still sent.
 LEAST_LEFT_S = 0.03
 #: Seconds that a request of a plain service is taken to last until one has ended.
@@ -118,6 +121,8 @@
         self._data_centre = data_centre
         self._region_by_data_centre = region_by_data_centre
         self._service_by_name: dict[str, ServiceSpec] = {}
+        #: Time by which requests must be sent, as the process ends soon after.
+        self.send_by_s = inf
         self._waiting_by_id: dict[str, tuple[WorkItem, frozenset[str]]] = {}
         self._meter_by_model: dict[tuple[str, str], _Meter] = {}
         self._service_s_by_name: dict[str, float] = {}
@@ -180,14 +185,18 @@
             state.tokens_by_attempt[attempt_id] = 0
             state.learn_speed(tokens, seconds)
 
+    def cancel(self, attempt_id: str, endpoint: str) -> None:
+        """A request that was to be sent to an endpoint is not under way there any more."""
+        state = self._board.state_by_id.get(endpoint)
+        if state is not None:
+            state.tokens_by_attempt.pop(attempt_id, None)
+
     def ended(self, attempt_id: str, endpoint: str, service: str, seconds: float) -> None:
         """A request has left its endpoint.
 
         :param seconds: since it was sent
         """
-        state = self._board.state_by_id.get(endpoint)
-        if state is not None:
-            state.tokens_by_attempt.pop(attempt_id, None)
+        self.cancel(attempt_id, endpoint)
         known_s = self._service_s_by_name.get(service, seconds)
         self._service_s_by_name[service] = known_s + LEARN_WEIGHT * (seconds - known_s)
 
@@ -226,7 +235,9 @@
         state.remember_parts(item.model, item.parts)
 
     def _decide(self, item: WorkItem, excluded: frozenset[str], now_s: float) -> Decision:
-        if min(item.deadline_s, item.first_by_s) - now_s < LEAST_LEFT_S:
+        if now_s >= self.send_by_s:
+            return Refuse("this gateway is stopping", STOPPING_RETRY_S)
+        if self._limit_s(item) - now_s < LEAST_LEFT_S:
             return Refuse("the deadline has passed", RETRY_AFTER_S)
         ready = self._board.list_ready(item.service)
         if not ready:
@@ -250,6 +261,10 @@
             return Send(best.entry.endpoint)
         return self._await_room(item, reachable, now_s)
 
+    def _limit_s(self, item: WorkItem) -> float:
+        """:return: the time by which a request must have been sent, or it is refused"""
+        return min(item.deadline_s, item.first_by_s, self.send_by_s)
+
     def _holds(self, state: EndpointState, item: WorkItem, now_s: float) -> bool:
         endpoint = state.entry.endpoint
         if not self._board.has_replica(Replica(endpoint, item.model), now_s):
@@ -290,7 +305,7 @@
         wait_s = self._board.due_s(item.model, item.adapter, now_s)
         if wait_s is None:
             wait_s = ORDERING_S + self._load_s(item, engine, states, now_s)
-        left_s = min(item.deadline_s, item.first_by_s) - now_s
+        left_s = self._limit_s(item) - now_s
         if max(0.0, wait_s) + LEAST_LEFT_S > left_s:
             return Refuse("the model is not ready in time", max(0.1, wait_s))
         return Wait("no replica of the model yet")
@@ -328,7 +343,7 @@
             mean_s = self._service_s_by_name.get(item.service, MEAN_S)
             slots = sum(max(1, each.entry.slots) for each in states)
             wait_s = mean_s * (len(before) + 1) / slots
-        if now_s + wait_s > min(item.deadline_s, item.first_by_s):
+        if now_s + wait_s > self._limit_s(item):
             return Refuse("the queue is longer than the deadline", max(0.1, wait_s))
         return Wait("all endpoints are full")
 
