--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
@@ -383,6 +383,7 @@
         self._is_in_flight = True
         connection.send(tasks, method, target, headers, body, self._terms.attempt_id)
         head = await connection.read_head()
+        self._hear(endpoint)
         answer = parts.dialect.read_answer(list(head.headers))
         if answer.is_not_run or head.status_code == STATUS_MISDIRECTED:
             return await self._read_not_run(connection, endpoint, head, answer)
@@ -444,6 +445,7 @@
             self._status = head.status_code
             await reply.begin(head.status_code, _strip(head))
         async for data in connection.read_body():
+            self._hear(endpoint)
             if not has_first:
                 has_first = True
                 self._first_s = self._first_s or self._parts.timer.now()
@@ -457,6 +459,11 @@
         await reply.end()
         return _End.DELIVERED
 
+    def _hear(self, endpoint: str) -> None:
+        state = self._parts.board.state_by_id.get(endpoint)
+        if state is not None:
+            state.heard_s = self._parts.timer.now()
+
     def _note_first(self, endpoint: str, sent_s: float) -> None:
         parts = self._parts
         if self._route.kind is not RouteKind.STREAMING:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
@@ -41,8 +41,10 @@
 #: Seconds between looks at whether the lease is due.
 TICK_S = 0.1
 #: Seconds for the answer to an order, and to a question for a report.
-ORDER_S = 1.0
+ORDER_S = 0.4
 REPORT_S = 0.6
+#: Peers that must not reach an endpoint for this planner to do without it.
+PEERS_WITHOUT = 2
 #: Longest part of an answer that is logged.
 QUOTED_BYTES = 100
 #: Seconds for which peers are told of a placement.
@@ -198,7 +200,8 @@
                 self._seat_by_id[endpoint] = Seat(state.entry)
             else:
                 seat.observe_entry(state.entry)
-                seat.is_reachable = state.is_reachable
+                is_reached = state.is_reachable(self._now())
+                seat.is_reachable = is_reached and state.peers_without < PEERS_WITHOUT
         for endpoint in self._seat_by_id.keys() - self._board.state_by_id.keys():
             del self._seat_by_id[endpoint]
 
@@ -281,6 +284,7 @@
         answer = await self._get_http(seat).request("GET", path, headers, timeout_s=REPORT_S)
         if answer.is_error():
             _LOGGER.info("no report of %s: %s", endpoint, answer.error.reason)
+            self._board.note_failure(endpoint, self._now(), True)
             return
         if answer.ok.status != 200:
             _LOGGER.info("no report of %s: status %d", endpoint, answer.ok.status)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -303,6 +303,7 @@
             version=0 if configuration is None else configuration.version,
             loads=self._dispatcher.list_loads(),
             demands=self._dispatcher.list_demands(now_s),
+            unreachable=self._board.list_unreachable(now_s),
             fence=self._placer.fence,
             placements=self._placer.list_placements(),
         )
--- a/packages/kingcupdyke/features/residencyplan.feature
+++ b/packages/kingcupdyke/features/residencyplan.feature
@@ -35,5 +35,25 @@
     Given residencyplan: engines "e1=m1" of 100 GB with models of "90 90 90" GB
     When residencyplan: "m2 1 0" is asked for
     And residencyplan: the orders are carried out
-    And residencyplan: "m2 1 0; m3 3 900" is asked for
+    And residencyplan: "m2 1 0; m3 2 100" is asked for
     Then residencyplan: the orders are "load m2 e1"
+
+  Scenario: Room that is being made goes to a model that is asked for much more
+    Given residencyplan: engines "e1=m1" of 100 GB with models of "90 90 90" GB
+    When residencyplan: "m2 1 0" is asked for
+    And residencyplan: the orders are carried out
+    And residencyplan: "m2 1 0; m3 5 9000" is asked for
+    Then residencyplan: the orders are "load m3 e1"
+
+  Scenario Outline: A model is not tied to room on an engine that <case>
+    Given residencyplan: engines "e1=m1+e2=m3" of 100 GB with models of "90 90 90" GB
+    When residencyplan: "m2 1 0; m3 0 300" is asked for
+    And residencyplan: the engine e1 <case>
+    And residencyplan: "m2 9 9000; m3 0 300" is asked for
+    Then residencyplan: the orders are "unload m3 e2"
+
+    Examples:
+      | case |
+      | goes |
+      | falls silent |
+      | is busy for 2 s |
--- a/packages/kingcupdyke/features/steps/peerstate_steps.py
+++ b/packages/kingcupdyke/features/steps/peerstate_steps.py
@@ -15,7 +15,7 @@
     Placement,
 )
 
-EMPTY = GatewayState("h", "i", 1, False, 1, (), (), 0, ())
+EMPTY = GatewayState("h", "i", 1, False, 1, (), (), (), 0, ())
 
 
 @then("peerstate: a full message is the same when read back")
@@ -23,6 +23,7 @@
     state = EMPTY._replace(
         loads=(EndpointLoad("e", 2, 100),),
         demands=(Demand("m", "a", 3, 10.5),),
+        unreachable=("e2",),
         fence=4,
         placements=(Placement("e", "m", "", True, 1.5),),
     )
--- a/packages/kingcupdyke/features/steps/residencyplan_steps.py
+++ b/packages/kingcupdyke/features/steps/residencyplan_steps.py
@@ -68,6 +68,22 @@
             del seat.models_by_name[order.model]
 
 
+@when("residencyplan: the engine e1 goes")
+def remove_engine(context):
+    del context.seats["e1"]
+
+
+@when("residencyplan: the engine e1 falls silent")
+def silence_engine(context):
+    context.seats["e1"].is_reachable = False
+
+
+@when("residencyplan: the engine e1 is busy for 2 s")
+def occupy_engine(context):
+    context.seats["e1"].is_busy = True
+    context.now_s += 2.0
+
+
 @then('residencyplan: the orders are "{orders}"')
 def check_orders(context, orders):
     found = []
--- a/packages/kingcupdyke/kingcupdyke/forwarding/board.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/board.py
@@ -7,6 +7,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
+from math import inf
 
 from kingcupdyke.forwarding.endpoint import EndpointEntry, Replica
 from kingcupdyke.forwarding.peerstate import GatewayState
@@ -25,6 +26,8 @@
 SHUN_S = 0.4
 #: Most seconds without new work after failures.
 SHUN_MOST_S = 3.0
+#: Seconds without a byte from an endpoint that works on requests after which it counts as silent.
+SILENT_S = 1.3
 #: Failed connections in a row from which on an endpoint counts as out of reach.
 UNREACHABLE_STRIKES = 2
 #: Heads of prompts that are remembered for each endpoint.
@@ -49,8 +52,13 @@
         self.entry = entry
         #: Unread prompt tokens of this gateway's requests under way, by attempt.
         self.tokens_by_attempt: dict[str, int] = {}
+        #: Time of the last byte from it, and time since which requests are under way there.
+        self.heard_s = -inf
+        self.waits_since_s = inf
         self.peer_requests = 0
         self.peer_tokens = 0
+        #: Peers that do not reach it.
+        self.peers_without = 0
         self.shunned_until_s = 0.0
         self.strikes = 0
         #: Share of requests that failed lately.
@@ -90,10 +98,25 @@
         )
         self.tokens_per_s += SPEED_WEIGHT * (sample - self.tokens_per_s)
 
-    @property
-    def is_reachable(self) -> bool:
-        """:return: whether it has answered lately, or not failed repeatedly"""
-        return self.strikes < UNREACHABLE_STRIKES
+    def is_reachable(self, now_s: float) -> bool:
+        """:return: whether it has answered lately, as far as this gateway knows"""
+        return self.strikes < UNREACHABLE_STRIKES and not self.is_silent(now_s)
+
+    def is_silent(self, now_s: float) -> bool:
+        """:return: whether requests are under way there and nothing has come for a while"""
+        return now_s - max(self.heard_s, self.waits_since_s) > SILENT_S
+
+    def note_sent(self, attempt_id: str, tokens: int, now_s: float) -> None:
+        """A request is sent there."""
+        if not self.tokens_by_attempt:
+            self.waits_since_s = now_s
+        self.tokens_by_attempt[attempt_id] = tokens
+
+    def note_left(self, attempt_id: str) -> None:
+        """A request is no longer under way there."""
+        self.tokens_by_attempt.pop(attempt_id, None)
+        if not self.tokens_by_attempt:
+            self.waits_since_s = inf
 
     def count_kept_tokens(self, model: str, parts: tuple[PromptPart, ...]) -> int:
         """:return: tokens at the head of a prompt that were sent there lately"""
@@ -181,7 +204,11 @@
         for state in self.state_by_id.values():
             state.peer_requests = 0
             state.peer_tokens = 0
+            state.peers_without = 0
         for peer in peers:
+            for endpoint in peer.unreachable:
+                if endpoint in self.state_by_id:
+                    self.state_by_id[endpoint].peers_without += 1
             for load in peer.loads:
                 state = self.state_by_id.get(load.endpoint)
                 if state is not None:
@@ -198,6 +225,11 @@
             word = (each.is_present, now_s + each.due_s, now_s + each.due_s + PLACEMENT_S)
             self._word_by_replica[replica] = word
 
+    def list_unreachable(self, now_s: float) -> tuple[str, ...]:
+        """:return: endpoints that this gateway does not reach"""
+        states = self.state_by_id.items()
+        return tuple(name for name, state in states if not state.is_reachable(now_s))
+
     def list_ready(self, service: str) -> list[EndpointState]:
         """:return: endpoints of a service that take new work"""
         return [
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -145,7 +145,7 @@
         self._meter(item).add(max(1, item.prompt_tokens), now_s)
         decision = self._decide(item, excluded, now_s)
         if isinstance(decision, Send):
-            self._begin(item, decision.endpoint)
+            self._begin(item, decision.endpoint, now_s)
         elif isinstance(decision, Wait):
             self._waiting_by_id[item.attempt_id] = (item, excluded)
         return decision
@@ -167,7 +167,7 @@
             del self._waiting_by_id[item.attempt_id]
             decisions[item.attempt_id] = decision
             if isinstance(decision, Send):
-                self._begin(item, decision.endpoint)
+                self._begin(item, decision.endpoint, now_s)
         return decisions
 
     def withdraw(self, attempt_id: str) -> None:
@@ -189,7 +189,7 @@
         """A request that was to be sent to an endpoint is not under way there any more."""
         state = self._board.state_by_id.get(endpoint)
         if state is not None:
-            state.tokens_by_attempt.pop(attempt_id, None)
+            state.note_left(attempt_id)
 
     def ended(self, attempt_id: str, endpoint: str, service: str, seconds: float) -> None:
         """A request has left its endpoint.
@@ -228,10 +228,10 @@
     def _meter(self, item: WorkItem) -> _Meter:
         return self._meter_by_model.setdefault((item.model, item.adapter), _Meter())
 
-    def _begin(self, item: WorkItem, endpoint: str) -> None:
+    def _begin(self, item: WorkItem, endpoint: str, now_s: float) -> None:
         state = self._board.state_by_id[endpoint]
         kept = state.count_kept_tokens(item.model, item.parts)
-        state.tokens_by_attempt[item.attempt_id] = max(1, item.prompt_tokens - kept)
+        state.note_sent(item.attempt_id, max(1, item.prompt_tokens - kept), now_s)
         state.remember_parts(item.model, item.parts)
 
     def _decide(self, item: WorkItem, excluded: frozenset[str], now_s: float) -> Decision:
@@ -254,7 +254,9 @@
             if not holding:
                 return self._await_replica(item, engine, states, now_s)
             states = holding
-        reachable = [each for each in states if each.shunned_until_s <= now_s] or states
+        reachable = [
+            each for each in states if each.shunned_until_s <= now_s and not each.is_silent(now_s)
+        ] or states
         open_states = [each for each in reachable if self._has_room(each, engine)]
         if open_states:
             best = min(open_states, key=lambda each: self._cost_s(each, item, now_s))
--- a/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
@@ -63,6 +63,8 @@
     version: int
     loads: tuple[EndpointLoad, ...]
     demands: tuple[Demand, ...]
+    #: Endpoints that this gateway does not reach.
+    unreachable: tuple[str, ...]
     #: Fencing number where this gateway holds the planner's lease, else 0.
     fence: int
     placements: tuple[Placement, ...]
@@ -80,6 +82,7 @@
                 fields._replace(
                     loads=tuple(EndpointLoad(*each) for each in fields.loads),
                     demands=tuple(Demand(*each) for each in fields.demands),
+                    unreachable=tuple(fields.unreachable),
                     placements=tuple(Placement(*each) for each in fields.placements),
                 )
             )
--- a/packages/kingcupdyke/kingcupdyke/forwarding/residencyplan.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/residencyplan.py
@@ -35,8 +35,10 @@
 REPLICA_GAIN = 2.0
 #: Seconds for which a replica stays after its load, unless nobody asks for it.
 STAY_S = 2.0
-#: Seconds for which room that is being made is kept in mind.
-ROOM_S = 6.0
+#: Seconds for which a model waits for the room that is being made for it.
+ROOM_S = 1.8
+#: How much more a model must be asked for to take the room that is being made for another one.
+ROOM_GAIN = 3.0
 #: Seconds that an adapter takes at most in the usual case.
 ADAPTER_S = 0.03
 #: Seconds that an unload is expected to take.
@@ -121,10 +123,10 @@
         endpoint, until_s = self._room_by_model.get(model, ("", 0.0))
         return endpoint if now_s < until_s else ""
 
-    def list_rooms(self, model: str, now_s: float) -> set[str]:
-        """:return: endpoints at which room is being made for other models"""
+    def list_rooms(self, model: str, now_s: float) -> dict[str, str]:
+        """:return: endpoints at which room is being made for other models, and those models"""
         return {
-            endpoint
+            endpoint: other
             for other, (endpoint, until_s) in self._room_by_model.items()
             if other != model and now_s < until_s
         }
@@ -301,9 +303,15 @@
     def _place_model(self, spec: ModelSpec, value: float) -> bool:
         room = self._plan.get_room(spec.name, self._now_s)
         if room and room not in self._free:
-            return False
-        taken = self._plan.list_rooms(spec.name, self._now_s)
-        seats = [each for each in self._free.values() if each.entry.endpoint not in taken]
+            if any(seat.entry.endpoint == room for seat in self._seats):
+                return False
+            room = ""
+        rooms = self._plan.list_rooms(spec.name, self._now_s)
+        seats = [
+            seat
+            for endpoint, seat in self._free.items()
+            if ROOM_GAIN * self._value(rooms.get(endpoint, "")) < value or endpoint not in rooms
+        ]
         if room:
             seats = [self._free[room]]
         choices = [self._weigh(seat, spec, value) for seat in seats]
--- a/packages/kingcupdyke/kingcupdyke/forwarding/seat.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/seat.py
@@ -13,7 +13,7 @@
 __all__ = ["OrderReply", "Seat"]
 
 #: Seconds after which an order without an answer is sent again.
-RESEND_S = 0.6
+RESEND_S = 0.1
 #: Seconds beyond an order's expected end after which the endpoint's report is asked for.
 OVERDUE_S = 0.5
 #: Seconds between two questions for a report.
