--- a/packages/kingcupdyke/kingcupdyke/forwarding/residencyplan.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/residencyplan.py
@@ -37,6 +37,10 @@
 STAY_S = 2.0
 #: Seconds for which a model waits for the room that is being made for it.
 ROOM_S = 1.8
+#: Part of all demand from which on a model may occupy the last engines that are free for loads.
+MAJOR_SHARE = 0.1
+#: Part of the engines that is kept free for such models while others are loaded for long.
+FREE_SHARE = 0.25
 #: How much more a model must be asked for to take the room that is being made for another one.
 ROOM_GAIN = 3.0
 #: Seconds that an adapter takes at most in the usual case.
@@ -327,12 +331,21 @@
 
     def _order_load(self, seat: Seat, spec: ModelSpec) -> bool:
         is_cold = not _is_at_hand(seat, spec)
+        if is_cold and not self._may_occupy(spec.name):
+            return False
         if is_cold and not self._plan.take_load(self._engine, self._now_s):
             return False
         self._issue(seat, OrderKind.LOAD, spec.name, "", _load_s(seat, spec))
         self._plan.note_load(seat.entry.endpoint, spec.name, self._now_s)
         return True
 
+    def _may_occupy(self, model: str) -> bool:
+        """:return: whether a model may occupy an engine for the time of a load from the store"""
+        demand = sum(self._value(each) for each in self._engine.models_by_name)
+        if self._value(model) >= MAJOR_SHARE * demand:
+            return True
+        return len(self._free) - 1 >= FREE_SHARE * len(self._seats)
+
     def _weigh(self, seat: Seat, spec: ModelSpec, value: float) -> _Choice | None:
         """:return: what a load costs at a seat, or None where no room can be made"""
         if spec.name in seat.models_by_name:
