Let the planner go on while the store does not answer it, by the promises of all its peers

Cause: in each outage of the store no model was loaded until the lease was renewed or, by another gateway, taken after 4.2 s. Each peer that hears the holder promises not to take the lease; the holder counts from its oldest message that all have heard. Ruled out: a longer lease, which makes each planner's death cost as much more.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peers.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peers.py
@@ -71,6 +71,10 @@
         """:return: gateways that the store lists, this one included"""
         return len(self._address_by_host.keys() | {self._host})
 
+    def list_hosts(self) -> set[str]:
+        """:return: hosts of the other gateways that the store lists"""
+        return set(self._address_by_host)
+
     def take_all(self, objects: list[StoreObject], after_outage: bool) -> None:
         """Take the whole list of gateways."""
         self._address_by_host.clear()
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from time import CLOCK_BOOTTIME, clock_gettime
 
 from anyio import create_task_group, sleep
@@ -16,6 +16,7 @@
 from kingcupdyke.forwarding.board import EndpointBoard
 from kingcupdyke.forwarding.configuration import Configuration
 from kingcupdyke.forwarding.dispatcher import Dispatcher
+from kingcupdyke.forwarding.leasesupport import LeaseSupport
 from kingcupdyke.forwarding.peerstate import Demand, PeerTable, Placement
 from kingcupdyke.forwarding.residencyplan import ResidencyPlan, TimedOrder
 from kingcupdyke.forwarding.seat import OrderReply, Seat
@@ -25,7 +26,7 @@
 from kingcupdyke_wire.http import HttpClient
 from kingcupdyke_wire.store import Conflict, StoreClient
 
-__all__ = ["LEASE_NAME", "LEASES_KIND", "Placer"]
+__all__ = ["LEASE_NAME", "LEASES_KIND", "Placer", "read_clock"]
 
 _LOGGER = logging.getLogger(__name__)
 #: Kind and name of the lease's object.
@@ -62,6 +63,8 @@
     :param host: name of this host; orders bear it
     :param lease: decides on the lease; its times are those of :func:`read_clock`
     :param orders_wait_s: seconds from taking a lease that another host gave back to the first order
+    :param support: promises of peers, by which orders go on while the store does not answer
+    :param list_hosts: gives the hosts whose promises are needed
     :param is_candidate: tells whether this gateway is among the few that contend for the lease
     """
 
@@ -75,6 +78,8 @@
         board: EndpointBoard,
         dispatcher: Dispatcher,
         peers: PeerTable,
+        support: LeaseSupport,
+        list_hosts: Callable[[], Iterable[str]],
         is_candidate: Callable[[], bool],
         get_configuration: Callable[[], Configuration | None],
         now: Callable[[], float],
@@ -87,6 +92,8 @@
         self._board = board
         self._dispatcher = dispatcher
         self._peers = peers
+        self._support = support
+        self._list_hosts = list_hosts
         self._is_candidate = is_candidate
         self._get_configuration = get_configuration
         self._now = now
@@ -98,11 +105,25 @@
         self._placements: list[tuple[float, Placement]] = []
         self._last_owner = ""
 
+    @property
+    def held_fence(self) -> int:
+        """:return: the fencing number of the lease while it is held, or 0"""
+        return self._lease.fence_at(read_clock()) or 0
+
+    @property
+    def may_have_written(self) -> bool:
+        """:return: whether this gateway holds the lease, or may have taken it"""
+        return self._lease.may_have_written
+
     @property
     def fence(self) -> int:
         """:return: the fencing number with which orders may be given now, or 0"""
         now_s = read_clock()
         fence = self._lease.fence_at(now_s)
+        if fence is not None:
+            proof_s = self._support.proof_s(fence, self._list_hosts())
+            if proof_s is not None:
+                self._lease.prove(proof_s)
         if fence is None or now_s < self._orders_from_s:
             return 0
         return fence if self._lease.proof_age_s(now_s) < ORDERS_S else 0
@@ -137,6 +158,7 @@
             held = self._lease.fence_at(read_clock()) is not None
             if not held and not self._is_candidate():
                 continue
+            self._lease.may_take = self._support.may_take(read_clock())
             command = self._lease.tick(read_clock())
             while command is not None:
                 command = await self._carry(command)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -15,6 +15,7 @@
 from kingcupdyke.forwarding.board import EndpointBoard
 from kingcupdyke.forwarding.configuration import ClientLimits
 from kingcupdyke.forwarding.dispatcher import Dispatcher
+from kingcupdyke.forwarding.leasesupport import LeaseSupport
 from kingcupdyke.forwarding.peerstate import GatewayState, PeerTable
 from kingcupdyke.forwarding.repeats import RepeatBudget
 from kingcupdyke.lease import LeaseMachine
@@ -23,7 +24,7 @@
 from kingcupdyke_daemon.forwarder.follower import StoreFollower
 from kingcupdyke_daemon.forwarder.front import ClientRequest, ClientServer, Reply, RequestHandler
 from kingcupdyke_daemon.forwarder.peers import PEERS_KIND, PeerExchange
-from kingcupdyke_daemon.forwarder.placer import LEASE_NAME, RENEW_S, Placer
+from kingcupdyke_daemon.forwarder.placer import LEASE_NAME, RENEW_S, Placer, read_clock
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
 from kingcupdyke_daemon.forwarder.settings import ForwarderSettings
@@ -51,6 +52,9 @@
 GRACE_SHARE = 0.9
 #: Seconds for writing those final answers.
 LAST_ANSWERS_S = 0.15
+#: Seconds that a lease lasts beyond what must lie between the orders of two planners: more than
+#: the time after a proof for which orders are given.
+LEASE_MARGIN_S = 1.2
 #: Seconds for giving the lease back.
 FAREWELL_S = 0.5
 
@@ -119,6 +123,7 @@
             self._describe,
             self._hear_peer,
         )
+        self._support = LeaseSupport(settings.host, settings.lease_s + LEASE_MARGIN_S)
         self._placer = self._make_placer(store)
         self._configurations = StoreFollower(
             store,
@@ -193,11 +198,10 @@
 
     def _make_placer(self, store: StoreClient) -> Placer:
         settings = self._settings
-        # Twice the time in which orders are given, beyond what must lie between two planners.
         lease = LeaseMachine(
             LEASE_NAME,
             f"{settings.host}/{self._incarnation}",
-            settings.lease_s + 1.2,
+            settings.lease_s + LEASE_MARGIN_S,
             RENEW_S,
             outlives_outage=False,
             earlier_owners=f"{settings.host}/",
@@ -211,6 +215,8 @@
             self._board,
             self._dispatcher,
             self._peer_table,
+            self._support,
+            self._list_hosts,
             self._is_candidate,
             lambda: self._exchanges.configuration,
             self._timer.now,
@@ -220,6 +226,12 @@
         configuration = self._exchanges.configuration
         return ClientLimits() if configuration is None else configuration.limits
 
+    def _list_hosts(self) -> set[str]:
+        """:return: hosts of gateways that may contend for the lease"""
+        live = self._peer_table.live(self._timer.now())
+        stopping = {each.host for each in live if each.is_stopping}
+        return (self._peers.list_hosts() | {each.host for each in live}) - stopping
+
     def _is_candidate(self) -> bool:
         if self._is_stopping or not self._endpoints.is_listed:
             return False
@@ -294,6 +306,7 @@
 
     def _describe(self, number: int) -> GatewayState:
         now_s = self._timer.now()
+        self._support.note_sent(number, read_clock())
         configuration = self._exchanges.configuration
         state = GatewayState(
             host=self._settings.host,
@@ -304,7 +317,8 @@
             loads=self._dispatcher.list_loads(),
             demands=self._dispatcher.list_demands(now_s),
             unreachable=self._board.list_unreachable(now_s),
-            fence=self._placer.fence,
+            fence=self._placer.held_fence,
+            support=self._support.get_given(),
             placements=self._placer.list_placements(),
         )
         if state.fence:
@@ -317,6 +331,8 @@
         self._board.hear_peers(self._peer_table.live(now_s), now_s)
         if state.fence:
             self._board.hear_placements(state, now_s)
+        is_rival = self._placer.may_have_written
+        self._support.hear(state, self._incarnation, is_rival, read_clock())
         self._queue.poll(now_s)
 
 
--- a/packages/kingcupdyke/features/peerstate.feature
+++ b/packages/kingcupdyke/features/peerstate.feature
@@ -13,8 +13,8 @@
       | {} |
       | [1,2,3] |
       | [a] |
-      | ["h","i",1,false,1,[[1]],[],[],0,[]] |
-      | ["h","i",1,false,1,[],[],0,[]] |
+      | ["h","i",1,false,1,[[1]],[],[],0,null,[]] |
+      | ["h","i",1,false,1,[],[],[],0,[]] |
 
   Scenario Outline: <case>
     When peerstate: messages "<messages>" are heard
--- a/packages/kingcupdyke/features/steps/board_steps.py
+++ b/packages/kingcupdyke/features/steps/board_steps.py
@@ -67,7 +67,7 @@
     def tell(self, replica, is_present, due_s):
         endpoint, model, adapter = read_replica(replica)
         placement = Placement(endpoint, model, adapter, is_present, due_s)
-        state = GatewayState("p", "i", 1, False, 1, (), (), (), self.fence, (placement,))
+        state = GatewayState("p", "i", 1, False, 1, (), (), (), self.fence, None, (placement,))
         self.board.hear_placements(state, self.now_s)
 
 
--- a/packages/kingcupdyke/features/steps/dispatcher_steps.py
+++ b/packages/kingcupdyke/features/steps/dispatcher_steps.py
@@ -74,7 +74,7 @@
 
     def do_peer(self, endpoint, requests):
         self.loads[endpoint] = EndpointLoad(endpoint, int(requests), 0)
-        state = GatewayState("p", "i", 1, False, 1, tuple(self.loads.values()), (), (), 0, ())
+        state = GatewayState("p", "i", 1, False, 1, tuple(self.loads.values()), (), (), 0, None, ())
         self.board.hear_peers([state], self.now_s)
 
     def do_leave(self, endpoint):
@@ -88,7 +88,7 @@
 
     def do_place(self, endpoint, model, due_s):
         placement = Placement(endpoint, model, "", True, float(due_s))
-        state = GatewayState("p", "i", 1, False, 1, (), (), (), 1, (placement,))
+        state = GatewayState("p", "i", 1, False, 1, (), (), (), 1, None, (placement,))
         self.board.hear_placements(state, self.now_s)
 
     def do_hold(self, endpoint, model):
--- /dev/null
+++ b/packages/kingcupdyke/features/steps/leasesupport_steps.py
@@ -0,0 +1,118 @@
+"""
+leasesupport_steps
+~~~~~~~~~~~~~~~~~~
+
+Steps for the promises by which a lease outlives an outage of the store.
+"""
+
+from behave import then, when
+from lease_peers import PeerDay
+
+from kingcupdyke.forwarding.leasesupport import LeaseSupport
+from kingcupdyke.forwarding.peerstate import GatewayState
+
+PROMISE_S = 4.2
+EMPTY = GatewayState("a", "i", 0, False, 1, (), (), (), 0, None, ())
+
+
+class SupportStory:
+    """Three gateways that hear each other at once."""
+
+    def __init__(self):
+        self.supports = {name: LeaseSupport(name, PROMISE_S) for name in "abc"}
+        self.numbers = dict.fromkeys("abc", 0)
+        self.rivals = set()
+        self.now_s = 0.0
+
+    def run(self, events):
+        for event in events.split("; "):
+            word, *rest = event.split()
+            getattr(self, f"do_{word}")(*rest)
+
+    def do_say(self, name, at_s, fence=3, is_heard=True):
+        self.now_s = float(at_s)
+        self.numbers[name] += 1
+        support = self.supports[name]
+        support.note_sent(self.numbers[name], self.now_s)
+        state = EMPTY._replace(
+            host=name,
+            number=self.numbers[name],
+            fence=fence if name == "a" else 0,
+            support=support.get_given(),
+        )
+        for other, each in self.supports.items():
+            if other != name and is_heard:
+                each.hear(state, "i", other in self.rivals or other == "a", self.now_s)
+
+    def do_lose(self, name, at_s):
+        self.do_say(name, at_s, is_heard=False)
+
+    def do_back(self, name, at_s):
+        self.do_say(name, at_s, fence=0)
+
+    def do_rival(self, name):
+        self.rivals.add(name)
+
+    def do_wait(self, until_s):
+        self.now_s = float(until_s)
+
+
+@when('leasesupport: "{events}" happens to gateways a, b and c, of which a holds fence 3')
+def run_events(context, events):
+    context.story = SupportStory()
+    context.story.run(events)
+
+
+@then('leasesupport: the proof of a is from second "{proof}", and b {may} take the lease')
+def check_proof(context, proof, may):
+    story = context.story
+    found = story.supports["a"].proof_s(3, "abc")
+    assert str(found) == proof.replace("none", "None"), found
+    assert story.supports["b"].may_take(story.now_s) == (may == "may")
+
+
+@when("leasesupport: four gateways contend for {length:d} s under faults, with seed {seed:d}")
+def run_day(context, length, seed):
+    context.day = PeerDay(seed)
+    context.day.run(length)
+    context.length_s = length
+
+
+@then(
+    "leasesupport: no two gave orders within 3 s of each other, or with one fence, or a lower "
+    "one later"
+)
+def check_orders(context):
+    last_s, last_host, last_fence = {}, {}, 0
+    for at_s, host, fence in context.day.orders:
+        for other, seen_s in last_s.items():
+            assert other == host or at_s - seen_s >= 3.0, (at_s, host, other, seen_s)
+        assert last_host.setdefault(fence, host) == host, (at_s, host, fence)
+        assert fence >= last_fence, (at_s, host, fence, last_fence)
+        last_s[host], last_fence = at_s, fence
+
+
+@then("leasesupport: orders were given in at least {share:d} percent of the time")
+def check_some(context, share):
+    found = context.day.share(context.length_s)
+    assert found >= share / 100, found
+
+
+@when("leasesupport: the store is down for all for {length:d} s")
+def run_outage(context, length):
+    context.length_s = length + 15
+    context.day = PeerDay(0, faults=False)
+    context.day.outage = (10.0, 10.0 + length)
+    context.day.run(context.length_s)
+    context.alone = PeerDay(0, faults=False, is_supported=False)
+    context.alone.outage = context.day.outage
+    context.alone.run(context.length_s)
+
+
+@then(
+    "leasesupport: without the promises of peers they were given in at most {share:d} percent "
+    "of it"
+)
+def check_alone(context, share):
+    found = context.alone.share(context.length_s)
+    assert found <= share / 100, found
--- a/packages/kingcupdyke/features/steps/peerstate_steps.py
+++ b/packages/kingcupdyke/features/steps/peerstate_steps.py
@@ -13,9 +13,10 @@
     GatewayState,
     PeerTable,
     Placement,
+    Support,
 )
 
-EMPTY = GatewayState("h", "i", 1, False, 1, (), (), (), 0, ())
+EMPTY = GatewayState("h", "i", 1, False, 1, (), (), (), 0, None, ())
 
 
 @then("peerstate: a full message is the same when read back")
@@ -25,6 +26,7 @@
         demands=(Demand("m", "a", 3, 10.5),),
         unreachable=("e2",),
         fence=4,
+        support=Support("p", "i", 4, 7),
         placements=(Placement("e", "m", "", True, 1.5),),
     )
     assert GatewayState.decode(state.encode()).ok == state
--- a/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
@@ -12,7 +12,7 @@
 
 from kingcupdyke.error import Failure, Outcome, Step
 
-__all__ = ["Demand", "EndpointLoad", "GatewayState", "PeerTable", "Placement"]
+__all__ = ["Demand", "EndpointLoad", "GatewayState", "PeerTable", "Placement", "Support"]
 
 #: Seconds without a word after which a peer's figures no longer count.
 PEER_SILENCE_S = 1.5
@@ -50,6 +50,17 @@
     due_s: float
 
 
+class Support(NamedTuple):
+    """A promise not to take the planner's lease from its holder for a while."""
+
+    #: The holder and its start.
+    host: str
+    incarnation: str
+    fence: int
+    #: Number of the holder's message that was heard last.
+    number: int
+
+
 class GatewayState(NamedTuple):
     """One message of a gateway to its peers."""
 
@@ -67,6 +78,8 @@
     unreachable: tuple[str, ...]
     #: Fencing number where this gateway holds the planner's lease, else 0.
     fence: int
+    #: Whom this gateway lets hold the lease, or None.
+    support: Support | None
     placements: tuple[Placement, ...]
 
     def encode(self) -> bytes:
@@ -83,6 +96,7 @@
                     loads=tuple(EndpointLoad(*each) for each in fields.loads),
                     demands=tuple(Demand(*each) for each in fields.demands),
                     unreachable=tuple(fields.unreachable),
+                    support=None if fields.support is None else Support(*fields.support),
                     placements=tuple(Placement(*each) for each in fields.placements),
                 )
             )
--- a/packages/kingcupdyke/kingcupdyke/lease.py
+++ b/packages/kingcupdyke/kingcupdyke/lease.py
@@ -113,6 +113,8 @@
         self._event_s = float("-inf")
         self._is_store_down = False
         self._is_released = False
+        #: Whether an expired lease of another owner may be taken.
+        self.may_take = True
 
     @property
     def fence(self) -> int | None:
@@ -127,6 +129,23 @@
         """
         return None if self._has_lapsed(now_s) else self._fence
 
+    @property
+    def may_have_written(self) -> bool:
+        """:return: whether the lease is held, or a write of it may still take effect"""
+        return (
+            self._fence is not None
+            or isinstance(self._asked, WriteLease)
+            or (self._tried_fence is not None)
+        )
+
+    def prove(self, held_s: float) -> None:
+        """Take a proof, from elsewhere than the store, that the lease was held at a time.
+
+        :param held_s: time in seconds; an older one than known changes nothing
+        """
+        if self._fence is not None:
+            self._proved_s = max(self._proved_s, held_s)
+
     def proof_age_s(self, now_s: float) -> float:
         """:return: seconds since the last proof that this process held the lease"""
         return now_s - self._proved_s
@@ -250,7 +269,8 @@
             return self._write(self._highest_fence + 1, now_s)
         is_dead = self._earlier_owners and record.owner.startswith(self._earlier_owners)
         is_free = not record.owner or is_dead
-        if is_free or now_s - self._seen_s >= record.duration_s:
+        is_expired = now_s - self._seen_s >= record.duration_s and self.may_take
+        if is_free or is_expired:
             return self._write(record.fence + 1, now_s)
         return None
 
