--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peers.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peers.py
@@ -24,9 +24,9 @@
 _LOGGER = logging.getLogger(__name__)
 #: Kind of the objects by which gateways find each other.
 PEERS_KIND = "kingcupdyke-gateways"
-#: Seconds between messages while work is under way, and while nothing changes.
-BUSY_PERIOD_S = 0.1
-QUIET_PERIOD_S = 0.4
+#: Seconds between messages to peers of the own region, and to those beyond a paid link.
+PERIOD_S = 0.1
+FAR_PERIOD_S = 0.3
 #: Seconds between attempts to enter oneself in the store.
 ENTER_RETRY_S = 0.5
 
@@ -36,6 +36,8 @@
 
     :param host: name of this host
     :param address: where this gateway takes messages
+    :param data_centre: where this host stands
+    :param region_by_data_centre: the region of each data centre
     :param store: the platform's store
     :param table: the peers' states
     :param timer: the timer service
@@ -47,6 +49,8 @@
         self,
         host: str,
         address: SocketAddress,
+        data_centre: str,
+        region_by_data_centre: dict[str, str],
         store: StoreClient,
         table: PeerTable,
         timer: TimerService,
@@ -55,14 +59,17 @@
     ) -> None:
         self._host = host
         self._address = address
+        self._data_centre = data_centre
+        self._region_by_data_centre = region_by_data_centre
         self._store = store
         self._table = table
         self._timer = timer
         self._describe = describe
         self._heard = heard
         self._address_by_host: dict[str, SocketAddress] = {}
+        self._far_hosts: set[str] = set()
+        self._far_due_s = 0.0
         self._number = 0
-        self._last: GatewayState | None = None
         #: Set to send at once.
         self.changed = Event()
 
@@ -88,10 +95,14 @@
         try:
             fields = json.loads(entry.value)
             address = SocketAddress(get_str_opt(fields, "address"), get_int_opt(fields, "port"))
+            data_centre = get_str_opt(fields, "data_centre")
         except (ValueError, AttributeError, OptionError) as error:
             _LOGGER.warning("the entry of gateway %s is unreadable: %s", entry.name, error)
             return
         self._address_by_host[entry.name] = address
+        regions = self._region_by_data_centre
+        if regions.get(data_centre) != regions.get(self._data_centre):
+            self._far_hosts.add(entry.name)
 
     def remove(self, name: str, after_outage: bool) -> None:
         """A gateway's entry is gone."""
@@ -99,7 +110,8 @@
 
     async def enter(self) -> None:
         """Enter this gateway in the store."""
-        value = json.dumps(self._address._asdict(), separators=(",", ":")).encode()
+        fields = self._address._asdict() | {"data_centre": self._data_centre}
+        value = json.dumps(fields, separators=(",", ":")).encode()
         version = 0
         while True:
             written = await self._store.put(PEERS_KIND, self._host, value, version)
@@ -133,17 +145,21 @@
     async def _send(self, udp: UDPSocket) -> None:
         while True:
             self._number += 1
-            state = self._describe(self._number)
-            data = state.encode()
-            for address in list(self._address_by_host.values()):
-                try:
-                    await udp.sendto(data, *address)
-                except OSError as error:
-                    _LOGGER.debug("a message to a peer was not sent: %r", error)
-            is_same = self._last is not None and self._last._replace(number=0) == state._replace(
-                number=0
-            )
-            self._last = state
-            with move_on_after(QUIET_PERIOD_S if is_same else BUSY_PERIOD_S):
-                await self.changed.wait()
+            data = self._describe(self._number).encode()
+            is_urgent = self.changed.is_set()
             self.changed = Event()
+            now_s = self._timer.now()
+            is_far_due = is_urgent or now_s >= self._far_due_s
+            if is_far_due:
+                self._far_due_s = now_s + FAR_PERIOD_S
+            for host, address in list(self._address_by_host.items()):
+                if is_far_due or host not in self._far_hosts:
+                    await self._send_to(udp, data, address)
+            with move_on_after(PERIOD_S):
+                await self.changed.wait()
+
+    async def _send_to(self, udp: UDPSocket, data: bytes, address: SocketAddress) -> None:
+        try:
+            await udp.sendto(data, *address)
+        except OSError as error:
+            _LOGGER.debug("a message to a peer was not sent: %r", error)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -117,6 +117,8 @@
         self._peers = PeerExchange(
             settings.host,
             settings.peer,
+            settings.data_centre,
+            settings.region_by_data_centre,
             store,
             self._peer_table,
             self._timer,
--- a/packages/kingcupdyke/features/steps/peerstate_steps.py
+++ b/packages/kingcupdyke/features/steps/peerstate_steps.py
@@ -5,6 +5,8 @@
 Steps for the messages between gateways.
 """
 
+from zlib import compress
+
 from behave import then, when
 
 from kingcupdyke.forwarding.peerstate import (
@@ -34,7 +36,9 @@
 
 @then('peerstate: "{value}" is refused')
 def check_refused(context, value):
-    assert GatewayState.decode(value.encode()).is_error(), value
+    deflated = compress(value.encode(), wbits=-15)
+    for each in (value.encode(), deflated, deflated[:-1]):
+        assert GatewayState.decode(each).is_error(), each
 
 
 @when('peerstate: messages "{messages}" are heard')
--- a/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
@@ -7,6 +7,8 @@
 
 import json
 from typing import NamedTuple
+from zlib import compress, decompressobj
+from zlib import error as zlib_error
 
 from expression import Error, Ok, Result
 
@@ -14,6 +16,10 @@
 
 __all__ = ["Demand", "EndpointLoad", "GatewayState", "PeerTable", "Placement", "Support"]
 
+#: Window of a deflate stream without a header.
+RAW_DEFLATE = -15
+#: Longest message, inflated.
+MOST_BYTES = 1_000_000
 #: Seconds without a word after which a peer's figures no longer count.
 PEER_SILENCE_S = 1.5
 
@@ -83,14 +89,14 @@
     placements: tuple[Placement, ...]
 
     def encode(self) -> bytes:
-        """:return: the message as JSON"""
-        return json.dumps(self, separators=(",", ":")).encode()
+        """:return: the message as compressed JSON"""
+        return compress(json.dumps(self, separators=(",", ":")).encode(), wbits=RAW_DEFLATE)
 
     @classmethod
     def decode(cls, value: bytes) -> Result["GatewayState", Failure]:
         """:return: the message, or a failure where the bytes are none"""
         try:
-            fields = cls(*json.loads(value))
+            fields = cls(*json.loads(_inflate(value)))
             return Ok(
                 fields._replace(
                     loads=tuple(EndpointLoad(*each) for each in fields.loads),
@@ -100,11 +106,19 @@
                     placements=tuple(Placement(*each) for each in fields.placements),
                 )
             )
-        except (ValueError, TypeError) as error:
+        except (ValueError, TypeError, zlib_error) as error:
             reason = f"not a gateway's state: {error!r}"
             return Error(Failure(Outcome.FAILED, Step.PARSE, "", reason))
 
 
+def _inflate(value: bytes) -> bytes:
+    inflater = decompressobj(RAW_DEFLATE)
+    data = inflater.decompress(value, MOST_BYTES)
+    if not inflater.eof:
+        raise ValueError("a message that is cut off or too long")
+    return data
+
+
 class PeerTable:
     """The latest state of each peer."""
 
