--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -320,7 +320,7 @@
             demands=self._dispatcher.list_demands(now_s),
             unreachable=self._board.list_unreachable(now_s),
             fence=self._placer.held_fence,
-            support=self._support.get_given(),
+            support=self._support.get_given(read_clock()),
             placements=self._placer.list_placements(),
         )
         if state.fence:
--- a/packages/kingcupdyke/features/lease_peers.py
+++ b/packages/kingcupdyke/features/lease_peers.py
@@ -64,8 +64,8 @@
         """:return: the share of ticks in which orders were given"""
         return len({round(at_s, 1) for at_s, _, _ in self.orders}) * TICK_S / length_s
 
-    def run(self, length_s):
-        now_s = 0.0
+    def run(self, length_s, begin_s=0.0):
+        now_s = begin_s
         while now_s < length_s:
             now_s += TICK_S
             if self.faults:
@@ -116,7 +116,7 @@
             demands=(),
             unreachable=(),
             fence=gateway.lease.fence_at(now_s) or 0,
-            support=gateway.support.get_given(),
+            support=gateway.support.get_given(now_s),
             placements=(),
         )
         for other in HOSTS:
--- a/packages/kingcupdyke/features/leasesupport.feature
+++ b/packages/kingcupdyke/features/leasesupport.feature
@@ -13,6 +13,8 @@
       | a promise for an earlier number renews nothing | say a 1; say b 1.1; say c 1.2; lose a 2; say b 2.1; say c 2.2 | 1.0 | may not |
       | it ends | say a 1; wait 5.3 | none | may |
       | that another one promised stands against it as well | say a 1; say c 5; wait 5.3 | none | may not |
+      | one that another one repeats is no new one | say a 1; say c 1.1; say c 5.1; wait 5.4 | none | may |
+      | one that has run out is not repeated | say a 1; say c 1.1; wait 5.4; say c 5.4 | none | may |
       | one that gave the lease back needs no promise | say a 1; back a 2; wait 2.1 | none | may |
       | a rival does not promise | say a 1; rival b; say a 2; say b 2.1; say c 2.2 | none | may not |
 
@@ -32,6 +34,10 @@
       | 7 |
       | 8 |
 
+  Scenario: A holder that is gone for good has a successor
+    When leasesupport: the holder is gone for good from second 10 on, of 60
+    Then leasesupport: another one gives orders from second 17 on at the latest
+
   Scenario: While the store is down for all, the holder goes on
     When leasesupport: the store is down for all for 30 s
     Then leasesupport: orders were given in at least 90 percent of the time
--- a/packages/kingcupdyke/features/steps/leasesupport_steps.py
+++ b/packages/kingcupdyke/features/steps/leasesupport_steps.py
@@ -38,7 +38,7 @@
             host=name,
             number=self.numbers[name],
             fence=fence if name == "a" else 0,
-            support=support.get_given(),
+            support=support.get_given(self.now_s),
         )
         for other, each in self.supports.items():
             if other != name and is_heard:
@@ -98,6 +98,23 @@
     assert found >= share / 100, found
 
 
+@when("leasesupport: the holder is gone for good from second {begin:d} on, of {length:d}")
+def lose_holder(context, begin, length):
+    context.day = PeerDay(0, faults=False)
+    context.day.run(begin)
+    holder = context.day.orders[-1][1]
+    context.day.dead_until[holder] = float("inf")
+    context.day.run(length, begin)
+
+
+@then("leasesupport: another one gives orders from second {latest:d} on at the latest")
+def check_successor(context, latest):
+    first, last = context.day.orders[0], context.day.orders[-1]
+    assert first[1] != last[1], first
+    begin_s = min(at_s for at_s, host, _ in context.day.orders if host == last[1])
+    assert begin_s <= latest and last[0] >= 59.0, (begin_s, last)
+
+
 @when("leasesupport: the store is down for all for {length:d} s")
 def run_outage(context, length):
     context.length_s = length + 15
--- a/packages/kingcupdyke/kingcupdyke/forwarding/leasesupport.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/leasesupport.py
@@ -34,6 +34,8 @@
         self._sent_by_number: OrderedDict[int, float] = OrderedDict()
         #: Time of the own message that a peer heard last, by peer, and for which fence.
         self._proof_by_host: dict[str, tuple[int, float]] = {}
+        #: The latest promise of each peer to another holder.
+        self._seen_by_host: dict[str, Support] = {}
         self._given: Support | None = None
         self._promised_until_s = float("-inf")
         self._others_until_s = float("-inf")
@@ -55,13 +57,15 @@
             sent_s = self._sent_by_number.get(support.number)
             if sent_s is not None:
                 self._proof_by_host[state.host] = (support.fence, sent_s)
-        elif support is not None:
+        elif support is not None and self._is_new(state.host, support):
+            # What is repeated was promised when it was first heard, at the latest.
+            self._seen_by_host[state.host] = support
             self._others_until_s = max(self._others_until_s, now_s + self._promise_s)
         self._promise(state, is_rival, now_s)
 
-    def get_given(self) -> Support | None:
-        """:return: the promise that this gateway's messages carry"""
-        return self._given
+    def get_given(self, now_s: float) -> Support | None:
+        """:return: the promise that this gateway's messages carry, until it has run out"""
+        return self._given if now_s < self._promised_until_s else None
 
     def may_take(self, now_s: float) -> bool:
         """:return: whether no own promise and no peer's stands against taking the lease"""
@@ -76,6 +80,12 @@
             return None
         return min(sent_s for _, sent_s in proofs)
 
+    def _is_new(self, host: str, support: Support) -> bool:
+        seen = self._seen_by_host.get(host)
+        if seen is None or (seen.host, seen.incarnation) != (support.host, support.incarnation):
+            return True
+        return (support.fence, support.number) > (seen.fence, seen.number)
+
     def _promise(self, state: GatewayState, is_rival: bool, now_s: float) -> None:
         if is_rival:
             self._given = None
