--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple
 from uuid import uuid4
@@ -28,7 +29,7 @@
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
 from kingcupdyke_daemon.logs import log_record
 
-__all__ = ["ExchangeHandler", "ForwarderParts"]
+__all__ = ["BeliefAges", "ExchangeHandler", "ForwarderParts"]
 
 _LOGGER = logging.getLogger(__name__)
 #: Headers of an endpoint's answer that concern its connection only.
@@ -83,7 +84,11 @@
 
     request: str
     route: str
+    #: Version of the configuration, and milliseconds since the store confirmed it.
     version: int
+    version_age_ms: int
+    #: Milliseconds since the store confirmed the list of endpoints.
+    list_age_ms: int
     model: str
     adapter: str
     #: Endpoints that it was sent to, in order.
@@ -101,6 +106,13 @@
     limit_ms: int
 
 
+class BeliefAges(NamedTuple):
+    """Milliseconds since the store confirmed what decisions rest on."""
+
+    version_ms: int
+    list_ms: int
+
+
 class _KeptAnswer(NamedTuple):
     """An endpoint's failure, passed on unless another endpoint does better."""
 
@@ -113,10 +125,14 @@
     """Answers clients' requests by the routes in force.
 
     :param parts: what exchanges work with
+    :param get_ages: tells how old what decisions rest on is
     """
 
-    def __init__(self, parts: ForwarderParts) -> None:
+    def __init__(
+        self, parts: ForwarderParts, get_ages: Callable[[], BeliefAges] = lambda: BeliefAges(0, 0)
+    ) -> None:
         self._parts = parts
+        self.get_ages = get_ages
         self.configuration: Configuration | None = None
         #: Whether the configuration was lately confirmed by the store.
         self.is_confirmed = True
@@ -144,7 +160,9 @@
             await reply.refuse(STATUS_NOT_FOUND, "no route", headers)
             return
         version = configuration.version
-        exchange = _Exchange(self._parts, self.gateways, version, route, request, terms, reply)
+        exchange = _Exchange(
+            self._parts, self.gateways, version, self.get_ages(), route, request, terms, reply
+        )
         with exchange.scope:
             self._scopes.add(exchange.scope)
             try:
@@ -173,6 +191,7 @@
         parts: ForwarderParts,
         gateways: int,
         version: int,
+        ages: BeliefAges,
         route: Route,
         request: ClientRequest,
         terms: RequestTerms,
@@ -181,6 +200,7 @@
         self._parts = parts
         self._gateways = gateways
         self._version = version
+        self._ages = ages
         self._route = route
         self._request = request
         self._terms = terms
@@ -245,6 +265,8 @@
             request=self._item.attempt_id,
             route=self._route.name,
             version=self._version,
+            version_age_ms=self._ages.version_ms,
+            list_age_ms=self._ages.list_ms,
             model=self._item.model,
             adapter=self._item.adapter,
             endpoints=tuple(self._sent_to),
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
@@ -8,6 +8,7 @@
 import logging
 from collections.abc import Callable, Iterable
 from time import CLOCK_BOOTTIME, clock_gettime
+from typing import NamedTuple
 
 from anyio import create_task_group, sleep
 from anyio.abc import TaskGroup
@@ -23,6 +24,7 @@
 from kingcupdyke.lease import LeaseCommand, LeaseMachine, LeaseRecord, ReadLease
 from kingcupdyke.placement import Order, OrderKind
 from kingcupdyke_daemon.forwarder.dialect import Dialect
+from kingcupdyke_daemon.logs import log_record
 from kingcupdyke_wire.http import HttpClient
 from kingcupdyke_wire.store import Conflict, StoreClient
 
@@ -52,6 +54,23 @@
 TELL_S = 2.0
 
 
+class OrderRecord(NamedTuple):
+    """What is logged of an order when its answer came or failed to come."""
+
+    order: str
+    kind: str
+    model: str
+    adapter: str
+    endpoint: str
+    #: Orders that the engine was expected to have accepted.
+    order_count: int
+    fence: int
+    outcome: str
+    reason: str
+    #: Milliseconds that the order was expected to take.
+    expected_ms: int
+
+
 def read_clock() -> float:
     """:return: seconds of a clock that goes on while the host is suspended"""
     return clock_gettime(CLOCK_BOOTTIME)
@@ -277,17 +296,19 @@
             reason = answer.error.reason
             if answer.error.outcome is Outcome.NOT_RUN:
                 reply = OrderReply.REFUSED
-        _LOGGER.info(
-            "order %s %s %s/%s at %s with count %d: %s %s",
-            order.order_id,
-            order.kind,
-            order.model,
-            order.adapter,
-            order.endpoint,
-            seat.order_count,
-            reply,
-            reason,
+        record = OrderRecord(
+            order=order.order_id,
+            kind=order.kind,
+            model=order.model,
+            adapter=order.adapter,
+            endpoint=order.endpoint,
+            order_count=seat.order_count,
+            fence=fence,
+            outcome=reply.value,
+            reason=reason,
+            expected_ms=round(timed.expected_s * 1000),
         )
+        log_record(_LOGGER, "order answered", record)
         seat.answered(reply, self._now())
         if reply in (OrderReply.ACCEPTED, OrderReply.HOLDS):
             self._tell_done(timed)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -8,6 +8,7 @@
 import logging
 import signal
 from time import monotonic
+from typing import NamedTuple
 
 from anyio import Event, create_task_group, move_on_after, open_signal_receiver, sleep
 from anyio.abc import SocketListener, TaskGroup
@@ -20,7 +21,7 @@
 from kingcupdyke.forwarding.repeats import RepeatBudget
 from kingcupdyke.lease import LeaseMachine
 from kingcupdyke_daemon.forwarder.dialect import Dialect
-from kingcupdyke_daemon.forwarder.exchange import ExchangeHandler, ForwarderParts
+from kingcupdyke_daemon.forwarder.exchange import BeliefAges, ExchangeHandler, ForwarderParts
 from kingcupdyke_daemon.forwarder.follower import StoreFollower
 from kingcupdyke_daemon.forwarder.front import ClientRequest, ClientServer, Reply, RequestHandler
 from kingcupdyke_daemon.forwarder.peers import PEERS_KIND, PeerExchange
@@ -28,6 +29,7 @@
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
 from kingcupdyke_daemon.forwarder.settings import ForwarderSettings
+from kingcupdyke_daemon.logs import log_record
 from kingcupdyke_daemon.process import make_incarnation
 from kingcupdyke_daemon.timer import LoopTimer
 from kingcupdyke_wire.store import StoreClient, StoreObject
@@ -59,6 +61,15 @@
 FAREWELL_S = 0.5
 
 
+class EndpointRecord(NamedTuple):
+    """What is logged of an endpoint whose entry changed what this gateway does."""
+
+    endpoint: str
+    #: ``ready``, ``leaving``, ``removed``, or ``lapsed`` in an outage of the store.
+    state: str
+    list_age_ms: int
+
+
 class ReadyHandler(RequestHandler):
     """Answers the load balancer's question whether this gateway takes connections."""
 
@@ -108,7 +119,8 @@
                     settings.repeat_share, settings.repeat_allowance, settings.repeat_window_s
                 ),
                 self._timer,
-            )
+            ),
+            self._get_ages,
         )
         self._ready = ReadyHandler()
         self._front_server = ClientServer(self._exchanges, self._get_limits, self._timer.now)
@@ -224,6 +236,13 @@
             self._timer.now,
         )
 
+    def _get_ages(self) -> BeliefAges:
+        now_s = self._timer.now()
+        return BeliefAges(
+            round((now_s - self._configurations.heard_s) * 1000),
+            round((now_s - self._endpoints.heard_s) * 1000),
+        )
+
     def _get_limits(self) -> ClientLimits:
         configuration = self._exchanges.configuration
         return ClientLimits() if configuration is None else configuration.limits
@@ -277,10 +296,18 @@
         if entry.is_error():
             _LOGGER.warning("an endpoint's entry is unusable: %s", entry.error.reason)
             return
+        known = self._board.state_by_id.get(found.name)
+        if known is None or known.entry.is_leaving != entry.ok.is_leaving:
+            self._log_endpoint(found.name, "leaving" if entry.ok.is_leaving else "ready")
         self._board.put(entry.ok)
         self._queue.poll(self._timer.now())
 
+    def _log_endpoint(self, endpoint: str, state: str) -> None:
+        age_ms = self._get_ages().list_ms
+        log_record(_LOGGER, "endpoint changed", EndpointRecord(endpoint, state, age_ms))
+
     def _remove_endpoint(self, name: str, was_away: bool) -> None:
+        self._log_endpoint(name, "lapsed" if was_away else "removed")
         self._board.remove(name, self._timer.now(), was_away)
 
     def _note_ready(self) -> None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/app.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/app.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import logging
 from collections.abc import Awaitable, Callable
 from hashlib import sha256
 from typing import NamedTuple
@@ -31,6 +32,8 @@
 
 __all__ = ["AppParts", "GatewayApp"]
 
+_LOGGER = logging.getLogger(__name__)
+
 Receive = Callable[[], Awaitable[dict]]
 
 _MODEL_PATHS = frozenset({"/v1/completions", "/v1/chat/completions"})
@@ -130,12 +133,24 @@
         try:
             async with create_task_group() as tasks:
                 tasks.start_soon(_cancel_on_disconnect, receive, tasks.cancel_scope)
-                outcome = await parts.calls.run(call, sink)
+                outcome = await self._run(call, sink)
                 tasks.cancel_scope.cancel()
         finally:
             parts.drain.finished(request.request_id)
             self._record(request, sink, outcome)
 
+    async def _run(self, call: Call, sink: CallerSink) -> str:
+        """Run a call; a fault of the gateway's own ends it with "unknown", as it may have run."""
+        try:
+            return await self._parts.calls.run(call, sink)
+        except Exception as error:
+            request_id = call.request.request_id
+            _LOGGER.exception("request %s met a fault of the gateway", request_id)
+            reason = f"a fault of the gateway: {type(error).__name__}"
+            failure = Failure(Outcome.UNKNOWN, Step.RUN, self._parts.host, reason)
+            await sink.fail(reject(failure))
+            return failure.outcome.value
+
     def _record(self, request: Request, sink: CallerSink, outcome: str) -> None:
         metrics = self._parts.metrics
         names = (request.caller, request.service_class)
--- a/packages/kingcupdyke-tool/kingcupdyke_tool/cmdline.py
+++ b/packages/kingcupdyke-tool/kingcupdyke_tool/cmdline.py
@@ -35,6 +35,7 @@
     show_rules,
 )
 from kingcupdyke_tool.settings import ToolSettings, read_settings
+from kingcupdyke_tool.story import explain_request
 from kingcupdyke_wire.announce import announce_change
 from kingcupdyke_wire.configlog import read_config
 from kingcupdyke_wire.hostlist import HostListClient
@@ -263,6 +264,20 @@
     json: Json = False
 
 
+def _explain_request(command: "ExplainRequestCommand") -> int:
+    return _print(explain_request(command.request, command.logs), command.json)
+
+
+@command(name="explain-request", invoke=_explain_request)
+@dataclass
+class ExplainRequestCommand:
+    """Tell the story of one request, from the logs of one process or of several."""
+
+    request: Annotated[str, Arg(value_name="ID", help="Id of the request, as its caller sent it.")]
+    logs: Annotated[list[Path], Arg(value_name="FILE", help="Logs, one file a process.")]
+    json: Json = False
+
+
 @command(
     name="kingcupdyke",
     description=(
@@ -274,7 +289,9 @@
 class ToolCommand:
     """Operate kingcupdyke: rules, status, explanations and planned stops."""
 
-    action: Subcommands[RulesCommand | StatusCommand | ExplainCommand | DrainCommand]
+    action: Subcommands[
+        RulesCommand | StatusCommand | ExplainCommand | ExplainRequestCommand | DrainCommand
+    ]
 
 
 def main(arguments: list[str] | None = None) -> int:
