--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -34,8 +34,9 @@
 from kingcupdyke.forwarding.repeats import RepeatBudget
 from kingcupdyke.forwarding.terms import AnswerTerms, RequestTerms
 from kingcupdyke_daemon.forwarder.dialect import Dialect
-from kingcupdyke_daemon.forwarder.exchange import ExchangeHandler, ForwarderParts
 from kingcupdyke_daemon.forwarder.front import ClientServer
+from kingcupdyke_daemon.forwarder.handler import ExchangeHandler
+from kingcupdyke_daemon.forwarder.parts import ForwarderParts
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
--- a/packages/kingcupdyke-daemon/features/steps/walks_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/walks_steps.py
@@ -18,8 +18,7 @@
 from forwarder_rig import open_rig
 from forwarder_steps import write_request
 
-from kingcupdyke_daemon.forwarder.exchange import BeliefAges
-from kingcupdyke_daemon.forwarder.process import EndpointRecord
+from kingcupdyke_daemon.forwarder.records import BeliefAges, EndpointRecord
 from kingcupdyke_daemon.logs import JsonFormatter, QueuedHandler, log_record
 from kingcupdyke_tool.story import explain_request
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
@@ -6,7 +6,6 @@
 """
 
 import logging
-from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple
 from uuid import uuid4
@@ -14,22 +13,19 @@
 from anyio import CancelScope, create_task_group, get_cancelled_exc_class, move_on_after
 from h11 import Response
 
-from kingcupdyke.forwarding.board import EndpointBoard
-from kingcupdyke.forwarding.configuration import Configuration, Route, RouteKind
-from kingcupdyke.forwarding.dispatcher import STOPPING_RETRY_S, Dispatcher, Refuse, WorkItem
+from kingcupdyke.forwarding.configuration import Route, RouteKind
+from kingcupdyke.forwarding.dispatcher import Refuse, WorkItem
 from kingcupdyke.forwarding.endpoint import Replica
-from kingcupdyke.forwarding.repeats import RepeatBudget
 from kingcupdyke.forwarding.terms import AnswerTerms, RequestTerms, SendTerms
-from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.forwarder.connection import EndpointConnection, Progress, TransferError
-from kingcupdyke_daemon.forwarder.dialect import Dialect, Headers
+from kingcupdyke_daemon.forwarder.dialect import Headers
 from kingcupdyke_daemon.forwarder.events import EventBuffer
-from kingcupdyke_daemon.forwarder.front import ClientLeftError, ClientRequest, Reply, RequestHandler
-from kingcupdyke_daemon.forwarder.pool import ConnectionPool
-from kingcupdyke_daemon.forwarder.queue import WaitingQueue
+from kingcupdyke_daemon.forwarder.parts import ForwarderParts
+from kingcupdyke_daemon.forwarder.records import BeliefAges, RequestRecord
+from kingcupdyke_daemon.forwarder.reply import ClientLeftError, ClientRequest, Reply
 from kingcupdyke_daemon.logs import log_record
 
-__all__ = ["BeliefAges", "ExchangeHandler", "ForwarderParts"]
+__all__ = ["RETRY_AFTER_S", "STATUS_UNAVAILABLE", "Exchange"]
 
 _LOGGER = logging.getLogger(__name__)
 #: Headers of an endpoint's answer that concern its connection only.
@@ -45,24 +41,11 @@
 STATUS_UNAVAILABLE = 503
 STATUS_BAD_GATEWAY = 502
 STATUS_TIMEOUT = 504
-STATUS_NOT_FOUND = 404
 STATUS_MISDIRECTED = 421
 #: First status of an endpoint's own failures.
 STATUS_FAILURE = 500
 
 
-class ForwarderParts(NamedTuple):
-    """What exchanges work with."""
-
-    dialect: Dialect
-    dispatcher: Dispatcher
-    board: EndpointBoard
-    queue: WaitingQueue
-    pool: ConnectionPool
-    budget: RepeatBudget
-    timer: TimerService
-
-
 class _End(StrEnum):
     """How a request ended at one endpoint."""
 
@@ -79,40 +62,6 @@
     BROKEN = "broken"
 
 
-class RequestRecord(NamedTuple):
-    """What is logged of a request at its end."""
-
-    request: str
-    route: str
-    #: Version of the configuration, and milliseconds since the store confirmed it.
-    version: int
-    version_age_ms: int
-    #: Milliseconds since the store confirmed the list of endpoints.
-    list_age_ms: int
-    model: str
-    adapter: str
-    #: Endpoints that it was sent to, in order.
-    endpoints: tuple[str, ...]
-    #: Status that the client got, or 0 where it got none.
-    status: int
-    outcome: str
-    reason: str
-    #: Milliseconds that it waited in the queue before each send, together.
-    queued_ms: int
-    #: Milliseconds from its arrival to the first part of the answer, or -1 where none came.
-    first_ms: int
-    #: Milliseconds from its arrival to its end, and to its deadline.
-    total_ms: int
-    limit_ms: int
-
-
-class BeliefAges(NamedTuple):
-    """Milliseconds since the store confirmed what decisions rest on."""
-
-    version_ms: int
-    list_ms: int
-
-
 class _KeptAnswer(NamedTuple):
     """An endpoint's failure, passed on unless another endpoint does better."""
 
@@ -121,69 +70,7 @@
     body: bytes
 
 
-class ExchangeHandler(RequestHandler):
-    """Answers clients' requests by the routes in force.
-
-    :param parts: what exchanges work with
-    :param get_ages: tells how old what decisions rest on is
-    """
-
-    def __init__(
-        self, parts: ForwarderParts, get_ages: Callable[[], BeliefAges] = lambda: BeliefAges(0, 0)
-    ) -> None:
-        self._parts = parts
-        self.get_ages = get_ages
-        self.configuration: Configuration | None = None
-        #: Whether the configuration was lately confirmed by the store.
-        self.is_confirmed = True
-        #: Gateways that share the budget of repeats.
-        self.gateways = 1
-        #: Whether the process ends too soon for further requests.
-        self.is_refusing = False
-        self._scopes: set[CancelScope] = set()
-
-    async def handle(self, request: ClientRequest, reply: Reply) -> None:
-        configuration = self.configuration
-        terms = self._parts.dialect.read_request(request.headers)
-        if self.is_refusing:
-            await self._refuse(reply, terms, "this gateway is stopping", STOPPING_RETRY_S)
-            return
-        if configuration is None:
-            await self._refuse(reply, terms, "no configuration is known yet", RETRY_AFTER_S)
-            return
-        route = configuration.table.find(request.host, request.path)
-        if route is None and not self.is_confirmed:
-            await self._refuse(reply, terms, "the routes may have changed", RETRY_AFTER_S)
-            return
-        if route is None:
-            headers = self._parts.dialect.write_refusal(terms.attempt_id, None)
-            await reply.refuse(STATUS_NOT_FOUND, "no route", headers)
-            return
-        version = configuration.version
-        exchange = _Exchange(
-            self._parts, self.gateways, version, self.get_ages(), route, request, terms, reply
-        )
-        with exchange.scope:
-            self._scopes.add(exchange.scope)
-            try:
-                await exchange.run()
-            finally:
-                self._scopes.discard(exchange.scope)
-        await exchange.finish()
-
-    def end_all(self) -> None:
-        """Give what is under way its final answer, as the process ends."""
-        for scope in self._scopes:
-            scope.cancel()
-
-    async def _refuse(
-        self, reply: Reply, terms: RequestTerms, reason: str, retry_after_s: float
-    ) -> None:
-        headers = self._parts.dialect.write_refusal(terms.attempt_id, retry_after_s)
-        await reply.refuse(STATUS_UNAVAILABLE, reason, headers)
-
-
-class _Exchange:
+class Exchange:
     """A request under way."""
 
     def __init__(
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/front.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/front.py
@@ -5,13 +5,10 @@
 Clients' connections: HTTP/1.1 requests in, answers out.
 """
 
-import json
 import logging
-from abc import ABC, abstractmethod
 from collections.abc import Callable
 from socket import SO_LINGER, SOL_SOCKET
 from struct import pack
-from typing import NamedTuple
 
 from anyio import (
     BrokenResourceError,
@@ -45,9 +42,15 @@
 from kingcupdyke.forwarding.configuration import ClientLimits
 from kingcupdyke_daemon.forwarder.connection import SILENCE_OPTIONS
 from kingcupdyke_daemon.forwarder.dialect import Headers
+from kingcupdyke_daemon.forwarder.reply import (
+    ClientLeftError,
+    ClientRequest,
+    Reply,
+    RequestHandler,
+)
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
 
-__all__ = ["ClientLeftError", "ClientRequest", "ClientServer", "Reply", "RequestHandler"]
+__all__ = ["ClientServer"]
 
 _LOGGER = logging.getLogger(__name__)
 READ_BYTES = 65_536
@@ -62,78 +65,6 @@
 CLIENT_GONE = (BrokenResourceError, ClosedResourceError, EndOfStream, OSError)
 
 
-class ClientRequest(NamedTuple):
-    """A whole request of a client."""
-
-    method: bytes
-    #: Path and query as sent.
-    target: bytes
-    #: Header fields as sent, names in lower case.
-    headers: Headers
-    body: bytes
-    #: Time at which its head had come, in seconds.
-    arrived_s: float
-
-    @property
-    def host(self) -> str:
-        """:return: the value of the Host header"""
-        for name, value in self.headers:
-            if name == b"host":
-                return value.decode("latin-1")
-        return ""
-
-    @property
-    def path(self) -> str:
-        """:return: the path without its query"""
-        return self.target.split(b"?", 1)[0].decode("latin-1")
-
-
-class ClientLeftError(Exception):
-    """The client's connection broke while an answer was written."""
-
-
-class Reply(ABC):
-    """Where the answer to one request goes."""
-
-    #: Whether the head of an answer was sent.
-    has_begun = False
-    #: Whether the answer is whole.
-    is_whole = False
-
-    @abstractmethod
-    async def begin(self, status: int, headers: Headers) -> None:
-        """Send the head of the answer."""
-
-    @abstractmethod
-    async def write(self, data: bytes) -> None:
-        """Send a part of the body; returns when the client's connection takes more."""
-
-    @abstractmethod
-    async def end(self) -> None:
-        """Say that the answer is whole."""
-
-    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole answer."""
-        length = (b"content-length", str(len(body)).encode())
-        await self.begin(status, [*headers, length])
-        if body:
-            await self.write(body)
-        await self.end()
-
-    async def refuse(self, status: int, reason: str, headers: Headers = ()) -> None:
-        """Send an answer of the gateway's own."""
-        body = json.dumps({"error": {"message": reason, "code": status}}).encode()
-        await self.answer(status, [(b"content-type", b"application/json"), *headers], body)
-
-
-class RequestHandler(ABC):
-    """Answers requests; the task is cancelled when the client leaves."""
-
-    @abstractmethod
-    async def handle(self, request: ClientRequest, reply: Reply) -> None:
-        """Answer a request; an answer that is not ended is broken off."""
-
-
 class _BadRequest(Exception):
     """A request that is refused before it is handled.
 
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/handler.py
@@ -0,0 +1,84 @@
+"""
+kingcupdyke_daemon.forwarder.handler
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Takes clients' requests, finds their routes, and refuses what can't be begun.
+"""
+
+from collections.abc import Callable
+
+from anyio import CancelScope
+
+from kingcupdyke.forwarding.configuration import Configuration
+from kingcupdyke.forwarding.dispatcher import STOPPING_RETRY_S
+from kingcupdyke.forwarding.terms import RequestTerms
+from kingcupdyke_daemon.forwarder.exchange import RETRY_AFTER_S, STATUS_UNAVAILABLE, Exchange
+from kingcupdyke_daemon.forwarder.parts import ForwarderParts
+from kingcupdyke_daemon.forwarder.records import BeliefAges
+from kingcupdyke_daemon.forwarder.reply import ClientRequest, Reply, RequestHandler
+
+__all__ = ["ExchangeHandler"]
+
+STATUS_NOT_FOUND = 404
+
+
+class ExchangeHandler(RequestHandler):
+    """Answers clients' requests by the routes in force.
+
+    :param parts: what exchanges work with
+    :param get_ages: tells how old what decisions rest on is
+    """
+
+    def __init__(
+        self, parts: ForwarderParts, get_ages: Callable[[], BeliefAges] = lambda: BeliefAges(0, 0)
+    ) -> None:
+        self._parts = parts
+        self.get_ages = get_ages
+        self.configuration: Configuration | None = None
+        #: Whether the configuration was lately confirmed by the store.
+        self.is_confirmed = True
+        #: Gateways that share the budget of repeats.
+        self.gateways = 1
+        #: Whether the process ends too soon for further requests.
+        self.is_refusing = False
+        self._scopes: set[CancelScope] = set()
+
+    async def handle(self, request: ClientRequest, reply: Reply) -> None:
+        configuration = self.configuration
+        terms = self._parts.dialect.read_request(request.headers)
+        if self.is_refusing:
+            await self._refuse(reply, terms, "this gateway is stopping", STOPPING_RETRY_S)
+            return
+        if configuration is None:
+            await self._refuse(reply, terms, "no configuration is known yet", RETRY_AFTER_S)
+            return
+        route = configuration.table.find(request.host, request.path)
+        if route is None and not self.is_confirmed:
+            await self._refuse(reply, terms, "the routes may have changed", RETRY_AFTER_S)
+            return
+        if route is None:
+            headers = self._parts.dialect.write_refusal(terms.attempt_id, None)
+            await reply.refuse(STATUS_NOT_FOUND, "no route", headers)
+            return
+        version = configuration.version
+        exchange = Exchange(
+            self._parts, self.gateways, version, self.get_ages(), route, request, terms, reply
+        )
+        with exchange.scope:
+            self._scopes.add(exchange.scope)
+            try:
+                await exchange.run()
+            finally:
+                self._scopes.discard(exchange.scope)
+        await exchange.finish()
+
+    def end_all(self) -> None:
+        """Give what is under way its final answer, as the process ends."""
+        for scope in self._scopes:
+            scope.cancel()
+
+    async def _refuse(
+        self, reply: Reply, terms: RequestTerms, reason: str, retry_after_s: float
+    ) -> None:
+        headers = self._parts.dialect.write_refusal(terms.attempt_id, retry_after_s)
+        await reply.refuse(STATUS_UNAVAILABLE, reason, headers)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
@@ -8,7 +8,6 @@
 import logging
 from collections.abc import Callable, Iterable
 from time import CLOCK_BOOTTIME, clock_gettime
-from typing import NamedTuple
 
 from anyio import create_task_group, sleep
 from anyio.abc import TaskGroup
@@ -21,12 +20,14 @@
 from kingcupdyke.forwarding.peerstate import Demand, PeerTable, Placement
 from kingcupdyke.forwarding.residencyplan import ResidencyPlan, TimedOrder
 from kingcupdyke.forwarding.seat import OrderReply, Seat
-from kingcupdyke.lease import LeaseCommand, LeaseMachine, LeaseRecord, ReadLease
+from kingcupdyke.lease import LeaseMachine
 from kingcupdyke.placement import Order, OrderKind
 from kingcupdyke_daemon.forwarder.dialect import Dialect
+from kingcupdyke_daemon.forwarder.records import OrderRecord
+from kingcupdyke_daemon.leasekeeper import LeaseKeeper
 from kingcupdyke_daemon.logs import log_record
 from kingcupdyke_wire.http import HttpClient
-from kingcupdyke_wire.store import Conflict, StoreClient
+from kingcupdyke_wire.store import StoreClient
 
 __all__ = ["LEASE_NAME", "LEASES_KIND", "Placer", "read_clock"]
 
@@ -54,23 +55,6 @@
 TELL_S = 2.0
 
 
-class OrderRecord(NamedTuple):
-    """What is logged of an order when its answer came or failed to come."""
-
-    order: str
-    kind: str
-    model: str
-    adapter: str
-    endpoint: str
-    #: Orders that the engine was expected to have accepted.
-    order_count: int
-    fence: int
-    outcome: str
-    reason: str
-    #: Milliseconds that the order was expected to take.
-    expected_ms: int
-
-
 def read_clock() -> float:
     """:return: seconds of a clock that goes on while the host is suspended"""
     return clock_gettime(CLOCK_BOOTTIME)
@@ -106,7 +90,7 @@
         self._host = host
         self._lease = lease
         self._orders_wait_s = orders_wait_s
-        self._store = store
+        self._keeper = LeaseKeeper(lease, store, LEASES_KIND, LEASE_NAME, read_clock)
         self._dialect = dialect
         self._board = board
         self._dispatcher = dispatcher
@@ -122,7 +106,6 @@
         self._plan_by_service: dict[str, ResidencyPlan] = {}
         self._http_by_id: dict[str, HttpClient] = {}
         self._placements: list[tuple[float, Placement]] = []
-        self._last_owner = ""
 
     @property
     def held_fence(self) -> int:
@@ -167,9 +150,7 @@
 
     async def give_back(self) -> None:
         """Give the lease back at a planned stop."""
-        command = self._lease.release(read_clock())
-        if command is not None:
-            await self._carry(command)
+        await self._keeper.release()
 
     async def _keep_lease(self) -> None:
         while True:
@@ -178,9 +159,7 @@
             if not held and not self._is_candidate():
                 continue
             self._lease.may_take = self._support.may_take(read_clock())
-            command = self._lease.tick(read_clock())
-            while command is not None:
-                command = await self._carry(command)
+            await self._keeper.tick()
             self._note_term()
 
     def _note_term(self) -> None:
@@ -188,34 +167,13 @@
         if fence is None or fence == self._term:
             return
         self._term = fence
+        if self._keeper.was_given_back:
+            # Its last holder may have given orders until just now.
+            self._orders_from_s = read_clock() + self._orders_wait_s
         self._seat_by_id.clear()
         self._plan_by_service.clear()
         _LOGGER.warning("took the planner's lease with fence %d", fence)
 
-    async def _carry(self, command: LeaseCommand) -> LeaseCommand | None:
-        if isinstance(command, ReadLease):
-            answer = await self._store.get(LEASES_KIND, command.name)
-        else:
-            value = command.record.encode()
-            answer = await self._store.put(LEASES_KIND, LEASE_NAME, value, command.if_version)
-        now_s = read_clock()
-        if answer.is_error():
-            return self._lease.store_failed(now_s, answer.error.outcome is not Outcome.NOT_RUN)
-        found = answer.ok
-        is_conflict = isinstance(found, Conflict)
-        if is_conflict:
-            found = found.current
-        elif not isinstance(command, ReadLease):
-            return self._lease.lease_written(found.version, now_s)
-        record = LeaseRecord.decode(found.value) if found else None
-        version = found.version if found else 0
-        if record is not None and not record.owner:
-            # Its last holder may have given orders until just now.
-            self._orders_from_s = max(self._orders_from_s, now_s + self._orders_wait_s)
-        if is_conflict:
-            return self._lease.lease_conflict(record, version, now_s)
-        return self._lease.lease_read(record, version, now_s)
-
     def _plan_round(self, tasks: TaskGroup) -> None:
         configuration = self._get_configuration()
         if configuration is None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -8,7 +8,6 @@
 import logging
 import signal
 from time import monotonic
-from typing import NamedTuple
 
 from anyio import Event, create_task_group, move_on_after, open_signal_receiver, sleep
 from anyio.abc import SocketListener, TaskGroup
@@ -21,13 +20,16 @@
 from kingcupdyke.forwarding.repeats import RepeatBudget
 from kingcupdyke.lease import LeaseMachine
 from kingcupdyke_daemon.forwarder.dialect import Dialect
-from kingcupdyke_daemon.forwarder.exchange import BeliefAges, ExchangeHandler, ForwarderParts
 from kingcupdyke_daemon.forwarder.follower import StoreFollower
-from kingcupdyke_daemon.forwarder.front import ClientRequest, ClientServer, Reply, RequestHandler
+from kingcupdyke_daemon.forwarder.front import ClientServer
+from kingcupdyke_daemon.forwarder.handler import ExchangeHandler
+from kingcupdyke_daemon.forwarder.parts import ForwarderParts
 from kingcupdyke_daemon.forwarder.peers import PEERS_KIND, PeerExchange
 from kingcupdyke_daemon.forwarder.placer import LEASE_NAME, RENEW_S, Placer, read_clock
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
+from kingcupdyke_daemon.forwarder.records import BeliefAges, EndpointRecord
+from kingcupdyke_daemon.forwarder.reply import ClientRequest, Reply, RequestHandler
 from kingcupdyke_daemon.forwarder.settings import ForwarderSettings
 from kingcupdyke_daemon.logs import log_record
 from kingcupdyke_daemon.process import make_incarnation
@@ -61,15 +63,6 @@
 FAREWELL_S = 0.5
 
 
-class EndpointRecord(NamedTuple):
-    """What is logged of an endpoint whose entry changed what this gateway does."""
-
-    endpoint: str
-    #: ``ready``, ``leaving``, ``removed``, or ``lapsed`` in an outage of the store.
-    state: str
-    list_age_ms: int
-
-
 class ReadyHandler(RequestHandler):
     """Answers the load balancer's question whether this gateway takes connections."""
 
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/records.py
@@ -0,0 +1,70 @@
+"""
+kingcupdyke_daemon.forwarder.records
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The typed fields of a forwarding gateway's log lines.
+"""
+
+from typing import NamedTuple
+
+__all__ = ["BeliefAges", "EndpointRecord", "OrderRecord", "RequestRecord"]
+
+
+class BeliefAges(NamedTuple):
+    """Milliseconds since the store confirmed what decisions rest on."""
+
+    version_ms: int
+    list_ms: int
+
+
+class RequestRecord(NamedTuple):
+    """What is logged of a request at its end."""
+
+    request: str
+    route: str
+    #: Version of the configuration, and milliseconds since the store confirmed it.
+    version: int
+    version_age_ms: int
+    #: Milliseconds since the store confirmed the list of endpoints.
+    list_age_ms: int
+    model: str
+    adapter: str
+    #: Endpoints that it was sent to, in order.
+    endpoints: tuple[str, ...]
+    #: Status that the client got, or 0 where it got none.
+    status: int
+    outcome: str
+    reason: str
+    #: Milliseconds that it waited in the queue before each send, together.
+    queued_ms: int
+    #: Milliseconds from its arrival to the first part of the answer, or -1 where none came.
+    first_ms: int
+    #: Milliseconds from its arrival to its end, and to its deadline.
+    total_ms: int
+    limit_ms: int
+
+
+class OrderRecord(NamedTuple):
+    """What is logged of an order when its answer came or failed to come."""
+
+    order: str
+    kind: str
+    model: str
+    adapter: str
+    endpoint: str
+    #: Orders that the engine was expected to have accepted.
+    order_count: int
+    fence: int
+    outcome: str
+    reason: str
+    #: Milliseconds that the order was expected to take.
+    expected_ms: int
+
+
+class EndpointRecord(NamedTuple):
+    """What is logged of an endpoint whose entry changed what this gateway does."""
+
+    endpoint: str
+    #: ``ready``, ``leaving``, ``removed``, or ``lapsed`` in an outage of the store.
+    state: str
+    list_age_ms: int
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
@@ -11,18 +11,19 @@
 from anyio import create_task_group, fail_after, sleep
 
 from kingcupdyke.demand import DemandTracker
-from kingcupdyke.lease import LeaseCommand, LeaseMachine, LeaseRecord, ReadLease
+from kingcupdyke.lease import LeaseMachine
 from kingcupdyke.placement import EndpointInventory, Order, PlacementPolicy, PlacementView
 from kingcupdyke.rule import RuleSet
 from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.gateway.cleaner import HolderCleaner
 from kingcupdyke_daemon.gateway.directory import EndpointDirectory
 from kingcupdyke_daemon.gateway.link import SidecarLink
+from kingcupdyke_daemon.leasekeeper import LeaseKeeper
 from kingcupdyke_daemon.metrics import DaemonMetrics
 from kingcupdyke_daemon.settings import GatewaySettings
 from kingcupdyke_wire.calls import CALL_ERRORS
 from kingcupdyke_wire.sidecar_pb2 import DescribeReply, OrderRequest
-from kingcupdyke_wire.store import Conflict, StoreClient
+from kingcupdyke_wire.store import StoreClient
 
 __all__ = ["LEASES_KIND", "RegionPlanner"]
 
@@ -62,12 +63,12 @@
         is_candidate: Callable[[], bool],
     ) -> None:
         self._region = region
-        self._lease_name = f"planner-{region}"
+        name = f"planner-{region}"
+        self._keeper = LeaseKeeper(lease, store, LEASES_KIND, name, timer.now)
         self._lease = lease
         self._policy = policy
         self._directory = directory
         self._demand = demand
-        self._store = store
         self._metrics = metrics
         self._timer = timer
         self._get_rules = get_rules
@@ -91,42 +92,12 @@
         """Take and renew the lease, apart from rounds, which may take long."""
         while True:
             if self.fence is not None or self._is_candidate():
-                await self._keep_lease()
+                await self._keeper.tick()
             await sleep(period_s)
 
     async def give_back(self) -> None:
         """Give the lease back at a planned stop, so that nobody waits for its expiry."""
-        command = self._lease.release(self._timer.now())
-        if command is not None:
-            await self._carry(command)
-
-    async def _keep_lease(self) -> None:
-        command = self._lease.tick(self._timer.now())
-        while command is not None:
-            command = await self._carry(command)
-
-    async def _carry(self, command: LeaseCommand) -> LeaseCommand | None:
-        if isinstance(command, ReadLease):
-            answer = await self._store.get(LEASES_KIND, command.name)
-        else:
-            answer = await self._store.put(
-                LEASES_KIND, self._lease_name, command.record.encode(), command.if_version
-            )
-        now_s = self._timer.now()
-        if answer.is_error():
-            unknown = answer.error.outcome.value != "not_run"
-            return self._lease.store_failed(now_s, unknown)
-        found = answer.ok
-        is_conflict = isinstance(found, Conflict)
-        if is_conflict:
-            found = found.current
-        elif not isinstance(command, ReadLease):
-            return self._lease.lease_written(found.version, now_s)
-        record = LeaseRecord.decode(found.value) if found else None
-        version = found.version if found else 0
-        if is_conflict:
-            return self._lease.lease_conflict(record, version, now_s)
-        return self._lease.lease_read(record, version, now_s)
+        await self._keeper.release()
 
     async def _plan(self) -> None:
         inventory = await self._describe()
