--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
@@ -63,8 +63,8 @@
         is_candidate: Callable[[], bool],
     ) -> None:
         self._region = region
-        name = f"planner-{region}"
-        self._keeper = LeaseKeeper(lease, store, LEASES_KIND, name, timer.now)
+        self._lease_name = f"planner-{region}"
+        self._keeper = LeaseKeeper(lease, store, LEASES_KIND, self._lease_name, timer.now)
         self._lease = lease
         self._policy = policy
         self._directory = directory
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/server.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/server.py
@@ -5,9 +5,10 @@
 Runs a stand-in as a process, or within the loop of a test.
 """
 
+import logging
 import signal
 import socket
-from asyncio import get_running_loop
+from asyncio import CancelledError, get_running_loop
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -20,12 +21,20 @@
 
 __all__ = ["open_standin", "run_standin"]
 
+#: Logger on which uvicorn reports what escapes from a handler.
+ERROR_LOGGER = "uvicorn.error"
+
 LOOPBACK = "127.0.0.1"
 BACKLOG = 1024
 #: Long enough that only the other end closes idle connections.
 KEEP_ALIVE_S = 3600
 
 
+def _is_fault(record: logging.LogRecord) -> bool:
+    """:return: whether a log record tells more than that a stop has cancelled a handler"""
+    return not (record.exc_info and isinstance(record.exc_info[1], CancelledError))
+
+
 def run_standin(app: StandinApp, address: str, port: int) -> None:
     """Serve until the process is told to stop, and say on the standard output where.
 
@@ -52,6 +61,7 @@
         timeout_keep_alive=KEEP_ALIVE_S,
     )
     config.load()
+    logging.getLogger(ERROR_LOGGER).addFilter(_is_fault)
     state = ServerState()
     listener = _listen(address, port)
     async with create_task_group() as tasks:
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -68,7 +68,7 @@
         ]
         failed = any(each.status != "passed" for each in results)
         if failed or done.returncode:
-            keep_output(name, done.stderr)
+            keep_output(name, done.stdout + done.stderr)
         if not results or (done.returncode and not failed):
             tail = (done.stdout + done.stderr)[-3000:]
             results.append(CaseResult(f"{name}: suite", "failed", 0.0, tail))
@@ -93,6 +93,8 @@
         if result.get("status") not in ("passed", "skipped", None):
             text = result.get("error_message", "")
             text = "\n".join(text) if isinstance(text, list) else text
+            # The report leaves out what a step raised other than an assertion.
+            text = text or f"{result['status']}: see {REPORTS.name}/ for what was raised"
             message += f"{step['keyword']} {step['name']}\n{text}\n"
     return CaseResult(f"{path}: {element['name']}", element["status"], seconds, message)
 
