Keep connections to endpoints up to two seconds before their timeout; renew the lease every 0.8 s

Cause: connections for work that may not be repeated were replaced after 3 s of idleness where endpoints keep them for 10 s, and the lease was a fifth of the calls to the store.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
@@ -39,7 +39,7 @@
 #: outlast the time that a rival waits.
 ORDERS_S = 1.0
 #: Seconds between renewals of the lease, and between looks at it by those who do not hold it.
-RENEW_S = 0.4
+RENEW_S = 0.8
 #: Seconds between planning rounds.
 ROUND_S = 0.05
 #: Seconds between looks at whether the lease is due.
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/pool.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/pool.py
@@ -17,8 +17,8 @@
 MARGIN_S = 0.4
 #: Seconds that an idle connection is kept where the endpoint does not say how long it keeps it.
 KEEP_S = 5.0
-#: Seconds of idleness up to which a connection carries a request that may not be repeated.
-FRESH_S = 3.0
+#: The same for a request that may not be repeated: the endpoint's close must not cross it.
+FRESH_MARGIN_S = 2.0
 #: Idle connections that are kept for one endpoint.
 MOST_IDLE = 48
 
@@ -48,7 +48,8 @@
         while idle:
             connection = idle.pop()
             idle_s = self._timer.now() - connection.idle_since_s
-            most_s = min(_keep_s(connection), FRESH_S) if needs_fresh else _keep_s(connection)
+            margin_s = FRESH_MARGIN_S if needs_fresh else MARGIN_S
+            most_s = _keep_s(connection, margin_s)
             if idle_s < most_s and connection.is_quiet():
                 return connection
             await connection.aclose()
@@ -81,10 +82,10 @@
             await self.drop(endpoint)
 
 
-def _keep_s(connection: EndpointConnection) -> float:
-    if connection.keep_alive_s is None:
-        return KEEP_S
-    return max(0.0, connection.keep_alive_s - MARGIN_S)
+def _keep_s(connection: EndpointConnection, margin_s: float = MARGIN_S) -> float:
+    """:return: seconds of idleness up to which a connection is used"""
+    keep_alive_s = KEEP_S if connection.keep_alive_s is None else connection.keep_alive_s
+    return max(0.0, keep_alive_s - margin_s)
 
 
 async def _close_all(connections: list[EndpointConnection]) -> None:
