--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -42,7 +42,15 @@
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
 from kingcupdyke_daemon.timer import LoopTimer
 
-__all__ = ["ForwarderRig", "ScriptedEndpoint", "open_rig"]
+__all__ = [
+    "ROUTES",
+    "ForwarderRig",
+    "PlainDialect",
+    "ScriptedEndpoint",
+    "make_configuration",
+    "make_entry",
+    "open_rig",
+]
 
 GONE = (BrokenResourceError, ClosedResourceError, EndOfStream, OSError)
 ROUTES = {
@@ -149,6 +157,10 @@
         await self.answer(stream, attempt_id, body=self.name.encode())
         return True
 
+    async def do_slow(self, stream, attempt_id):
+        await sleep(0.5)
+        return await self.do_ok(stream, attempt_id)
+
     async def do_fail(self, stream, attempt_id):
         await self.answer(stream, attempt_id, 500, b"failed")
         return True
@@ -237,6 +249,47 @@
     return ""
 
 
+def make_configuration(version, timeout_s, limits=None):
+    """:return: a configuration with a route for each kind of request"""
+    routes = tuple(
+        Route(
+            name=prefix.strip("/"),
+            host="a.example",
+            path_prefix=prefix,
+            kind=kind,
+            services=(WeightedService("service", 1.0),),
+            timeout_s=timeout_s,
+            objective_s=0.5,
+            gap_target_s=0.2,
+            priority=1,
+            max_attempts=2,
+            is_resumable=prefix == "/resume/",
+        )
+        for prefix, kind in ROUTES.items()
+    )
+    return Configuration(
+        version, routes, (ServiceSpec("service", "/", 10, None),), limits or ClientLimits()
+    )
+
+
+def make_entry(endpoint, address):
+    """:return: an endpoint's entry"""
+    return EndpointEntry(
+        endpoint=endpoint,
+        service="service",
+        address=address,
+        data_centre="n1",
+        slots=4,
+        is_leaving=False,
+        remaining_s=None,
+        heartbeat=1,
+        born_ms=1,
+        models=(),
+        in_memory=frozenset(),
+        on_disk=frozenset(),
+    )
+
+
 class ForwarderRig:
     """A front, its parts and its endpoints."""
 
@@ -252,48 +305,14 @@
         )
         self.handler = ExchangeHandler(parts)
         self.limits = ClientLimits(2000, 10_000, 0.3, 0.6)
-        self.handler.configuration = self.make_configuration(1)
+        self.handler.configuration = make_configuration(1, 1.0, self.limits)
         self.server = ClientServer(self.handler, lambda: self.limits, timer.now)
         self.endpoints = endpoints
         self.address = SocketAddress("127.0.0.1", 0)
         timer.subscribe("queue", 0.01, queue.poll)
 
-    def make_configuration(self, version, timeout_s=1.0):
-        routes = tuple(
-            Route(
-                name=prefix.strip("/"),
-                host="a.example",
-                path_prefix=prefix,
-                kind=kind,
-                services=(WeightedService("service", 1.0),),
-                timeout_s=timeout_s,
-                objective_s=0.5,
-                gap_target_s=0.2,
-                priority=1,
-                max_attempts=2,
-                is_resumable=prefix == "/resume/",
-            )
-            for prefix, kind in ROUTES.items()
-        )
-        return Configuration(version, routes, (ServiceSpec("service", "/", 10, None),), self.limits)
-
     def list_endpoint(self, endpoint):
-        self.board.put(
-            EndpointEntry(
-                endpoint=endpoint.name,
-                service="service",
-                address=endpoint.address,
-                data_centre="n1",
-                slots=4,
-                is_leaving=False,
-                remaining_s=None,
-                heartbeat=1,
-                born_ms=1,
-                models=(),
-                in_memory=frozenset(),
-                on_disk=frozenset(),
-            )
-        )
+        self.board.put(make_entry(endpoint.name, endpoint.address))
 
     async def send(self, data):
         """:return: a connection on which bytes were sent"""
--- /dev/null
+++ b/packages/kingcupdyke-daemon/features/steps/process_steps.py
@@ -0,0 +1,323 @@
+"""
+process_steps
+~~~~~~~~~~~~~
+
+Steps for a whole forwarding gateway, over a store in memory and scripted endpoints.
+"""
+
+import json
+import logging
+import socket
+from contextlib import asynccontextmanager
+
+from anyio import (
+    Event,
+    connect_tcp,
+    create_task_group,
+    create_tcp_listener,
+    current_time,
+    run,
+    sleep,
+)
+from anyio.abc import SocketAttribute
+from behave import then, when
+from expression import Error, Ok
+from forwarder_rig import PlainDialect, ScriptedEndpoint, make_configuration, make_entry
+from forwarder_steps import describe, write_request
+
+from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke_daemon.forwarder.process import Forwarder
+from kingcupdyke_daemon.forwarder.settings import ForwarderSettings, SocketAddress
+from kingcupdyke_wire.memorystore import MemoryStoreClient
+
+LOOPBACK = "127.0.0.1"
+GRACE_S = 4.0
+
+
+class JsonDialect(PlainDialect):
+    """Configurations and entries in a form of the test's own."""
+
+    configuration_kind = "configurations"
+    configuration_name = "only"
+    endpoint_kind = "endpoints"
+
+    def decode_configuration(self, value):
+        fields = json.loads(value)
+        return Ok(make_configuration(fields["version"], 2.0))
+
+    def decode_endpoint(self, endpoint, value):
+        try:
+            fields = json.loads(value)
+            address = (LOOPBACK, fields["port"])
+            return Ok(make_entry(endpoint, address)._replace(is_leaving=fields["leaving"]))
+        except (ValueError, KeyError, TypeError) as error:
+            return Error(Failure(Outcome.FAILED, Step.PARSE, endpoint, repr(error)))
+
+
+def find_port():
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return probe.getsockname()[1]
+
+
+class Site:
+    """A gateway, its store and its endpoints."""
+
+    def __init__(self, tasks):
+        self.tasks = tasks
+        self.store = MemoryStoreClient()
+        self.settings = ForwarderSettings(
+            host="entry-n1",
+            data_centre="n1",
+            region_by_data_centre={"n1": "north"},
+            front=SocketAddress(LOOPBACK, find_port()),
+            ready=SocketAddress(LOOPBACK, find_port()),
+            peer=SocketAddress(LOOPBACK, find_port()),
+            store_url="",
+            grace_s=GRACE_S,
+            repeat_share=0.2,
+            repeat_allowance=50.0,
+            repeat_window_s=10.0,
+            lease_s=3.0,
+            apply_s=3.0,
+        )
+        self.stop = Event()
+        self.ended_s = None
+        self.endpoints = {}
+
+    async def start(self):
+        self.tasks.start_soon(self._run)
+        await sleep(0.15)
+
+    async def _run(self):
+        async with create_task_group() as tasks:
+            await Forwarder(self.settings, JsonDialect(), self.store, tasks).run(self.stop)
+            self.ended_s = current_time()
+            tasks.cancel_scope.cancel()
+
+    async def configure(self, version):
+        current = (await self.store.get("configurations", "only")).ok
+        value = json.dumps({"version": version}).encode()
+        known = current.version if current else 0
+        await self.store.put("configurations", "only", value, known)
+
+    async def add(self, name, script="ok"):
+        endpoint = self.endpoints[name] = ScriptedEndpoint(name, script)
+        listener = (await create_tcp_listener(local_host=LOOPBACK)).listeners[0]
+        endpoint.address = listener.extra(SocketAttribute.local_address)
+        self.tasks.start_soon(endpoint.serve, listener)
+        await self.list(name, False)
+
+    async def list(self, name, is_leaving):
+        current = (await self.store.get("endpoints", name)).ok
+        fields = {"port": self.endpoints[name].address[1], "leaving": is_leaving}
+        known = current.version if current else 0
+        await self.store.put("endpoints", name, json.dumps(fields).encode(), known)
+
+    async def ask(self, line="GET /safe/1", port=None):
+        """:return: the whole answer, or nothing where no connection was made"""
+        address = (LOOPBACK, port or self.settings.front.port)
+        try:
+            stream = await connect_tcp(*address)
+        except OSError:
+            return b""
+        found = b""
+        async with stream:
+            await stream.send(write_request(line))
+            async for data in stream:
+                found += data
+        return found
+
+    async def is_ready(self):
+        answer = await self.ask(port=self.settings.ready.port)
+        return answer.startswith(b"HTTP/1.1 200")
+
+
+@asynccontextmanager
+async def open_site(is_configured=True):
+    async with create_task_group() as tasks:
+        site = Site(tasks)
+        if is_configured:
+            await site.configure(1)
+            await site.add("e1")
+        await site.start()
+        yield site
+        tasks.cancel_scope.cancel()
+
+
+@when("process: a gateway starts before its configuration is written")
+def start_early(context):
+    async def job():
+        async with open_site(False) as site:
+            context.before = (await site.is_ready(), describe(await site.ask()))
+            await site.add("e1")
+            await site.configure(1)
+            await sleep(1.0)
+            context.after = (await site.is_ready(), describe(await site.ask()))
+
+    run(job)
+
+
+@then("process: it was not ready and refused requests until the configuration came")
+def check_before(context):
+    assert context.before == (False, "503"), context.before
+
+
+@then("process: it is ready and serves within 1 s after that")
+def check_after(context):
+    assert context.after == (True, "200 e1"), context.after
+
+
+@when('process: a gateway gets the versions "{versions}" of its configuration')
+def give_versions(context, versions):
+    async def job():
+        context.versions = []
+        async with open_site() as site:
+            for version in versions.split():
+                await site.configure(int(version))
+                await sleep(0.2)
+                (record,) = [each for each in context.log_records if "in force" in each][-1:]
+                context.versions.append(record)
+
+    capture(context, job)
+
+
+class MessageList(logging.Handler):
+    """Keeps the messages that are logged."""
+
+    def __init__(self):
+        super().__init__()
+        self.messages = []
+
+    def emit(self, record):
+        self.messages.append(record.getMessage())
+
+
+def capture(context, job):
+    keeper = MessageList()
+    context.log_records = keeper.messages
+    logger = logging.getLogger("kingcupdyke_daemon")
+    logger.addHandler(keeper)
+    try:
+        run(job)
+    finally:
+        logger.removeHandler(keeper)
+
+
+@then("process: version 3 is in force after each later one")
+def check_versions(context):
+    words = [each.split()[1] for each in context.versions]
+    assert words == ["1", "3", "3"], words
+
+
+@when("process: the only endpoint leaves and another one comes")
+def change_endpoints(context):
+    async def job():
+        async with open_site() as site:
+            await site.list("e1", True)
+            await site.add("e2")
+            await sleep(0.2)
+            context.answers = [describe(await site.ask()) for _ in range(5)]
+
+    run(job)
+
+
+@then("process: requests after that are answered by the other one")
+def check_other(context):
+    assert context.answers == ["200 e2"] * 5, context.answers
+
+
+@when("process: unusable entries lie beside the endpoint's")
+def add_unusable(context):
+    async def job():
+        async with open_site() as site:
+            for name, value in (("x1", b"{"), ("x2", b"null"), ("x3", b'{"port":1}')):
+                await site.store.put("endpoints", name, value, 0)
+            await sleep(0.2)
+            context.answers = [describe(await site.ask()) for _ in range(5)]
+
+    run(job)
+
+
+@then("process: requests are served")
+@then("process: requests are served during that time")
+def check_served(context):
+    assert context.answers and set(context.answers) == {"200 e1"}, context.answers
+
+
+@when("process: the store is away for 1 s")
+def lose_store(context):
+    async def job():
+        async with open_site() as site:
+            site.store.down = True
+            context.answers = []
+            for _ in range(10):
+                context.answers.append(describe(await site.ask()))
+                await sleep(0.1)
+            site.store.down = False
+            await site.add("e2")
+            await site.list("e1", True)
+            await sleep(2.0)
+            context.last = describe(await site.ask())
+
+    run(job)
+
+
+@then("process: a change made at the end of it is in force within 2 s")
+def check_last(context):
+    assert context.last == "200 e2", context.last
+
+
+@when("process: a gateway is stopped while a request is under way")
+def stop_gateway(context):
+    async def job():
+        async with open_site(False) as site:
+            await site.configure(1)
+            await site.add("e1", "slow ok")
+            await sleep(0.3)
+
+            async def ask_slow():
+                context.slow = describe(await site.ask("POST /once/1"))
+
+            async with create_task_group() as tasks:
+                tasks.start_soon(ask_slow)
+                await sleep(0.1)
+                began_s = current_time()
+                site.stop.set()
+                await sleep(0.1)
+                context.ready = await site.is_ready()
+                context.soon = await site.ask()
+                await sleep(2.7)
+                context.late = await site.ask()
+                while site.ended_s is None:
+                    await sleep(0.05)
+            context.seconds = site.ended_s - began_s
+
+    run(job)
+
+
+@then("process: it says at once that it takes no connections")
+def check_not_ready(context):
+    assert context.ready is False
+
+
+@then("process: the request under way is answered")
+def check_slow(context):
+    assert context.slow == "200 e1", context.slow
+
+
+@then("process: a request that comes soon after is answered, and asked to close its connection")
+def check_soon(context):
+    assert describe(context.soon) == "200 e1", context.soon
+    assert b"connection: close" in context.soon.lower()
+
+
+@then("process: one that comes late is refused truly")
+def check_late(context):
+    assert describe(context.late) == "503", context.late
+    assert b"retry-after" in context.late.lower()
+
+
+@then("process: the process ends within its grace")
+def check_end(context):
+    assert context.seconds <= GRACE_S, context.seconds
