--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peers.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peers.py
@@ -27,6 +27,9 @@
 #: Seconds between messages to peers of the own region, and to those beyond a paid link.
 PERIOD_S = 0.1
 FAR_PERIOD_S = 0.3
+#: Peers up to which these periods hold; with more of them messages are as much rarer, so that the
+#: messages that a gateway takes stay about the same in number.
+PEERS_AT_FULL_RATE = 8
 #: Seconds between attempts to enter oneself in the store.
 ENTER_RETRY_S = 0.5
 
@@ -151,13 +154,17 @@
             now_s = self._timer.now()
             is_far_due = is_urgent or now_s >= self._far_due_s
             if is_far_due:
-                self._far_due_s = now_s + FAR_PERIOD_S
+                self._far_due_s = now_s + FAR_PERIOD_S * self._slowdown
             for host, address in list(self._address_by_host.items()):
                 if is_far_due or host not in self._far_hosts:
                     await self._send_to(udp, data, address)
-            with move_on_after(PERIOD_S):
+            with move_on_after(PERIOD_S * self._slowdown):
                 await self.changed.wait()
 
+    @property
+    def _slowdown(self) -> float:
+        return max(1.0, len(self._address_by_host) / PEERS_AT_FULL_RATE)
+
     async def _send_to(self, udp: UDPSocket, data: bytes, address: SocketAddress) -> None:
         try:
             await udp.sendto(data, *address)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -41,6 +41,8 @@
 _LOGGER = logging.getLogger(__name__)
 #: Seconds between looks at requests that wait.
 QUEUE_PERIOD_S = 0.025
+#: Seconds between counts of what peers told.
+PEERS_PERIOD_S = 0.05
 #: Seconds between looks at idle connections and lapsed entries.
 TIDY_PERIOD_S = 0.25
 #: Gateways that contend for the planner's lease.
@@ -174,6 +176,7 @@
         self._tasks.start_soon(self._placer.run)
         self._tasks.start_soon(self._forward_demand)
         self._timer.subscribe("queue", QUEUE_PERIOD_S, self._queue.poll)
+        self._timer.subscribe("peers", PEERS_PERIOD_S, self._count_peers)
         self._timer.subscribe("tidy", TIDY_PERIOD_S, self._tidy)
         _LOGGER.warning("started as %s", settings.host)
         await stop.wait()
@@ -311,7 +314,6 @@
 
     def _tidy(self, now_s: float) -> None:
         self._board.drop_lapsed(now_s)
-        self._board.hear_peers(self._peer_table.live(now_s), now_s)
         self._exchanges.gateways = self._peers.hosts
         confirmed_s = now_s - self._configurations.heard_s
         self._exchanges.is_confirmed = confirmed_s < 4 * self._settings.apply_s
@@ -350,11 +352,14 @@
 
     def _hear_peer(self, state: GatewayState) -> None:
         now_s = self._timer.now()
-        self._board.hear_peers(self._peer_table.live(now_s), now_s)
         if state.fence:
             self._board.hear_placements(state, now_s)
         is_rival = self._placer.may_have_written
         self._support.hear(state, self._incarnation, is_rival, read_clock())
+
+    def _count_peers(self, now_s: float) -> None:
+        """Take what peers told since the last time, many messages at once."""
+        self._board.hear_peers(self._peer_table.live(now_s), now_s)
         self._queue.poll(now_s)
 
 
