Count an ordered adapter until the engine's entry shows it

An entry that came while an order was unanswered took adapters off the list of ordered ones without adding them to the held ones; an entry older than a report did the same. Three rows of seat.feature, each red before.

--- a/packages/kingcupdyke/features/fake_worker.py
+++ b/packages/kingcupdyke/features/fake_worker.py
@@ -19,6 +19,8 @@
 __all__ = ["FakeWorker", "WorkerDay"]
 
 ROUND_S = 0.05
+#: More than an engine has places for.
+ADAPTERS = ("a1", "a2", "a3", "a4", "a5", "a6")
 REPORT_LAG_S = 0.1
 #: Seconds without orders between two planners.
 HANDOVER_S = 4.0
@@ -170,7 +172,7 @@
         names = list(self.spec.models_by_name)
         self.demands = []
         for name in self.rng.sample(names, min(4, len(names))):
-            adapter = self.rng.choice(("", "", "a1", "a2"))
+            adapter = self.rng.choice(("", "", *ADAPTERS))
             rate = self.rng.choice((0.0, 500.0, 9000.0))
             self.demands.append(Demand(name, adapter, self.rng.randint(0, 3), rate))
 
--- a/packages/kingcupdyke/features/seat.feature
+++ b/packages/kingcupdyke/features/seat.feature
@@ -20,6 +20,9 @@
       | which settles it | report 0 m1+a1; load m2; conflict; report 4 m1+a1 | takes | m1+a1 | 4 |
       | a lost answer keeps the order open | report 0 m1+a1; load m2; unknown | refuses | m1+a1 | 0 |
       | an entry does not settle a lost answer | report 0 m1+a1; load m2; unknown; entry 2 m1+a1,m2 | refuses | m1+a1 | 0 |
+      | nor does it hide an adapter that was ordered before | report 0 m1+a1; adapter a2; accepted; adapter a3; unknown; entry 2 m1+a1+a2 | refuses | m1+a1+a2 | 1 |
+      | nor does an older entry after a report | report 0 m1+a1; adapter a2; accepted; report 1 m1+a1+a2; entry 2 m1+a1 | takes | m1+a1+a2 | 1 |
+      | adapters go with their model | report 0 m1+a1; adapter a2; accepted; unload m1; accepted; entry 2 m2 | takes | m2 | 2 |
       | sent again and accepted, it is an order like any | report 0 m1+a1; load m2; unknown; again; accepted; report 1 m1+a1,m2 | takes | m1+a1 m2 | 1 |
       | a refusal asks for a report | report 0 m1+a1; load m2; refused | refuses | m1+a1 | 0 |
       | a restart forgets everything | report 7 m1+a1; restart 1 -; report 0 - | takes | - | 0 |
--- a/packages/kingcupdyke/kingcupdyke/forwarding/residencyplan.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/residencyplan.py
@@ -241,7 +241,7 @@
 
     def _place_adapter(self, seat: Seat, model: str, adapter: str) -> None:
         spec = self._engine.models_by_name.get(model)
-        if spec is None or len(seat.ordered_adapters) >= ADAPTERS_COMING:
+        if spec is None or seat.count_coming(self._now_s) >= ADAPTERS_COMING:
             return
         present = seat.list_adapters()
         is_full = len(present) >= self._engine.adapter_slots
--- a/packages/kingcupdyke/kingcupdyke/forwarding/seat.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/seat.py
@@ -16,6 +16,8 @@
 RESEND_S = 0.1
 #: Seconds beyond an order's expected end after which the endpoint's report is asked for.
 OVERDUE_S = 0.5
+#: Seconds for which an ordered adapter may be on its way.
+COMING_S = 0.3
 #: Seconds between two questions for a report.
 REPORT_PAUSE_S = 0.3
 
@@ -59,6 +61,7 @@
         self.models_by_name = _by_name(entry.models)
         #: Names of adapters that were ordered and not yet reported, with their models.
         self.ordered_adapters: set[tuple[str, str]] = set()
+        self._ordered_s: dict[tuple[str, str], float] = {}
         self.open_order: Order | None = None
         self.is_call_open = False
         self.is_busy = False
@@ -100,6 +103,11 @@
         }
         return held | self.ordered_adapters
 
+    def count_coming(self, now_s: float) -> int:
+        """:return: adapters that may still be on their way"""
+        times = [self._ordered_s.get(key, now_s) for key in self.ordered_adapters]
+        return sum(now_s - ordered_s < COMING_S for ordered_s in times)
+
     def observe_entry(self, entry: EndpointEntry) -> None:
         """Take the engine's entry from the list."""
         known = self.entry
@@ -125,8 +133,9 @@
         if report.is_busy:
             return
         self.models_by_name = _by_name(report.models)
-        coming = set(report.coming_adapters)
-        self.ordered_adapters = coming
+        # An entry from before the report may still come: what was ordered counts until it is shown.
+        self.ordered_adapters |= set(report.coming_adapters)
+        self._drop_adapters()
         if self.open_order is not None and (has_moved or self._is_settled()):
             self.open_order = None
 
@@ -166,9 +175,9 @@
             self._resend_s = now_s + RESEND_S
             return
         if reply is OrderReply.ACCEPTED:
-            self._accept(order)
+            self._accept(order, now_s)
         elif reply is OrderReply.HOLDS:
-            self._accept(order)
+            self._accept(order, now_s)
             self.open_order = None
             self._wants_report = True
         else:
@@ -176,11 +185,12 @@
             self.is_known = False
             self.open_order = None if reply is not OrderReply.CONFLICT else order
 
-    def _accept(self, order: Order) -> None:
+    def _accept(self, order: Order, now_s: float) -> None:
         self.order_count += 1
         key = (order.model, order.adapter)
         if order.kind == OrderKind.LOAD_ADAPTER:
             self.ordered_adapters.add(key)
+            self._ordered_s[key] = now_s
             self.open_order = None
         elif order.kind == OrderKind.UNLOAD_ADAPTER:
             self.ordered_adapters.discard(key)
@@ -191,19 +201,36 @@
             self.open_order = None
 
     def _take_models(self, models: tuple[HeldModel, ...]) -> None:
-        """Take what an entry says that the engine holds."""
+        """Take what an entry says that the engine holds, unless an order is still open."""
         listed = _by_name(models)
-        self.ordered_adapters -= self._held_adapters(listed)
         order = self.open_order
-        if order is None:
-            self.models_by_name = listed
+        if order is not None and not self._is_done(order, listed):
             return
-        is_done = (order.model in listed) == (order.kind == OrderKind.LOAD)
-        if is_done and order.kind in (OrderKind.LOAD, OrderKind.UNLOAD) and not self._resend_s:
-            self.models_by_name = listed
+        self.models_by_name = listed
+        # Only what is now counted as held needs no longer be counted as ordered.
+        self.ordered_adapters -= self._held_adapters(listed)
+        self._drop_adapters()
+        if order is not None:
             self.open_order = None
             self.is_busy = False
 
+    def _drop_adapters(self) -> None:
+        """Forget ordered adapters whose model is gone: they went with it."""
+        self.ordered_adapters = {
+            key for key in self.ordered_adapters if key[0] in self.models_by_name
+        }
+        self._ordered_s = {
+            key: ordered_s
+            for key, ordered_s in self._ordered_s.items()
+            if key in self.ordered_adapters
+        }
+
+    def _is_done(self, order: Order, listed: dict[str, HeldModel]) -> bool:
+        """:return: whether an entry shows that an order for a model was carried out"""
+        if self._resend_s or order.kind not in (OrderKind.LOAD, OrderKind.UNLOAD):
+            return False
+        return (order.model in listed) == (order.kind == OrderKind.LOAD)
+
     def _is_settled(self) -> bool:
         order = self.open_order
         if order is None or self.is_call_open:
