--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 
 setup: $(VENV)/.ready
 
-$(VENV)/.ready: constraints.txt requirements.txt requirements-dev.txt
+$(VENV)/.ready: constraints.txt requirements.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install -q -c constraints.txt -r requirements-dev.txt
 	$(BIN)/python -m pip install -q --no-deps --no-build-isolation $(addprefix -e ,$(PACKAGES))
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -96,7 +96,8 @@
             # The report leaves out what a step raised other than an assertion.
             text = text or f"{result['status']}: see {REPORTS.name}/ for what was raised"
             message += f"{step['keyword']} {step['name']}\n{text}\n"
-    return CaseResult(f"{path}: {element['name']}", element["status"], seconds, message)
+    name = f"{path}: {element['name']}".strip()
+    return CaseResult(name, element["status"], seconds, message)
 
 
 def read_known_red() -> dict[str, str]:
