Let the requests of the load report's test outlast the client's timeout

Cause: three requests of 100 tokens at 2 ms last 0.20 s by plan and 0.23 to 0.35 s by the loop's late wake-ups; the client gives up after 0.3 s, which ended the scenario with a timeout of its own requests before the load was checked. Ruled out: the report itself (row @1.2 and the rest of the feature pass in the same runs). Now the requests last three times the client's timeout and are cancelled once the load is read; the check of the three running ones is the same.

--- a/packages/kingcupdyke-wire/features/steps/engine_steps.py
+++ b/packages/kingcupdyke-wire/features/steps/engine_steps.py
@@ -18,6 +18,8 @@
 from kingcupdyke_wire.sse import DONE_EVENT
 
 PROMPT = "who referees on Monday?"
+#: Tokens of a request that lasts three times as long as the client waits.
+LONG_TOKENS = 500
 
 
 @given('an engine of 10 GB that holds "m" of 2 GB')
@@ -295,12 +297,14 @@
 @when("engine runs {count:d} requests and reads the load after {delay_s:g} s")
 @with_engine
 async def read_load(context, app, client, count, delay_s):
-    path, body = build_body(PROMPT, 100)
+    # They outlast the client's timeout, so that all still run when the load is read.
+    path, body = build_body(PROMPT, LONG_TOKENS)
     async with create_task_group() as tasks:
         for number in range(count):
             tasks.start_soon(run_request, client, f"r{number}", path, body)
         await sleep(delay_s)
         context.load = (await client.load()).ok
+        tasks.cancel_scope.cancel()
 
 
 @then("engine reports {running:d} running and an age of at least {age_s:g} s")
