--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -36,10 +36,12 @@
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.front import ClientServer
 from kingcupdyke_daemon.forwarder.handler import ExchangeHandler
+from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
 from kingcupdyke_daemon.forwarder.parts import ForwarderParts
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
+from kingcupdyke_daemon.logs import LineSampler
 from kingcupdyke_daemon.timer import LoopTimer
 
 __all__ = [
@@ -300,8 +302,17 @@
         queue = WaitingQueue(self.dispatcher, timer)
         self.pool = ConnectionPool(PlainDialect(), timer)
         budget = RepeatBudget(0.2, allowance, 10.0)
+        self.metrics = ForwarderMetrics("test")
         parts = ForwarderParts(
-            PlainDialect(), self.dispatcher, self.board, queue, self.pool, budget, timer
+            PlainDialect(),
+            self.dispatcher,
+            self.board,
+            queue,
+            self.pool,
+            budget,
+            timer,
+            self.metrics,
+            LineSampler(timer.now),
         )
         self.handler = ExchangeHandler(parts)
         self.limits = ClientLimits(2000, 10_000, 0.3, 0.6)
@@ -359,5 +370,6 @@
         rig.address = front.extra(SocketAttribute.local_address)
         tasks.start_soon(rig.server.serve, front, tasks)
         yield rig
+        rig.metrics.close()
         await rig.pool.aclose()
         tasks.cancel_scope.cancel()
--- a/packages/kingcupdyke-daemon/features/process.feature
+++ b/packages/kingcupdyke-daemon/features/process.feature
@@ -29,3 +29,33 @@
     And process: a request that comes soon after is answered, and asked to close its connection
     And process: one that comes late is refused truly
     And process: the process ends within its grace
+
+  Scenario: Changed settings are in force without a restart
+    When process: the grace becomes 2 s while a gateway runs, which then stops with a request under way
+    Then process: it ends within 2 s of that, and the request has its final answer
+
+  Scenario Outline: Settings that cannot be taken leave those in force: <change>
+    When process: the settings become "<change>" while a gateway runs
+    Then process: its log says "<line>"
+    And process: requests are served
+
+    Examples:
+      | change          | line                                                   |
+      | unreadable      | the changed settings are unusable: no table            |
+      | another address | changed settings need a restart to be in force: front  |
+      | nothing         | settings read again, nothing has changed               |
+
+  Scenario: Metrics tell of decisions, outcomes and beliefs
+    When process: a gateway answers 3 requests, refuses 1, repeats 1 and is asked for its metrics
+    Then process: the metrics hold
+      | line                                                                             |
+      | kingcupdyke_requests_total{outcome="answered",route="safe",status="200"} 4.0     |
+      | kingcupdyke_requests_total{outcome="answered",route="once",status="503"} 1.0     |
+      | kingcupdyke_decisions_total{decision="send",reason="",route="safe"} 5.0          |
+      | kingcupdyke_decisions_total{decision="refuse",reason="no endpoint of the service",route="once"} 1.0 |
+      | kingcupdyke_repeats_total{outcome="granted",service="service"} 1.0               |
+      | kingcupdyke_configuration_version 1.0                                            |
+      | kingcupdyke_endpoints{state="listed"} 0.0                                        |
+      | kingcupdyke_ready 1.0                                                            |
+    And process: the metrics hold histograms of "request, first_part, queue_wait" by route
+    And process: the metrics hold the ages of "configuration, endpoint_list, lease"
--- a/packages/kingcupdyke-daemon/features/steps/process_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/process_steps.py
@@ -27,7 +27,11 @@
 
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke_daemon.forwarder.process import Forwarder
-from kingcupdyke_daemon.forwarder.settings import ForwarderSettings, SocketAddress
+from kingcupdyke_daemon.forwarder.settings import (
+    ForwarderSettings,
+    SettingsSource,
+    SocketAddress,
+)
 from kingcupdyke_wire.memorystore import MemoryStoreClient
 
 LOOPBACK = "127.0.0.1"
@@ -60,6 +64,24 @@
         return probe.getsockname()[1]
 
 
+class ListedSettings(SettingsSource):
+    """Settings that a test changes."""
+
+    def __init__(self, settings):
+        self.stamp = 1
+        self.loaded = Ok(settings)
+
+    def change(self, loaded):
+        self.stamp += 1
+        self.loaded = loaded
+
+    def read_stamp(self):
+        return self.stamp
+
+    def load(self):
+        return self.loaded
+
+
 class Site:
     """A gateway, its store and its endpoints."""
 
@@ -80,7 +102,9 @@
             repeat_window_s=10.0,
             lease_s=3.0,
             apply_s=3.0,
+            metrics=SocketAddress(LOOPBACK, find_port()),
         )
+        self.source = ListedSettings(self.settings)
         self.stop = Event()
         self.ended_s = None
         self.endpoints = {}
@@ -91,7 +115,8 @@
 
     async def _run(self):
         async with create_task_group() as tasks:
-            await Forwarder(self.settings, JsonDialect(), self.store, tasks).run(self.stop)
+            forwarder = Forwarder(self.settings, self.source, JsonDialect(), self.store, tasks)
+            await forwarder.run(self.stop)
             self.ended_s = current_time()
             tasks.cancel_scope.cancel()
 
@@ -321,3 +346,99 @@
 @then("process: the process ends within its grace")
 def check_end(context):
     assert context.seconds <= GRACE_S, context.seconds
+
+
+@when(
+    "process: the grace becomes 2 s while a gateway runs, which then stops with a request under way"
+)
+def shorten_grace(context):
+    async def job():
+        async with open_site(False) as site:
+            await site.configure(1)
+            await site.add("e1", "hang")
+            await sleep(0.3)
+            site.source.change(Ok(site.settings._replace(grace_s=2.0)))
+            await sleep(1.2)
+
+            async def ask_hanging():
+                context.hanging = describe(await site.ask("POST /once/1"))
+
+            async with create_task_group() as tasks:
+                tasks.start_soon(ask_hanging)
+                await sleep(0.1)
+                began_s = current_time()
+                site.stop.set()
+                while site.ended_s is None:
+                    await sleep(0.05)
+            context.seconds = site.ended_s - began_s
+
+    run(job)
+
+
+@then("process: it ends within 2 s of that, and the request has its final answer")
+def check_short_grace(context):
+    assert context.seconds <= 2.0, context.seconds
+    assert context.hanging in ("502", "504"), context.hanging
+
+
+@when('process: the settings become "{change}" while a gateway runs')
+def change_settings(context, change):
+    async def job():
+        async with open_site() as site:
+            other = site.settings._replace(front=SocketAddress(LOOPBACK, find_port()))
+            loaded = {
+                "unreadable": Error(["no table"]),
+                "another address": Ok(other),
+                "nothing": Ok(site.settings),
+            }
+            site.source.change(loaded[change])
+            await sleep(1.2)
+            context.answers = [describe(await site.ask()) for _ in range(3)]
+
+    capture(context, job)
+
+
+@then('process: its log says "{line}"')
+def check_log(context, line):
+    assert line in context.log_records, context.log_records
+
+
+@when("process: a gateway answers 3 requests, refuses 1, repeats 1 and is asked for its metrics")
+def ask_metrics(context):
+    async def job():
+        async with open_site(False) as site:
+            await site.configure(1)
+            await site.add("e1", "ok ok ok fail")
+            await site.add("e2")
+            await sleep(0.3)
+            for _ in range(4):
+                await site.ask()
+            for name in ("e1", "e2"):
+                current = (await site.store.get("endpoints", name)).ok
+                await site.store.delete("endpoints", name, current.version)
+            await sleep(0.2)
+            await site.ask("POST /once/1")
+            answer = await site.ask("GET /metrics", site.settings.metrics.port)
+            context.metrics = answer.decode()
+
+    run(job)
+
+
+@then("process: the metrics hold")
+def check_metrics(context):
+    lines = context.metrics.replace("\r", "").split("\n")
+    for (line,) in context.table:
+        found = [each for each in lines if each == line]
+        assert found, f"{line} is not in\n{context.metrics}"
+
+
+@then('process: the metrics hold histograms of "{names}" by route')
+def check_histograms(context, names):
+    for name in names.split(", "):
+        assert f"kingcupdyke_{name}_seconds_bucket" in context.metrics, context.metrics
+
+
+@then('process: the metrics hold the ages of "{names}"')
+def check_ages(context, names):
+    for name in names.split(", "):
+        assert f'belief="{name}"' in context.metrics, context.metrics
--- a/packages/kingcupdyke-daemon/features/steps/walks_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/walks_steps.py
@@ -87,7 +87,8 @@
 
 @then('walks: the end of the request tells "{words}"')
 def check_end(context, words):
-    (line,) = [each for each in context.report.text.splitlines() if f"request={REQUEST}" in each]
+    lines = [each for each in context.report.text.splitlines() if f"request={REQUEST}" in each]
+    (line,) = [each for each in lines if "request ended" in each]
     for word in words.replace(" reason=", "\nreason=").splitlines():
         for each in [word] if word.startswith("reason") else word.split():
             assert each in line, (each, line)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
@@ -5,7 +5,6 @@
 One request of a client: from its route to its answer, over one endpoint or several.
 """
 
-import logging
 from enum import StrEnum
 from typing import NamedTuple
 from uuid import uuid4
@@ -14,20 +13,20 @@
 from h11 import Response
 
 from kingcupdyke.forwarding.configuration import Route, RouteKind
-from kingcupdyke.forwarding.dispatcher import Refuse, WorkItem
+from kingcupdyke.forwarding.dispatcher import Refuse, Wait, WorkItem
 from kingcupdyke.forwarding.endpoint import Replica
 from kingcupdyke.forwarding.terms import AnswerTerms, RequestTerms, SendTerms
 from kingcupdyke_daemon.forwarder.connection import EndpointConnection, Progress, TransferError
 from kingcupdyke_daemon.forwarder.dialect import Headers
 from kingcupdyke_daemon.forwarder.events import EventBuffer
+from kingcupdyke_daemon.forwarder.metrics import RequestTimes
 from kingcupdyke_daemon.forwarder.parts import ForwarderParts
-from kingcupdyke_daemon.forwarder.records import BeliefAges, RequestRecord
+from kingcupdyke_daemon.forwarder.records import BeliefAges
 from kingcupdyke_daemon.forwarder.reply import ClientLeftError, ClientRequest, Reply
-from kingcupdyke_daemon.logs import log_record
+from kingcupdyke_daemon.forwarder.requestjournal import RepeatOutcome, RequestJournal
 
 __all__ = ["RETRY_AFTER_S", "STATUS_UNAVAILABLE", "Exchange"]
 
-_LOGGER = logging.getLogger(__name__)
 #: Headers of an endpoint's answer that concern its connection only.
 CONNECTION_HEADERS = frozenset(
     (b"connection", b"keep-alive", b"proxy-connection", b"transfer-encoding", b"upgrade")
@@ -86,8 +85,6 @@
     ) -> None:
         self._parts = parts
         self._gateways = gateways
-        self._version = version
-        self._ages = ages
         self._route = route
         self._request = request
         self._terms = terms
@@ -108,6 +105,7 @@
             first_by_s=request.arrived_s + route.first_patience_s,
             deadline_s=self._deadline_s,
         )
+        self._journal = RequestJournal(parts, self._item, route.name, version, ages)
         #: Ends the attempts at the deadline, or when the process ends.
         self.scope = CancelScope(deadline=self._deadline_s)
         self._is_given_up = False
@@ -147,34 +145,27 @@
 
     def _log(self, outcome: str) -> None:
         arrived_s = self._request.arrived_s
-        first_s = self._first_s
-        record = RequestRecord(
-            request=self._item.attempt_id,
-            route=self._route.name,
-            version=self._version,
-            version_age_ms=self._ages.version_ms,
-            list_age_ms=self._ages.list_ms,
-            model=self._item.model,
-            adapter=self._item.adapter,
-            endpoints=tuple(self._sent_to),
-            status=self._status,
-            outcome=outcome,
-            reason=self._reason,
-            queued_ms=round(self._queued_s * 1000),
-            first_ms=-1 if first_s is None else round((first_s - arrived_s) * 1000),
-            total_ms=round((self._parts.timer.now() - arrived_s) * 1000),
-            limit_ms=round((self._deadline_s - arrived_s) * 1000),
+        first_s = None if self._first_s is None else self._first_s - arrived_s
+        times = RequestTimes(self._parts.timer.now() - arrived_s, first_s, self._queued_s)
+        limit_s = self._deadline_s - arrived_s
+        self._journal.ended(
+            outcome, self._status, self._reason, tuple(self._sent_to), times, limit_s
         )
-        log_record(_LOGGER, "request ended", record)
 
     async def _run_attempts(self) -> None:
         while True:
             since_s = self._parts.timer.now()
-            decision = await self._parts.queue.decide(self._item, frozenset(self._excluded))
+            decision = self._parts.queue.submit(self._item, frozenset(self._excluded))
+            if isinstance(decision, Wait):
+                self._journal.waits(decision, self._parts.dispatcher.waiting)
+                decision = await self._parts.queue.wait(self._item.attempt_id)
             self._queued_s += self._parts.timer.now() - since_s
             if isinstance(decision, Refuse):
+                self._journal.refused(decision)
                 await self._give_up(decision.reason, decision.retry_after_s)
                 return
+            state = self._parts.board.state_by_id.get(decision.endpoint)
+            self._journal.sent(decision, state, len(self._sent_to))
             self._sent_to.append(decision.endpoint)
             end = await self._try_endpoint(decision.endpoint)
             if end is _End.DELIVERED:
@@ -185,20 +176,24 @@
                 self._events.drop_partial()
             if end not in (_End.NOT_RUN, _End.NOT_SENT):
                 self._runs += 1
-            if not self._may_try_again(end):
+            outcome = self._try_again(end)
+            self._journal.ended_at(decision.endpoint, end, outcome, self._reason)
+            if outcome is not RepeatOutcome.REPEATED:
                 await self._give_up(self._reason)
                 return
 
-    def _may_try_again(self, end: _End) -> bool:
+    def _try_again(self, end: _End) -> RepeatOutcome:
         if end is _End.NOT_SENT:
-            return True
+            return RepeatOutcome.REPEATED
         if end is not _End.NOT_RUN:
             if not self._may_repeat or self._runs >= self._route.max_attempts:
-                return False
+                return RepeatOutcome.NOT_REPEATABLE
             if end is _End.BROKEN and self._events is None:
-                return False
+                return RepeatOutcome.NOT_REPEATABLE
         now_s = self._parts.timer.now()
-        return self._parts.budget.take(self._item.service, self._gateways, now_s)
+        is_granted = self._parts.budget.take(self._item.service, self._gateways, now_s)
+        self._parts.metrics.count_repeat(self._item.service, is_granted)
+        return RepeatOutcome.REPEATED if is_granted else RepeatOutcome.NO_BUDGET
 
     async def _give_up(self, reason: str, retry_after_s: float = RETRY_AFTER_S) -> None:
         """Send the final answer of a request that no endpoint answers."""
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/handler.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/handler.py
@@ -5,6 +5,7 @@
 Takes clients' requests, finds their routes, and refuses what can't be begun.
 """
 
+import logging
 from collections.abc import Callable
 
 from anyio import CancelScope
@@ -14,11 +15,13 @@
 from kingcupdyke.forwarding.terms import RequestTerms
 from kingcupdyke_daemon.forwarder.exchange import RETRY_AFTER_S, STATUS_UNAVAILABLE, Exchange
 from kingcupdyke_daemon.forwarder.parts import ForwarderParts
-from kingcupdyke_daemon.forwarder.records import BeliefAges
+from kingcupdyke_daemon.forwarder.records import BeliefAges, RefusalRecord
 from kingcupdyke_daemon.forwarder.reply import ClientRequest, Reply, RequestHandler
+from kingcupdyke_daemon.logs import log_record
 
 __all__ = ["ExchangeHandler"]
 
+_LOGGER = logging.getLogger(__name__)
 STATUS_NOT_FOUND = 404
 
 
@@ -57,8 +60,7 @@
             await self._refuse(reply, terms, "the routes may have changed", RETRY_AFTER_S)
             return
         if route is None:
-            headers = self._parts.dialect.write_refusal(terms.attempt_id, None)
-            await reply.refuse(STATUS_NOT_FOUND, "no route", headers)
+            await self._refuse(reply, terms, "no route", None, STATUS_NOT_FOUND)
             return
         version = configuration.version
         exchange = Exchange(
@@ -78,7 +80,19 @@
             scope.cancel()
 
     async def _refuse(
-        self, reply: Reply, terms: RequestTerms, reason: str, retry_after_s: float
+        self,
+        reply: Reply,
+        terms: RequestTerms,
+        reason: str,
+        retry_after_s: float | None,
+        status: int = STATUS_UNAVAILABLE,
     ) -> None:
+        ages = self.get_ages()
+        version = 0 if self.configuration is None else self.configuration.version
+        record = RefusalRecord(
+            terms.attempt_id, status, reason, version, ages.version_ms, ages.list_ms
+        )
+        log_record(_LOGGER, "request refused", record)
+        self._parts.metrics.count_decision("", "refuse", reason)
         headers = self._parts.dialect.write_refusal(terms.attempt_id, retry_after_s)
-        await reply.refuse(STATUS_UNAVAILABLE, reason, headers)
+        await reply.refuse(status, reason, headers)
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
@@ -0,0 +1,135 @@
+"""
+kingcupdyke_daemon.forwarder.metrics
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Counters, histograms and gauges of a forwarding gateway, in the usual text form.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import NamedTuple
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import Histogram, MeterProvider
+from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry, generate_latest
+
+from kingcupdyke_daemon.forwarder.reply import ClientRequest, Reply, RequestHandler
+
+__all__ = ["ForwarderMetrics", "MetricsHandler", "RequestTimes"]
+
+#: Prefix of all names.
+PREFIX = "kingcupdyke_"
+#: Bounds of the histograms, in seconds.
+BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 30.0)
+CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+
+#: Reads gauges: a value for each state, by its label.
+GaugeReader = Callable[[], Mapping[str, float]]
+
+
+class RequestTimes(NamedTuple):
+    """Seconds that a request took."""
+
+    #: From its arrival to its end.
+    total_s: float
+    #: From its arrival to the first part of the answer, or None where none came.
+    first_s: float | None
+    #: In the queue before each send, together.
+    queued_s: float
+
+
+class ForwarderMetrics:
+    """The instruments of one gateway.
+
+    :param host: name of the host
+    """
+
+    def __init__(self, host: str) -> None:
+        self._registry = CollectorRegistry()
+        bounds = ExplicitBucketHistogramAggregation(BOUNDS_S)
+        self._provider = MeterProvider(
+            metric_readers=[
+                PrometheusMetricReader(
+                    disable_target_info=True, scope_info_enabled=False, registry=self._registry
+                )
+            ],
+            resource=Resource({"service.name": "kingcupdyke-forwarder", "host.name": host}),
+            views=[View(instrument_type=Histogram, aggregation=bounds)],
+        )
+        self._meter = self._provider.get_meter("kingcupdyke")
+        create_counter = self._meter.create_counter
+        create_histogram = self._meter.create_histogram
+        self._requests = create_counter(f"{PREFIX}requests")
+        self._decisions = create_counter(f"{PREFIX}decisions")
+        self._repeats = create_counter(f"{PREFIX}repeats")
+        self._orders = create_counter(f"{PREFIX}orders")
+        self._total = create_histogram(f"{PREFIX}request_seconds")
+        self._first = create_histogram(f"{PREFIX}first_part_seconds")
+        self._queued = create_histogram(f"{PREFIX}queue_wait_seconds")
+
+    def count_decision(self, route: str, decision: str, reason: str = "") -> None:
+        """Count a decision of the dispatcher.
+
+        :param decision: ``send``, ``wait`` or ``refuse``
+        """
+        self._decisions.add(1, {"route": route, "decision": decision, "reason": reason})
+
+    def count_repeat(self, service: str, is_granted: bool) -> None:
+        """Count a repeat that the budget granted or denied."""
+        outcome = "granted" if is_granted else "denied"
+        self._repeats.add(1, {"service": service, "outcome": outcome})
+
+    def count_order(self, kind: str, outcome: str) -> None:
+        """Count an order to an engine that was answered or got no answer."""
+        self._orders.add(1, {"kind": kind, "outcome": outcome})
+
+    def record_request(self, route: str, outcome: str, status: int, times: RequestTimes) -> None:
+        """Record how a request ended, and its times."""
+        labels = {"route": route}
+        self._requests.add(1, labels | {"outcome": outcome, "status": str(status)})
+        self._total.record(times.total_s, labels)
+        self._queued.record(times.queued_s, labels)
+        if times.first_s is not None:
+            self._first.record(times.first_s, labels)
+
+    def watch(self, name: str, read: GaugeReader, label: str = "") -> None:
+        """Add a gauge that is read whenever the metrics are asked for.
+
+        :param label: label of the values, or the empty string where there is but one
+        """
+
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            return [
+                Observation(value, {label: key} if label else {}) for key, value in read().items()
+            ]
+
+        self._meter.create_observable_gauge(f"{PREFIX}{name}", [observe])
+
+    def render(self) -> bytes:
+        """:return: all metrics as text"""
+        return generate_latest(self._registry)
+
+    def close(self) -> None:
+        """End the instruments."""
+        self._provider.shutdown()
+
+
+class MetricsHandler(RequestHandler):
+    """Answers a monitoring system.
+
+    :param metrics: what it reads
+    """
+
+    #: Path of the metrics.
+    path = "/metrics"
+
+    def __init__(self, metrics: ForwarderMetrics) -> None:
+        self._metrics = metrics
+
+    async def handle(self, request: ClientRequest, reply: Reply) -> None:
+        if request.path != self.path:
+            await reply.answer(404, [], b"")
+            return
+        await reply.answer(200, [(b"content-type", CONTENT_TYPE)], self._metrics.render())
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/parts.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/parts.py
@@ -12,8 +12,10 @@
 from kingcupdyke.forwarding.repeats import RepeatBudget
 from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.forwarder.dialect import Dialect
+from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
+from kingcupdyke_daemon.logs import LineSampler
 
 __all__ = ["ForwarderParts"]
 
@@ -28,3 +30,5 @@
     pool: ConnectionPool
     budget: RepeatBudget
     timer: TimerService
+    metrics: ForwarderMetrics
+    sampler: LineSampler
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peers.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peers.py
@@ -63,14 +63,14 @@
         self._host = host
         self._address = address
         self._data_centre = data_centre
-        self._region_by_data_centre = region_by_data_centre
+        self.region_by_data_centre = region_by_data_centre
         self._store = store
         self._table = table
         self._timer = timer
         self._describe = describe
         self._heard = heard
         self._address_by_host: dict[str, SocketAddress] = {}
-        self._far_hosts: set[str] = set()
+        self._data_centre_by_host: dict[str, str] = {}
         self._far_due_s = 0.0
         self._number = 0
         #: Set to send at once.
@@ -103,13 +103,17 @@
             _LOGGER.warning("the entry of gateway %s is unreadable: %s", entry.name, error)
             return
         self._address_by_host[entry.name] = address
-        regions = self._region_by_data_centre
-        if regions.get(data_centre) != regions.get(self._data_centre):
-            self._far_hosts.add(entry.name)
+        self._data_centre_by_host[entry.name] = data_centre
 
     def remove(self, name: str, after_outage: bool) -> None:
         """A gateway's entry is gone."""
         self._address_by_host.pop(name, None)
+        self._data_centre_by_host.pop(name, None)
+
+    def _is_far(self, host: str) -> bool:
+        regions = self.region_by_data_centre
+        other = self._data_centre_by_host.get(host, "")
+        return regions.get(other) != regions.get(self._data_centre)
 
     async def enter(self) -> None:
         """Enter this gateway in the store."""
@@ -156,7 +160,7 @@
             if is_far_due:
                 self._far_due_s = now_s + FAR_PERIOD_S * self._slowdown
             for host, address in list(self._address_by_host.items()):
-                if is_far_due or host not in self._far_hosts:
+                if is_far_due or not self._is_far(host):
                     await self._send_to(udp, data, address)
             with move_on_after(PERIOD_S * self._slowdown):
                 await self.changed.wait()
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
@@ -23,6 +23,7 @@
 from kingcupdyke.lease import LeaseMachine
 from kingcupdyke.placement import Order, OrderKind
 from kingcupdyke_daemon.forwarder.dialect import Dialect
+from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
 from kingcupdyke_daemon.forwarder.records import OrderRecord
 from kingcupdyke_daemon.leasekeeper import LeaseKeeper
 from kingcupdyke_daemon.logs import log_record
@@ -86,6 +87,7 @@
         is_candidate: Callable[[], bool],
         get_configuration: Callable[[], Configuration | None],
         now: Callable[[], float],
+        metrics: ForwarderMetrics,
     ) -> None:
         self._host = host
         self._lease = lease
@@ -100,6 +102,7 @@
         self._is_candidate = is_candidate
         self._get_configuration = get_configuration
         self._now = now
+        self._metrics = metrics
         self._term = 0
         self._orders_from_s = 0.0
         self._seat_by_id: dict[str, Seat] = {}
@@ -112,6 +115,11 @@
         """:return: the fencing number of the lease while it is held, or 0"""
         return self._lease.fence_at(read_clock()) or 0
 
+    @property
+    def proof_age_s(self) -> float:
+        """:return: seconds since the lease was last proved to be held"""
+        return self._lease.proof_age_s(read_clock())
+
     @property
     def may_have_written(self) -> bool:
         """:return: whether this gateway holds the lease, or may have taken it"""
@@ -178,7 +186,7 @@
         configuration = self._get_configuration()
         if configuration is None:
             return
-        self._update_seats(configuration)
+        self._update_seats(tasks, configuration)
         now_s = self._now()
         demands = list(self._dispatcher.list_demands(now_s))
         for peer in self._peers.live(now_s):
@@ -187,7 +195,7 @@
             if spec.engine is not None:
                 self._plan_service(tasks, name, configuration, demands)
 
-    def _update_seats(self, configuration: Configuration) -> None:
+    def _update_seats(self, tasks: TaskGroup, configuration: Configuration) -> None:
         engines = {
             name for name, spec in configuration.services_by_name.items() if spec.engine is not None
         }
@@ -203,6 +211,8 @@
                 seat.is_reachable = is_reached and state.peers_without < PEERS_WITHOUT
         for endpoint in self._seat_by_id.keys() - self._board.state_by_id.keys():
             del self._seat_by_id[endpoint]
+        for endpoint in self._http_by_id.keys() - self._board.state_by_id.keys():
+            tasks.start_soon(self._http_by_id.pop(endpoint).aclose)
 
     def _plan_service(
         self, tasks: TaskGroup, service: str, configuration: Configuration, demands: list[Demand]
@@ -267,6 +277,7 @@
             expected_ms=round(timed.expected_s * 1000),
         )
         log_record(_LOGGER, "order answered", record)
+        self._metrics.count_order(order.kind, reply.value)
         seat.answered(reply, self._now())
         if reply in (OrderReply.ACCEPTED, OrderReply.HOLDS):
             self._tell_done(timed)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -13,28 +13,30 @@
 from anyio.abc import SocketListener, TaskGroup
 
 from kingcupdyke.forwarding.board import EndpointBoard
-from kingcupdyke.forwarding.configuration import ClientLimits
+from kingcupdyke.forwarding.configuration import ClientLimits, Configuration
 from kingcupdyke.forwarding.dispatcher import Dispatcher
 from kingcupdyke.forwarding.leasesupport import LeaseSupport
 from kingcupdyke.forwarding.peerstate import GatewayState, PeerTable
 from kingcupdyke.forwarding.repeats import RepeatBudget
 from kingcupdyke.lease import LeaseMachine
+from kingcupdyke_daemon.forwarder.catalogue import Catalogue
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.follower import StoreFollower
 from kingcupdyke_daemon.forwarder.front import ClientServer
 from kingcupdyke_daemon.forwarder.handler import ExchangeHandler
+from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics, MetricsHandler
 from kingcupdyke_daemon.forwarder.parts import ForwarderParts
 from kingcupdyke_daemon.forwarder.peers import PEERS_KIND, PeerExchange
 from kingcupdyke_daemon.forwarder.placer import LEASE_NAME, RENEW_S, Placer, read_clock
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
-from kingcupdyke_daemon.forwarder.records import BeliefAges, EndpointRecord
 from kingcupdyke_daemon.forwarder.reply import ClientRequest, Reply, RequestHandler
-from kingcupdyke_daemon.forwarder.settings import ForwarderSettings
-from kingcupdyke_daemon.logs import log_record
+from kingcupdyke_daemon.forwarder.settings import ForwarderSettings, SettingsSource
+from kingcupdyke_daemon.forwarder.settingskeeper import SettingsKeeper
+from kingcupdyke_daemon.logs import LineSampler, count_dropped
 from kingcupdyke_daemon.process import make_incarnation
 from kingcupdyke_daemon.timer import LoopTimer
-from kingcupdyke_wire.store import StoreClient, StoreObject
+from kingcupdyke_wire.store import StoreClient
 
 __all__ = ["Forwarder", "run_forwarder"]
 
@@ -45,10 +47,12 @@
 PEERS_PERIOD_S = 0.05
 #: Seconds between looks at idle connections and lapsed entries.
 TIDY_PERIOD_S = 0.25
+#: Seconds between looks at whether the settings have changed.
+SETTINGS_PERIOD_S = 1.0
 #: Gateways that contend for the planner's lease.
 CANDIDATES = 2
-#: Seconds for which requests are still taken after a planned stop began: the load balancer turns
-#: away after two misses of one a second.
+#: Seconds for which requests are still taken after a planned stop began, where the grace is long
+#: enough: the load balancer turns away after two misses of one a second.
 TAKE_S = 2.6
 #: Seconds for which they are refused after that, before the process may end.
 REFUSE_S = 0.6
@@ -79,6 +83,7 @@
     """A forwarding gateway.
 
     :param settings: its settings
+    :param source: where changed settings come from
     :param dialect: how the platform spells things
     :param store: the platform's store
     :param tasks: carries its tasks
@@ -87,11 +92,12 @@
     def __init__(
         self,
         settings: ForwarderSettings,
+        source: SettingsSource,
         dialect: Dialect,
         store: StoreClient,
         tasks: TaskGroup,
     ) -> None:
-        self._settings = settings
+        self._keeper = SettingsKeeper(settings, source, self._apply_settings)
         self._dialect = dialect
         self._tasks = tasks
         self._incarnation = make_incarnation()
@@ -103,6 +109,10 @@
         )
         self._queue = WaitingQueue(self._dispatcher, self._timer)
         self._pool = ConnectionPool(dialect, self._timer)
+        self._budget = RepeatBudget(
+            settings.repeat_share, settings.repeat_allowance, settings.repeat_window_s
+        )
+        self._metrics = ForwarderMetrics(settings.host)
         self._exchanges = ExchangeHandler(
             ForwarderParts(
                 dialect,
@@ -110,16 +120,19 @@
                 self._board,
                 self._queue,
                 self._pool,
-                RepeatBudget(
-                    settings.repeat_share, settings.repeat_allowance, settings.repeat_window_s
-                ),
+                self._budget,
                 self._timer,
+                self._metrics,
+                LineSampler(self._timer.now),
             ),
-            self._get_ages,
+            lambda: self._catalogue.get_ages(),
         )
         self._ready = ReadyHandler()
         self._front_server = ClientServer(self._exchanges, self._get_limits, self._timer.now)
         self._ready_server = ClientServer(self._ready, ClientLimits, self._timer.now)
+        self._metrics_server = ClientServer(
+            MetricsHandler(self._metrics), ClientLimits, self._timer.now
+        )
         self._peer_table = PeerTable()
         self._peers = PeerExchange(
             settings.host,
@@ -134,21 +147,8 @@
         )
         self._support = LeaseSupport(settings.host, settings.lease_s + LEASE_MARGIN_S)
         self._placer = self._make_placer(store)
-        self._configurations = StoreFollower(
-            store,
-            dialect.configuration_kind,
-            self._timer,
-            self._take_configurations,
-            self._take_configuration,
-            lambda name, was_away: None,
-        )
-        self._endpoints = StoreFollower(
-            store,
-            dialect.endpoint_kind,
-            self._timer,
-            self._take_endpoints,
-            self._take_endpoint,
-            self._remove_endpoint,
+        self._catalogue = Catalogue(
+            dialect, store, self._board, self._timer, self._take_configuration, self._note_change
         )
         self._gateways = StoreFollower(
             store,
@@ -158,18 +158,37 @@
             self._peers.take,
             self._peers.remove,
         )
+        self._watch_beliefs()
 
     async def run(self, stop: Event) -> None:
         """Serve until a planned stop has ended.
 
         :param stop: set when a planned stop begins
         """
+        try:
+            await self._serve(stop)
+        finally:
+            self._metrics.close()
+
+    def reload(self) -> None:
+        """Read the settings again."""
+        self._keeper.reload()
+
+    @property
+    def _settings(self) -> ForwarderSettings:
+        return self._keeper.settings
+
+    async def _serve(self, stop: Event) -> None:
         settings = self._settings
         ready = await self._ready_server.listen(settings.ready)
         front = await self._front_server.listen(settings.front)
+        if settings.metrics is not None:
+            listener = await self._metrics_server.listen(settings.metrics)
+            self._tasks.start_soon(self._metrics_server.serve, listener, self._tasks)
         self._tasks.start_soon(self._ready_server.serve, ready, self._tasks)
         self._tasks.start_soon(self._front_server.serve, front, self._tasks)
-        for follower in (self._configurations, self._endpoints, self._gateways):
+        followers = (self._catalogue.configurations, self._catalogue.endpoints, self._gateways)
+        for follower in followers:
             self._tasks.start_soon(follower.follow_forever)
         self._tasks.start_soon(self._peers.run)
         self._tasks.start_soon(self._peers.enter)
@@ -178,6 +197,7 @@
         self._timer.subscribe("queue", QUEUE_PERIOD_S, self._queue.poll)
         self._timer.subscribe("peers", PEERS_PERIOD_S, self._count_peers)
         self._timer.subscribe("tidy", TIDY_PERIOD_S, self._tidy)
+        self._timer.subscribe("settings", SETTINGS_PERIOD_S, self._keeper.check)
         _LOGGER.warning("started as %s", settings.host)
         await stop.wait()
         await self._stop(front)
@@ -193,7 +213,8 @@
         with move_on_after(FAREWELL_S):
             await self._placer.give_back()
         end_s = began_s + self._settings.grace_s * GRACE_SHARE
-        await sleep(max(0.0, began_s + TAKE_S - self._timer.now()))
+        take_s = min(TAKE_S, self._settings.grace_s * GRACE_SHARE - REFUSE_S)
+        await sleep(max(0.0, began_s + take_s - self._timer.now()))
         self._exchanges.is_refusing = True
         await self._front_server.close_idle()
         await sleep(REFUSE_S)
@@ -206,6 +227,49 @@
             await sleep(LAST_ANSWERS_S)
         _LOGGER.warning("stopped with %d requests under way", self._front_server.busy)
 
+    def _apply_settings(self, settings: ForwarderSettings) -> None:
+        self._dispatcher.region_by_data_centre = settings.region_by_data_centre
+        self._peers.region_by_data_centre = settings.region_by_data_centre
+        self._budget.configure(
+            settings.repeat_share, settings.repeat_allowance, settings.repeat_window_s
+        )
+
+    def _watch_beliefs(self) -> None:
+        """Add the gauges of what this gateway believes, and of how old that is."""
+        watch = self._metrics.watch
+        watch("configuration_version", lambda: {"": self._catalogue.version})
+        watch("belief_age_seconds", self._list_ages, "belief")
+        watch("endpoints", self._count_endpoints, "state")
+        watch("requests_present", self._count_requests, "state")
+        watch("peers", lambda: {"": len(self._peer_table.live(self._timer.now()))})
+        watch("lease_fence", lambda: {"": self._placer.held_fence})
+        watch("ready", lambda: {"": int(self._ready.is_ready)})
+        watch("log_lines_dropped", lambda: {"": count_dropped()})
+
+    def _list_ages(self) -> dict[str, float]:
+        now_s = self._timer.now()
+        ages = {
+            "configuration": now_s - self._catalogue.configurations.heard_s,
+            "endpoint_list": now_s - self._catalogue.endpoints.heard_s,
+            "gateway_list": now_s - self._gateways.heard_s,
+        }
+        if self._placer.held_fence:
+            ages["lease"] = self._placer.proof_age_s
+        return ages
+
+    def _count_endpoints(self) -> dict[str, float]:
+        states = list(self._board.state_by_id.values())
+        return {
+            "listed": sum(each.lapses_s is None for each in states),
+            "lapsed": sum(each.lapses_s is not None for each in states),
+            "leaving": sum(each.entry.is_leaving for each in states),
+            "out_of_reach": len(self._board.list_unreachable(self._timer.now())),
+        }
+
+    def _count_requests(self) -> dict[str, float]:
+        sent = sum(len(each.tokens_by_attempt) for each in self._board.state_by_id.values())
+        return {"waiting": self._dispatcher.waiting, "sent": sent}
+
     def _make_placer(self, store: StoreClient) -> Placer:
         settings = self._settings
         lease = LeaseMachine(
@@ -230,13 +294,7 @@
             self._is_candidate,
             lambda: self._exchanges.configuration,
             self._timer.now,
-        )
-
-    def _get_ages(self) -> BeliefAges:
-        now_s = self._timer.now()
-        return BeliefAges(
-            round((now_s - self._configurations.heard_s) * 1000),
-            round((now_s - self._endpoints.heard_s) * 1000),
+            self._metrics,
         )
 
     def _get_limits(self) -> ClientLimits:
@@ -250,64 +308,22 @@
         return (self._peers.list_hosts() | {each.host for each in live}) - stopping
 
     def _is_candidate(self) -> bool:
-        if self._is_stopping or not self._endpoints.is_listed:
+        if self._is_stopping or not self._catalogue.endpoints.is_listed:
             return False
         live = self._peer_table.live(self._timer.now())
         hosts = sorted(each.host for each in live if not each.is_stopping)
         return sum(host < self._settings.host for host in hosts) < CANDIDATES
 
-    def _take_configurations(self, objects: list[StoreObject], after_outage: bool) -> None:
-        for each in objects:
-            self._take_configuration(each)
-
-    def _take_configuration(self, found: StoreObject) -> None:
-        if found.name != self._dialect.configuration_name:
-            return
-        decoded = self._dialect.decode_configuration(found.value)
-        if decoded.is_error():
-            _LOGGER.error("the configuration is unreadable: %s", decoded.error.reason)
-            return
-        configuration = decoded.ok
-        known = self._exchanges.configuration
-        if known is not None and configuration.version <= known.version:
-            return
-        _LOGGER.warning("configuration %d is in force", configuration.version)
+    def _take_configuration(self, configuration: Configuration) -> None:
         self._exchanges.configuration = configuration
         self._dispatcher.configure(configuration.services_by_name)
-        self._queue.poll(self._timer.now())
-        self._note_ready()
 
-    def _take_endpoints(self, objects: list[StoreObject], after_outage: bool) -> None:
-        entries = [self._dialect.decode_endpoint(each.name, each.value) for each in objects]
-        for each in entries:
-            if each.is_error():
-                _LOGGER.warning("an endpoint's entry is unusable: %s", each.error.reason)
-        usable = [each.ok for each in entries if each.is_ok()]
-        self._board.replace_all(usable, self._timer.now(), after_outage)
-        self._queue.poll(self._timer.now())
+    def _note_change(self, now_s: float) -> None:
+        self._queue.poll(now_s)
         self._note_ready()
 
-    def _take_endpoint(self, found: StoreObject) -> None:
-        entry = self._dialect.decode_endpoint(found.name, found.value)
-        if entry.is_error():
-            _LOGGER.warning("an endpoint's entry is unusable: %s", entry.error.reason)
-            return
-        known = self._board.state_by_id.get(found.name)
-        if known is None or known.entry.is_leaving != entry.ok.is_leaving:
-            self._log_endpoint(found.name, "leaving" if entry.ok.is_leaving else "ready")
-        self._board.put(entry.ok)
-        self._queue.poll(self._timer.now())
-
-    def _log_endpoint(self, endpoint: str, state: str) -> None:
-        age_ms = self._get_ages().list_ms
-        log_record(_LOGGER, "endpoint changed", EndpointRecord(endpoint, state, age_ms))
-
-    def _remove_endpoint(self, name: str, was_away: bool) -> None:
-        self._log_endpoint(name, "lapsed" if was_away else "removed")
-        self._board.remove(name, self._timer.now(), was_away)
-
     def _note_ready(self) -> None:
-        is_known = self._exchanges.configuration is not None and self._endpoints.is_listed
+        is_known = self._catalogue.is_known
         if is_known and not self._ready.is_ready and not self._is_stopping:
             self._ready.is_ready = True
             _LOGGER.warning("ready")
@@ -315,7 +331,7 @@
     def _tidy(self, now_s: float) -> None:
         self._board.drop_lapsed(now_s)
         self._exchanges.gateways = self._peers.hosts
-        confirmed_s = now_s - self._configurations.heard_s
+        confirmed_s = now_s - self._catalogue.configurations.heard_s
         self._exchanges.is_confirmed = confirmed_s < 4 * self._settings.apply_s
         self._tasks.start_soon(self._pool.close_expired)
         self._note_ready()
@@ -331,13 +347,12 @@
     def _describe(self, number: int) -> GatewayState:
         now_s = self._timer.now()
         self._support.note_sent(number, read_clock())
-        configuration = self._exchanges.configuration
         state = GatewayState(
             host=self._settings.host,
             incarnation=self._incarnation,
             number=number,
             is_stopping=self._is_stopping,
-            version=0 if configuration is None else configuration.version,
+            version=self._catalogue.version,
             loads=self._dispatcher.list_loads(),
             demands=self._dispatcher.list_demands(now_s),
             unreachable=self._board.list_unreachable(now_s),
@@ -363,7 +378,9 @@
         self._queue.poll(now_s)
 
 
-async def run_forwarder(settings: ForwarderSettings, dialect: Dialect, store: StoreClient) -> int:
+async def run_forwarder(
+    settings: ForwarderSettings, source: SettingsSource, dialect: Dialect, store: StoreClient
+) -> int:
     """Run a forwarding gateway until its planned stop has ended.
 
     :return: the exit status
@@ -371,17 +388,20 @@
     began_s = monotonic()
     async with create_task_group() as tasks:
         stop = Event()
-        tasks.start_soon(_watch_signals, stop)
-        await Forwarder(settings, dialect, store, tasks).run(stop)
+        forwarder = Forwarder(settings, source, dialect, store, tasks)
+        tasks.start_soon(_watch_signals, stop, forwarder)
+        await forwarder.run(stop)
         tasks.cancel_scope.cancel()
     _LOGGER.warning("ended after %.1f s", monotonic() - began_s)
     return 0
 
 
-async def _watch_signals(stop: Event) -> None:
-    """A SIGTERM or SIGINT begins a planned stop; SIGHUP changes nothing that is in use."""
+async def _watch_signals(stop: Event, forwarder: Forwarder) -> None:
+    """A SIGTERM or SIGINT begins a planned stop, a SIGHUP reads the settings again."""
     with open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async for each in signals:
             _LOGGER.warning("signal %s", signal.Signals(each).name)
-            if each != signal.SIGHUP:
+            if each == signal.SIGHUP:
+                forwarder.reload()
+            else:
                 stop.set()
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/queue.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/queue.py
@@ -7,7 +7,7 @@
 
 from anyio import Event
 
-from kingcupdyke.forwarding.dispatcher import Dispatcher, Refuse, Send, Wait, WorkItem
+from kingcupdyke.forwarding.dispatcher import Decision, Dispatcher, Refuse, Send, Wait, WorkItem
 from kingcupdyke.timer import TimerService
 
 __all__ = ["WaitingQueue"]
@@ -28,13 +28,15 @@
         #: Set when a request begins to wait for a model; whoever tells peers replaces it.
         self.demand_changed = Event()
 
-    async def decide(self, item: WorkItem, excluded: frozenset[str]) -> Send | Refuse:
-        """:return: the decision on a request, after waiting for it where it has to wait"""
-        attempt_id = item.attempt_id
+    def submit(self, item: WorkItem, excluded: frozenset[str]) -> Decision:
+        """:return: the decision on a request; one that has to wait is passed to :meth:`wait`"""
         decision = self._dispatcher.submit(item, excluded, self._timer.now())
-        if not isinstance(decision, Wait):
-            return decision
-        self.demand_changed.set()
+        if isinstance(decision, Wait):
+            self.demand_changed.set()
+        return decision
+
+    async def wait(self, attempt_id: str) -> Send | Refuse:
+        """:return: the decision on a request that had to wait"""
         event = self._event_by_attempt[attempt_id] = Event()
         decision = None
         try:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/records.py
@@ -7,7 +7,16 @@
 
 from typing import NamedTuple
 
-__all__ = ["BeliefAges", "EndpointRecord", "OrderRecord", "RequestRecord"]
+__all__ = [
+    "BeliefAges",
+    "EndpointRecord",
+    "OrderRecord",
+    "RefusalRecord",
+    "RepeatRecord",
+    "RequestRecord",
+    "SendRecord",
+    "WaitRecord",
+]
 
 
 class BeliefAges(NamedTuple):
@@ -17,6 +26,57 @@
     list_ms: int
 
 
+class RefusalRecord(NamedTuple):
+    """What is logged of a request that is refused before a route is chosen."""
+
+    request: str
+    status: int
+    reason: str
+    version: int
+    version_age_ms: int
+    list_age_ms: int
+
+
+class WaitRecord(NamedTuple):
+    """What is logged of a request that begins to wait."""
+
+    request: str
+    model: str
+    adapter: str
+    reason: str
+    #: Requests that wait at this gateway, this one included.
+    waiting: int
+    list_age_ms: int
+
+
+class SendRecord(NamedTuple):
+    """What is logged of a request that is sent to an endpoint."""
+
+    request: str
+    endpoint: str
+    #: Endpoints that it was sent to before.
+    sends_before: int
+    #: Endpoints that had room for it, and milliseconds that the chosen one is expected to cost.
+    choices: int
+    cost_ms: int
+    #: Requests and unread prompt tokens at the endpoint, as far as is known.
+    endpoint_requests: int
+    endpoint_tokens: int
+    list_age_ms: int
+
+
+class RepeatRecord(NamedTuple):
+    """What is logged when a request may or may not be sent again."""
+
+    request: str
+    endpoint: str
+    #: How it ended at the endpoint.
+    end: str
+    #: ``repeated``, or why it is not: ``not repeatable`` or ``no budget``.
+    outcome: str
+    reason: str
+
+
 class RequestRecord(NamedTuple):
     """What is logged of a request at its end."""
 
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestjournal.py
@@ -0,0 +1,134 @@
+"""
+kingcupdyke_daemon.forwarder.requestjournal
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Logs and counts what is decided on one request.
+"""
+
+import logging
+from enum import StrEnum
+
+from kingcupdyke.forwarding.board import EndpointState
+from kingcupdyke.forwarding.dispatcher import Refuse, Send, Wait, WorkItem
+from kingcupdyke_daemon.forwarder.metrics import RequestTimes
+from kingcupdyke_daemon.forwarder.parts import ForwarderParts
+from kingcupdyke_daemon.forwarder.records import (
+    BeliefAges,
+    RepeatRecord,
+    RequestRecord,
+    SendRecord,
+    WaitRecord,
+)
+from kingcupdyke_daemon.logs import log_record
+
+__all__ = ["RepeatOutcome", "RequestJournal"]
+
+_LOGGER = logging.getLogger(__name__)
+#: Statuses from this one on are failures, whose lines are never left out.
+STATUS_FAILURE = 400
+
+
+class RepeatOutcome(StrEnum):
+    """Whether a request that failed at an endpoint is sent again."""
+
+    REPEATED = "repeated"
+    NOT_REPEATABLE = "not repeatable"
+    NO_BUDGET = "no budget"
+
+
+class RequestJournal:
+    """One line for each decision on a request.
+
+    :param route: name of its route
+    :param version: version of the configuration that it is handled by
+    :param ages: how old what decisions rest on was when it came
+    """
+
+    def __init__(
+        self, parts: ForwarderParts, item: WorkItem, route: str, version: int, ages: BeliefAges
+    ) -> None:
+        self._metrics = parts.metrics
+        self._sampler = parts.sampler
+        self._item = item
+        self._route = route
+        self._version = version
+        self._ages = ages
+
+    def waits(self, decision: Wait, waiting: int) -> None:
+        """The request begins to wait.
+
+        :param waiting: requests that wait at this gateway
+        """
+        self._metrics.count_decision(self._route, "wait", decision.reason)
+        item = self._item
+        record = WaitRecord(
+            item.attempt_id,
+            item.model,
+            item.adapter,
+            decision.reason,
+            waiting,
+            self._ages.list_ms,
+        )
+        self._sampler.log(_LOGGER, "request waits", record)
+
+    def refused(self, decision: Refuse) -> None:
+        """The request is refused; the line on its end says why."""
+        self._metrics.count_decision(self._route, "refuse", decision.reason)
+
+    def sent(self, decision: Send, state: EndpointState | None, sends_before: int) -> None:
+        """The request is sent to an endpoint."""
+        self._metrics.count_decision(self._route, "send")
+        record = SendRecord(
+            request=self._item.attempt_id,
+            endpoint=decision.endpoint,
+            sends_before=sends_before,
+            choices=decision.choices,
+            cost_ms=round(decision.cost_s * 1000),
+            endpoint_requests=0 if state is None else state.requests,
+            endpoint_tokens=0 if state is None else state.unread_tokens,
+            list_age_ms=self._ages.list_ms,
+        )
+        self._sampler.log(_LOGGER, "request sent", record)
+
+    def ended_at(self, endpoint: str, end: str, outcome: RepeatOutcome, reason: str) -> None:
+        """The request failed at an endpoint."""
+        record = RepeatRecord(self._item.attempt_id, endpoint, end, outcome, reason)
+        log_record(_LOGGER, "request failed at endpoint", record)
+
+    def ended(
+        self,
+        outcome: str,
+        status: int,
+        reason: str,
+        endpoints: tuple[str, ...],
+        times: RequestTimes,
+        limit_s: float,
+    ) -> None:
+        """The request has ended.
+
+        :param endpoints: endpoints that it was sent to, in order
+        :param limit_s: seconds from its arrival to its deadline
+        """
+        self._metrics.record_request(self._route, outcome, status, times)
+        first_s = times.first_s
+        record = RequestRecord(
+            request=self._item.attempt_id,
+            route=self._route,
+            version=self._version,
+            version_age_ms=self._ages.version_ms,
+            list_age_ms=self._ages.list_ms,
+            model=self._item.model,
+            adapter=self._item.adapter,
+            endpoints=endpoints,
+            status=status,
+            outcome=outcome,
+            reason=reason,
+            queued_ms=round(times.queued_s * 1000),
+            first_ms=-1 if first_s is None else round(first_s * 1000),
+            total_ms=round(times.total_s * 1000),
+            limit_ms=round(limit_s * 1000),
+        )
+        if outcome == "answered" and status < STATUS_FAILURE:
+            self._sampler.log(_LOGGER, "request ended", record)
+        else:
+            log_record(_LOGGER, "request ended", record)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/settings.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/settings.py
@@ -5,9 +5,12 @@
 Settings of a forwarding gateway.
 """
 
+from abc import ABC, abstractmethod
 from typing import NamedTuple
 
-__all__ = ["ForwarderSettings", "SocketAddress"]
+from expression import Result
+
+__all__ = ["ForwarderSettings", "SettingsSource", "SocketAddress"]
 
 
 class SocketAddress(NamedTuple):
@@ -42,3 +45,17 @@
     lease_s: float
     #: Seconds within which a configuration must be in force.
     apply_s: float
+    #: Where metrics are served, or None where they are not.
+    metrics: SocketAddress | None = None
+
+
+class SettingsSource(ABC):
+    """Where the settings come from, to be read again when they change."""
+
+    @abstractmethod
+    def read_stamp(self) -> object:
+        """:return: a value that differs after each change, or None where it can't be read"""
+
+    @abstractmethod
+    def load(self) -> Result[ForwarderSettings, list[str]]:
+        """:return: the settings, or every mistake as a line of text"""
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/logs.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/logs.py
@@ -8,11 +8,21 @@
 import json
 import logging
 import sys
+from collections.abc import Callable
 from queue import Empty, Full, Queue
 from threading import Thread
 from typing import Any, NamedTuple, TextIO
 
-__all__ = ["JsonFormatter", "QueuedHandler", "log_record", "start_logs"]
+from kingcupdyke.budget import TokenBucket
+
+__all__ = [
+    "JsonFormatter",
+    "LineSampler",
+    "QueuedHandler",
+    "count_dropped",
+    "log_record",
+    "start_logs",
+]
 
 #: Lines that may wait to be written; further ones are dropped and counted.
 MOST_LINES = 5_000
@@ -20,6 +30,10 @@
 QUIET_LOGGERS = ("uvicorn", "httpcore", "asyncio", "hpack", "h2")
 
 
+#: Lines a second of one event up to which those on requests that go well are all written.
+MOST_LINES_PER_S = 100.0
+
+
 class JsonFormatter(logging.Formatter):
     """Writes a record and its typed fields as one JSON object."""
 
@@ -46,8 +60,9 @@
         super().__init__()
         self._stream = stream
         self._lines: Queue[str] = Queue(most_lines)
-        #: Lines dropped since the last line that said so.
+        #: Lines dropped since the last line that said so, and since the start.
         self.dropped = 0
+        self.dropped_in_all = 0
         self._writer = Thread(target=self._write_forever, daemon=True)
         self._writer.start()
 
@@ -56,6 +71,7 @@
             self._lines.put_nowait(self.format(record))
         except Full:
             self.dropped += 1
+            self.dropped_in_all += 1
 
     def flush_for(self, seconds: float) -> None:
         """Wait until all lines are written, at most some seconds."""
@@ -82,11 +98,47 @@
                 return
 
 
+class LineSampler:
+    """Bounds how many lines a second of each event are written, and counts the others.
+
+    :param now: gives the time in seconds
+    """
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._now = now
+        self._bucket_by_event: dict[str, TokenBucket] = {}
+        self._skipped_by_event: dict[str, int] = {}
+
+    def log(self, logger: logging.Logger, event: str, fields: NamedTuple) -> None:
+        """Log an event on a request that goes well, where the event's rate allows it.
+
+        The next line that is written says how many were not.
+        """
+        bucket = self._bucket_by_event.get(event)
+        if bucket is None:
+            bucket = TokenBucket(MOST_LINES_PER_S, MOST_LINES_PER_S)
+            self._bucket_by_event[event] = bucket
+        if not bucket.take(1.0, self._now()):
+            self._skipped_by_event[event] = self._skipped_by_event.get(event, 0) + 1
+            return
+        values = fields._asdict()
+        skipped = self._skipped_by_event.pop(event, 0)
+        if skipped:
+            values["skipped_lines"] = skipped
+        logger.info(event, extra={"fields": values})
+
+
 def log_record(logger: logging.Logger, event: str, fields: NamedTuple) -> None:
     """Log an event with typed fields."""
     logger.info(event, extra={"fields": fields._asdict()})
 
 
+def count_dropped() -> int:
+    """:return: lines that were dropped since the start because nobody read them"""
+    handlers = logging.getLogger().handlers
+    return sum(each.dropped_in_all for each in handlers if isinstance(each, QueuedHandler))
+
+
 def start_logs(level: str = "INFO", stream: TextIO = sys.stdout) -> QueuedHandler:
     """Send the process's logs to a stream.
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -67,6 +67,10 @@
     """Send the request to an endpoint."""
 
     endpoint: str
+    #: Endpoints that had room for it.
+    choices: int
+    #: Seconds that this choice is expected to cost, distance and failures included.
+    cost_s: float
 
 
 class Wait(NamedTuple):
@@ -119,7 +123,7 @@
     ) -> None:
         self._board = board
         self._data_centre = data_centre
-        self._region_by_data_centre = region_by_data_centre
+        self.region_by_data_centre = region_by_data_centre
         self._service_by_name: dict[str, ServiceSpec] = {}
         #: Time by which requests must be sent, as the process ends soon after.
         self.send_by_s = inf
@@ -259,8 +263,9 @@
         ] or states
         open_states = [each for each in reachable if self._has_room(each, engine)]
         if open_states:
-            best = min(open_states, key=lambda each: self._cost_s(each, item, now_s))
-            return Send(best.entry.endpoint)
+            costs = [(self._cost_s(each, item, now_s), each.entry.endpoint) for each in open_states]
+            cost_s, endpoint = min(costs, key=lambda each: each[0])
+            return Send(endpoint, len(costs), cost_s)
         return self._await_room(item, reachable, now_s)
 
     def _limit_s(self, item: WorkItem) -> float:
@@ -295,7 +300,7 @@
         other = state.entry.data_centre
         if other == self._data_centre:
             return 0.0
-        regions = self._region_by_data_centre
+        regions = self.region_by_data_centre
         if regions.get(other) == regions.get(self._data_centre):
             return OTHER_DATA_CENTRE_S
         return OTHER_REGION_S
--- a/packages/kingcupdyke/kingcupdyke/forwarding/repeats.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/repeats.py
@@ -24,11 +24,15 @@
     """
 
     def __init__(self, share: float, allowance: float, window_s: float) -> None:
+        self.configure(share, allowance, window_s)
+        self._requests_by_service: dict[str, deque[float]] = {}
+        self._repeats_by_service: dict[str, deque[float]] = {}
+
+    def configure(self, share: float, allowance: float, window_s: float) -> None:
+        """Take changed limits; what was counted stays."""
         self._share = share
         self._allowance = allowance
         self._window_s = window_s
-        self._requests_by_service: dict[str, deque[float]] = {}
-        self._repeats_by_service: dict[str, deque[float]] = {}
 
     def count_request(self, service: str, now_s: float) -> None:
         """Count a request of a client."""
