--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
@@ -16,6 +16,7 @@
 from kingcupdyke.forwarding.board import EndpointBoard
 from kingcupdyke.forwarding.configuration import Configuration
 from kingcupdyke.forwarding.dispatcher import Dispatcher
+from kingcupdyke.forwarding.endpoint import EndpointEntry
 from kingcupdyke.forwarding.leasesupport import LeaseSupport
 from kingcupdyke.forwarding.peerstate import Demand, PeerTable, Placement
 from kingcupdyke.forwarding.residencyplan import ResidencyPlan, TimedOrder
@@ -24,7 +25,7 @@
 from kingcupdyke.placement import Order, OrderKind
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
-from kingcupdyke_daemon.forwarder.records import OrderRecord
+from kingcupdyke_daemon.forwarder.records import EngineRecord, OrderRecord
 from kingcupdyke_daemon.leasekeeper import LeaseKeeper
 from kingcupdyke_daemon.logs import log_record
 from kingcupdyke_wire.http import HttpClient
@@ -203,6 +204,8 @@
             if state.entry.service not in engines:
                 continue
             seat = self._seat_by_id.get(endpoint)
+            if seat is None or _has_changed(seat.entry, state.entry):
+                _log_engine(state.entry)
             if seat is None:
                 self._seat_by_id[endpoint] = Seat(state.entry)
             else:
@@ -316,3 +319,21 @@
             http = HttpClient(f"http://{address}:{port}", ORDER_S, endpoint, reuse=True)
             self._http_by_id[endpoint] = http
         return http
+
+
+def _has_changed(known: EndpointEntry, current: EndpointEntry) -> bool:
+    """:return: whether an engine holds other models, or has other copies of them, than before"""
+    names = {each.name for each in known.models}
+    is_same = names == {each.name for each in current.models}
+    return not is_same or (known.in_memory, known.on_disk) != (current.in_memory, current.on_disk)
+
+
+def _log_engine(entry: EndpointEntry) -> None:
+    record = EngineRecord(
+        entry.endpoint,
+        tuple(sorted(each.name for each in entry.models)),
+        tuple(sorted(entry.in_memory)),
+        tuple(sorted(entry.on_disk)),
+        entry.heartbeat,
+    )
+    log_record(_LOGGER, "engine changed", record)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/records.py
@@ -10,6 +10,7 @@
 __all__ = [
     "BeliefAges",
     "EndpointRecord",
+    "EngineRecord",
     "OrderRecord",
     "RefusalRecord",
     "RepeatRecord",
@@ -128,3 +129,15 @@
     #: ``ready``, ``leaving``, ``removed``, or ``lapsed`` in an outage of the store.
     state: str
     list_age_ms: int
+
+
+class EngineRecord(NamedTuple):
+    """What is logged when the planner sees that an engine holds something else than before."""
+
+    endpoint: str
+    models: tuple[str, ...]
+    #: Models with a copy in host memory, and on the engine's own disk.
+    in_memory: tuple[str, ...]
+    on_disk: tuple[str, ...]
+    #: Number of the heartbeat that said so.
+    heartbeat: int
