A player in virtual time, a planner in the core, adapters ahead of demand, loads that wait for a copy at hand

The player (`python -m kingcupdyke_measure model`) runs dispatchers, queues and the planner of the forwarding gateways over the stand-ins' batch, memory and orders, on a loop whose time jumps. For that the planner's decisions moved from the daemon's shell into the core (planner, planround, adapterplan), and the stand-ins learnt to read prompts one after the other and to keep copies.

A row that asked that no adapter be loaded ahead is replaced by four that say when one is.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
@@ -18,11 +18,11 @@
 from kingcupdyke.forwarding.dispatcher import Dispatcher
 from kingcupdyke.forwarding.endpoint import EndpointEntry
 from kingcupdyke.forwarding.leasesupport import LeaseSupport
-from kingcupdyke.forwarding.peerstate import Demand, PeerTable, Placement
-from kingcupdyke.forwarding.residencyplan import ResidencyPlan, TimedOrder
+from kingcupdyke.forwarding.peerstate import PeerTable, Placement
+from kingcupdyke.forwarding.planner import PlacementPlanner
+from kingcupdyke.forwarding.planround import TimedOrder
 from kingcupdyke.forwarding.seat import OrderReply, Seat
 from kingcupdyke.lease import LeaseMachine
-from kingcupdyke.placement import Order, OrderKind
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
 from kingcupdyke_daemon.forwarder.records import EngineRecord, OrderRecord
@@ -49,12 +49,8 @@
 #: Seconds for the answer to an order, and to a question for a report.
 ORDER_S = 0.4
 REPORT_S = 0.6
-#: Peers that must not reach an endpoint for this planner to do without it.
-PEERS_WITHOUT = 2
 #: Longest part of an answer that is logged.
 QUOTED_BYTES = 100
-#: Seconds for which peers are told of a placement.
-TELL_S = 2.0
 
 
 def read_clock() -> float:
@@ -106,10 +102,9 @@
         self._metrics = metrics
         self._term = 0
         self._orders_from_s = 0.0
-        self._seat_by_id: dict[str, Seat] = {}
-        self._plan_by_service: dict[str, ResidencyPlan] = {}
-        self._http_by_id: dict[str, HttpClient] = {}
-        self._placements: list[tuple[float, Placement]] = []
+        self._planner = PlacementPlanner(board)
+        #: Clients by endpoint and its address.
+        self._http_by_key: dict[tuple[str, tuple[str, int]], HttpClient] = {}
 
     @property
     def held_fence(self) -> int:
@@ -141,12 +136,7 @@
 
     def list_placements(self) -> tuple[Placement, ...]:
         """:return: placements of the last moments, as peers are told"""
-        now_s = self._now()
-        self._placements = [each for each in self._placements if now_s - each[0] < TELL_S]
-        return tuple(
-            each._replace(due_s=round(max(0.0, each.due_s - (now_s - since_s)), 3))
-            for since_s, each in self._placements
-        )
+        return self._planner.list_placements(self._now())
 
     async def run(self) -> None:
         """Contend for the lease and plan until cancelled."""
@@ -179,80 +169,44 @@
         if self._keeper.was_given_back:
             # Its last holder may have given orders until just now.
             self._orders_from_s = read_clock() + self._orders_wait_s
-        self._seat_by_id.clear()
-        self._plan_by_service.clear()
+        self._planner.begin_term()
         _LOGGER.warning("took the planner's lease with fence %d", fence)
 
     def _plan_round(self, tasks: TaskGroup) -> None:
         configuration = self._get_configuration()
         if configuration is None:
             return
-        self._update_seats(tasks, configuration)
         now_s = self._now()
+        engine_by_service = {
+            name: spec.engine
+            for name, spec in configuration.services_by_name.items()
+            if spec.engine is not None
+        }
+        for seat in self._planner.update(engine_by_service, now_s):
+            _log_engine(seat.entry)
+        self._close_unused(tasks)
+        for seat in self._planner.list_unreported(now_s):
+            tasks.start_soon(self._ask_report, seat)
         demands = list(self._dispatcher.list_demands(now_s))
         for peer in self._peers.live(now_s):
             demands += peer.demands
-        for name, spec in configuration.services_by_name.items():
-            if spec.engine is not None:
-                self._plan_service(tasks, name, configuration, demands)
-
-    def _update_seats(self, tasks: TaskGroup, configuration: Configuration) -> None:
-        engines = {
-            name for name, spec in configuration.services_by_name.items() if spec.engine is not None
-        }
-        for endpoint, state in self._board.state_by_id.items():
-            if state.entry.service not in engines:
-                continue
-            seat = self._seat_by_id.get(endpoint)
-            if seat is None or _has_changed(seat.entry, state.entry):
-                _log_engine(state.entry)
-            if seat is None:
-                self._seat_by_id[endpoint] = Seat(state.entry)
-            else:
-                seat.observe_entry(state.entry)
-                is_reached = state.is_reachable(self._now())
-                seat.is_reachable = is_reached and state.peers_without < PEERS_WITHOUT
-        for endpoint in self._seat_by_id.keys() - self._board.state_by_id.keys():
-            del self._seat_by_id[endpoint]
-        for endpoint in self._http_by_id.keys() - self._board.state_by_id.keys():
-            tasks.start_soon(self._http_by_id.pop(endpoint).aclose)
-
-    def _plan_service(
-        self, tasks: TaskGroup, service: str, configuration: Configuration, demands: list[Demand]
-    ) -> None:
-        now_s = self._now()
-        seats = [each for each in self._seat_by_id.values() if each.entry.service == service]
-        for seat in seats:
-            if seat.wants_report(now_s):
-                tasks.start_soon(self._ask_report, seat)
-            again = seat.wants_resend(now_s)
-            if again is not None:
-                self._start_order(tasks, seat, TimedOrder(again, seat.due_s - now_s, "", 0.0))
-        plan = self._plan_by_service.setdefault(service, ResidencyPlan(service))
-        engine = configuration.services_by_name[service].engine
         tokens_per_s = self._dispatcher.tokens_per_s
-        for timed in plan.plan(engine, seats, demands, tokens_per_s, now_s):
-            self._start_order(tasks, self._seat_by_id[timed.order.endpoint], timed)
-
-    def _start_order(self, tasks: TaskGroup, seat: Seat, timed: TimedOrder) -> None:
-        now_s = self._now()
-        seat.begin(timed.order, now_s, timed.expected_s)
-        if timed.order.kind == OrderKind.UNLOAD:
-            self._tell(timed.order, False, 0.0)
-            successor = timed.order._replace(model=timed.successor)
-            if timed.successor:
-                self._tell(successor, True, timed.successor_s)
-        tasks.start_soon(self._give_order, seat, timed)
+        for timed in self._planner.plan(engine_by_service, demands, tokens_per_s, now_s):
+            seat = self._planner.seat_by_id[timed.order.endpoint]
+            tasks.start_soon(self._give_order, seat, timed)
 
-    def _tell(self, order: Order, is_present: bool, due_s: float) -> None:
-        placement = Placement(order.endpoint, order.model, order.adapter, is_present, due_s)
-        self._placements.append((self._now(), placement))
+    def _close_unused(self, tasks: TaskGroup) -> None:
+        """Close the clients of engines that are gone or have another address now."""
+        seats = self._planner.seat_by_id.values()
+        known = {(each.entry.endpoint, each.entry.address) for each in seats}
+        for key in self._http_by_key.keys() - known:
+            tasks.start_soon(self._http_by_key.pop(key).aclose)
 
     async def _give_order(self, seat: Seat, timed: TimedOrder) -> None:
         order = timed.order
         fence = self.fence
         if not fence:
-            seat.answered(OrderReply.REFUSED, self._now())
+            self._planner.answered(seat, timed, OrderReply.REFUSED, self._now())
             return
         body = self._dialect.encode_order(order, seat.order_count, self._host, fence)
         headers = {"content-type": "application/json"}
@@ -281,16 +235,7 @@
         )
         log_record(_LOGGER, "order answered", record)
         self._metrics.count_order(order.kind, reply.value)
-        seat.answered(reply, self._now())
-        if reply in (OrderReply.ACCEPTED, OrderReply.HOLDS):
-            self._tell_done(timed)
-
-    def _tell_done(self, timed: TimedOrder) -> None:
-        kind = timed.order.kind
-        if kind in (OrderKind.LOAD, OrderKind.LOAD_ADAPTER):
-            self._tell(timed.order, True, timed.expected_s)
-        elif kind == OrderKind.UNLOAD_ADAPTER:
-            self._tell(timed.order, False, 0.0)
+        self._planner.answered(seat, timed, reply, self._now())
 
     async def _ask_report(self, seat: Seat) -> None:
         endpoint = seat.entry.endpoint
@@ -308,26 +253,18 @@
         if report.is_error():
             _LOGGER.warning("the report of %s is unreadable: %s", endpoint, report.error.reason)
             return
-        if self._seat_by_id.get(endpoint) is seat:
-            seat.observe_report(report.ok, self._now())
+        self._planner.observe_report(seat, report.ok, self._now())
 
     def _get_http(self, seat: Seat) -> HttpClient:
-        endpoint = seat.entry.endpoint
-        http = self._http_by_id.get(endpoint)
+        key = (seat.entry.endpoint, seat.entry.address)
+        http = self._http_by_key.get(key)
         if http is None:
             address, port = seat.entry.address
-            http = HttpClient(f"http://{address}:{port}", ORDER_S, endpoint, reuse=True)
-            self._http_by_id[endpoint] = http
+            http = HttpClient(f"http://{address}:{port}", ORDER_S, seat.entry.endpoint, reuse=True)
+            self._http_by_key[key] = http
         return http
 
 
-def _has_changed(known: EndpointEntry, current: EndpointEntry) -> bool:
-    """:return: whether an engine holds other models, or has other copies of them, than before"""
-    names = {each.name for each in known.models}
-    is_same = names == {each.name for each in current.models}
-    return not is_same or (known.in_memory, known.on_disk) != (current.in_memory, current.on_disk)
-
-
 def _log_engine(entry: EndpointEntry) -> None:
     record = EngineRecord(
         entry.endpoint,
--- a/packages/kingcupdyke-measure/kingcupdyke_measure/cmdline.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/cmdline.py
@@ -13,6 +13,9 @@
 from cappa import Arg, Subcommands
 
 from kingcupdyke_measure.chart import draw_reports
+from kingcupdyke_measure.play import play
+from kingcupdyke_measure.playplan import list_plays, load_play
+from kingcupdyke_measure.playreport import format_play
 from kingcupdyke_measure.policy import run_scenario
 from kingcupdyke_measure.scenario import list_scenarios
 from kingcupdyke_measure.slopes import SLOPES_BY_NAME, measure_slopes
@@ -55,11 +58,29 @@
                     draw_reports(reports, f"{user}: {name}", self.out / f"policy-{user}-{name}.png")
 
 
+@cappa.command(name="model")
+@dataclass
+class ModelCommand:
+    """Play loads in virtual time against modelled engines."""
+
+    play: Annotated[str, Arg(long=True, help=f"one of {', '.join(list_plays())}")] = ""
+    seeds: Annotated[int, Arg(long=True, help="plays with the seeds 1 to this")] = 3
+
+    def run(self) -> None:
+        """Play and print what callers got."""
+        for name in [self.play] if self.play else list_plays():
+            for seed in range(1, self.seeds + 1):
+                report = play(load_play(name), seed)
+                served, on_time = report.share(), report.share(on_time=True)
+                print(f"# {name}, seed {seed}: {served:.3f} served, {on_time:.3f} on time")
+                print("\n".join(format_play(report)), flush=True)
+
+
 @dataclass
 class Measurements:
     """Measurements of kingcupdyke."""
 
-    command: Subcommands[SlopesCommand | PolicyCommand]
+    command: Subcommands[SlopesCommand | PolicyCommand | ModelCommand]
 
 
 def main() -> None:
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/batch.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/batch.py
@@ -20,6 +20,8 @@
 #: Seconds between load reports, and how many are kept for a lagging answer.
 REPORT_PERIOD_S = 0.02
 REPORTS_HELD = 500
+#: Most prompt tokens that are read in one step.
+CHUNK_TOKENS = 1024.0
 
 
 class Speed(NamedTuple):
@@ -33,6 +35,9 @@
     first_token_ms: float
     #: Requests that run at once.
     slots: int
+    #: Prompt tokens read in a second, one prompt after the other between steps; with 0 a prompt
+    #: takes its time whatever else runs.
+    prompt_tokens_per_s: float = 0.0
 
 
 class LoadReport(NamedTuple):
@@ -59,8 +64,12 @@
 class Run:
     """A request that waits, runs or has ended."""
 
-    def __init__(self, request: RunRequest, first_token_s: float) -> None:
+    def __init__(
+        self, request: RunRequest, first_token_s: float, unread_tokens: float = 0.0
+    ) -> None:
         self.request = request
+        #: Prompt tokens that are still to be read, where prompts are read one after the other.
+        self.unread_tokens = unread_tokens
         #: Seconds from its start in the batch to its first token.
         self.first_token_s = first_token_s
         #: Time from which it makes tokens.
@@ -174,7 +183,8 @@
                 self._woken = Event()
                 await self._woken.wait()
                 step_s = current_time()
-            step_s = max(step_s + self._interval_ms() / 1000, current_time())
+            interval_s = self._interval_ms() / 1000 + self._read_prompts()
+            step_s = max(step_s + interval_s, current_time())
             await sleep_until(step_s)
             self._step(current_time())
 
@@ -188,13 +198,28 @@
         others = max(0, len(self._running) - 1)
         return self._speed.token_ms + self._speed.batch_slope_ms * others
 
+    def _read_prompts(self) -> float:
+        """Read the next part of the prompts.
+
+        :return: seconds that it takes
+        """
+        if not self._speed.prompt_tokens_per_s:
+            return 0.0
+        left = CHUNK_TOKENS
+        for run in self._running:
+            if run.unread_tokens and left:
+                read = min(left, run.unread_tokens)
+                run.unread_tokens -= read
+                left -= read
+        return (CHUNK_TOKENS - left) / self._speed.prompt_tokens_per_s
+
     def _report(self, now_s: float) -> LoadReport:
         waiting = sum(not run.ended for _, _, run in self._waiting)
         return LoadReport(now_s, len(self._running), waiting, self._interval_ms())
 
     def _step(self, now_s: float) -> None:
         for run in self._running:
-            if run.ready_s <= now_s and not run.ended:
+            if run.ready_s <= now_s and not run.unread_tokens and not run.ended:
                 run.advance()
         self._remove_ended()
 
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/order.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/order.py
@@ -6,6 +6,7 @@
 """
 
 import json
+from abc import ABC, abstractmethod
 from random import Random
 from typing import NamedTuple
 
@@ -17,7 +18,14 @@
 from kingcupdyke_standins.memory import MemoryBook, Resident
 from kingcupdyke_wire.http import HttpClient
 
-__all__ = ["EngineOrder", "OrderRecord", "OrderRunner", "OrderSettings", "WeightsClient"]
+__all__ = [
+    "EngineOrder",
+    "OrderRecord",
+    "OrderRunner",
+    "OrderSettings",
+    "WeightsClient",
+    "WeightsSource",
+]
 
 #: Seconds of a load where there is no weight store, of an unload and of a role change.
 LOCAL_LOAD_S = 0.05
@@ -81,7 +89,26 @@
     weights_url: str
 
 
-class WeightsClient:
+class WeightsSource(ABC):
+    """Where an engine's weights come from."""
+
+    @abstractmethod
+    async def fetch(self, order: EngineOrder, region: str) -> str:
+        """Return once the weights are there.
+
+        :return: the empty string, or why it failed
+        """
+
+
+class LocalWeights(WeightsSource):
+    """Weights that are at hand."""
+
+    async def fetch(self, order: EngineOrder, region: str) -> str:
+        await sleep(LOCAL_LOAD_S)
+        return ""
+
+
+class WeightsClient(WeightsSource):
     """Fetches weights, as often as it takes.
 
     :param base_url: scheme, address and port
@@ -91,7 +118,6 @@
         self._http = HttpClient(base_url, FETCH_TIMEOUT_S)
 
     async def fetch(self, order: EngineOrder, region: str) -> str:
-        """:return: the empty string, or why it failed"""
         while True:
             answer = await self._http.request(
                 "POST", "/v1/fetches", body=_fetch_body(order, region)
@@ -107,7 +133,10 @@
 
 
 class OrderRunner:
-    """Carries out each order once."""
+    """Carries out each order once.
+
+    :param weights: where weights come from; None takes what the settings say
+    """
 
     def __init__(
         self,
@@ -115,6 +144,7 @@
         memory: MemoryBook,
         batcher: Batcher,
         violations: list[str],
+        weights: WeightsSource | None = None,
     ) -> None:
         self.records_by_id: dict[str, OrderRecord] = {}
         self._settings = settings
@@ -124,7 +154,7 @@
         self._adapters_in_flight = 0
         self._rng = Random(0)
         url = settings.weights_url
-        self._weights = WeightsClient(url) if url else None
+        self._weights = weights or (WeightsClient(url) if url else LocalWeights())
 
     def start(self, order: EngineOrder, tasks: TaskGroup) -> OrderRecord:
         """:return: the order's record; a repeat gives the first one's"""
@@ -158,19 +188,13 @@
             return ""
         if not self._memory.begin_load(order.order_id, order.order_bytes):
             return "out of memory"
-        reason = await self._fetch(order)
+        reason = await self._weights.fetch(order, self._settings.region)
         size_bytes = self._memory.end_load(order.order_id)
         if not reason:
             resident = Resident(order.model_version, size_bytes)
             self._memory.models_by_name[order.model] = resident
         return reason
 
-    async def _fetch(self, order: EngineOrder) -> str:
-        if self._weights is not None:
-            return await self._weights.fetch(order, self._settings.region)
-        await sleep(LOCAL_LOAD_S)
-        return ""
-
     async def _unload(self, order: EngineOrder) -> str:
         self._check_unused(order)
         await sleep(UNLOAD_S)
--- a/packages/kingcupdyke/features/residencyplan.feature
+++ b/packages/kingcupdyke/features/residencyplan.feature
@@ -21,7 +21,10 @@
       | an adapter is loaded where its model is | e1=m1+e2=m2 | 90 90 | m1+a1 1 100 | load_adapter m1+a1 e1 |
       | on the holder with fewest adapters | e1=m1:a1:a2+e2=m1:a1 | 90 | m1+a3 1 100 | load_adapter m1+a3 e2 |
       | the idle adapter makes way | e1=m1:a1:a2 | 90 | m1+a3 1 100; m1+a1 0 900 | unload_adapter m1+a2 e1 |
-      | an adapter that nobody waits for is not loaded | e1=m1 | 90 | m1+a1 0 900 | |
+      | an adapter that was asked for is loaded ahead, though nobody waits | e1=m1 | 90 | m1+a1 0 900 | load_adapter m1+a1 e1 |
+      | not where only the last place is left, which is for those that are waited for | e1=m1:a1 | 90 | m1+a2 0 900 | |
+      | not twice where it is the only one | e1=m1:a1 | 90 | m1+a1 0 900 | |
+      | what is waited for goes first | e1=m1 | 90 | m1+a1 0 900; m1+a2 1 0 | load_adapter m1+a2 e1 |
       | a leaving engine is given nothing, and what it holds does not count | e1=m1!leaving+e2=m2 | 90 90 | m1 1 0 | load m1 e2 |
       | the same for one out of reach | e1=m1!unreachable+e2=m2 | 90 90 | m1 1 0 | load m1 e2 |
       | one that carries out an order is given none | e1=m1!busy | 90 90 | m2 1 0 | |
@@ -57,3 +60,41 @@
       | goes |
       | falls silent |
       | is busy for 2 s |
+
+  Scenario Outline: Adapters that nobody has asked for yet: <case>
+    Given residencyplan: engines "<engines>" of 200 GB with models of "90 90" GB
+    And residencyplan: the models have the adapters a1 to a3, and engines 4 places
+    When residencyplan: "<demand>" is asked for
+    Then residencyplan: the orders are "<orders>"
+
+    Examples:
+      | case | engines | demand | orders |
+      | they are loaded ahead where their model is asked for | e1=m1 | m1 0 900 | load_adapter m1+a1 e1 |
+      | not where it is not | e1=m1 | m2 0 100 | |
+      | first those that no engine has | e1=m1:a1+e2=m1:a2 | m1 0 900 | load_adapter m1+a3 e1; load_adapter m1+a1 e2 |
+      | not into the last place | e1=m1:a1:a2:a3 | m1 0 900 | |
+
+  Scenario Outline: A model that is on the disk of an engine that is busy: <case>
+    Given residencyplan: engines "e1=m1/m3+e2=m2" of 200 GB with models of "90 90 90" GB
+    And residencyplan: the engine e1 carries out an order for <busy> s more
+    When residencyplan: "m3 1 0" is asked for
+    Then residencyplan: the orders are "<orders>"
+
+    Examples:
+      | case | busy | orders |
+      | it waits, as that is sooner than a fetch from the store | 2 | |
+      | it is fetched, as that is sooner | 9 | load m3 e2 |
+
+  Scenario: Of models that nobody asks for now, the one that was asked for least makes way
+    Given residencyplan: engines "e1=m1,m2" of 200 GB with models of "90 90 90" GB
+    When residencyplan: "m1 0 500" is asked for
+    And residencyplan: "m1 0 500" is asked for
+    And residencyplan: "m3 1 0" is asked for
+    Then residencyplan: the orders are "unload m2 e1"
+
+  Scenario: The same with the names the other way round
+    Given residencyplan: engines "e1=m1,m2" of 200 GB with models of "90 90 90" GB
+    When residencyplan: "m2 0 500" is asked for
+    And residencyplan: "m2 0 500" is asked for
+    And residencyplan: "m3 1 0" is asked for
+    Then residencyplan: the orders are "unload m1 e1"
--- a/packages/kingcupdyke/features/steps/residencyplan_steps.py
+++ b/packages/kingcupdyke/features/steps/residencyplan_steps.py
@@ -11,8 +11,8 @@
 from kingcupdyke.forwarding.endpoint import EndpointReport
 from kingcupdyke.forwarding.peerstate import Demand
 from kingcupdyke.forwarding.residencyplan import ResidencyPlan
-from kingcupdyke.forwarding.seat import Seat
-from kingcupdyke.placement import OrderKind
+from kingcupdyke.forwarding.seat import OrderReply, Seat
+from kingcupdyke.placement import Order, OrderKind
 
 TOKENS_PER_S = 20_000.0
 
@@ -47,6 +47,23 @@
     context.now_s = 0.0
 
 
+@given("residencyplan: the models have the adapters a1 to a3, and engines 4 places")
+def name_adapters(context):
+    models = {
+        name: spec._replace(adapters=("a1", "a2", "a3"))
+        for name, spec in context.engine.models_by_name.items()
+    }
+    context.engine = context.engine._replace(models_by_name=models, adapter_slots=4)
+
+
+@given("residencyplan: the engine e1 carries out an order for {seconds:g} s more")
+def occupy_for(context, seconds):
+    seat = context.seats["e1"]
+    # The next look at the demand is one second later.
+    seat.begin(Order("o1", "e1", OrderKind.LOAD, "m2", ""), context.now_s, seconds + 1.0)
+    seat.answered(OrderReply.ACCEPTED, context.now_s)
+
+
 @when('residencyplan: "{demand}" is asked for')
 def ask(context, demand):
     demands = []
--- a/packages/kingcupdyke/kingcupdyke/forwarding/configuration.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/configuration.py
@@ -111,6 +111,8 @@
     #: Seconds of a load from a copy in the endpoint's host memory.
     memory_load_s: float
     adapter_bytes: int
+    #: Names of its adapters.
+    adapters: tuple[str, ...] = ()
 
 
 class EngineSpec(NamedTuple):
--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpoint.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpoint.py
@@ -49,6 +49,13 @@
     #: Models with a copy of their weights on the endpoint's disk.
     on_disk: frozenset[str]
 
+    def differs(self, other: "EndpointEntry") -> bool:
+        """:return: whether another entry tells of other models, or of other copies of them"""
+        names = {each.name for each in self.models}
+        if names != {each.name for each in other.models}:
+            return True
+        return (self.in_memory, self.on_disk) != (other.in_memory, other.on_disk)
+
 
 class EndpointReport(NamedTuple):
     """A model engine's report on its state some moments ago."""
