--- a/packages/kingcupdyke/features/dispatcher.feature
+++ b/packages/kingcupdyke/features/dispatcher.feature
@@ -40,6 +40,14 @@
       | a copy on disk is fast enough | e1=m1/m2 | ask r1 model=m2 deadline_s=5 | r1:wait |
       | the planner's word goes before the estimate | e1=m1 | place e1 m2 2; ask r1 model=m2 deadline_s=5 | r1:wait |
       | and says when it is too late | e1=m1/m2 | place e1 m2 7; ask r1 model=m2 deadline_s=5 | r1:refuse |
+      | the planner's word on an endpoint that is gone does not count | e1=m1 e2=m3 | place e2 m2 2; gone e2; ask r1 model=m2 deadline_s=5 | r1:refuse |
+      | nor on one that leaves | e1=m1 e2=m3 | place e2 m2 2; leave e2; ask r1 model=m2 deadline_s=5 | r1:refuse |
+      | nor on one out of reach | e1=m1 e2=m3 | place e2 m2 2; fail e2; fail e2; ask r1 model=m2 deadline_s=5 | r1:refuse |
+      | one that waits for it is refused when the endpoint goes | e1=m1 e2=m3 | place e2 m2 2; ask r1 model=m2 deadline_s=5; gone e2; poll | r1:refuse |
+      | prompts that wait for the same load count | e1=m1 | place e1 m2 2; ask r1 model=m2 tokens=60000 deadline_s=9; ask r2 model=m2 tokens=1000 deadline_s=4 | r1:wait r2:refuse |
+      | not those that go after it | e1=m1 | place e1 m2 2; ask r1 model=m2 tokens=60000 deadline_s=9 priority=2; ask r2 model=m2 tokens=1000 deadline_s=4 priority=0 | r1:wait r2:wait |
+      | those that wait at peers count | e1=m1 | place e1 m2 2; demand m2 60; ask r1 model=m2 tokens=1000 deadline_s=4 | r1:refuse |
+      | not those that wait for another model | e1=m1 | place e1 m2 2; demand m3 60; ask r1 model=m2 tokens=1000 deadline_s=4 | r1:wait |
       | it is sent once the entry shows the model | e1=m1 | ask r1 model=m2 deadline_s=8; hold e1 m2; poll | r1:e1 |
       | a model that is not configured is refused | e1=m1 | ask r1 model=m9 | r1:refuse |
       | the beginning of a prompt goes where it was read | e1=m1 e2=m1 | ask r1 model=m1 parts=x:2000 tokens=2000; began r1; peer e1 4; ask r2 model=m1 parts=y:2000 tokens=2000; began r2; peer e1 0; ask r3 model=m1 parts=y:2000 tokens=2000 | r1:e1 r2:e2 r3:e2 |
--- a/packages/kingcupdyke/features/seat.feature
+++ b/packages/kingcupdyke/features/seat.feature
@@ -28,6 +28,16 @@
       | a restart forgets everything | report 7 m1+a1; restart 1 -; report 0 - | takes | - | 0 |
       | a restarted engine takes nothing before its report | report 7 m1+a1; restart 1 - | refuses | - | 0 |
 
+  Scenario Outline: While an engine carries out an order, its planner asks for its report: <case>
+    When seat: "<events>" happens to an engine that holds "m1+a1"
+    Then seat: in the next 3 s its report is asked for <times> times
+
+    Examples:
+      | case | events | times |
+      | during a load, to notice when the engine is lost | report 0 m1+a1; longload m2; accepted | 3 |
+      | also where reports say that it is busy | report 0 m1+a1; longload m2; accepted; busy 1 m1+a1 | 3 |
+      | not where no order is open | report 0 m1+a1 | 0 |
+
   Scenario Outline: Engines under a planner, lost and late orders, restarts and new planners: seed <seed>
     When seat: <engines> engines of 200 GB with models of "<sizes>" GB live for 120 s under faults, with seed <seed>
     Then seat: no engine was ever told to hold more than its memory and adapter places
--- a/packages/kingcupdyke/features/steps/dispatcher_steps.py
+++ b/packages/kingcupdyke/features/steps/dispatcher_steps.py
@@ -13,7 +13,7 @@
 
 from kingcupdyke.forwarding.board import EndpointBoard
 from kingcupdyke.forwarding.dispatcher import Dispatcher, Refuse, Send, Wait
-from kingcupdyke.forwarding.peerstate import EndpointLoad, GatewayState, Placement
+from kingcupdyke.forwarding.peerstate import Demand, EndpointLoad, GatewayState, Placement
 from kingcupdyke.forwarding.terms import PromptPart
 
 REGIONS = {"n1": "north", "s1": "south"}
@@ -77,6 +77,14 @@
         state = GatewayState("p", "i", 1, False, 1, tuple(self.loads.values()), (), (), 0, None, ())
         self.board.hear_peers([state], self.now_s)
 
+    def do_demand(self, model, waiting):
+        demand = Demand(model, "", int(waiting), 0.0)
+        state = GatewayState("p", "i", 1, False, 1, (), (demand,), (), 0, None, ())
+        self.board.hear_peers([state], self.now_s)
+
+    def do_gone(self, endpoint):
+        self.board.remove(endpoint, self.now_s, False)
+
     def do_leave(self, endpoint):
         self.board.put(make_entry(endpoint, is_leaving=True))
 
--- a/packages/kingcupdyke/features/steps/seat_steps.py
+++ b/packages/kingcupdyke/features/steps/seat_steps.py
@@ -49,6 +49,9 @@
     def do_load(self, model):
         self.begin(OrderKind.LOAD, model)
 
+    def do_longload(self, model):
+        self.seat.begin(Order("o1", "e1", OrderKind.LOAD, model, ""), self.now_s, 9.0)
+
     def do_unload(self, model):
         self.begin(OrderKind.UNLOAD, model)
 
@@ -88,6 +91,13 @@
     context.story = SeatStory()
 
 
+@then("seat: in the next 3 s its report is asked for {times:d} times")
+def count_reports(context, times):
+    story = context.story
+    asked = [story.seat.wants_report(story.now_s + step * 0.05) for step in range(60)]
+    assert sum(asked) == times, sum(asked)
+
+
 @then('seat: it {takes} orders and holds "{held}" after {count:d} orders')
 def check_seat(context, takes, held, count):
     seat = context.story.seat
--- a/packages/kingcupdyke/kingcupdyke/forwarding/board.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/board.py
@@ -149,6 +149,8 @@
 
     def __init__(self) -> None:
         self.state_by_id: dict[str, EndpointState] = {}
+        #: Requests that wait at peers, by model.
+        self.peer_waiting_by_model: dict[str, int] = {}
         self._word_by_replica: dict[Replica, tuple[bool, float, float]] = {}
         self._fence = 0
 
@@ -205,7 +207,11 @@
             state.peer_requests = 0
             state.peer_tokens = 0
             state.peers_without = 0
+        self.peer_waiting_by_model.clear()
         for peer in peers:
+            for demand in peer.demands:
+                known = self.peer_waiting_by_model.get(demand.model, 0)
+                self.peer_waiting_by_model[demand.model] = known + demand.waiting
             for endpoint in peer.unreachable:
                 if endpoint in self.state_by_id:
                     self.state_by_id[endpoint].peers_without += 1
@@ -260,11 +266,18 @@
         due = [
             due_s - now_s
             for replica, (is_present, due_s, _) in self._word_by_replica.items()
-            if is_present and replica.model == model and replica.adapter in ("", adapter)
+            if is_present
+            and replica.model == model
+            and replica.adapter in ("", adapter)
+            and self._is_usable(replica.endpoint, now_s)
         ]
         coming = [each for each in due if each > -OVERDUE_S]
         return max(0.0, min(coming)) if coming else None
 
+    def _is_usable(self, endpoint: str, now_s: float) -> bool:
+        state = self.state_by_id.get(endpoint)
+        return state is not None and not state.entry.is_leaving and state.is_reachable(now_s)
+
     def deny_replica(self, replica: Replica, now_s: float) -> None:
         """An endpoint has refused a request as it does not hold the replica."""
         until_s = now_s + PLACEMENT_S
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -312,6 +312,9 @@
         wait_s = self._board.due_s(item.model, item.adapter, now_s)
         if wait_s is None:
             wait_s = ORDERING_S + self._load_s(item, engine, states, now_s)
+        peers_tokens = self._board.peer_waiting_by_model.get(item.model, 0) * item.prompt_tokens
+        tokens_before = sum(each.prompt_tokens for each in self._list_before(item, now_s))
+        wait_s += (tokens_before + peers_tokens) / self.tokens_per_s
         left_s = self._limit_s(item) - now_s
         if max(0.0, wait_s) + LEAST_LEFT_S > left_s:
             return Refuse("the model is not ready in time", max(0.1, wait_s))
@@ -331,10 +334,10 @@
                 least_s = min(least_s, spec.disk_load_s)
         return least_s
 
-    def _await_room(self, item: WorkItem, states: list[EndpointState], now_s: float) -> Decision:
-        """Wait for room, or refuse where the requests before this one take too long."""
+    def _list_before(self, item: WorkItem, now_s: float) -> list[WorkItem]:
+        """:return: requests that wait here for the same model and go before one"""
         rank = _rank(item, now_s)
-        before = [
+        return [
             other
             for other, _ in self._waiting_by_id.values()
             if other.service == item.service
@@ -342,6 +345,10 @@
             and other.attempt_id != item.attempt_id
             and _rank(other, now_s) < rank
         ]
+
+    def _await_room(self, item: WorkItem, states: list[EndpointState], now_s: float) -> Decision:
+        """Wait for room, or refuse where the requests before this one take too long."""
+        before = self._list_before(item, now_s)
         if item.model:
             tokens = sum(each.prompt_tokens for each in before) + item.prompt_tokens
             tokens += sum(each.unread_tokens for each in states)
--- a/packages/kingcupdyke/kingcupdyke/forwarding/seat.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/seat.py
@@ -20,6 +20,8 @@
 COMING_S = 0.3
 #: Seconds between two questions for a report.
 REPORT_PAUSE_S = 0.3
+#: Seconds between looks at an engine that carries out an order, to notice when it is lost.
+LOOK_S = 1.0
 
 
 class OrderReply(StrEnum):
@@ -141,11 +143,13 @@
 
     def wants_report(self, now_s: float) -> bool:
         """:return: whether the engine's report is to be asked for now; it counts as asked"""
-        is_overdue = self.open_order is not None and now_s > self.due_s + OVERDUE_S
-        is_wanted = self._wants_report or not self.is_known or is_overdue
+        is_open = self.open_order is not None and not self.is_call_open
+        is_under_way = is_open and now_s <= self.due_s and not self._resend_s
+        is_overdue = is_open and now_s > self.due_s + OVERDUE_S
+        is_wanted = self._wants_report or not self.is_known or is_overdue or is_under_way
         if not is_wanted or self.is_call_open or now_s < self._report_s:
             return False
-        self._report_s = now_s + REPORT_PAUSE_S
+        self._report_s = now_s + (LOOK_S if is_under_way else REPORT_PAUSE_S)
         return True
 
     def begin(self, order: Order, now_s: float, expected_s: float) -> None:
@@ -156,6 +160,7 @@
         self.open_order = order
         self.is_call_open = True
         self.due_s = now_s + expected_s
+        self._report_s = now_s + LOOK_S
 
     def wants_resend(self, now_s: float) -> Order | None:
         """:return: the open order if it is to be sent again, as no answer came"""
