Weigh all that an engine holds when a replica makes way

Cause, from plays of shifting: a replica of the busiest model made way for a further replica of another, and the busiest one was ordered again in the same second, as only its own demand was put on the engines that were left.

--- a/packages/kingcupdyke/features/residencyplan.feature
+++ b/packages/kingcupdyke/features/residencyplan.feature
@@ -18,6 +18,7 @@
       | a trace of it is not | e1=m1 | 90 90 | m2 0 50 | |
       | an overloaded model gets a further replica | e1=m1+e2=m2 | 90 90 | m1 0 20000 | load m1 e2 |
       | not at the cost of what is asked for | e1=m1,m4+e2=m2,m3 | 90 90 90 90 | m1 0 9000; m2 0 6000; m3 0 6000; m4 0 6000 | |
+      | nor where the engines that are left would be overloaded by all that they hold | e1=m1,m4+e2=m1,m3 | 90 90 90 90 | m2 1 3600; m1 0 9000; m3 0 5000; m4 0 9000 | |
       | an adapter is loaded where its model is | e1=m1+e2=m2 | 90 90 | m1+a1 1 100 | load_adapter m1+a1 e1 |
       | on the holder with fewest adapters | e1=m1:a1:a2+e2=m1:a1 | 90 | m1+a3 1 100 | load_adapter m1+a3 e2 |
       | the idle adapter makes way | e1=m1:a1:a2 | 90 | m1+a3 1 100; m1+a1 0 900 | unload_adapter m1+a2 e1 |
--- a/packages/kingcupdyke/kingcupdyke/forwarding/residencyplan.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/residencyplan.py
@@ -298,12 +298,15 @@
         :param is_further: whether the room is for a further replica
         """
         value = self._round.value(model)
-        others = len(self._round.list_holders(model)) - 1
-        if others <= 0:
+        holders = self._round.list_holders(model)
+        others = [each for each in holders if each is not seat]
+        if not others:
             value += self._plan.usual_share(model) * USUAL_TOKENS_PER_S
             if is_further:
                 value += LAST_TOKENS_PER_S
             recent = self._plan.is_recent(seat.entry.endpoint, model, self._now_s)
             return value * 2 if recent and value else value
-        over = self._round.rate_by_model.get(model, 0.0) / others - self._busy_tokens_per_s
-        return max(0.0, over) * others + value / (others + 1) / 10
+        rate = self._round.rate_by_model.get(model, 0.0)
+        moved = rate / len(others) - rate / len(holders)
+        over = sum(max(0.0, self._load(each) + moved - self._busy_tokens_per_s) for each in others)
+        return over + value / len(holders) / 10
