--- a/packages/kingcupdyke/kingcupdyke/forwarding/residencyplan.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/residencyplan.py
@@ -28,7 +28,7 @@
 #: Demand in tokens a second for which a model without a replica is loaded with nobody waiting.
 LEAST_TOKENS_PER_S = 150.0
 #: Part of the tokens a second that an engine reads beyond which its models get further replicas.
-BUSY_SHARE = 0.35
+BUSY_SHARE = 0.5
 #: How much more a new replica must carry than what is unloaded for it.
 REPLICA_GAIN = 2.0
 #: Seconds for which a replica stays after its load, unless nobody asks for it.
