Gateways that reach the store pass its word on to peers that don't

A peer's state now says which kinds it can't read; the first by name of those that can sends it all objects of the kind, three times a second. A relay older than what is known is ignored; entries that are missing in it are kept for the usual moment. Feature: red with the relays off.

--- a/packages/kingcupdyke-daemon/features/process.feature
+++ b/packages/kingcupdyke-daemon/features/process.feature
@@ -59,3 +59,8 @@
       | kingcupdyke_ready 1.0                                                            |
     And process: the metrics hold histograms of "request, first_part, queue_wait" by route
     And process: the metrics hold the ages of "configuration, endpoint_list, lease"
+
+  Scenario: A gateway that the store turns away goes on by what its peers hear
+    When process: of two gateways one is cut off from the store, and then endpoint and configuration change
+    Then process: within 1 s both answer by the new endpoint and have the new configuration in force
+    And process: the one that was cut off is back at the store's own word within 2 s after the cut
--- a/packages/kingcupdyke-daemon/features/steps/process_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/process_steps.py
@@ -85,11 +85,11 @@
 class Site:
     """A gateway, its store and its endpoints."""
 
-    def __init__(self, tasks):
+    def __init__(self, tasks, host="entry-n1", store=None):
         self.tasks = tasks
-        self.store = MemoryStoreClient()
+        self.store = store or MemoryStoreClient()
         self.settings = ForwarderSettings(
-            host="entry-n1",
+            host=host,
             data_centre="n1",
             region_by_data_centre={"n1": "north"},
             front=SocketAddress(LOOPBACK, find_port()),
@@ -442,3 +442,44 @@
 def check_ages(context, names):
     for name in names.split(", "):
         assert f'belief="{name}"' in context.metrics, context.metrics
+
+
+@when(
+    "process: of two gateways one is cut off from the store, and then endpoint and "
+    "configuration change"
+)
+def cut_off_one(context):
+    async def job():
+        async with open_site() as site:
+            other = Site(site.tasks, "entry-n2", MemoryStoreClient(site.store))
+            await other.start()
+            await sleep(0.5)
+            other.store.down = True
+            # A watch that waits is answered with a failure at the next change.
+            await site.configure(2)
+            await sleep(0.3)
+            await site.add("e2")
+            await site.list("e1", True)
+            await site.configure(3)
+            await sleep(1.0)
+            context.answers = [describe(await each.ask()) for each in (site, other)]
+            context.in_force = [line for line in context.log_records if "in force" in line]
+            other.store.down = False
+            await sleep(2.0)
+            await site.list("e2", True)
+            await site.list("e1", False)
+            await sleep(0.2)
+            context.last = describe(await other.ask())
+
+    capture(context, job)
+
+
+@then("process: within 1 s both answer by the new endpoint and have the new configuration in force")
+def check_both(context):
+    assert context.answers == ["200 e2"] * 2, context.answers
+    assert context.in_force.count("configuration 3 is in force") == 2, context.in_force
+
+
+@then("process: the one that was cut off is back at the store's own word within 2 s after the cut")
+def check_back(context):
+    assert context.last == "200 e1", context.last
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/follower.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/follower.py
@@ -12,6 +12,7 @@
 from anyio import sleep
 
 from kingcupdyke.error import Failure
+from kingcupdyke.forwarding.storerelay import RelayedObject, StoreRelay
 from kingcupdyke.timer import TimerService
 from kingcupdyke_wire.store import COMPACTED, StoreClient, StoreObject
 
@@ -56,6 +57,8 @@
         self._rng = Random(kind)
         self._failed_since_s: float | None = None
         self._away_until_s = 0.0
+        self._position = 0
+        self._object_by_name: dict[str, StoreObject] = {}
         #: Whether a whole list was taken since the start.
         self.is_listed = False
         #: Time of the last answer, in seconds.
@@ -81,6 +84,47 @@
         """:return: whether the store was away within the last moments"""
         return self._timer.now() < self._away_until_s
 
+    @property
+    def kind(self) -> str:
+        """:return: kind of the objects"""
+        return self._kind
+
+    @property
+    def is_cut_off(self) -> bool:
+        """:return: whether the last call to the store failed"""
+        return self._failed_since_s is not None
+
+    def make_relay(self) -> StoreRelay:
+        """:return: what the store last said, for a peer that does not reach it"""
+        objects = tuple(
+            RelayedObject(each.name, each.version, each.value.decode("utf-8", "replace"))
+            for each in self._object_by_name.values()
+        )
+        return StoreRelay(self._kind, self._position, objects)
+
+    def take_relay(self, relay: StoreRelay) -> None:
+        """Take what a peer heard from the store, unless this gateway reaches it by itself."""
+        if not self.is_cut_off or relay.position < self._position:
+            return
+        self.heard_s = self._timer.now()
+        self._position = relay.position
+        listed = {each.name for each in relay.objects}
+        for name in self._object_by_name.keys() - listed:
+            self._drop(name, True)
+        for each in relay.objects:
+            known = self._object_by_name.get(each.name)
+            if known is None or known.version != each.version:
+                self._put(StoreObject(self._kind, each.name, each.version, each.value.encode()))
+        self.is_listed = True
+
+    def _put(self, found: StoreObject) -> None:
+        self._object_by_name[found.name] = found
+        self._take(found)
+
+    def _drop(self, name: str, was_away: bool) -> None:
+        self._object_by_name.pop(name, None)
+        self._remove(name, was_away)
+
     def _hear(self) -> None:
         now_s = self._timer.now()
         self.heard_s = now_s
@@ -101,6 +145,8 @@
             return listed.error
         self._hear()
         position, objects = listed.ok
+        self._position = position
+        self._object_by_name = {each.name: each for each in objects}
         self._take_all(objects, self.was_away)
         self.is_listed = True
         while True:
@@ -109,9 +155,9 @@
                 is_compacted = watched.error.reason == COMPACTED
                 return None if is_compacted else watched.error
             self._hear()
-            position = watched.ok.position
+            position = self._position = watched.ok.position
             for event in watched.ok.events:
                 if event.current is None:
-                    self._remove(event.name, self.was_away)
+                    self._drop(event.name, self.was_away)
                 else:
-                    self._take(event.current)
+                    self._put(event.current)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peers.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peers.py
@@ -14,8 +14,10 @@
 
 from kingcupdyke.error import OptionError
 from kingcupdyke.forwarding.peerstate import GatewayState, PeerTable
+from kingcupdyke.forwarding.storerelay import StoreRelay, list_relay_hosts
 from kingcupdyke.timer import TimerService
 from kingcupdyke.util import get_int_opt, get_str_opt
+from kingcupdyke_daemon.forwarder.follower import StoreFollower
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
 from kingcupdyke_wire.store import Conflict, StoreClient, StoreObject
 
@@ -30,6 +32,10 @@
 #: Peers up to which these periods hold; with more of them messages are as much rarer, so that the
 #: messages that a gateway takes stay about the same in number.
 PEERS_AT_FULL_RATE = 8
+#: Seconds between messages that pass on what the store says.
+RELAY_PERIOD_S = 0.3
+#: Most bytes of a datagram.
+MOST_DATAGRAM_BYTES = 60_000
 #: Seconds between attempts to enter oneself in the store.
 ENTER_RETRY_S = 0.5
 
@@ -73,6 +79,9 @@
         self._data_centre_by_host: dict[str, str] = {}
         self._far_due_s = 0.0
         self._number = 0
+        self._relay_due_s = 0.0
+        #: What is passed on to peers that don't reach the store, and taken from those that do.
+        self.followers: tuple[StoreFollower, ...] = ()
         #: Set to send at once.
         self.changed = Event()
 
@@ -145,10 +154,19 @@
         async for data, _ in udp:
             state = GatewayState.decode(data)
             if state.is_error():
-                _LOGGER.warning("a peer's message is unreadable: %s", state.error.reason)
+                self._take_relay(data)
             elif self._table.hear(state.ok, self._timer.now()):
                 self._heard(state.ok)
 
+    def _take_relay(self, data: bytes) -> None:
+        relay = StoreRelay.decode(data)
+        if relay.is_error():
+            _LOGGER.warning("a peer's message is unreadable: %s", relay.error.reason)
+            return
+        for follower in self.followers:
+            if follower.kind == relay.ok.kind:
+                follower.take_relay(relay.ok)
+
     async def _send(self, udp: UDPSocket) -> None:
         while True:
             self._number += 1
@@ -162,9 +180,24 @@
             for host, address in list(self._address_by_host.items()):
                 if is_far_due or not self._is_far(host):
                     await self._send_to(udp, data, address)
+            if now_s >= self._relay_due_s:
+                self._relay_due_s = now_s + RELAY_PERIOD_S
+                await self._send_relays(udp)
             with move_on_after(PERIOD_S * self._slowdown):
                 await self.changed.wait()
 
+    async def _send_relays(self, udp: UDPSocket) -> None:
+        peers = self._table.live(self._timer.now())
+        for follower in self.followers:
+            if follower.is_cut_off or not follower.is_listed:
+                continue
+            hosts = list_relay_hosts(follower.kind, self._host, peers)
+            data = follower.make_relay().encode() if hosts else b""
+            for host in hosts:
+                address = self._address_by_host.get(host)
+                if address is not None and len(data) <= MOST_DATAGRAM_BYTES:
+                    await self._send_to(udp, data, address)
+
     @property
     def _slowdown(self) -> float:
         return max(1.0, len(self._address_by_host) / PEERS_AT_FULL_RATE)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -158,6 +158,11 @@
             self._peers.take,
             self._peers.remove,
         )
+        self._peers.followers = (
+            self._catalogue.configurations,
+            self._catalogue.endpoints,
+            self._gateways,
+        )
         self._watch_beliefs()
 
     async def run(self, stop: Event) -> None:
@@ -187,8 +192,7 @@
             self._tasks.start_soon(self._metrics_server.serve, listener, self._tasks)
         self._tasks.start_soon(self._ready_server.serve, ready, self._tasks)
         self._tasks.start_soon(self._front_server.serve, front, self._tasks)
-        followers = (self._catalogue.configurations, self._catalogue.endpoints, self._gateways)
-        for follower in followers:
+        for follower in self._peers.followers:
             self._tasks.start_soon(follower.follow_forever)
         self._tasks.start_soon(self._peers.run)
         self._tasks.start_soon(self._peers.enter)
@@ -359,6 +363,7 @@
             fence=self._placer.held_fence,
             support=self._support.get_given(read_clock()),
             placements=self._placer.list_placements(),
+            cut_off=tuple(each.kind for each in self._peers.followers if each.is_cut_off),
         )
         if state.fence:
             self._board.hear_placements(state, now_s)
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/memorystore.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/memorystore.py
@@ -24,18 +24,33 @@
 __all__ = ["MemoryStoreClient"]
 
 
-class MemoryStoreClient(StoreClient):
-    """A store within the process; several parts may share one."""
+class _Signal:
+    """Wakes watches after a change."""
 
     def __init__(self) -> None:
+        self.changed = Event()
+
+    def wake(self) -> None:
+        """Wake all that wait for a change."""
+        self.changed.set()
+        self.changed = Event()
+
+
+class MemoryStoreClient(StoreClient):
+    """A store within the process; several parts may share one.
+
+    :param other: a client whose objects this one shares, with faults of its own
+    """
+
+    def __init__(self, other: MemoryStoreClient | None = None) -> None:
         #: Whether every call fails as "not run", as in an outage.
         self.down = False
         #: Writes still to come that take effect without giving an answer.
         self.lost_answers = 0
         #: Calls that were made so far.
         self.calls = 0
-        self._table = ObjectTable()
-        self._changed = Event()
+        self._table = ObjectTable() if other is None else other._table
+        self._signal = _Signal() if other is None else other._signal
 
     async def get(self, kind: str, name: str) -> Result[StoreObject | None, Failure]:
         return self._answer(lambda: self._table.get(kind, name))
@@ -60,7 +75,7 @@
     ) -> Result[WatchAnswer, Failure]:
         with move_on_after(timeout_s):
             while not self.down and self._table.changes_after(kind, position) == []:
-                await self._changed.wait()
+                await self._signal.changed.wait()
         answer = self._answer(lambda: self._table.changes_after(kind, position))
         if answer.is_ok() and answer.ok is None:
             return Error(_fail(Outcome.FAILED, COMPACTED))
@@ -76,8 +91,7 @@
         answer = self._answer(write)
         if answer.is_error():
             return answer
-        self._changed.set()
-        self._changed = Event()
+        self._signal.wake()
         if self.lost_answers:
             self.lost_answers -= 1
             return Error(_fail(Outcome.UNKNOWN, "answer lost"))
--- a/packages/kingcupdyke/features/steps/peerstate_steps.py
+++ b/packages/kingcupdyke/features/steps/peerstate_steps.py
@@ -17,6 +17,7 @@
     Placement,
     Support,
 )
+from kingcupdyke.forwarding.storerelay import RelayedObject, StoreRelay, list_relay_hosts
 
 EMPTY = GatewayState("h", "i", 1, False, 1, (), (), (), 0, None, ())
 
@@ -54,3 +55,32 @@
 def check_live(context, at_s, live):
     found = " ".join(f"{each.host}:{each.number}" for each in context.peers.live(at_s))
     assert found == live, found
+
+
+RELAY = StoreRelay("kind", 7, (RelayedObject("n", 3, '{"a":"é"}'),))
+
+
+@then("peerstate: a relay of the store is the same when read back")
+def check_relay(context):
+    assert StoreRelay.decode(RELAY.encode()).ok == RELAY
+
+
+@then("peerstate: a state is no relay, and a relay is no state")
+def check_kinds(context):
+    assert StoreRelay.decode(EMPTY.encode()).is_error()
+    assert GatewayState.decode(RELAY.encode()).is_error()
+
+
+@then('peerstate: with the peers "{peers}" gateway b passes it on to "{hosts}"')
+def check_hosts(context, peers, hosts):
+    states = []
+    for text in peers.split():
+        host, _, mark = text.partition("!")
+        kinds = {"": (), "cut": ("kind",), "other": ("another",)}[mark]
+        states.append(EMPTY._replace(host=host, cut_off=kinds))
+    assert list_relay_hosts("kind", "b", states) == hosts.split()
+
+
+@then('peerstate: with the peers "{peers}" gateway b passes it on to ""')
+def check_no_hosts(context, peers):
+    check_hosts(context, peers, "")
--- a/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
@@ -14,7 +14,16 @@
 
 from kingcupdyke.error import Failure, Outcome, Step
 
-__all__ = ["Demand", "EndpointLoad", "GatewayState", "PeerTable", "Placement", "Support"]
+__all__ = [
+    "Demand",
+    "EndpointLoad",
+    "GatewayState",
+    "PeerTable",
+    "Placement",
+    "Support",
+    "pack_message",
+    "unpack_message",
+]
 
 #: Window of a deflate stream without a header.
 RAW_DEFLATE = -15
@@ -87,16 +96,18 @@
     #: Whom this gateway lets hold the lease, or None.
     support: Support | None
     placements: tuple[Placement, ...]
+    #: Kinds of objects that this gateway can't read from the store now.
+    cut_off: tuple[str, ...] = ()
 
     def encode(self) -> bytes:
         """:return: the message as compressed JSON"""
-        return compress(json.dumps(self, separators=(",", ":")).encode(), wbits=RAW_DEFLATE)
+        return pack_message(self)
 
     @classmethod
     def decode(cls, value: bytes) -> Result["GatewayState", Failure]:
         """:return: the message, or a failure where the bytes are none"""
         try:
-            fields = cls(*json.loads(_inflate(value)))
+            fields = cls(*unpack_message(value))
             return Ok(
                 fields._replace(
                     loads=tuple(EndpointLoad(*each) for each in fields.loads),
@@ -104,6 +115,7 @@
                     unreachable=tuple(fields.unreachable),
                     support=None if fields.support is None else Support(*fields.support),
                     placements=tuple(Placement(*each) for each in fields.placements),
+                    cut_off=tuple(fields.cut_off),
                 )
             )
         except (ValueError, TypeError, zlib_error) as error:
@@ -111,12 +123,21 @@
             return Error(Failure(Outcome.FAILED, Step.PARSE, "", reason))
 
 
-def _inflate(value: bytes) -> bytes:
+def pack_message(fields: object) -> bytes:
+    """:return: a message as compressed JSON"""
+    return compress(json.dumps(fields, separators=(",", ":")).encode(), wbits=RAW_DEFLATE)
+
+
+def unpack_message(value: bytes) -> object:
+    """:return: the fields of a message
+
+    :raises ValueError: where the bytes are no message
+    """
     inflater = decompressobj(RAW_DEFLATE)
     data = inflater.decompress(value, MOST_BYTES)
     if not inflater.eof:
         raise ValueError("a message that is cut off or too long")
-    return data
+    return json.loads(data)
 
 
 class PeerTable:
