The lease names the gateways whose word it goes on by

Removing entries of silent gateways was ruled out: one that is only cut off from its peers could then take the lease while its holder went on. Now each renewal writes the live gateways into the record; the holder goes on for at most 40 s after it by the word of those, and a gateway that the record does not name waits 40 s longer.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from time import CLOCK_BOOTTIME, clock_gettime
 
 from anyio import create_task_group, sleep
@@ -65,7 +65,8 @@
     :param lease: decides on the lease; its times are those of :func:`read_clock`
     :param orders_wait_s: seconds from taking a lease that another host gave back to the first order
     :param support: promises of peers, by which orders go on while the store does not answer
-    :param list_hosts: gives the hosts whose promises are needed
+    :param list_members: gives the hosts whose promises the lease is to rely on
+    :param list_stopping: gives the hosts that will not take the lease any more
     :param is_candidate: tells whether this gateway is among the few that contend for the lease
     """
 
@@ -80,7 +81,8 @@
         dispatcher: Dispatcher,
         peers: PeerTable,
         support: LeaseSupport,
-        list_hosts: Callable[[], Iterable[str]],
+        list_members: Callable[[], tuple[str, ...]],
+        list_stopping: Callable[[], set[str]],
         is_candidate: Callable[[], bool],
         get_configuration: Callable[[], Configuration | None],
         now: Callable[[], float],
@@ -95,7 +97,8 @@
         self._dispatcher = dispatcher
         self._peers = peers
         self._support = support
-        self._list_hosts = list_hosts
+        self._list_members = list_members
+        self._list_stopping = list_stopping
         self._is_candidate = is_candidate
         self._get_configuration = get_configuration
         self._now = now
@@ -127,7 +130,8 @@
         now_s = read_clock()
         fence = self._lease.fence_at(now_s)
         if fence is not None:
-            proof_s = self._support.proof_s(fence, self._list_hosts())
+            hosts = self._lease.proof_hosts - self._list_stopping()
+            proof_s = self._support.proof_s(fence, hosts)
             if proof_s is not None:
                 self._lease.prove(proof_s)
         if fence is None or now_s < self._orders_from_s:
@@ -158,6 +162,7 @@
             if not held and not self._is_candidate():
                 continue
             self._lease.may_take = self._support.may_take(read_clock())
+            self._lease.members = self._list_members()
             await self._keeper.tick()
             self._note_term()
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -65,6 +65,9 @@
 #: Seconds that a lease lasts beyond what must lie between the orders of two planners: more than
 #: the time after a proof for which orders are given.
 LEASE_MARGIN_S = 1.2
+#: Seconds after its last renewal for which the lease may go on by the word of peers; a gateway that
+#: the holder did not name waits as much longer before it takes the lease.
+OUTLIVES_S = 40.0
 #: Seconds for giving the lease back.
 FAREWELL_S = 0.5
 
@@ -283,6 +286,8 @@
             RENEW_S,
             outlives_outage=False,
             earlier_owners=f"{settings.host}/",
+            host=settings.host,
+            outlives_s=OUTLIVES_S,
         )
         return Placer(
             settings.host,
@@ -294,7 +299,8 @@
             self._dispatcher,
             self._peer_table,
             self._support,
-            self._list_hosts,
+            self._list_members,
+            self._list_stopping,
             self._is_candidate,
             lambda: self._exchanges.configuration,
             self._timer.now,
@@ -305,11 +311,16 @@
         configuration = self._exchanges.configuration
         return ClientLimits() if configuration is None else configuration.limits
 
-    def _list_hosts(self) -> set[str]:
-        """:return: hosts of gateways that may contend for the lease"""
+    def _list_members(self) -> tuple[str, ...]:
+        """:return: hosts of live gateways that may contend for the lease, this one included"""
         live = self._peer_table.live(self._timer.now())
-        stopping = {each.host for each in live if each.is_stopping}
-        return (self._peers.list_hosts() | {each.host for each in live}) - stopping
+        hosts = {each.host for each in live if not each.is_stopping}
+        return tuple(sorted(hosts | {self._settings.host}))
+
+    def _list_stopping(self) -> set[str]:
+        """:return: hosts of gateways that will not contend for the lease any more"""
+        live = self._peer_table.live(self._timer.now())
+        return {each.host for each in live if each.is_stopping}
 
     def _is_candidate(self) -> bool:
         if self._is_stopping or not self._catalogue.endpoints.is_listed:
--- a/packages/kingcupdyke/features/lease_peers.py
+++ b/packages/kingcupdyke/features/lease_peers.py
@@ -19,6 +19,8 @@
 DURATION_S = LEASE_S + 1.2
 ORDERS_S = 1.0
 CALL_S = 1.5
+LIVE_S = 1.5
+OUTLIVES_S = 40.0
 
 
 class Gateway:
@@ -27,7 +29,10 @@
     def __init__(self, host, incarnation):
         self.host = host
         self.incarnation = incarnation
-        self.lease = LeaseMachine("l", f"{host}/{incarnation}", DURATION_S, 0.4, False, f"{host}/")
+        self.lease = LeaseMachine(
+            "l", f"{host}/{incarnation}", DURATION_S, 0.4, False, f"{host}/", host, OUTLIVES_S
+        )
+        self.heard_s = {}
         self.support = LeaseSupport(host, DURATION_S)
         self.number = 0
         self.frozen_until_s = 0.0
@@ -37,7 +42,8 @@
         fence = self.lease.fence_at(now_s)
         if fence is None:
             return 0
-        proof_s = self.support.proof_s(fence, HOSTS) if is_supported else None
+        hosts = self.lease.proof_hosts
+        proof_s = self.support.proof_s(fence, hosts) if is_supported else None
         if proof_s is not None:
             self.lease.prove(proof_s)
         return fence if self.lease.proof_age_s(now_s) < ORDERS_S else 0
@@ -128,6 +134,7 @@
         gateway = self.gateways[host]
         if now_s < max(gateway.frozen_until_s, self.dead_until[host]):
             return
+        gateway.heard_s[state.host] = now_s
         is_rival = gateway.lease.may_have_written
         gateway.support.hear(state, str(gateway.incarnation), is_rival, now_s)
 
@@ -141,6 +148,8 @@
             self.finish(gateway, command, answer, now_s)
             return
         lease.may_take = not self.is_supported or gateway.support.may_take(now_s)
+        live = {host for host, heard_s in gateway.heard_s.items() if now_s - heard_s < LIVE_S}
+        lease.members = tuple(sorted(live | {gateway.host}))
         command = lease.tick(now_s)
         if command is not None:
             self.begin(gateway, command, now_s)
--- a/packages/kingcupdyke/features/leasesupport.feature
+++ b/packages/kingcupdyke/features/leasesupport.feature
@@ -33,6 +33,10 @@
       | 6 |
       | 7 |
       | 8 |
+      | 9 |
+      | 10 |
+      | 11 |
+      | 12 |
 
   Scenario: A holder that is gone for good has a successor
     When leasesupport: the holder is gone for good from second 10 on, of 60
@@ -42,3 +46,17 @@
     When leasesupport: the store is down for all for 30 s
     Then leasesupport: orders were given in at least 90 percent of the time
     And leasesupport: without the promises of peers they were given in at most 40 percent of it
+
+  Scenario: A gateway that was lost for good before does not end the lease in an outage
+    When leasesupport: one that holds nothing is gone for good from second 5 on, and the store is down for all from 15 to 30
+    Then leasesupport: orders were given from second 15 to 30 in at least 90 percent of the time
+
+  Scenario Outline: One that is cut off from its peers, but not from the store, takes the lease only when its holder has ended: <case>
+    When leasesupport: gateway <lost> hears no peer from second 5 on, and the others lose the store from 15 to 70
+    Then leasesupport: no two gave orders within 3 s of each other, or with one fence, or a lower one later
+    And leasesupport: gateway <lost> gives orders in the end
+
+    Examples:
+      | case | lost |
+      | d | d |
+      | c | c |
--- a/packages/kingcupdyke/features/steps/leasesupport_steps.py
+++ b/packages/kingcupdyke/features/steps/leasesupport_steps.py
@@ -6,7 +6,7 @@
 """
 
 from behave import then, when
-from lease_peers import PeerDay
+from lease_peers import HOSTS, TICK_S, PeerDay
 
 from kingcupdyke.forwarding.leasesupport import LeaseSupport
 from kingcupdyke.forwarding.peerstate import GatewayState
@@ -133,3 +133,48 @@
 def check_alone(context, share):
     found = context.alone.share(context.length_s)
     assert found <= share / 100, found
+
+
+@when(
+    "leasesupport: one that holds nothing is gone for good from second {begin:d} on, and the store "
+    "is down for all from {down:d} to {up:d}"
+)
+def lose_other(context, begin, down, up):
+    context.day = PeerDay(0, faults=False)
+    context.day.outage = (float(down), float(up))
+    context.day.run(begin)
+    holder = context.day.orders[-1][1]
+    lost, *_ = [each for each in HOSTS if each != holder]
+    context.day.dead_until[lost] = float("inf")
+    context.day.run(up, begin)
+
+
+@then(
+    "leasesupport: orders were given from second {begin:d} to {end:d} in at least {share:d} "
+    "percent of the time"
+)
+def check_share_between(context, begin, end, share):
+    ticks = {round(at_s, 1) for at_s, _, _ in context.day.orders if begin <= at_s < end}
+    found = len(ticks) * TICK_S / (end - begin)
+    assert found >= share / 100, found
+
+
+@when(
+    "leasesupport: gateway {lost} hears no peer from second {begin:d} on, and the others lose the "
+    "store from {down:d} to {up:d}"
+)
+def cut_one(context, lost, begin, down, up):
+    context.day = PeerDay(0, faults=False)
+    context.day.run(begin)
+    for other in HOSTS:
+        context.day.cut[lost, other] = context.day.cut[other, lost] = float("inf")
+    context.day.run(down, begin)
+    for other in HOSTS:
+        if other != lost:
+            context.day.store_cut[other] = float(up)
+    context.day.run(up, down)
+
+
+@then("leasesupport: gateway {lost} gives orders in the end")
+def check_last_holder(context, lost):
+    assert context.day.orders[-1][1] == lost, context.day.orders[-1]
--- a/packages/kingcupdyke/kingcupdyke/lease.py
+++ b/packages/kingcupdyke/kingcupdyke/lease.py
@@ -25,6 +25,11 @@
     duration_s: float
     #: Number of the write: a store may take an unchanged object for no write at all.
     writes: int = 0
+    #: Hosts that let the holder go on while the store is away; for others it takes longer until
+    #: they may take the lease. None where all are treated alike.
+    members: tuple[str, ...] = ()
+    #: Seconds after a write for which the holder may go on by their word.
+    outlives_s: float = 0.0
 
     def encode(self) -> bytes:
         """:return: the record as JSON"""
@@ -36,7 +41,8 @@
         :raises OptionError: when the value is no lease record
         """
         try:
-            return cls(**json.loads(value))
+            record = cls(**json.loads(value))
+            return record._replace(members=tuple(record.members))
         except (ValueError, TypeError) as error:
             raise OptionError("lease", value[:100], "give a JSON lease record") from error
 
@@ -75,6 +81,8 @@
         store may serve a rival meanwhile
     :param earlier_owners: how the names of earlier runs of this process begin; they are dead, so
         their lease is taken over at once
+    :param host: name of this host among the members of a record
+    :param outlives_s: seconds after a write for which :meth:`prove` may prolong the lease
     :raises OptionError: when two renewals do not fit in the duration
     """
 
@@ -86,6 +94,8 @@
         renew_s: float,
         outlives_outage: bool = True,
         earlier_owners: str = "",
+        host: str = "",
+        outlives_s: float = 0.0,
     ) -> None:
         if not 0 < renew_s <= duration_s / 2:
             raise OptionError("renew_s", renew_s, "give at most half of duration_s")
@@ -95,6 +105,14 @@
         self._renew_s = renew_s
         self._outlives_outage = outlives_outage
         self._earlier_owners = earlier_owners
+        self._host = host
+        self._outlives_s = outlives_s
+        #: Time at which the last write that took effect was asked for.
+        self._written_s = float("-inf")
+        #: Members of that write and of later ones that may have taken effect.
+        self._relied_on: set[str] = set()
+        #: Hosts to name as members in the next write.
+        self.members: tuple[str, ...] = ()
         self._record: LeaseRecord | None = None
         self._version = 0
         #: Time at which the version was first seen.
@@ -141,11 +159,18 @@
     def prove(self, held_s: float) -> None:
         """Take a proof, from elsewhere than the store, that the lease was held at a time.
 
-        :param held_s: time in seconds; an older one than known changes nothing
+        :param held_s: time in seconds; an older one than known changes nothing, and one too long
+            after the last write counts no further than those who were not members wait
         """
         if self._fence is not None:
+            held_s = min(held_s, self._written_s + self._outlives_s)
             self._proved_s = max(self._proved_s, held_s)
 
+    @property
+    def proof_hosts(self) -> frozenset[str]:
+        """:return: hosts that must all agree for a proof: each that may count itself a member"""
+        return frozenset(self._relied_on)
+
     def proof_age_s(self, now_s: float) -> float:
         """:return: seconds since the last proof that this process held the lease"""
         return now_s - self._proved_s
@@ -206,6 +231,8 @@
         self._fence = command.record.fence
         self._tried_fence = None
         self._proved_s = asked_s
+        self._written_s = asked_s
+        self._relied_on = set(command.record.members)
         return None
 
     def lease_conflict(
@@ -269,7 +296,11 @@
             return self._write(self._highest_fence + 1, now_s)
         is_dead = self._earlier_owners and record.owner.startswith(self._earlier_owners)
         is_free = not record.owner or is_dead
-        is_expired = now_s - self._seen_s >= record.duration_s and self.may_take
+        patience_s = record.duration_s
+        if record.members and self._host not in record.members:
+            # The holder may go on without this host's word.
+            patience_s += record.outlives_s
+        is_expired = now_s - self._seen_s >= patience_s and self.may_take
         if is_free or is_expired:
             return self._write(record.fence + 1, now_s)
         return None
@@ -279,7 +310,16 @@
 
     def _write(self, fence: int, now_s: float) -> LeaseCommand:
         writes = self._count_write()
-        record = LeaseRecord(self._name, self._owner, fence, self._duration_s, writes)
+        record = LeaseRecord(
+            self._name,
+            self._owner,
+            fence,
+            self._duration_s,
+            writes,
+            self.members,
+            self._outlives_s,
+        )
+        self._relied_on |= set(self.members)
         return self._ask(WriteLease(record, self._version), now_s)
 
     def _count_write(self) -> int:
