--- a/packages/kingcupdyke-measure/kingcupdyke_measure/play.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/play.py
@@ -169,7 +169,7 @@
         return PlayReport(
             plan.name,
             tuple(self._results),
-            sum(len(each.copies.store_loads) for each in engines),
+            tuple(sorted(begun_s for each in engines for begun_s in each.copies.store_loads_s)),
             sum(each.orders for each in engines),
             tuple(self._violations),
         )
--- a/packages/kingcupdyke-measure/kingcupdyke_measure/playplan.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/playplan.py
@@ -13,7 +13,15 @@
 from kingcupdyke.error import OptionError
 from kingcupdyke.util import get_float_opt, get_int_opt, get_str_opt
 
-__all__ = ["PlayEvent", "PlayModel", "PlayPlan", "RequestKind", "list_plays", "load_play"]
+__all__ = [
+    "PlayEvent",
+    "PlayModel",
+    "PlayPlan",
+    "RequestKind",
+    "list_plays",
+    "load_play",
+    "read_play",
+]
 
 _SETTINGS = Path(__file__).resolve().parents[1] / "settings" / "plays"
 GB = 10**9
@@ -97,14 +105,22 @@
 
 
 def load_play(name: str) -> PlayPlan:
-    """Read a play's settings.
+    """Read the settings of a play by its name.
 
     :raises OptionError: where a setting is missing or wrong
     """
-    fields = YAML(typ="safe").load((_SETTINGS / f"{name}.yaml").read_text())
+    return read_play(_SETTINGS / f"{name}.yaml")
+
+
+def read_play(path: Path) -> PlayPlan:
+    """Read the settings of a play from a file.
+
+    :raises OptionError: where a setting is missing or wrong
+    """
+    fields = YAML(typ="safe").load(path.read_text())
     engines = fields["engines"]
     return PlayPlan(
-        name=name,
+        name=path.stem,
         gateways=get_int_opt(fields, "gateways"),
         lead_s=get_float_opt(fields, "lead_s"),
         load_s=get_float_opt(fields, "load_s"),
--- a/packages/kingcupdyke-measure/kingcupdyke_measure/playreport.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/playreport.py
@@ -44,7 +44,8 @@
 
     name: str
     results: tuple[PlayResult, ...]
-    store_loads: int
+    #: Times at which loads from the weight store began, in seconds.
+    store_loads_s: tuple[float, ...]
     orders: int
     #: Overcommits of memory.
     violations: tuple[str, ...]
@@ -66,7 +67,7 @@
     lines = [f"{'kind':24} {'asked':>6} {'on time':>8} {'late':>6} {'refused':>8} {'failed':>7}"]
     for kind in dict.fromkeys(each.kind for each in report.results):
         lines.append(_format_kind(kind, [each for each in report.results if each.kind == kind]))
-    lines.append(f"{report.store_loads} loads from the store, {report.orders} orders")
+    lines.append(f"{len(report.store_loads_s)} loads from the store, {report.orders} orders")
     lines += [f"violation: {each}" for each in report.violations]
     reasons = Counter(
         f"{each.outcome}: {each.reason} ({each.model})"
--- a/packages/kingcupdyke-standins/features/batch.feature
+++ b/packages/kingcupdyke-standins/features/batch.feature
@@ -14,3 +14,15 @@
       | requests | least |
       | 1        | 0.010 |
       | 8        | 0.150 |
+
+  Scenario Outline: Prompts are read one after the other, where that takes time: <prompts>
+    Given a batch of 8 slots with 1 ms a token, 0 more for each other
+    And batch reads 20000 prompt tokens a second
+    When batch runs a request of 1 token for each of the prompts "<prompts>"
+    Then batch has taken at least <least> s
+
+    Examples:
+      | prompts   | least |
+      | 0         | 0.001 |
+      | 2000      | 0.100 |
+      | 2000 2000 | 0.200 |
--- a/packages/kingcupdyke-standins/features/order.feature
+++ b/packages/kingcupdyke-standins/features/order.feature
@@ -33,3 +33,17 @@
       | 100   | 2    | 1      | 0.05  |
       | 100   | 2    | 2      | 0.05  |
       | 100   | 2    | 4      | 0.10  |
+
+  Scenario Outline: Where copies are kept, a load takes as long as from where the weights are: <loads>
+    When order loads the models "<loads>", one after the other, with copies kept on disk for 2 and in memory for 1
+    Then order has taken about "<seconds>" s for them and has begun <fetches> fetches from the store
+
+    Examples: 0.3 s from the store, 0.1 s from disk, 0.02 s from memory
+      | loads   | seconds          | fetches |
+      | a       | 0.3              | 1       |
+      | a a     | 0.3 0.02         | 1       |
+      | a b a   | 0.3 0.3 0.1      | 2       |
+      | a b c a | 0.3 0.3 0.3 0.3  | 4       |
+
+  Scenario: A model that the weight store does not have is not loaded
+    Then order fails to load the model "z" with copies, as the weight store has none
--- a/packages/kingcupdyke-standins/features/steps/batch_steps.py
+++ b/packages/kingcupdyke-standins/features/steps/batch_steps.py
@@ -17,14 +17,14 @@
     context.speed = Speed(token_ms, slope_ms, 0.0, slots)
 
 
-async def run_batch(speed, priorities, tokens):
+async def run_batch(speed, priorities, tokens, unread=None):
     """:return: the priorities in the order in which they ended, and the seconds it took"""
     ended = []
     batcher = Batcher(speed)
 
     async def run_one(number, priority):
         request = RunRequest(f"r{number}", "m", "", "prompt", tokens, priority, False)
-        each = Run(request, first_token_s=0.0)
+        each = Run(request, 0.0, unread[number] if unread else 0.0)
         batcher.submit(each)
         await each.wait_end()
         ended.append(priority)
@@ -58,3 +58,14 @@
 @then("batch has taken at least {least_s:g} s")
 def check_time(context, least_s):
     assert least_s <= context.took_s, context.took_s
+
+
+@given("batch reads {tokens:d} prompt tokens a second")
+def give_reading(context, tokens):
+    context.speed = context.speed._replace(prompt_tokens_per_s=float(tokens))
+
+
+@when('batch runs a request of 1 token for each of the prompts "{prompts}"')
+def run_prompts(context, prompts):
+    unread = [float(each) for each in prompts.split()]
+    _, context.took_s = run(run_batch, context.speed, [0] * len(unread), 1, unread)
--- a/packages/kingcupdyke-standins/features/steps/order_steps.py
+++ b/packages/kingcupdyke-standins/features/steps/order_steps.py
@@ -12,6 +12,7 @@
 
 from kingcupdyke.placement import OrderKind
 from kingcupdyke_standins.batch import Batcher, Run, RunRequest, Speed
+from kingcupdyke_standins.copies import CopyShelf, LoadTimes
 from kingcupdyke_standins.memory import MemoryBook, Resident
 from kingcupdyke_standins.order import EngineOrder, OrderRunner, OrderSettings
 from kingcupdyke_standins.server import open_standin
@@ -118,3 +119,44 @@
     assert len(context.memory.models_by_name) == models + 1
     assert len(context.weights.fetches) == models
     assert max(context.seconds) >= least_s, context.seconds
+
+
+def make_shelf():
+    times = {name: LoadTimes(0.3, 0.1, 0.02) for name in "abc"}
+    return CopyShelf(times, dict.fromkeys("abc", 10), disk_bytes=20, memory_bytes=10)
+
+
+@when(
+    'order loads the models "{models}", one after the other, with copies kept on disk for 2 and '
+    "in memory for 1"
+)
+def load_copies(context, models):
+    context.shelf = make_shelf()
+
+    async def main():
+        context.seconds = []
+        for number, model in enumerate(models.split()):
+            began_s = current_time()
+            reason = await context.shelf.fetch(make_order(OrderKind.LOAD, number, model), "")
+            assert reason == "", reason
+            context.seconds.append(current_time() - began_s)
+
+    run(main)
+
+
+@then(
+    'order has taken about "{seconds}" s for them and has begun {fetches:d} fetches from the store'
+)
+def check_copies(context, seconds, fetches):
+    wanted = [float(each) for each in seconds.split()]
+    pairs = list(zip(context.seconds, wanted, strict=True))
+    assert all(least <= found for found, least in pairs), pairs
+    # A load that takes the next slower source's time came from there.
+    assert all(found < 3 * least for found, least in pairs), pairs
+    assert len(context.shelf.store_loads_s) == fetches, context.shelf.store_loads_s
+
+
+@then('order fails to load the model "{model}" with copies, as the weight store has none')
+def check_unknown(context, model):
+    reason = run(make_shelf().fetch, make_order(OrderKind.LOAD, 1, model), "")
+    assert model in reason, reason
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/copies.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/copies.py
@@ -8,7 +8,7 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
-from anyio import sleep
+from anyio import current_time, sleep
 
 from kingcupdyke_standins.order import EngineOrder, WeightsSource
 
@@ -46,8 +46,8 @@
         #: Names of models, the longest unused first.
         self.on_disk: OrderedDict[str, None] = OrderedDict()
         self.in_memory: OrderedDict[str, None] = OrderedDict()
-        #: Loads from the weight store that were begun.
-        self.store_loads: list[str] = []
+        #: Times at which loads from the weight store began, in seconds.
+        self.store_loads_s: list[float] = []
 
     async def fetch(self, order: EngineOrder, region: str) -> str:
         times = self._times_by_model.get(order.model)
@@ -59,7 +59,7 @@
             load_s = times.disk_s
         else:
             load_s = times.store_s
-            self.store_loads.append(order.model)
+            self.store_loads_s.append(current_time())
         await sleep(load_s)
         self.keep(order.model)
         return ""
--- a/packages/kingcupdyke/features/residencyplan.feature
+++ b/packages/kingcupdyke/features/residencyplan.feature
@@ -11,6 +11,7 @@
       | nothing is loaded for what is held | e1=m1 | 90 90 | m1 3 500 | |
       | nothing is loaded twice at once | e1=m1+e2=m2 | 90 90 90 | m3 3 0 | load m3 e1 |
       | a copy on disk goes before a fetch from the store | e1=m1+e2=m2/m3 | 90 90 90 | m3 1 0 | load m3 e2 |
+      | a long fetch goes where it keeps the fewest other models from their copies | e1=m1/m4+e2=m2 | 60 60 60 60 | m3 1 0 | load m3 e2 |
       | what nobody asks for makes way | e1=m1,m2 | 90 90 90 | m3 1 0; m1 0 800 | unload m2 e1 |
       | a further replica makes way before the last one | e1=m1,m2+e2=m2,m4 | 90 90 90 90 | m3 1 0; m1 0 900; m2 0 100; m4 0 900 | unload m2 e1 |
       | what is asked for more does not make way | e1=m1,m2 | 90 90 90 | m3 1 0; m1 0 9000; m2 0 9000 | |
--- a/packages/kingcupdyke/kingcupdyke/forwarding/residencyplan.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/residencyplan.py
@@ -50,6 +50,8 @@
 LAST_TOKENS_PER_S = 500.0
 #: Seconds over which it is averaged how often a model is asked for, and demand in tokens a second
 #: that the last replica of a model that always is counts for beyond what is known.
+#: Demand in tokens a second that a model counts for whose only copies are on one engine.
+KEPT_TOKENS_PER_S = 100.0
 USUAL_S = 15.0
 USUAL_TOKENS_PER_S = 150.0
 
@@ -289,9 +291,23 @@
         delay_s = find_load_s(seat, spec) + UNLOAD_S * len(victims)
         if seat.entry.endpoint not in self._round.free:
             delay_s += max(0.0, seat.due_s - self._now_s)
-        cost = value * delay_s + loss * LOSS_S
+        cost = value * delay_s + loss * LOSS_S + self._occupation(seat, spec)
         return _Choice(seat, tuple(victims), cost, loss)
 
+    def _occupation(self, seat: Seat, spec: ModelSpec) -> float:
+        """:return: what it costs that an engine can't load from its copies during a long load"""
+        if is_at_hand(seat, spec):
+            return 0.0
+        others = [each for each in self._round.seats if each is not seat]
+        kept = [
+            name
+            for name, model in self._engine.models_by_name.items()
+            if is_at_hand(seat, model)
+            and not self._round.list_holders(name)
+            and not any(is_at_hand(each, model) for each in others)
+        ]
+        return spec.load_s * len(kept) * KEPT_TOKENS_PER_S
+
     def _loss(self, seat: Seat, model: str, is_further: bool) -> float:
         """:return: demand in tokens a second that an unload harms
 
