--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
@@ -250,6 +250,7 @@
         if answer.is_error():
             _LOGGER.info("no report of %s: %s", endpoint, answer.error.reason)
             self._board.note_failure(endpoint, self._now(), True)
+            seat.report_failed(self._now())
             return
         if answer.ok.status != 200:
             _LOGGER.info("no report of %s: status %d", endpoint, answer.ok.status)
--- a/packages/kingcupdyke/features/seat.feature
+++ b/packages/kingcupdyke/features/seat.feature
@@ -37,6 +37,7 @@
       | during a load, to notice when the engine is lost | report 0 m1+a1; longload m2; accepted | 3 |
       | also where reports say that it is busy | report 0 m1+a1; longload m2; accepted; busy 1 m1+a1 | 3 |
       | not where no order is open | report 0 m1+a1 | 0 |
+      | sooner after a question without an answer | report 0 m1+a1; longload m2; accepted; mute | 10 |
 
   Scenario Outline: Engines under a planner, lost and late orders, restarts and new planners: seed <seed>
     When seat: <engines> engines of 200 GB with models of "<sizes>" GB live for 120 s under faults, with seed <seed>
--- a/packages/kingcupdyke/features/steps/seat_steps.py
+++ b/packages/kingcupdyke/features/steps/seat_steps.py
@@ -39,6 +39,9 @@
     def do_busy(self, count, held):
         self.do_report(count, held, True)
 
+    def do_mute(self):
+        self.seat.report_failed(self.now_s)
+
     def do_entry(self, heartbeat, held):
         self.seat.observe_entry(make_entry("e1", heartbeat=int(heartbeat), models=read_held(held)))
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/seat.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/seat.py
@@ -71,6 +71,8 @@
         self._resend_s = 0.0
         self._report_s = 0.0
         self._wants_report = True
+        #: Whether the last question for a report had no answer.
+        self._is_mute = False
 
     @property
     def takes_orders(self) -> bool:
@@ -123,6 +125,7 @@
 
     def observe_report(self, report: EndpointReport, now_s: float) -> None:
         """Take the engine's report."""
+        self._is_mute = False
         if report.order_count < self.order_count and self.is_known:
             # The report is some moments old: ask again.
             self._wants_report = True
@@ -149,9 +152,16 @@
         is_wanted = self._wants_report or not self.is_known or is_overdue or is_under_way
         if not is_wanted or self.is_call_open or now_s < self._report_s:
             return False
-        self._report_s = now_s + (LOOK_S if is_under_way else REPORT_PAUSE_S)
+        is_answering = is_under_way and not self._is_mute
+        self._report_s = now_s + (LOOK_S if is_answering else REPORT_PAUSE_S)
         return True
 
+    def report_failed(self, now_s: float) -> None:
+        """The engine did not answer a question for its report: it is asked again soon."""
+        self._is_mute = True
+        self._wants_report = True
+        self._report_s = min(self._report_s, now_s + REPORT_PAUSE_S)
+
     def begin(self, order: Order, now_s: float, expected_s: float) -> None:
         """An order is sent; further ones wait for its answer.
 
