--- a/packages/kingcupdyke/features/residencyplan.feature
+++ b/packages/kingcupdyke/features/residencyplan.feature
@@ -86,6 +86,22 @@
       | case | busy | orders |
       | it waits, as that is sooner than a fetch from the store | 2 | |
       | it is fetched, as that is sooner | 9 | load m3 e2 |
+      | it waits where the order is a moment late | -0.3 | |
+      | it is fetched where the order is long overdue | -1 | load m3 e2 |
+
+  Scenario: A model that is on the disk of an engine that has just come waits for its first report
+    Given residencyplan: engines "e1=m1/m3!new+e2=m2" of 200 GB with models of "90 90 90" GB
+    When residencyplan: "m3 1 0" is asked for
+    Then residencyplan: the orders are ""
+
+  Scenario Outline: A long fetch leaves engines free that busy models may need: <case>
+    Given residencyplan: engines "e1=m1/m4+e2=m2+e3=m4" of 200 GB with models of "60 60 60 60" GB
+    When residencyplan: "m3 1 0; m4 0 <rate>" is asked for
+    Then residencyplan: the orders are "<orders>"
+
+    Examples:
+      | case | rate | orders |
+      | the only other copy of a busy model is on the first | 6000 | load m3 e2 |
 
   Scenario: Of models that nobody asks for now, the one that was asked for least makes way
     Given residencyplan: engines "e1=m1,m2" of 200 GB with models of "90 90 90" GB
--- a/packages/kingcupdyke/features/steps/residencyplan_steps.py
+++ b/packages/kingcupdyke/features/steps/residencyplan_steps.py
@@ -31,7 +31,8 @@
     )
     seat = Seat(entry)
     report = EndpointReport(models, mark == "busy", 0, 0, 0, (), frozenset(), frozenset())
-    seat.observe_report(report, 0.0)
+    if mark != "new":
+        seat.observe_report(report, 0.0)
     seat.is_reachable = mark != "unreachable"
     return seat
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/residencyplan.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/residencyplan.py
@@ -52,6 +52,10 @@
 #: that the last replica of a model that always is counts for beyond what is known.
 #: Demand in tokens a second that a model counts for whose only copies are on one engine.
 KEPT_TOKENS_PER_S = 100.0
+#: Part of the demand for such a model that counts as well.
+KEPT_SHARE = 0.3
+#: Seconds after its expected end at which an order is still about to end.
+LATE_S = 0.5
 USUAL_S = 15.0
 USUAL_TOKENS_PER_S = 150.0
 
@@ -248,9 +252,15 @@
         ]
 
     def _is_expected(self, seat: Seat) -> bool:
-        if seat.entry.endpoint in self._round.free:
+        if seat.entry.endpoint in self._round.free or not seat.is_known:
             return True
-        return seat.open_order is not None and seat.due_s > self._now_s
+        return seat.open_order is not None and self._now_s < seat.due_s + LATE_S
+
+    def _wait_s(self, seat: Seat) -> float:
+        """:return: seconds until an engine is expected to take an order"""
+        if seat.entry.endpoint in self._round.free:
+            return 0.0
+        return max(LATE_S, seat.due_s - self._now_s)
 
     def _order_load(self, seat: Seat, spec: ModelSpec) -> bool:
         is_cold = not is_at_hand(seat, spec)
@@ -289,8 +299,7 @@
         if free < spec.weights_bytes:
             return None
         delay_s = find_load_s(seat, spec) + UNLOAD_S * len(victims)
-        if seat.entry.endpoint not in self._round.free:
-            delay_s += max(0.0, seat.due_s - self._now_s)
+        delay_s += self._wait_s(seat)
         cost = value * delay_s + loss * LOSS_S + self._occupation(seat, spec)
         return _Choice(seat, tuple(victims), cost, loss)
 
@@ -298,15 +307,19 @@
         """:return: what it costs that an engine can't load from its copies during a long load"""
         if is_at_hand(seat, spec):
             return 0.0
-        others = [each for each in self._round.seats if each is not seat]
-        kept = [
-            name
+        return spec.load_s * sum(
+            KEPT_TOKENS_PER_S + KEPT_SHARE * self._round.rate_by_model.get(name, 0.0)
             for name, model in self._engine.models_by_name.items()
-            if is_at_hand(seat, model)
-            and not self._round.list_holders(name)
-            and not any(is_at_hand(each, model) for each in others)
-        ]
-        return spec.load_s * len(kept) * KEPT_TOKENS_PER_S
+            if is_at_hand(seat, model) and self._is_only_copy(seat, model)
+        )
+
+    def _is_only_copy(self, seat: Seat, spec: ModelSpec) -> bool:
+        """:return: whether only this engine could soon hold a model that at most one holds now"""
+        holders = self._round.list_holders(spec.name)
+        if seat in holders or len(holders) > 1:
+            return False
+        others = [each for each in self._round.seats if each is not seat and each not in holders]
+        return not any(is_at_hand(each, spec) for each in others)
 
     def _loss(self, seat: Seat, model: str, is_further: bool) -> float:
         """:return: demand in tokens a second that an unload harms
