Structured logs of the gateway and sidecar before sidecars: standard output, typed records, a line for each request's end and each failed attempt

Lines of the product's own deployment were texts in braces on standard error, without a line for a request. They now go through the queued writer of the forwarding gateway, to standard output. Records are named in one place (kingcupdyke_daemon.records). explain-request follows the gateway's own id of a request. The end of a process no longer waits for a log that nobody reads (put without a limit). Far gateways hear of new demand at once only where they plan.

--- a/packages/kingcupdyke-daemon/features/steps/app_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/app_steps.py
@@ -19,16 +19,20 @@
 TOKEN = "token"
 
 
-class BrokenCalls:
-    """A call handler with a fault."""
+class ScriptedCalls:
+    """A call handler with a fault, or without."""
 
-    def __init__(self, begins):
+    def __init__(self, begins, ends=False):
         self.begins = begins
+        self.ends = ends
 
     async def run(self, call, sink):
         if self.begins:
             sink.start(200, "text/plain", "model-n1")
             await sink.part(b"a part")
+        if self.ends:
+            await sink.end()
+            return "delivered"
         raise RuntimeError("a fault")
 
 
@@ -43,7 +47,7 @@
         self.records.append(record)
 
 
-def make_app(begins):
+def make_app(calls):
     caller = SimpleNamespace(name="desk", weight=1.0)
     service = SimpleNamespace(
         name="bookings",
@@ -69,7 +73,7 @@
     )
     return GatewayApp(
         AppParts(
-            calls=BrokenCalls(begins),
+            calls=calls,
             status=nothing,
             admin=nothing,
             drain=nothing,
@@ -87,6 +91,20 @@
 
 @when("app: a call raises an error that nobody expected {moment} the answer began")
 def call_broken(context, moment):
+    ask(context, ScriptedCalls(moment == "after"))
+
+
+@when("app: a call is answered")
+def call_whole(context):
+    ask(context, ScriptedCalls(True, True))
+
+
+@when("app: a caller without a token asks")
+def call_unknown(context):
+    ask(context, ScriptedCalls(True, True), token="none")
+
+
+def ask(context, calls, token=TOKEN):
     context.sent = []
     context.logs = LogList()
     scope = {
@@ -95,7 +113,10 @@
         "path": "/services/bookings/1",
         "raw_path": b"/services/bookings/1",
         "query_string": b"",
-        "headers": [(b"authorization", f"Bearer {TOKEN}".encode())],
+        "headers": [
+            (b"authorization", f"Bearer {token}".encode()),
+            (b"x-request-id", b"own-id"),
+        ],
     }
     messages = [{"type": "http.request", "body": b"", "more_body": False}]
 
@@ -110,15 +131,18 @@
     async def job():
         context.escaped = None
         try:
-            await make_app(moment == "after")(scope, receive, send)
+            await make_app(calls)(scope, receive, send)
         except Exception as error:
             context.escaped = error
 
     logger = logging.getLogger("kingcupdyke_daemon")
     logger.addHandler(context.logs)
+    level = logger.level
+    logger.setLevel(logging.INFO)
     try:
         run(job)
     finally:
+        logger.setLevel(level)
         logger.removeHandler(context.logs)
 
 
@@ -136,3 +160,11 @@
     assert any(
         each.exc_info and "a fault" in str(each.exc_info[1]) for each in context.logs.records
     )
+
+
+@then('app: the log has "{event}" with "{fields}"')
+def check_line(context, event, fields):
+    (record,) = [each for each in context.logs.records if each.getMessage() == event]
+    found = {name: str(value) for name, value in record.fields.items()}
+    wanted = dict(each.split("=") for each in fields.split())
+    assert wanted.items() <= found.items(), found
--- a/packages/kingcupdyke-daemon/features/steps/walks_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/walks_steps.py
@@ -18,8 +18,8 @@
 from forwarder_rig import open_rig
 from forwarder_steps import write_request
 
-from kingcupdyke_daemon.forwarder.records import BeliefAges, EndpointRecord
 from kingcupdyke_daemon.logs import JsonFormatter, QueuedHandler, log_record
+from kingcupdyke_daemon.records import BeliefAges, EndpointRecord
 from kingcupdyke_tool.story import explain_request
 
 LOGGER = logging.getLogger("kingcupdyke_daemon")
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/cmdline.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/cmdline.py
@@ -5,7 +5,6 @@
 The command line of ``kingcupdyked``.
 """
 
-import logging
 import sys
 from dataclasses import dataclass
 from functools import partial
@@ -16,6 +15,7 @@
 from cappa import Arg, Subcommands, command, invoke
 
 from kingcupdyke_daemon.gateway.process import run_gateway
+from kingcupdyke_daemon.logs import start_logs
 from kingcupdyke_daemon.settings import GatewaySettings, SidecarSettings, load_settings
 from kingcupdyke_daemon.sidecar.process import run_sidecar
 
@@ -23,7 +23,8 @@
 
 #: Exit status for settings that can't be used.
 EXIT_BAD_SETTINGS = 2
-_LOG_FORMAT = '{"time": "%(asctime)s", "level": "%(levelname)s", "event": "%(message)s"}'
+#: Seconds for writing the last log lines.
+FLUSH_S = 0.5
 
 
 def _start(path: Path, kind: type, run: object) -> int:
@@ -33,10 +34,11 @@
             print(mistake, file=sys.stderr)
         return EXIT_BAD_SETTINGS
     settings = loaded.ok
-    logging.basicConfig(level=settings.common.log_level, format=_LOG_FORMAT, stream=sys.stderr)
-    for name in ("uvicorn", "httpcore", "asyncio", "hpack", "h2"):
-        logging.getLogger(name).setLevel(logging.ERROR)
-    return anyio.run(partial(run, settings))
+    logs = start_logs(settings.common.log_level)
+    try:
+        return anyio.run(partial(run, settings))
+    finally:
+        logs.flush_for(FLUSH_S)
 
 
 def _start_gateway(gateway: "GatewayCommand") -> int:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/catalogue.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/catalogue.py
@@ -13,8 +13,8 @@
 from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.follower import StoreFollower
-from kingcupdyke_daemon.forwarder.records import BeliefAges, EndpointRecord
 from kingcupdyke_daemon.logs import log_record
+from kingcupdyke_daemon.records import BeliefAges, EndpointRecord
 from kingcupdyke_wire.store import StoreClient, StoreObject
 
 __all__ = ["Catalogue"]
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
@@ -21,9 +21,9 @@
 from kingcupdyke_daemon.forwarder.events import EventBuffer
 from kingcupdyke_daemon.forwarder.metrics import RequestTimes
 from kingcupdyke_daemon.forwarder.parts import ForwarderParts
-from kingcupdyke_daemon.forwarder.records import BeliefAges
 from kingcupdyke_daemon.forwarder.reply import ClientLeftError, ClientRequest, Reply
 from kingcupdyke_daemon.forwarder.requestjournal import RepeatOutcome, RequestJournal
+from kingcupdyke_daemon.records import BeliefAges
 
 __all__ = ["RETRY_AFTER_S", "STATUS_UNAVAILABLE", "Exchange"]
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/handler.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/handler.py
@@ -15,9 +15,9 @@
 from kingcupdyke.forwarding.terms import RequestTerms
 from kingcupdyke_daemon.forwarder.exchange import RETRY_AFTER_S, STATUS_UNAVAILABLE, Exchange
 from kingcupdyke_daemon.forwarder.parts import ForwarderParts
-from kingcupdyke_daemon.forwarder.records import BeliefAges, RefusalRecord
 from kingcupdyke_daemon.forwarder.reply import ClientRequest, Reply, RequestHandler
 from kingcupdyke_daemon.logs import log_record
+from kingcupdyke_daemon.records import BeliefAges, RefusalRecord
 
 __all__ = ["ExchangeHandler"]
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peers.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peers.py
@@ -82,7 +82,7 @@
         self._relay_due_s = 0.0
         #: What is passed on to peers that don't reach the store, and taken from those that do.
         self.followers: tuple[StoreFollower, ...] = ()
-        #: Set to send at once.
+        #: Set to send at once; over paid links to planners only.
         self.changed = Event()
 
     @property
@@ -174,11 +174,13 @@
             is_urgent = self.changed.is_set()
             self.changed = Event()
             now_s = self._timer.now()
-            is_far_due = is_urgent or now_s >= self._far_due_s
+            is_far_due = now_s >= self._far_due_s
             if is_far_due:
                 self._far_due_s = now_s + FAR_PERIOD_S * self._slowdown
+            planners = {each.host for each in self._table.live(now_s) if each.fence}
             for host, address in list(self._address_by_host.items()):
-                if is_far_due or not self._is_far(host):
+                is_asked = is_urgent and host in planners
+                if is_far_due or is_asked or not self._is_far(host):
                     await self._send_to(udp, data, address)
             if now_s >= self._relay_due_s:
                 self._relay_due_s = now_s + RELAY_PERIOD_S
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
@@ -25,9 +25,9 @@
 from kingcupdyke.lease import LeaseMachine
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
-from kingcupdyke_daemon.forwarder.records import EngineRecord, OrderRecord
 from kingcupdyke_daemon.leasekeeper import LeaseKeeper
 from kingcupdyke_daemon.logs import log_record
+from kingcupdyke_daemon.records import EngineRecord, OrderRecord
 from kingcupdyke_wire.http import HttpClient
 from kingcupdyke_wire.store import StoreClient
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestjournal.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestjournal.py
@@ -12,14 +12,14 @@
 from kingcupdyke.forwarding.dispatcher import Refuse, Send, Wait, WorkItem
 from kingcupdyke_daemon.forwarder.metrics import RequestTimes
 from kingcupdyke_daemon.forwarder.parts import ForwarderParts
-from kingcupdyke_daemon.forwarder.records import (
+from kingcupdyke_daemon.logs import log_record
+from kingcupdyke_daemon.records import (
     BeliefAges,
     RepeatRecord,
     RequestRecord,
     SendRecord,
     WaitRecord,
 )
-from kingcupdyke_daemon.logs import log_record
 
 __all__ = ["RepeatOutcome", "RequestJournal"]
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/app.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/app.py
@@ -27,8 +27,10 @@
 from kingcupdyke_daemon.gateway.call import Call, CallHandler
 from kingcupdyke_daemon.gateway.reply import Rejection, Send, reject, send_json, send_rejection
 from kingcupdyke_daemon.gateway.sink import CallerSink
+from kingcupdyke_daemon.logs import LineSampler, log_record
 from kingcupdyke_daemon.metrics import DaemonMetrics
 from kingcupdyke_daemon.process import StatusApp
+from kingcupdyke_daemon.records import CallRecord, RejectionRecord
 
 __all__ = ["AppParts", "GatewayApp"]
 
@@ -86,6 +88,7 @@
 
     def __init__(self, parts: AppParts) -> None:
         self._parts = parts
+        self._sampler = LineSampler(parts.timer.now)
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         if scope["type"] != "http":
@@ -103,11 +106,11 @@
             name.decode("latin-1"): value.decode("latin-1") for name, value in scope["headers"]
         }
         caller_id = headers.get(_REQUEST_ID_HEADER, "")[:_MOST_ID_CHARACTERS] or uuid4().hex
-        reply_headers = ((b"x-request-id", caller_id.encode("latin-1")),)
+        reply_headers = ((_REQUEST_ID_HEADER.encode(), caller_id.encode("latin-1")),)
         arrived = await self._read(scope, headers, receive)
         if arrived.is_error():
             if arrived.error is not None:
-                await send_rejection(send, arrived.error, reply_headers)
+                await self._reject(send, arrived.error, caller_id)
             return
         arrival = arrived.ok
         if arrival.path == "/v1/models" and arrival.method == "GET":
@@ -115,12 +118,21 @@
             return
         made = self._make_call(arrival)
         if made.is_error():
-            await send_rejection(send, made.error, reply_headers)
+            await self._reject(send, made.error, caller_id)
             return
         sink = CallerSink(send, reply_headers, made.ok.stream, self._parts.timer)
-        await self._carry(made.ok, receive, sink)
+        await self._carry(made.ok, receive, sink, caller_id)
 
-    async def _carry(self, call: Call, receive: Receive, sink: CallerSink) -> None:
+    async def _reject(self, send: Send, rejection: Rejection, caller_id: str) -> None:
+        """Refuse what was not taken as a request."""
+        record = RejectionRecord(
+            caller_id, rejection.status, rejection.failure.step.value, rejection.failure.reason
+        )
+        log_record(_LOGGER, "request refused", record)
+        headers = ((_REQUEST_ID_HEADER.encode(), caller_id.encode("latin-1")),)
+        await send_rejection(send, rejection, headers)
+
+    async def _carry(self, call: Call, receive: Receive, sink: CallerSink, caller_id: str) -> None:
         parts = self._parts
         request = call.request
         admitted = parts.drain.admit(request.request_id)
@@ -138,6 +150,7 @@
         finally:
             parts.drain.finished(request.request_id)
             self._record(request, sink, outcome)
+            self._log_end(call, sink, caller_id, outcome)
 
     async def _run(self, call: Call, sink: CallerSink) -> str:
         """Run a call; a fault of the gateway's own ends it with "unknown", as it may have run."""
@@ -161,6 +174,30 @@
             metrics.record_between(*names, between_s)
         metrics.record_whole(*names, self._parts.timer.now() - request.arrived_s, outcome)
 
+    def _log_end(self, call: Call, sink: CallerSink, caller_id: str, outcome: str) -> None:
+        request = call.request
+        failure = None if sink.rejection is None else sink.rejection.failure
+        first_s = sink.first_s
+        record = CallRecord(
+            request=caller_id,
+            internal=request.request_id,
+            target=request.target,
+            adapter=request.adapter,
+            caller=request.caller,
+            service_class=request.service_class,
+            endpoint=sink.endpoint,
+            status=sink.status,
+            outcome=outcome,
+            step="" if failure is None else failure.step.value,
+            reason="" if failure is None else failure.reason,
+            first_ms=-1 if first_s is None else round((first_s - request.arrived_s) * 1000),
+            total_ms=round((self._parts.timer.now() - request.arrived_s) * 1000),
+        )
+        if outcome == "delivered":
+            self._sampler.log(_LOGGER, "request ended", record)
+        else:
+            log_record(_LOGGER, "request ended", record)
+
     async def _read(
         self, scope: dict, headers: dict[str, str], receive: Receive
     ) -> Result[_Arrival, Rejection | None]:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/call.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/call.py
@@ -5,6 +5,7 @@
 One caller's request from admission to its final answer.
 """
 
+import logging
 from collections.abc import Callable
 from contextlib import aclosing
 from math import ceil
@@ -18,7 +19,7 @@
 from kingcupdyke.budget import RetryBudget
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke.request import Request
-from kingcupdyke.retry import GiveUp, RetryPolicy
+from kingcupdyke.retry import GiveUp, Retry, RetryPolicy
 from kingcupdyke.routing import Choice, Router
 from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.gateway.directory import EndpointDirectory
@@ -26,11 +27,14 @@
 from kingcupdyke_daemon.gateway.link import SidecarLink
 from kingcupdyke_daemon.gateway.reply import reject
 from kingcupdyke_daemon.gateway.sink import CallerSink
+from kingcupdyke_daemon.logs import log_record
 from kingcupdyke_daemon.metrics import DaemonMetrics
+from kingcupdyke_daemon.records import RepeatRecord
 from kingcupdyke_wire.sidecar_pb2 import RunReply, RunRequest
 
 __all__ = ["Call", "CallHandler", "CallParts"]
 
+_LOGGER = logging.getLogger(__name__)
 #: Milliseconds that fit the message's field.
 _MOST_DEADLINE_MS = (1 << 32) - 1
 
@@ -152,11 +156,22 @@
                 return outcome
             now_s = parts.timer.now()
             decision = parts.retry.decide(request, failure, tried, now_s, choice.estimate_s)
+            self._log_failed(request, choice.endpoint, failure, decision)
             if isinstance(decision, GiveUp):
                 return outcome._replace(retry_after_s=decision.failure.retry_after_s)
             parts.metrics.count("retry")
             sink.reset()
 
+    @staticmethod
+    def _log_failed(
+        request: Request, endpoint: str, failure: Failure, decision: GiveUp | Retry
+    ) -> None:
+        outcome = decision.failure.reason if isinstance(decision, GiveUp) else "repeated"
+        record = RepeatRecord(
+            request.request_id, endpoint, failure.outcome.value, outcome, failure.reason
+        )
+        log_record(_LOGGER, "request failed at endpoint", record)
+
     def _refund(self, request: Request, choice: Choice) -> None:
         if choice.crosses_regions:
             self._parts.router.refund(request)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/sink.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/sink.py
@@ -38,10 +38,20 @@
         self.part_count = 0
         self._parts: list[bytes] = []
         self._head: tuple[int, str] | None = None
-        self._endpoint = ""
+        #: Endpoint that gives the answer, or the empty string.
+        self.endpoint = ""
+        #: The error that the caller got, or None.
+        self.rejection: Rejection | None = None
         #: Whether the caller has received anything, so that no other attempt can answer.
         self.committed = False
 
+    @property
+    def status(self) -> int:
+        """:return: HTTP status that the caller got, or 0 where it got none"""
+        if not self.committed:
+            return 0
+        return self._head[0] if self._head is not None else self.rejection.status
+
     def reset(self) -> None:
         """Forget an attempt's answer that did not reach the caller."""
         self._parts.clear()
@@ -50,7 +60,7 @@
     def start(self, status: int, content_type: str, endpoint: str) -> None:
         """Take the head of the answer and the endpoint that gives it."""
         self._head = (status, content_type)
-        self._endpoint = endpoint
+        self.endpoint = endpoint
 
     async def part(self, data: bytes) -> None:
         """Take a piece of the answer."""
@@ -75,6 +85,7 @@
 
     async def fail(self, rejection: Rejection) -> None:
         """End with an error; in a stream that has begun, as a last event without an end mark."""
+        self.rejection = rejection
         if not self.committed:
             self.committed = True
             await send_rejection(self._send, rejection, self._headers)
@@ -89,7 +100,7 @@
         self.part_count += 1
 
     def _get_headers(self) -> tuple[tuple[bytes, bytes], ...]:
-        return (*self._headers, (b"x-endpoint", self._endpoint.encode()))
+        return (*self._headers, (b"x-endpoint", self.endpoint.encode()))
 
     async def _commit(self) -> None:
         if self.committed:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/logs.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/logs.py
@@ -75,7 +75,10 @@
 
     def flush_for(self, seconds: float) -> None:
         """Wait until all lines are written, at most some seconds."""
-        self._lines.put(None)
+        try:
+            self._lines.put(None, timeout=seconds)
+        except Full:
+            return
         self._writer.join(seconds)
 
     def _write_forever(self) -> None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/process.py
@@ -6,6 +6,7 @@
 """
 
 import signal
+import sys
 import time
 from collections.abc import Callable
 from socket import socket
@@ -31,7 +32,9 @@
     for word, listener in listeners.items():
         address, port = listener.getsockname()[:2]
         places.append(f"{word} {address}:{port}")
-    print(*places, flush=True)
+    # In one write, as lines of the log may come from another thread.
+    sys.stdout.write(" ".join(places) + "\n")
+    sys.stdout.flush()
 
 
 async def watch_signals(begin_stop: Callable[[], None]) -> None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -1,18 +1,20 @@
 """
-kingcupdyke_daemon.forwarder.records
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+kingcupdyke_daemon.records
+~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-The typed fields of a forwarding gateway's log lines.
+The typed fields of the log lines of gateways.
 """
 
 from typing import NamedTuple
 
 __all__ = [
     "BeliefAges",
+    "CallRecord",
     "EndpointRecord",
     "EngineRecord",
     "OrderRecord",
     "RefusalRecord",
+    "RejectionRecord",
     "RepeatRecord",
     "RequestRecord",
     "SendRecord",
@@ -27,6 +29,40 @@
     list_ms: int
 
 
+class CallRecord(NamedTuple):
+    """What is logged at the end of a request to a gateway before sidecars."""
+
+    #: Id that the caller gave or was given.
+    request: str
+    #: Id within the gateway and its sidecars.
+    internal: str
+    #: Model or service that was asked for.
+    target: str
+    adapter: str
+    caller: str
+    service_class: str
+    #: Endpoint of the answer, or the empty string.
+    endpoint: str
+    #: Status that the caller got, or 0 where it got none.
+    status: int
+    outcome: str
+    #: Step that failed, and why.
+    step: str
+    reason: str
+    #: Milliseconds from its arrival to the first part of the answer, or -1 where none came.
+    first_ms: int
+    total_ms: int
+
+
+class RejectionRecord(NamedTuple):
+    """What is logged of what a gateway before sidecars did not take as a request."""
+
+    request: str
+    status: int
+    step: str
+    reason: str
+
+
 class RefusalRecord(NamedTuple):
     """What is logged of a request that is refused before a route is chosen."""
 
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/process.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/process.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from select import select
 from subprocess import PIPE, Popen, TimeoutExpired
+from threading import Thread
 from typing import Self
 
 from kingcupdyke_standins.faults import SWITCHES_BY_STANDIN
@@ -47,9 +48,15 @@
             word: int(place.rsplit(":", 1)[1])
             for word, place in zip(line[::2], line[1::2], strict=True)
         }
+        # What it logs is shown beside the output of the one that started it.
+        Thread(target=self._pass_on, daemon=True).start()
         self.address = line[1].rsplit(":", 1)[0]
         self.port = self.ports_by_word[LISTENING]
 
+    def _pass_on(self) -> None:
+        for line in self._process.stdout:
+            sys.stderr.write(line)
+
     @abstractmethod
     def module(self) -> str:
         """:return: name of the module that is run"""
@@ -133,8 +140,13 @@
         return json.loads(content) if content else {}
 
     def _read_line(self) -> str:
-        ready, _, _ = select([self._process.stdout], [], [], START_TIMEOUT_S)
-        return self._process.stdout.readline() if ready else ""
+        """:return: the line that says where it listens; what is logged before it is passed on"""
+        while True:
+            ready, _, _ = select([self._process.stdout], [], [], START_TIMEOUT_S)
+            line = self._process.stdout.readline() if ready else ""
+            if not line.startswith("{"):
+                return line
+            sys.stderr.write(line)
 
     def _signal(self, number: int) -> None:
         if self.is_running():
--- a/packages/kingcupdyke-tool/kingcupdyke_tool/story.py
+++ b/packages/kingcupdyke-tool/kingcupdyke_tool/story.py
@@ -42,6 +42,7 @@
     if not ends:
         text = [f"no log names the request {request_id}", *mistakes]
         return Report(ExitCode.NOT_DONE, "\n".join(text), {"lines": []})
+    ids = {request_id} | {line.fields.get("internal", request_id) for line in ends}
     models = {line.fields.get("model") for line in ends} - {"", None}
     endpoints = {each for line in ends for each in line.fields.get("endpoints", ())}
     begin_s = min(_begin_s(line) for line in ends) - BEFORE_S
@@ -49,7 +50,7 @@
     story = [
         line
         for line in lines
-        if begin_s <= line.time <= end_s and _matters(line, request_id, models, endpoints)
+        if begin_s <= line.time <= end_s and _matters(line, ids, models, endpoints)
     ]
     story.sort(key=lambda line: line.time)
     text = [_describe(line, end_s) for line in story]
@@ -83,10 +84,10 @@
     return line.time - line.fields.get("total_ms", 0) / 1000
 
 
-def _matters(line: LogLine, request_id: str, models: set[str], endpoints: set[str]) -> bool:
+def _matters(line: LogLine, ids: set[str], models: set[str], endpoints: set[str]) -> bool:
     fields = line.fields
     if "request" in fields:
-        return fields["request"] == request_id
+        return fields["request"] in ids
     if line.event.startswith(COMMON_EVENTS):
         return True
     return fields.get("model") in models or fields.get("endpoint") in endpoints
