--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
@@ -22,7 +22,7 @@
 from kingcupdyke_daemon.forwarder.metrics import RequestTimes
 from kingcupdyke_daemon.forwarder.parts import ForwarderParts
 from kingcupdyke_daemon.forwarder.reply import ClientLeftError, ClientRequest, Reply
-from kingcupdyke_daemon.forwarder.requestjournal import RepeatOutcome, RequestJournal
+from kingcupdyke_daemon.forwarder.requestlog import RepeatOutcome, RequestLog
 from kingcupdyke_daemon.records import BeliefAges
 
 __all__ = ["RETRY_AFTER_S", "STATUS_UNAVAILABLE", "Exchange"]
@@ -105,7 +105,7 @@
             first_by_s=request.arrived_s + route.first_patience_s,
             deadline_s=self._deadline_s,
         )
-        self._journal = RequestJournal(parts, self._item, route.name, version, ages)
+        self._log = RequestLog(parts, self._item, route.name, version, ages)
         #: Ends the attempts at the deadline, or when the process ends.
         self.scope = CancelScope(deadline=self._deadline_s)
         self._is_given_up = False
@@ -134,38 +134,36 @@
             await self._run_attempts()
         except get_cancelled_exc_class():
             if not self.scope.cancel_called:
-                self._log("left")
+                self._log_end("left")
             raise
 
     async def finish(self) -> None:
         """Send the final answer where none was sent, and log how the request ended."""
         if not self._reply.is_whole and not self._is_given_up:
             await self._give_up("the deadline passed")
-        self._log("answered" if self._reply.is_whole else "cut")
+        self._log_end("answered" if self._reply.is_whole else "cut")
 
-    def _log(self, outcome: str) -> None:
+    def _log_end(self, outcome: str) -> None:
         arrived_s = self._request.arrived_s
         first_s = None if self._first_s is None else self._first_s - arrived_s
         times = RequestTimes(self._parts.timer.now() - arrived_s, first_s, self._queued_s)
         limit_s = self._deadline_s - arrived_s
-        self._journal.ended(
-            outcome, self._status, self._reason, tuple(self._sent_to), times, limit_s
-        )
+        self._log.ended(outcome, self._status, self._reason, tuple(self._sent_to), times, limit_s)
 
     async def _run_attempts(self) -> None:
         while True:
             since_s = self._parts.timer.now()
             decision = self._parts.queue.submit(self._item, frozenset(self._excluded))
             if isinstance(decision, Wait):
-                self._journal.waits(decision, self._parts.dispatcher.waiting)
+                self._log.waits(decision, self._parts.dispatcher.waiting)
                 decision = await self._parts.queue.wait(self._item.attempt_id)
             self._queued_s += self._parts.timer.now() - since_s
             if isinstance(decision, Refuse):
-                self._journal.refused(decision)
+                self._log.refused(decision)
                 await self._give_up(decision.reason, decision.retry_after_s)
                 return
             state = self._parts.board.state_by_id.get(decision.endpoint)
-            self._journal.sent(decision, state, len(self._sent_to))
+            self._log.sent(decision, state, len(self._sent_to))
             self._sent_to.append(decision.endpoint)
             end = await self._try_endpoint(decision.endpoint)
             if end is _End.DELIVERED:
@@ -177,7 +175,7 @@
             if end not in (_End.NOT_RUN, _End.NOT_SENT):
                 self._runs += 1
             outcome = self._try_again(end)
-            self._journal.ended_at(decision.endpoint, end, outcome, self._reason)
+            self._log.ended_at(decision.endpoint, end, outcome, self._reason)
             if outcome is not RepeatOutcome.REPEATED:
                 await self._give_up(self._reason)
                 return
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -19,6 +19,7 @@
 from kingcupdyke.forwarding.peerstate import GatewayState, PeerTable
 from kingcupdyke.forwarding.repeats import RepeatBudget
 from kingcupdyke.lease import LeaseMachine
+from kingcupdyke_daemon.forwarder.beliefs import BeliefGauges
 from kingcupdyke_daemon.forwarder.catalogue import Catalogue
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.follower import StoreFollower
@@ -33,7 +34,7 @@
 from kingcupdyke_daemon.forwarder.reply import ClientRequest, Reply, RequestHandler
 from kingcupdyke_daemon.forwarder.settings import ForwarderSettings, SettingsSource
 from kingcupdyke_daemon.forwarder.settingskeeper import SettingsKeeper
-from kingcupdyke_daemon.logs import LineSampler, count_dropped
+from kingcupdyke_daemon.logs import LineSampler
 from kingcupdyke_daemon.process import make_incarnation
 from kingcupdyke_daemon.timer import LoopTimer
 from kingcupdyke_wire.store import StoreClient
@@ -166,7 +167,16 @@
             self._catalogue.endpoints,
             self._gateways,
         )
-        self._watch_beliefs()
+        BeliefGauges(
+            self._catalogue,
+            self._gateways,
+            self._board,
+            self._dispatcher,
+            self._peer_table,
+            self._placer,
+            self._timer,
+        ).add_to(self._metrics)
+        self._metrics.watch("ready", lambda: {"": int(self._ready.is_ready)})
 
     async def run(self, stop: Event) -> None:
         """Serve until a planned stop has ended.
@@ -241,42 +251,6 @@
             settings.repeat_share, settings.repeat_allowance, settings.repeat_window_s
         )
 
-    def _watch_beliefs(self) -> None:
-        """Add the gauges of what this gateway believes, and of how old that is."""
-        watch = self._metrics.watch
-        watch("configuration_version", lambda: {"": self._catalogue.version})
-        watch("belief_age_seconds", self._list_ages, "belief")
-        watch("endpoints", self._count_endpoints, "state")
-        watch("requests_present", self._count_requests, "state")
-        watch("peers", lambda: {"": len(self._peer_table.live(self._timer.now()))})
-        watch("lease_fence", lambda: {"": self._placer.held_fence})
-        watch("ready", lambda: {"": int(self._ready.is_ready)})
-        watch("log_lines_dropped", lambda: {"": count_dropped()})
-
-    def _list_ages(self) -> dict[str, float]:
-        now_s = self._timer.now()
-        ages = {
-            "configuration": now_s - self._catalogue.configurations.heard_s,
-            "endpoint_list": now_s - self._catalogue.endpoints.heard_s,
-            "gateway_list": now_s - self._gateways.heard_s,
-        }
-        if self._placer.held_fence:
-            ages["lease"] = self._placer.proof_age_s
-        return ages
-
-    def _count_endpoints(self) -> dict[str, float]:
-        states = list(self._board.state_by_id.values())
-        return {
-            "listed": sum(each.lapses_s is None for each in states),
-            "lapsed": sum(each.lapses_s is not None for each in states),
-            "leaving": sum(each.entry.is_leaving for each in states),
-            "out_of_reach": len(self._board.list_unreachable(self._timer.now())),
-        }
-
-    def _count_requests(self) -> dict[str, float]:
-        sent = sum(len(each.tokens_by_attempt) for each in self._board.state_by_id.values())
-        return {"waiting": self._dispatcher.waiting, "sent": sent}
-
     def _make_placer(self, store: StoreClient) -> Placer:
         settings = self._settings
         lease = LeaseMachine(
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
@@ -1,6 +1,6 @@
 """
-kingcupdyke_daemon.forwarder.requestjournal
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+kingcupdyke_daemon.forwarder.requestlog
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Logs and counts what is decided on one request.
 """
@@ -21,7 +21,7 @@
     WaitRecord,
 )
 
-__all__ = ["RepeatOutcome", "RequestJournal"]
+__all__ = ["RepeatOutcome", "RequestLog"]
 
 _LOGGER = logging.getLogger(__name__)
 #: Statuses from this one on are failures, whose lines are never left out.
@@ -36,7 +36,7 @@
     NO_BUDGET = "no budget"
 
 
-class RequestJournal:
+class RequestLog:
     """One line for each decision on a request.
 
     :param route: name of its route
