Resume a stream also after the time in which its first event was due

Cause: the limit by which a request must be sent is the earlier of its deadline and of the time at which a client that has no event yet leaves; it went on to count after the first event, so a stream that broke off later than that was refused with its deadline far away.

--- a/packages/kingcupdyke-daemon/features/forwarder.feature
+++ b/packages/kingcupdyke-daemon/features/forwarder.feature
@@ -105,3 +105,7 @@
   Scenario: Requests under way are answered when the process ends
     When forwarder: the process ends while an endpoint works
     Then forwarder: the answer is "502"
+
+  Scenario: A stream that breaks off long after its first event is resumed as well
+    When forwarder: within 5 s "GET /resume/1" goes to endpoints with the scripts "latecut; rest"
+    Then forwarder: the answer is "200 events 1,2,3,4"
--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -237,6 +237,15 @@
     async def do_cutevents(self, stream, attempt_id):
         return await self.do_events(stream, attempt_id, last=2, cut=True)
 
+    async def do_latecut(self, stream, attempt_id):
+        head = f"HTTP/1.1 200 X\r\nx-id: {attempt_id}\r\nx-mark: m\r\n"
+        await stream.send(f"{head}transfer-encoding: chunked\r\n\r\n".encode())
+        event = f"id: 1\ndata: {self.name}\n\n".encode()
+        await stream.send(b"%x\r\n%s\r\n" % (len(event), event))
+        # Longer than a client waits for the first event.
+        await sleep(2.2)
+        return False
+
     async def do_rest(self, stream, attempt_id):
         last_id = int(find(self.requests[-1][0], "last-event-id") or 0)
         return await self.do_events(stream, attempt_id, first=last_id + 1)
--- a/packages/kingcupdyke-daemon/features/steps/forwarder_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/forwarder_steps.py
@@ -9,7 +9,7 @@
 
 from anyio import create_task_group, current_time, run, sleep
 from behave import then, when
-from forwarder_rig import open_rig
+from forwarder_rig import make_configuration, open_rig
 
 TAIL = "HTTP/1.1\r\nhost: a.example\r\nx-id: {id}\r\nconnection: close\r\n\r\n"
 EVENT_ID = re.compile(rb"id: (\d+)")
@@ -56,6 +56,14 @@
     ask(context, write_request(request), scripts.split("; "))
 
 
+@when('forwarder: within {timeout:g} s "{request}" goes to endpoints with the scripts "{scripts}"')
+def send_patient_request(context, timeout, request, scripts):
+    def prepare(rig):
+        rig.handler.configuration = make_configuration(1, timeout, rig.limits)
+
+    ask(context, write_request(request), scripts.split("; "), prepare)
+
+
 @then('forwarder: the answer is "{answer}"')
 def check_answer(context, answer):
     assert describe(context.raw) == answer, context.raw
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
@@ -370,6 +370,8 @@
         parts = self._parts
         if self._route.kind is not RouteKind.STREAMING:
             return
+        # The client has its first event: from now on only the deadline counts.
+        self._item = self._item._replace(first_by_s=self._deadline_s)
         seconds = parts.timer.now() - sent_s
         parts.dispatcher.began(self._item.attempt_id, endpoint, seconds, self._unread_tokens)
         parts.queue.poll(parts.timer.now())
