--- a/packages/kingcupdyke/features/dispatcher.feature
+++ b/packages/kingcupdyke/features/dispatcher.feature
@@ -51,6 +51,9 @@
       | it is sent once the entry shows the model | e1=m1 | ask r1 model=m2 deadline_s=8; hold e1 m2; poll | r1:e1 |
       | a model that is not configured is refused | e1=m1 | ask r1 model=m9 | r1:refuse |
       | the beginning of a prompt goes where it was read | e1=m1 e2=m1 | ask r1 model=m1 parts=x:2000 tokens=2000; began r1; peer e1 4; ask r2 model=m1 parts=y:2000 tokens=2000; began r2; peer e1 0; ask r3 model=m1 parts=y:2000 tokens=2000 | r1:e1 r2:e2 r3:e2 |
+      | one whose prompt can't be read before its client leaves is refused | e1=m1 | ask r1 model=m1 tokens=20000 first_by_s=0.5 | r1:refuse |
+      | the same behind prompts that are not read yet | e1=m1 | ask r1 model=m1 tokens=6000; ask r2 model=m1 tokens=6000 first_by_s=0.5 | r1:e1 r2:refuse |
+      | not where there is time | e1=m1 | ask r1 model=m1 tokens=6000; ask r2 model=m1 tokens=6000 first_by_s=0.7 | r1:e1 r2:e1 |
       | a long backlog gets no more | e1=m1 | ask r1 model=m1 tokens=9000; ask r2 model=m1 tokens=100 | r1:e1 r2:wait |
       | until its prompt was read | e1=m1 | ask r1 model=m1 tokens=9000; ask r2 model=m1 tokens=100; began r1; poll | r1:e1 r2:e1 |
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -263,11 +263,26 @@
         ] or states
         open_states = [each for each in reachable if self._has_room(each, engine)]
         if open_states:
-            costs = [(self._cost_s(each, item, now_s), each.entry.endpoint) for each in open_states]
-            cost_s, endpoint = min(costs, key=lambda each: each[0])
-            return Send(endpoint, len(costs), cost_s)
+            return self._choose(item, open_states, now_s)
         return self._await_room(item, reachable, now_s)
 
+    def _choose(self, item: WorkItem, states: list[EndpointState], now_s: float) -> Send | Refuse:
+        """Choose among endpoints with room, unless none can begin the answer in time."""
+        costs = [(self._cost_s(each, item, now_s), each) for each in states]
+        cost_s, best = min(costs, key=lambda each: each[0])
+        if item.model:
+            first_s = self._reading_s(best, item)
+            if now_s + first_s > min(item.deadline_s, item.first_by_s):
+                return Refuse("the answer can't begin in time", max(0.1, first_s))
+        return Send(best.entry.endpoint, len(costs), cost_s)
+
+    @staticmethod
+    def _reading_s(state: EndpointState, item: WorkItem) -> float:
+        """:return: expected seconds until an engine has read a prompt and those before it"""
+        kept = state.count_kept_tokens(item.model, item.parts)
+        tokens = state.unread_tokens + max(0, item.prompt_tokens - kept)
+        return tokens / state.tokens_per_s
+
     def _limit_s(self, item: WorkItem) -> float:
         """:return: the time by which a request must have been sent, or it is refused"""
         return min(item.deadline_s, item.first_by_s, self.send_by_s)
@@ -288,9 +303,7 @@
 
     def _cost_s(self, state: EndpointState, item: WorkItem, now_s: float) -> float:
         """:return: expected seconds to the first word, with what distance and failures cost"""
-        kept = state.count_kept_tokens(item.model, item.parts)
-        tokens = state.unread_tokens + max(0, item.prompt_tokens - kept)
-        cost_s = tokens / state.tokens_per_s + state.requests * RUNNING_S
+        cost_s = self._reading_s(state, item) + state.requests * RUNNING_S
         if not item.model:
             mean_s = self._service_s_by_name.get(item.service, MEAN_S)
             cost_s = mean_s * state.requests / max(1, state.entry.slots)
