--- a/packages/kingcupdyke-daemon/features/process.feature
+++ b/packages/kingcupdyke-daemon/features/process.feature
@@ -64,8 +64,3 @@
     When process: of two gateways one is cut off from the store, and then endpoint and configuration change
     Then process: within 1 s both answer by the new endpoint and have the new configuration in force
     And process: the one that was cut off is back at the store's own word within 2 s after the cut
-
-  Scenario: Changes in quick succession are read together, as each call to the store is paid for
-    When process: an entry changes 20 times within 0.2 s
-    Then process: the gateway has made at most 5 calls to the store for them
-    And process: requests are served
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/follower.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/follower.py
@@ -24,8 +24,6 @@
 #: Seconds before a failed call is made again, at first and at most.
 RETRY_S = 0.1
 RETRY_MOST_S = 0.8
-#: Seconds between a change and the next watch, so that changes that follow come in one answer.
-PAUSE_S = 0.1
 #: Seconds without an answer after which the store counts as away.
 AWAY_S = 1.0
 
@@ -163,5 +161,3 @@
                     self._drop(event.name, self.was_away)
                 else:
                     self._put(event.current)
-            if watched.ok.events:
-                await sleep(PAUSE_S)
