--- a/packages/kingcupdyke/features/lease.feature
+++ b/packages/kingcupdyke/features/lease.feature
@@ -52,3 +52,7 @@
 
   Scenario: Random ticks, pauses, lost answers and outages
     Then lease: no two processes hold the same number in any order of events
+
+  Scenario: One that waits for a lease looks at it when it expires, not up to a period later
+    When lease: another one's lease of 4.2 s is read every 0.8 s and never renewed
+    Then lease: it is taken between 4.2 and 4.35 s
--- a/packages/kingcupdyke/features/steps/lease_steps.py
+++ b/packages/kingcupdyke/features/steps/lease_steps.py
@@ -10,7 +10,7 @@
 from lease_rules import LeaseRules
 from lease_story import LeaseStory
 
-from kingcupdyke.lease import LeaseMachine, LeaseRecord
+from kingcupdyke.lease import LeaseMachine, LeaseRecord, ReadLease, WriteLease
 
 
 @when('lease: "{events}" happens to processes that renew a lease of 10 s every 3 s')
@@ -40,3 +40,21 @@
 @then("lease: no two processes hold the same number in any order of events")
 def check_machine(context):
     run_machine(LeaseRules)
+
+
+@when("lease: another one's lease of {duration:g} s is read every {period:g} s and never renewed")
+def wait_for_expiry(context, duration, period):
+    machine = LeaseMachine("l", "b", duration, period)
+    record = LeaseRecord("l", "a", 1, duration)
+    now_s, command = 0.0, None
+    while not isinstance(command, WriteLease):
+        now_s += 0.05
+        command = machine.tick(now_s)
+        if isinstance(command, ReadLease):
+            command = machine.lease_read(record, 1, now_s)
+    context.taken_s = now_s
+
+
+@then("lease: it is taken between {first:g} and {last:g} s")
+def check_taken(context, first, last):
+    assert first <= context.taken_s <= last, context.taken_s
--- a/packages/kingcupdyke/kingcupdyke/lease.py
+++ b/packages/kingcupdyke/kingcupdyke/lease.py
@@ -300,9 +300,11 @@
         if record.members and self._host not in record.members:
             # The holder may go on without this host's word.
             patience_s += record.outlives_s
-        is_expired = now_s - self._seen_s >= patience_s and self.may_take
-        if is_free or is_expired:
+        left_s = patience_s - (now_s - self._seen_s)
+        if is_free or (left_s <= 0 and self.may_take):
             return self._write(record.fence + 1, now_s)
+        if left_s > 0:
+            self._next_s = min(self._next_s, now_s + left_s)
         return None
 
     def _is_own(self, record: LeaseRecord) -> bool:
