--- a/packages/kingcupdyke-daemon/features/process.feature
+++ b/packages/kingcupdyke-daemon/features/process.feature
@@ -30,6 +30,14 @@
     And process: one that comes late is refused truly
     And process: the process ends within its grace
 
+  Scenario: A planned stop of the planner while the store is away
+    When process: the gateway that plans is stopped while the store is away, which comes back after 4.5 s
+    Then process: it keeps the lease until then, gives it back and ends within 1 s
+
+  Scenario: The same with the store away for longer than the grace
+    When process: the gateway that plans is stopped while the store is away, which comes back after 20 s
+    Then process: it ends within its grace of 8 s
+
   Scenario: Changed settings are in force without a restart
     When process: the grace becomes 2 s while a gateway runs, which then stops with a request under way
     Then process: it ends within 2 s of that, and the request has its final answer
--- a/packages/kingcupdyke-daemon/features/steps/process_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/process_steps.py
@@ -88,6 +88,8 @@
     def __init__(self, tasks, host="entry-n1", store=None):
         self.tasks = tasks
         self.store = store or MemoryStoreClient()
+        #: The operator's and the endpoints' own way to the store.
+        self.writer = MemoryStoreClient(self.store)
         self.settings = ForwarderSettings(
             host=host,
             data_centre="n1",
@@ -121,10 +123,10 @@
             tasks.cancel_scope.cancel()
 
     async def configure(self, version):
-        current = (await self.store.get("configurations", "only")).ok
+        current = (await self.writer.get("configurations", "only")).ok
         value = json.dumps({"version": version}).encode()
         known = current.version if current else 0
-        await self.store.put("configurations", "only", value, known)
+        await self.writer.put("configurations", "only", value, known)
 
     async def add(self, name, script="ok"):
         endpoint = self.endpoints[name] = ScriptedEndpoint(name, script)
@@ -134,10 +136,10 @@
         await self.list(name, False)
 
     async def list(self, name, is_leaving):
-        current = (await self.store.get("endpoints", name)).ok
+        current = (await self.writer.get("endpoints", name)).ok
         fields = {"port": self.endpoints[name].address[1], "leaving": is_leaving}
         known = current.version if current else 0
-        await self.store.put("endpoints", name, json.dumps(fields).encode(), known)
+        await self.writer.put("endpoints", name, json.dumps(fields).encode(), known)
 
     async def ask(self, line="GET /safe/1", port=None):
         """:return: the whole answer, or nothing where no connection was made"""
@@ -483,3 +485,52 @@
 @then("process: the one that was cut off is back at the store's own word within 2 s after the cut")
 def check_back(context):
     assert context.last == "200 e1", context.last
+
+
+@when(
+    "process: the gateway that plans is stopped while the store is away, which comes back after "
+    "{away:g} s"
+)
+def stop_planner(context, away):
+    async def job():
+        async with create_task_group() as tasks:
+            site = Site(tasks)
+            other = Site(tasks, "entry-n2", MemoryStoreClient(site.store))
+            site.settings = site.settings._replace(grace_s=8.0)
+            await site.configure(1)
+            await site.add("e1")
+            await site.start()
+            await sleep(0.5)
+            await other.start()
+            await sleep(1.5)
+            site.store.down = other.store.down = True
+            # A watch that waits is answered with a failure at the next change.
+            await site.configure(2)
+            await sleep(0.3)
+            began_s = current_time()
+            site.stop.set()
+            while site.ended_s is None and current_time() < began_s + away:
+                await sleep(0.05)
+            context.was_running = site.ended_s is None
+            site.store.down = other.store.down = False
+            if context.was_running:
+                await sleep(1.0)
+            context.seconds = None if site.ended_s is None else site.ended_s - began_s
+            lease = (await site.writer.get("kingcupdyke-leases", "planner")).ok
+            context.owner = json.loads(lease.value)["owner"]
+            tasks.cancel_scope.cancel()
+
+    run(job)
+
+
+@then("process: it keeps the lease until then, gives it back and ends within 1 s")
+def check_handed_over(context):
+    assert context.was_running
+    assert context.seconds is not None
+    # Its promise would keep the other one from taking it for four seconds more.
+    assert context.owner == "" or context.owner.startswith("entry-n2/"), context.owner
+
+
+@then("process: it ends within its grace of {grace:g} s")
+def check_grace(context, grace):
+    assert context.seconds is not None and context.seconds <= grace, context.seconds
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -227,9 +227,9 @@
         self._ready.is_ready = False
         self._front_server.is_stopping = True
         self._peers.changed.set()
-        with move_on_after(FAREWELL_S):
-            await self._placer.give_back()
         end_s = began_s + self._settings.grace_s * GRACE_SHARE
+        handed_over = Event()
+        self._tasks.start_soon(self._hand_over, end_s, handed_over)
         take_s = min(TAKE_S, self._settings.grace_s * GRACE_SHARE - REFUSE_S)
         await sleep(max(0.0, began_s + take_s - self._timer.now()))
         self._exchanges.is_refusing = True
@@ -239,11 +239,24 @@
         await self._front_server.close_idle()
         while self._front_server.busy and self._timer.now() < end_s:
             await sleep(QUEUE_PERIOD_S)
+        await handed_over.wait()
         if self._front_server.busy:
             self._exchanges.end_all()
             await sleep(LAST_ANSWERS_S)
         _LOGGER.warning("stopped with %d requests under way", self._front_server.busy)
 
+    async def _hand_over(self, end_s: float, handed_over: Event) -> None:
+        """Give the planner's lease back; while the store is away nobody could take it, so that
+        this gateway goes on planning until the store is back or the process must end.
+        """
+        while self._placer.held_fence and self._timer.now() < end_s:
+            if not self._catalogue.endpoints.is_cut_off:
+                break
+            await sleep(TIDY_PERIOD_S)
+        with move_on_after(FAREWELL_S):
+            await self._placer.give_back()
+        handed_over.set()
+
     def _apply_settings(self, settings: ForwarderSettings) -> None:
         self._dispatcher.region_by_data_centre = settings.region_by_data_centre
         self._peers.region_by_data_centre = settings.region_by_data_centre
