Plan a round with its lookups made once; name two weights; give the process's run a module of its own

With 60 engines and 40 models a round asked for holders and copies tens of thousands of times; they are kept for the round now.

--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/main.py
@@ -0,0 +1,50 @@
+"""
+kingcupdyke_daemon.forwarder.main
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Runs a forwarding gateway as a process, from its start to the end of a planned stop.
+"""
+
+import logging
+import signal
+from time import monotonic
+
+from anyio import Event, create_task_group, open_signal_receiver
+
+from kingcupdyke_daemon.forwarder.dialect import Dialect
+from kingcupdyke_daemon.forwarder.process import Forwarder
+from kingcupdyke_daemon.forwarder.settings import ForwarderSettings, SettingsSource
+from kingcupdyke_wire.store import StoreClient
+
+__all__ = ["run_forwarder"]
+
+_LOGGER = logging.getLogger(__name__)
+
+
+async def run_forwarder(
+    settings: ForwarderSettings, source: SettingsSource, dialect: Dialect, store: StoreClient
+) -> int:
+    """Run a forwarding gateway until its planned stop has ended.
+
+    :return: the exit status
+    """
+    began_s = monotonic()
+    async with create_task_group() as tasks:
+        stop = Event()
+        forwarder = Forwarder(settings, source, dialect, store, tasks)
+        tasks.start_soon(_watch_signals, stop, forwarder)
+        await forwarder.run(stop)
+        tasks.cancel_scope.cancel()
+    _LOGGER.warning("ended after %.1f s", monotonic() - began_s)
+    return 0
+
+
+async def _watch_signals(stop: Event, forwarder: Forwarder) -> None:
+    """A SIGTERM or SIGINT begins a planned stop, a SIGHUP reads the settings again."""
+    with open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for each in signals:
+            _LOGGER.warning("signal %s", signal.Signals(each).name)
+            if each == signal.SIGHUP:
+                forwarder.reload()
+            else:
+                stop.set()
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -6,10 +6,8 @@
 """
 
 import logging
-import signal
-from time import monotonic
 
-from anyio import Event, create_task_group, move_on_after, open_signal_receiver, sleep
+from anyio import Event, move_on_after, sleep
 from anyio.abc import SocketListener, TaskGroup
 
 from kingcupdyke.forwarding.board import EndpointBoard
@@ -39,7 +37,7 @@
 from kingcupdyke_daemon.timer import LoopTimer
 from kingcupdyke_wire.store import StoreClient
 
-__all__ = ["Forwarder", "run_forwarder"]
+__all__ = ["Forwarder"]
 
 _LOGGER = logging.getLogger(__name__)
 #: Seconds between looks at requests that wait.
@@ -379,32 +377,3 @@
         """Take what peers told since the last time, many messages at once."""
         self._board.hear_peers(self._peer_table.live(now_s), now_s)
         self._queue.poll(now_s)
-
-
-async def run_forwarder(
-    settings: ForwarderSettings, source: SettingsSource, dialect: Dialect, store: StoreClient
-) -> int:
-    """Run a forwarding gateway until its planned stop has ended.
-
-    :return: the exit status
-    """
-    began_s = monotonic()
-    async with create_task_group() as tasks:
-        stop = Event()
-        forwarder = Forwarder(settings, source, dialect, store, tasks)
-        tasks.start_soon(_watch_signals, stop, forwarder)
-        await forwarder.run(stop)
-        tasks.cancel_scope.cancel()
-    _LOGGER.warning("ended after %.1f s", monotonic() - began_s)
-    return 0
-
-
-async def _watch_signals(stop: Event, forwarder: Forwarder) -> None:
-    """A SIGTERM or SIGINT begins a planned stop, a SIGHUP reads the settings again."""
-    with open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        async for each in signals:
-            _LOGGER.warning("signal %s", signal.Signals(each).name)
-            if each == signal.SIGHUP:
-                forwarder.reload()
-            else:
-                stop.set()
--- a/packages/kingcupdyke-measure/kingcupdyke_measure/play.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/play.py
@@ -175,7 +175,7 @@
         )
 
     def _fill(self) -> None:
-        """Place the models, each once, then the popular ones again, as far as there is room."""
+        """Place the popular models, then each model once more, as far as there is room."""
         engines = list(self._engine_by_name.values())
         self._rng.shuffle(engines)
         names = [name for kind in self._plan.kinds for name in kind.models[: kind.models_at_once]]
--- a/packages/kingcupdyke/kingcupdyke/forwarding/planround.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/planround.py
@@ -64,6 +64,8 @@
         self._next_id = next_id
         #: Replicas that this round unloads.
         self._leaving: set[tuple[str, str]] = set()
+        self._holders_by_model: dict[str, list[Seat]] = {}
+        self._copies_by_model: dict[str, frozenset[str]] = {}
 
     def _add_up(self, demands: Iterable[Demand]) -> None:
         for each in demands:
@@ -79,13 +81,24 @@
 
     def list_holders(self, model: str) -> list[Seat]:
         """:return: engines that hold a model and are not told to unload it"""
-        return [
-            seat
-            for seat in self.seats
-            if model in seat.models_by_name
-            and seat.leaving_model != model
-            and (seat.entry.endpoint, model) not in self._leaving
-        ]
+        holders = self._holders_by_model.get(model)
+        if holders is None:
+            holders = self._holders_by_model[model] = [
+                seat
+                for seat in self.seats
+                if model in seat.models_by_name
+                and seat.leaving_model != model
+                and (seat.entry.endpoint, model) not in self._leaving
+            ]
+        return holders
+
+    def list_copies(self, spec: ModelSpec) -> frozenset[str]:
+        """:return: engines with a copy of a model's weights on disk or in host memory"""
+        copies = self._copies_by_model.get(spec.name)
+        if copies is None:
+            copies = frozenset(each.entry.endpoint for each in self.seats if is_at_hand(each, spec))
+            self._copies_by_model[spec.name] = copies
+        return copies
 
     def is_coming(self, model: str) -> bool:
         """:return: whether an engine is loading a model"""
@@ -123,6 +136,7 @@
         """
         if kind == OrderKind.UNLOAD:
             self._leaving.add((seat.entry.endpoint, model))
+            self._holders_by_model.pop(model, None)
         order = Order(self._next_id(), seat.entry.endpoint, kind, model, adapter)
         name = successor.name if successor is not None else ""
         successor_s = expected_s + find_load_s(seat, successor) if successor is not None else 0.0
--- a/packages/kingcupdyke/kingcupdyke/forwarding/residencyplan.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/residencyplan.py
@@ -48,6 +48,10 @@
 #: Demand in tokens a second that the last replica of a model is worth beyond what is known, where
 #: another model is to have a further replica.
 LAST_TOKENS_PER_S = 500.0
+#: Weight of the demand for the last replica of a model that was loaded a short while ago.
+RECENT_WEIGHT = 2.0
+#: Weight of the demand that one of several replicas carries, as the others can carry it.
+FURTHER_WEIGHT = 0.1
 #: Seconds over which it is averaged how often a model is asked for, and demand in tokens a second
 #: that the last replica of a model that always is counts for beyond what is known.
 #: Demand in tokens a second that a model counts for whose only copies are on one engine.
@@ -217,26 +221,26 @@
             for model in seat.models_by_name
         )
 
-    def _place_model(self, spec: ModelSpec, value: float) -> bool:
+    def _place_model(self, spec: ModelSpec, value: float) -> None:
         room = self._plan.get_room(spec.name, self._now_s)
         if room and room not in self._round.free:
             if any(seat.entry.endpoint == room for seat in self._round.seats):
-                return False
+                return
             room = ""
         seats = [self._round.free[room]] if room else self._list_seats(spec, value)
         choices = [self._weigh(seat, spec, value) for seat in seats]
         allowed = [each for each in choices if each is not None and each.loss < value]
         if not allowed:
-            return False
+            return
         best = min(allowed, key=lambda each: (each.cost, each.seat.entry.endpoint))
         if best.seat.entry.endpoint not in self._round.free:
             # An engine that is busy now will have it sooner than any other.
-            return False
+            return
         if best.victims:
             self._round.issue(best.seat, OrderKind.UNLOAD, best.victims[0], "", UNLOAD_S, spec)
             self._plan.keep_room(spec.name, best.seat.entry.endpoint, self._now_s)
-            return True
-        return self._order_load(best.seat, spec)
+            return
+        self._order_load(best.seat, spec)
 
     def _list_seats(self, spec: ModelSpec, value: float) -> list[Seat]:
         """:return: engines that may get a model, also those that are busy for a known time"""
@@ -262,15 +266,14 @@
             return 0.0
         return max(LATE_S, seat.due_s - self._now_s)
 
-    def _order_load(self, seat: Seat, spec: ModelSpec) -> bool:
+    def _order_load(self, seat: Seat, spec: ModelSpec) -> None:
         is_cold = not is_at_hand(seat, spec)
         if is_cold and not self._may_occupy(spec.name):
-            return False
+            return
         if is_cold and not self._plan.take_load(self._engine, self._now_s):
-            return False
+            return
         self._round.issue(seat, OrderKind.LOAD, spec.name, "", find_load_s(seat, spec))
         self._plan.note_load(seat.entry.endpoint, spec.name, self._now_s)
-        return True
 
     def _may_occupy(self, model: str) -> bool:
         """:return: whether a model may occupy an engine for the time of a load from the store"""
@@ -318,8 +321,8 @@
         holders = self._round.list_holders(spec.name)
         if seat in holders or len(holders) > 1:
             return False
-        others = [each for each in self._round.seats if each is not seat and each not in holders]
-        return not any(is_at_hand(each, spec) for each in others)
+        holding = {each.entry.endpoint for each in holders}
+        return self._round.list_copies(spec) - holding == {seat.entry.endpoint}
 
     def _loss(self, seat: Seat, model: str, is_further: bool) -> float:
         """:return: demand in tokens a second that an unload harms
@@ -334,8 +337,8 @@
             if is_further:
                 value += LAST_TOKENS_PER_S
             recent = self._plan.is_recent(seat.entry.endpoint, model, self._now_s)
-            return value * 2 if recent and value else value
+            return value * RECENT_WEIGHT if recent else value
         rate = self._round.rate_by_model.get(model, 0.0)
         moved = rate / len(others) - rate / len(holders)
         over = sum(max(0.0, self._load(each) + moved - self._busy_tokens_per_s) for each in others)
-        return over + value / len(holders) / 10
+        return over + FURTHER_WEIGHT * value / len(holders)
