--- a/packages/kingcupdyke-daemon/features/process.feature
+++ b/packages/kingcupdyke-daemon/features/process.feature
@@ -72,3 +72,7 @@
     When process: of two gateways one is cut off from the store, and then endpoint and configuration change
     Then process: within 1 s both answer by the new endpoint and have the new configuration in force
     And process: the one that was cut off is back at the store's own word within 2 s after the cut
+
+  Scenario: A peer that falls silent has its line
+    When process: one of two gateways ends without a word
+    Then process: within 2 s the log of the other says that it was heard, and that it is silent
--- a/packages/kingcupdyke-daemon/features/steps/process_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/process_steps.py
@@ -215,14 +215,17 @@
     def __init__(self):
         super().__init__()
         self.messages = []
+        self.fields = []
 
     def emit(self, record):
         self.messages.append(record.getMessage())
+        self.fields.append(getattr(record, "fields", {}))
 
 
 def capture(context, job):
     keeper = MessageList()
     context.log_records = keeper.messages
+    context.log_fields = keeper.fields
     logger = logging.getLogger("kingcupdyke_daemon")
     logger.addHandler(keeper)
     try:
@@ -534,3 +537,30 @@
 @then("process: it ends within its grace of {grace:g} s")
 def check_grace(context, grace):
     assert context.seconds is not None and context.seconds <= grace, context.seconds
+
+
+@when("process: one of two gateways ends without a word")
+def lose_peer(context):
+    async def job():
+        async with open_site() as site:
+            async with create_task_group() as tasks:
+                other = Site(tasks, "entry-n2", MemoryStoreClient(site.store))
+                await other.start()
+                await sleep(0.6)
+                tasks.cancel_scope.cancel()
+            await sleep(2.0)
+
+    logger = logging.getLogger("kingcupdyke_daemon")
+    level = logger.level
+    logger.setLevel(logging.INFO)
+    try:
+        capture(context, job)
+    finally:
+        logger.setLevel(level)
+
+
+@then("process: within 2 s the log of the other says that it was heard, and that it is silent")
+def check_peer_lines(context):
+    states = [(each["peer"], each["state"]) for each in context.log_fields if "peer" in each]
+    assert ("entry-n2", "heard") in states, states
+    assert states[-1] == ("entry-n2", "silent"), states
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -32,8 +32,9 @@
 from kingcupdyke_daemon.forwarder.reply import ClientRequest, Reply, RequestHandler
 from kingcupdyke_daemon.forwarder.settings import ForwarderSettings, SettingsSource
 from kingcupdyke_daemon.forwarder.settingskeeper import SettingsKeeper
-from kingcupdyke_daemon.logs import LineSampler
+from kingcupdyke_daemon.logs import LineSampler, log_record
 from kingcupdyke_daemon.process import make_incarnation
+from kingcupdyke_daemon.records import PeerRecord
 from kingcupdyke_daemon.timer import LoopTimer
 from kingcupdyke_wire.store import StoreClient
 
@@ -136,6 +137,7 @@
             MetricsHandler(self._metrics), ClientLimits, self._timer.now
         )
         self._peer_table = PeerTable()
+        self._heard_hosts: set[str] = set()
         self._peers = PeerExchange(
             settings.host,
             settings.peer,
@@ -375,5 +377,13 @@
 
     def _count_peers(self, now_s: float) -> None:
         """Take what peers told since the last time, many messages at once."""
-        self._board.hear_peers(self._peer_table.live(now_s), now_s)
+        live = self._peer_table.live(now_s)
+        self._log_peers({each.host for each in live})
+        self._board.hear_peers(live, now_s)
         self._queue.poll(now_s)
+
+    def _log_peers(self, hosts: set[str]) -> None:
+        for host in sorted(hosts ^ self._heard_hosts):
+            state = "heard" if host in hosts else "silent"
+            log_record(_LOGGER, "peer changed", PeerRecord(host, state, len(hosts)))
+        self._heard_hosts = hosts
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -13,6 +13,7 @@
     "EndpointRecord",
     "EngineRecord",
     "OrderRecord",
+    "PeerRecord",
     "RefusalRecord",
     "RejectionRecord",
     "RepeatRecord",
@@ -177,3 +178,13 @@
     on_disk: tuple[str, ...]
     #: Number of the heartbeat that said so.
     heartbeat: int
+
+
+class PeerRecord(NamedTuple):
+    """What is logged when a gateway is heard, or is no longer heard."""
+
+    peer: str
+    #: ``heard`` or ``silent``.
+    state: str
+    #: Peers that are heard now.
+    peers: int
