--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(PACKAGES)))
 export PYTHONHASHSEED := 0
 
-.PHONY: setup test demo lint format proto measure slopes fuzz
+.PHONY: setup test demo lint format proto measure model slopes fuzz
 
 setup: $(VENV)/.ready
 
@@ -45,6 +45,9 @@
 measure: setup
 	$(BIN)/python -m kingcupdyke_measure policy
 
+model: setup
+	$(BIN)/python -m kingcupdyke_measure model
+
 slopes: setup
 	$(BIN)/python -m kingcupdyke_measure slopes
 
--- a/packages/kingcupdyke-daemon/features/process.feature
+++ b/packages/kingcupdyke-daemon/features/process.feature
@@ -76,3 +76,7 @@
   Scenario: A peer that falls silent has its line
     When process: one of two gateways ends without a word
     Then process: within 2 s the log of the other says that it was heard, and that it is silent
+
+  Scenario: The store has forgotten the history that a watch goes on from
+    When process: 2000 changes are made at once, the last of which lists another endpoint
+    Then process: within 1 s the gateway has listed everything again and serves by the new endpoint
--- a/packages/kingcupdyke-daemon/features/steps/process_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/process_steps.py
@@ -564,3 +564,26 @@
     states = [(each["peer"], each["state"]) for each in context.log_fields if "peer" in each]
     assert ("entry-n2", "heard") in states, states
     assert states[-1] == ("entry-n2", "silent"), states
+
+
+@when("process: {count:d} changes are made at once, the last of which lists another endpoint")
+def forget_history(context, count):
+    async def job():
+        async with open_site() as site:
+            await site.add("e2")
+            await site.list("e2", True)
+            await sleep(0.2)
+            # None of these lets the gateway's watch go on before the last.
+            for number in range(count):
+                await site.list("e1", number % 2 == 0)
+            await site.list("e1", True)
+            await site.list("e2", False)
+            await sleep(1.0)
+            context.answers = [describe(await site.ask()) for _ in range(3)]
+
+    run(job)
+
+
+@then("process: within 1 s the gateway has listed everything again and serves by the new endpoint")
+def check_listed_again(context):
+    assert context.answers == ["200 e2"] * 3, context.answers
--- a/packages/kingcupdyke-daemon/features/steps/walks_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/walks_steps.py
@@ -18,8 +18,8 @@
 from forwarder_rig import open_rig
 from forwarder_steps import write_request
 
-from kingcupdyke_daemon.logs import JsonFormatter, QueuedHandler, log_record
-from kingcupdyke_daemon.records import BeliefAges, EndpointRecord
+from kingcupdyke_daemon.logs import JsonFormatter, LineSampler, QueuedHandler, log_record
+from kingcupdyke_daemon.records import BeliefAges, EndpointRecord, RequestRecord
 from kingcupdyke_tool.story import explain_request
 
 LOGGER = logging.getLogger("kingcupdyke_daemon")
@@ -149,3 +149,58 @@
     assert len(lines) == 2, lines
     assert all({"time", "level", "event"} <= each.keys() for each in lines)
     assert "a fault" in lines[1]["error"]
+
+
+def make_end(status):
+    """:return: the end of a request"""
+    return RequestRecord("r", "route", 1, 0, 0, "", "", (), status, "answered", "", 0, 1, 1, 9)
+
+
+@when("walks: {well:d} requests go well and {refused:d} are refused within a second")
+def log_many(context, well, refused):
+    now_s = 0.0
+    sampler = LineSampler(lambda: now_s)
+
+    async def job():
+        nonlocal now_s
+        for _ in range(well):
+            sampler.log(LOGGER, "request ended", make_end(200))
+        for _ in range(refused):
+            log_record(LOGGER, "request refused", make_end(503))
+        now_s = 2.0
+        sampler.log(LOGGER, "request ended", make_end(200))
+
+    collect(context, job)
+    context.lines = [json.loads(each) for each in context.log.splitlines()]
+
+
+@then(
+    "walks: {count:d} lines tell of those that went well, and the next one says that {skipped:d} "
+    "were left out"
+)
+def check_sampled(context, count, skipped):
+    *lines, last = [each for each in context.lines if each["event"] == "request ended"]
+    assert len(lines) == count, len(lines)
+    assert last["skipped_lines"] == skipped, last
+
+
+@then("walks: {count:d} lines tell of those that were refused")
+def check_kept(context, count):
+    found = [each for each in context.lines if each["event"] == "request refused"]
+    assert len(found) == count, len(found)
+
+
+@when("walks: a log that nobody reads, with its buffer full, is to be written within {limit:g} s")
+def flush_blocked(context, limit):
+    handler = QueuedHandler(BlockedStream(), 10)
+    handler.setFormatter(JsonFormatter())
+    for number in range(100):
+        handler.handle(logging.LogRecord("x", logging.INFO, "", 0, "line %d", (number,), None))
+    began_s = monotonic()
+    handler.flush_for(limit)
+    context.seconds = monotonic() - began_s
+
+
+@then("walks: that took less than {limit:g} s")
+def check_flushed(context, limit):
+    assert context.seconds < limit, context.seconds
--- a/packages/kingcupdyke-daemon/features/walks.feature
+++ b/packages/kingcupdyke-daemon/features/walks.feature
@@ -20,3 +20,12 @@
   Scenario: Every line is one JSON object with time, level and event
     When walks: lines with quotes, line breaks and an exception are logged
     Then walks: each line is one JSON object with its time, level and event
+
+  Scenario: Lines on requests that go well are bounded, others are not
+    When walks: 1000 requests go well and 50 are refused within a second
+    Then walks: 100 lines tell of those that went well, and the next one says that 900 were left out
+    And walks: 50 lines tell of those that were refused
+
+  Scenario: A process whose log nobody reads ends all the same
+    When walks: a log that nobody reads, with its buffer full, is to be written within 0.3 s
+    Then walks: that took less than 1 s
