A stopped planner sees an away store by its lease's renewals

A silent outage is seen by a watch only when it ends, after ten seconds; renewals fail within two. The scenario now makes no change while the store is away (red before: the lease was lost at once).

--- a/packages/kingcupdyke-daemon/features/steps/process_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/process_steps.py
@@ -507,9 +507,8 @@
             await other.start()
             await sleep(1.5)
             site.store.down = other.store.down = True
-            # A watch that waits is answered with a failure at the next change.
-            await site.configure(2)
-            await sleep(0.3)
+            # Nothing changes, so that no watch fails; the lease's renewals do.
+            await sleep(2.0)
             began_s = current_time()
             site.stop.set()
             while site.ended_s is None and current_time() < began_s + away:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/placer.py
@@ -42,6 +42,8 @@
 ORDERS_S = 1.0
 #: Seconds between renewals of the lease, and between looks at it by those who do not hold it.
 RENEW_S = 0.8
+#: Seconds without a renewal after which the store counts as away: two periods and an answer.
+AWAY_S = 2 * RENEW_S + 0.2
 #: Seconds between planning rounds.
 ROUND_S = 0.05
 #: Seconds between looks at whether the lease is due.
@@ -119,6 +121,11 @@
         """:return: seconds since the lease was last proved to be held"""
         return self._lease.proof_age_s(read_clock())
 
+    @property
+    def is_store_away(self) -> bool:
+        """:return: whether the store has missed more than one renewal of a lease that is held"""
+        return bool(self.held_fence) and self._lease.written_age_s(read_clock()) > AWAY_S
+
     @property
     def may_have_written(self) -> bool:
         """:return: whether this gateway holds the lease, or may have taken it"""
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -249,9 +249,7 @@
         """Give the planner's lease back; while the store is away nobody could take it, so that
         this gateway goes on planning until the store is back or the process must end.
         """
-        while self._placer.held_fence and self._timer.now() < end_s:
-            if not self._catalogue.endpoints.is_cut_off:
-                break
+        while self._placer.is_store_away and self._timer.now() < end_s:
             await sleep(TIDY_PERIOD_S)
         with move_on_after(FAREWELL_S):
             await self._placer.give_back()
--- a/packages/kingcupdyke/kingcupdyke/lease.py
+++ b/packages/kingcupdyke/kingcupdyke/lease.py
@@ -166,6 +166,10 @@
             held_s = min(held_s, self._written_s + self._outlives_s)
             self._proved_s = max(self._proved_s, held_s)
 
+    def written_age_s(self, now_s: float) -> float:
+        """:return: seconds since the store last took a write of this process"""
+        return now_s - self._written_s
+
     @property
     def proof_hosts(self) -> frozenset[str]:
         """:return: hosts that must all agree for a proof: each that may count itself a member"""
