--- a/packages/kingcupdyke-daemon/features/steps/walks_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/walks_steps.py
@@ -103,7 +103,11 @@
 class BlockedStream:
     """A pipe whose reader has stopped reading."""
 
+    def __init__(self):
+        self.is_writing = Event()
+
     def write(self, text):
+        self.is_writing.set()
         Event().wait()
 
     def flush(self):
@@ -192,10 +196,16 @@
 
 @when("walks: a log that nobody reads, with its buffer full, is to be written within {limit:g} s")
 def flush_blocked(context, limit):
-    handler = QueuedHandler(BlockedStream(), 10)
+    stream = BlockedStream()
+    handler = QueuedHandler(stream, 10)
     handler.setFormatter(JsonFormatter())
-    for number in range(100):
-        handler.handle(logging.LogRecord("x", logging.INFO, "", 0, "line %d", (number,), None))
+    line = logging.LogRecord("x", logging.INFO, "", 0, "a line", (), None)
+    handler.handle(line)
+    # From here on nothing is taken out of the buffer.
+    assert stream.is_writing.wait(5.0)
+    for _ in range(100):
+        handler.handle(line)
+    assert handler.dropped == 90, handler.dropped
     began_s = monotonic()
     handler.flush_for(limit)
     context.seconds = monotonic() - began_s
