--- a/packages/kingcupdyke-daemon/features/steps/process_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/process_steps.py
@@ -172,6 +172,19 @@
         tasks.cancel_scope.cancel()
 
 
+@asynccontextmanager
+async def open_request(site, context):
+    """Have a request under way; its answer is kept when the context ends."""
+
+    async def ask():
+        context.under_way = describe(await site.ask("POST /once/1"))
+
+    async with create_task_group() as tasks:
+        tasks.start_soon(ask)
+        await sleep(0.1)
+        yield
+
+
 @when("process: a gateway starts before its configuration is written")
 def start_early(context):
     async def job():
@@ -306,12 +319,7 @@
             await site.add("e1", "slow ok")
             await sleep(0.3)
 
-            async def ask_slow():
-                context.slow = describe(await site.ask("POST /once/1"))
-
-            async with create_task_group() as tasks:
-                tasks.start_soon(ask_slow)
-                await sleep(0.1)
+            async with open_request(site, context):
                 began_s = current_time()
                 site.stop.set()
                 await sleep(0.1)
@@ -333,7 +341,7 @@
 
 @then("process: the request under way is answered")
 def check_slow(context):
-    assert context.slow == "200 e1", context.slow
+    assert context.under_way == "200 e1", context.under_way
 
 
 @then("process: a request that comes soon after is answered, and asked to close its connection")
@@ -365,12 +373,7 @@
             site.source.change(Ok(site.settings._replace(grace_s=2.0)))
             await sleep(1.2)
 
-            async def ask_hanging():
-                context.hanging = describe(await site.ask("POST /once/1"))
-
-            async with create_task_group() as tasks:
-                tasks.start_soon(ask_hanging)
-                await sleep(0.1)
+            async with open_request(site, context):
                 began_s = current_time()
                 site.stop.set()
                 while site.ended_s is None:
@@ -383,7 +386,7 @@
 @then("process: it ends within 2 s of that, and the request has its final answer")
 def check_short_grace(context):
     assert context.seconds <= 2.0, context.seconds
-    assert context.hanging in ("502", "504"), context.hanging
+    assert context.under_way in ("502", "504"), context.under_way
 
 
 @when('process: the settings become "{change}" while a gateway runs')
