--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/events.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/events.py
@@ -7,23 +7,34 @@
 
 __all__ = ["EventBuffer"]
 
+EVENT_END = b"\n\n"
+
 
 class EventBuffer:
     """Passes on complete events only, so that another endpoint can resume after the last one."""
 
     def __init__(self) -> None:
-        self._partial = b""
+        #: Data after the last complete event.
+        self.partial = b""
+        #: Number of complete events.
+        self.count = 0
         #: Id of the last complete event, or empty.
         self.last_id = b""
 
+    @property
+    def partial_bytes(self) -> int:
+        """:return: number of bytes after the last complete event"""
+        return len(self.partial)
+
     def feed(self, data: bytes) -> bytes:
         """:return: the events completed by the data; an incomplete event is buffered"""
-        text = self._partial + data
-        end = text.rfind(b"\n\n")
+        text = self.partial + data
+        end = text.rfind(EVENT_END)
         if end < 0:
-            self._partial = text
+            self.partial = text
             return b""
-        complete, self._partial = text[: end + 2], text[end + 2 :]
+        complete, self.partial = text[: end + 2], text[end + 2 :]
+        self.count += complete.count(EVENT_END)
         for line in complete.split(b"\n"):
             if line.startswith(b"id:"):
                 self.last_id = line[3:].strip()
@@ -31,9 +42,4 @@
 
     def drop_partial(self) -> None:
         """Discard the incomplete event, as its stream broke."""
-        self._partial = b""
-
-    def take_partial(self) -> bytes:
-        """:return: the data after the last complete event, at the end of the stream"""
-        partial, self._partial = self._partial, b""
-        return partial
+        self.partial = b""
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -5,6 +5,7 @@
 Forwards one client request, from its route to its answer, to one or more endpoints.
 """
 
+from collections.abc import AsyncIterator
 from enum import StrEnum
 from typing import NamedTuple
 from uuid import uuid4
@@ -16,10 +17,10 @@
 from kingcupdyke.forwarding.dispatcher import Refuse, Wait, WorkItem
 from kingcupdyke.forwarding.endpoint import Replica
 from kingcupdyke.forwarding.metadata import AnswerMetadata, ForwardMetadata, RequestMetadata
+from kingcupdyke_daemon.forwarder.answerrelay import AnswerRelay, strip_headers
 from kingcupdyke_daemon.forwarder.connection import EndpointConnection, Progress, TransferError
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.dialect import Headers
-from kingcupdyke_daemon.forwarder.events import EventBuffer
 from kingcupdyke_daemon.forwarder.metrics import RequestTimes
 from kingcupdyke_daemon.forwarder.reply import ClientDisconnectedError, ClientRequest, Reply
 from kingcupdyke_daemon.forwarder.requestlog import RequestLog, RetryOutcome
@@ -27,10 +28,6 @@
 
 __all__ = ["RETRY_AFTER_S", "STATUS_UNAVAILABLE", "ForwardedRequest"]
 
-#: Hop-by-hop headers of an endpoint's answer, which are not passed on.
-CONNECTION_HEADERS = frozenset(
-    (b"connection", b"keep-alive", b"proxy-connection", b"transfer-encoding", b"upgrade")
-)
 #: Default of the Retry-After header of a rejection.
 RETRY_AFTER_S = 0.5
 #: Timeout for writing a final answer that the gateway gives itself.
@@ -132,7 +129,8 @@
         self._first_s: float | None = None
         self._status = 0
         self._unread_tokens = 0
-        self._events = EventBuffer() if route.is_resumable else None
+        is_stream = route.kind is RouteKind.STREAMING
+        self._answer = AnswerRelay(reply, is_stream, route.is_resumable)
 
     @property
     def _is_retryable(self) -> bool:
@@ -159,8 +157,9 @@
         first_s = None if self._first_s is None else self._first_s - arrived_s
         times = RequestTimes(self._deps.timer.now() - arrived_s, first_s, self._queued_s)
         limit_s = self._deadline_s - arrived_s
+        end = self._answer.describe_end()
         self._request_log.log_end(
-            outcome, self._status, self._reason, tuple(self._sent_to), times, limit_s
+            outcome, self._status, self._reason, tuple(self._sent_to), end, times, limit_s
         )
 
     async def _run_attempts(self) -> None:
@@ -183,8 +182,6 @@
                 return
             self._excluded.add(decision.endpoint)
             self._is_in_flight = False
-            if self._events is not None:
-                self._events.drop_partial()
             if result not in (_AttemptResult.NOT_RUN, _AttemptResult.NOT_SENT):
                 self._attempts_run += 1
             outcome = self._decide_retry(result)
@@ -199,7 +196,7 @@
         if result is not _AttemptResult.NOT_RUN:
             if not self._is_retryable or self._attempts_run >= self._route.max_attempts:
                 return RetryOutcome.NOT_RETRYABLE
-            if result is _AttemptResult.BROKEN and self._events is None:
+            if result is _AttemptResult.BROKEN and not self._route.is_resumable:
                 return RetryOutcome.NOT_RETRYABLE
         now_s = self._deps.timer.now()
         is_granted = self._deps.budget.take(self._item.service, self._gateway_count, now_s)
@@ -288,9 +285,9 @@
         remaining_s = self._deadline_s - deps.timer.now()
         metadata = ForwardMetadata(endpoint, remaining_s, self._route.priority)
         headers = deps.dialect.write_request(self._request.headers, metadata)
-        if self._events is not None and self._events.last_id:
+        if self._route.is_resumable and self._answer.last_event_id:
             headers = [each for each in headers if each[0] != b"last-event-id"]
-            headers.append((b"last-event-id", self._events.last_id))
+            headers.append((b"last-event-id", self._answer.last_event_id))
         body = self._request.body
         if body or any(name == b"transfer-encoding" for name, _ in self._request.headers):
             headers.append((b"content-length", str(len(body)).encode()))
@@ -353,32 +350,30 @@
                 return _AttemptResult.FAILED, False
         if self._reply.has_begun:
             return _AttemptResult.BROKEN, True
-        headers = [each for each in _strip(head) if each[0] != b"content-length"]
+        headers = [each for each in strip_headers(head) if each[0] != b"content-length"]
         self._kept_answer = _KeptAnswer(head.status_code, headers, body)
         return _AttemptResult.FAILED, True
 
     async def _relay(
         self, connection: EndpointConnection, endpoint: str, head: Response, sent_s: float
     ) -> _AttemptResult:
-        reply = self._reply
-        has_first = False
-        if not reply.has_begun:
+        if not self._reply.has_begun:
             self._status = head.status_code
-            await reply.begin(head.status_code, _strip(head))
+        await self._answer.relay(head, self._read_parts(connection, endpoint, sent_s))
+        return _AttemptResult.DELIVERED
+
+    async def _read_parts(
+        self, connection: EndpointConnection, endpoint: str, sent_s: float
+    ) -> AsyncIterator[bytes]:
+        """Yield the body of an answer, and record the endpoint's activity."""
+        has_first = False
         async for data in connection.read_body():
             self._record_activity(endpoint)
             if not has_first:
                 has_first = True
                 self._first_s = self._first_s or self._deps.timer.now()
                 self._record_first_event(endpoint, sent_s)
-            if self._events is not None:
-                data = self._events.feed(data)
-            if data:
-                await reply.write(data)
-        if self._events is not None and (rest := self._events.take_partial()):
-            await reply.write(rest)
-        await reply.end()
-        return _AttemptResult.DELIVERED
+            yield data
 
     def _record_activity(self, endpoint: str) -> None:
         state = self._deps.endpoint_table.state_by_id.get(endpoint)
@@ -394,7 +389,3 @@
         seconds = deps.timer.now() - sent_s
         deps.dispatcher.began(self._item.attempt_id, endpoint, seconds, self._unread_tokens)
         deps.queue.poll(deps.timer.now())
-
-
-def _strip(head: Response) -> Headers:
-    return [each for each in head.headers if each[0] not in CONNECTION_HEADERS]
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
@@ -65,6 +65,7 @@
         self._decisions = create_counter(f"{METRIC_PREFIX}decisions")
         self._retries = create_counter(f"{METRIC_PREFIX}repeats")
         self._orders = create_counter(f"{METRIC_PREFIX}orders")
+        self._answers = create_counter(f"{METRIC_PREFIX}answers")
         self._total = create_histogram(f"{METRIC_PREFIX}request_seconds")
         self._first = create_histogram(f"{METRIC_PREFIX}first_part_seconds")
         self._queued = create_histogram(f"{METRIC_PREFIX}queue_wait_seconds")
@@ -94,6 +95,16 @@
         if times.first_s is not None:
             self._first.record(times.first_s, labels)
 
+    def count_answer(self, route: str, framing: str, is_partial: bool) -> None:
+        """Count the last answer of an endpoint to a request.
+
+        :param framing: what marked its end, or empty if there was no answer
+        :param is_partial: whether it ended within an event
+        """
+        if framing:
+            labels = {"route": route, "framing": framing, "partial": str(is_partial).lower()}
+            self._answers.add(1, labels)
+
     def add_gauge(self, name: str, read: GaugeReader, label: str = "") -> None:
         """Add a gauge that is read whenever the metrics are rendered.
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
@@ -10,6 +10,7 @@
 
 from kingcupdyke.forwarding.dispatcher import Refuse, Send, Wait, WorkItem
 from kingcupdyke.forwarding.endpointtable import EndpointState
+from kingcupdyke_daemon.forwarder.answerrelay import AnswerEnd
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.metrics import RequestTimes
 from kingcupdyke_daemon.logs import log_record
@@ -103,15 +104,18 @@
         status: int,
         reason: str,
         endpoints: tuple[str, ...],
+        end: AnswerEnd,
         times: RequestTimes,
         limit_s: float,
     ) -> None:
         """Log how the request ended.
 
         :param endpoints: endpoints that the request was sent to, in order
+        :param end: how the last answer of an endpoint ended
         :param limit_s: seconds from its arrival to its deadline
         """
         self._metrics.record_request(self._route, outcome, status, times)
+        self._metrics.count_answer(self._route, end.framing, end.partial_bytes > 0)
         first_s = times.first_s
         record = RequestRecord(
             request=self._item.attempt_id,
@@ -129,6 +133,9 @@
             first_ms=-1 if first_s is None else round(first_s * 1000),
             total_ms=round(times.total_s * 1000),
             limit_ms=round(limit_s * 1000),
+            framing=end.framing,
+            events=end.events,
+            partial_bytes=end.partial_bytes,
         )
         if outcome == "answered" and status < STATUS_FAILURE:
             self._sampler.log(_LOGGER, "request ended", record)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -140,6 +140,12 @@
     #: Milliseconds from its arrival to its end, and to its deadline.
     total_ms: int
     limit_ms: int
+    #: What marked the end of the last endpoint's answer: ``length``, ``chunks`` or ``connection``;
+    #: empty without an answer.
+    framing: str
+    #: Complete events of a stream, over all endpoints, and bytes that the last one sent after them.
+    events: int
+    partial_bytes: int
 
 
 class OrderRecord(NamedTuple):
