--- a/packages/kingcupdyke-daemon/features/forwarder.feature
+++ b/packages/kingcupdyke-daemon/features/forwarder.feature
@@ -30,6 +30,14 @@
       | a resumable stream without another endpoint does not look complete | GET /resume/1 | cutevents | cut | 1 |
       | a request without an answer within the route's timeout gets a gateway timeout | GET /safe/1 | hang | 504 | 1 |
       | a path without a route is not found | GET /none/1 | ok | 404 | 0 |
+      | a stream that ends with its connection is passed on | GET /stream/1 | bare:1,2,3,4 | 200 events 1,2,3,4 | 1 |
+      | a stream that ends with its connection inside an event does not look complete | GET /stream/1 | bare:1,2,3,part | cut | 1 |
+      | a stream that ends with its connection before its first event does not look complete | GET /stream/1 | bare: | cut | 1 |
+      | a stream with a last chunk inside an event does not look complete | GET /stream/1 | chunked:1,2,3,part | cut | 1 |
+      | a stream with a length that ends inside an event does not look complete | GET /stream/1 | sized:1,2,3,part | cut | 1 |
+      | a resumable stream that ends with its connection inside an event continues at another endpoint | GET /resume/1 | bare:1,2,part; rest | 200 events 1,2,3,4 | 1 1 |
+      | a resumable stream that ends with its connection inside an event does not look complete | GET /resume/1 | bare:1,2,3,part | cut | 1 |
+      | a stream whose events end with CRLF is passed on | GET /resume/1 | crlf:1,2,3,4 | 200 events 1,2,3,4 | 1 |
 
   Scenario: An exhausted retry budget stops retries
     When forwarder: 20 idempotent requests fail at two endpoints with a budget of 2 retries
--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -110,7 +110,10 @@
 
 
 class ScriptedEndpoint:
-    """An endpoint that follows a script: one word per request, and the last word from then on."""
+    """An endpoint that follows a script: one word per request, and the last word from then on.
+
+    A word like ``bare:1,2,part`` names the events of a stream; ``part`` is an incomplete one.
+    """
 
     def __init__(self, name, script):
         self.name = name
@@ -134,7 +137,11 @@
                     head, body, data = await self.read(stream, data)
                     self.requests.append((head, body))
                     word = self.script.pop(0) if len(self.script) > 1 else self.script[0]
-                    if not await getattr(self, f"do_{word}")(stream, find(head, "x-id")):
+                    name, _, events = word.partition(":")
+                    arguments = [events] if ":" in word else []
+                    if not await getattr(self, f"do_{name}")(
+                        stream, find(head, "x-id"), *arguments
+                    ):
                         return
             except DISCONNECT_ERRORS:
                 pass
@@ -234,6 +241,38 @@
         await stream.send(b"0\r\n\r\n")
         return True
 
+    async def do_bare(self, stream, attempt_id, events):
+        await self.send_stream(stream, attempt_id, "", self.write_events(events))
+        return False
+
+    async def do_chunked(self, stream, attempt_id, events):
+        data = self.write_events(events)
+        body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(data), data)
+        await self.send_stream(stream, attempt_id, "transfer-encoding: chunked\r\n", body)
+        return True
+
+    async def do_sized(self, stream, attempt_id, events):
+        data = self.write_events(events)
+        await self.send_stream(stream, attempt_id, f"content-length: {len(data)}\r\n", data)
+        return True
+
+    async def do_crlf(self, stream, attempt_id, events):
+        data = self.write_events(events).replace(b"\n", b"\r\n")
+        await self.send_stream(stream, attempt_id, "", data)
+        return False
+
+    def write_events(self, events):
+        """:return: the events with the given ids; ``part`` is one that breaks off"""
+        text = "".join(f"id: {each}\ndata: {self.name}\n\n" for each in events.split(",") if each)
+        return text.replace(f"id: part\ndata: {self.name}\n\n", "id: 9\nda").encode()
+
+    async def send_stream(self, stream, attempt_id, extra, body):
+        """Send the head of a stream, and its body one byte after the other."""
+        head = f"HTTP/1.1 200 X\r\nx-id: {attempt_id}\r\nx-mark: m\r\n{extra}\r\n"
+        await stream.send(head.encode())
+        for index in range(len(body)):
+            await stream.send(body[index : index + 1])
+
     async def do_cutevents(self, stream, attempt_id):
         return await self.do_events(stream, attempt_id, last=2, cut=True)
 
--- a/packages/kingcupdyke-daemon/features/steps/forwarder_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/forwarder_steps.py
@@ -29,18 +29,32 @@
     if b"transfer-encoding: chunked" in head.lower():
         if not body.endswith(b"0\r\n\r\n"):
             return "cut"
-        ids = b",".join(EVENT_ID.findall(body)).decode()
-        if ids:
-            return f"{status} events {ids}"
-        text = b"".join(body.split(b"\r\n")[1::2]).decode()
-        return f"{status} {text}"
+        return describe_body(status, decode_chunks(body))
     length = int(re.search(rb"content-length: (\d+)", head.lower()).group(1))
     if len(body) != length:
         return "cut"
+    if EVENT_ID.search(body):
+        return describe_body(status, body)
     is_gateway_error = b'"error"' in body
     return status if is_gateway_error else f"{status} {body.decode()}"
 
 
+def describe_body(status, body):
+    """:return: status and body, or the ids of its events"""
+    ids = b",".join(EVENT_ID.findall(body)).decode()
+    return f"{status} events {ids}" if ids else f"{status} {body.decode()}"
+
+
+def decode_chunks(body):
+    """:return: the contents of a chunked body"""
+    content = b""
+    while body:
+        size, _, body = body.partition(b"\r\n")
+        content += body[: int(size, 16)]
+        body = body[int(size, 16) + 2 :]
+    return content
+
+
 def ask(context, data, scripts, prepare=lambda rig: None):
     async def job():
         async with open_rig(scripts) as rig:
