Break off a stream that ends inside an event

Cause: the gateway took the end of the body, as the endpoint's framing or the end of its connection gives it, for the end of the answer, and framed it anew as complete. The end of a connection says only that no more bytes come. The relay now asks of each event stream that it ends after a complete event, whatever its framing, and of one that ends with its connection that it has an event at all. Otherwise it is broken off: resumed at another endpoint where the route allows that, else the client's connection is reset. Events may end with LF, CR or both, so that a complete stream with CRLF is not taken for an incomplete one.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerrelay.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerrelay.py
@@ -11,6 +11,7 @@
 
 from h11 import Response
 
+from kingcupdyke_daemon.forwarder.connection import Progress, TransferError
 from kingcupdyke_daemon.forwarder.dialect import Headers
 from kingcupdyke_daemon.forwarder.events import EventBuffer
 from kingcupdyke_daemon.forwarder.reply import Reply
@@ -21,6 +22,9 @@
 CONNECTION_HEADERS = frozenset(
     (b"connection", b"keep-alive", b"proxy-connection", b"transfer-encoding", b"upgrade")
 )
+EVENT_STREAM = b"text/event-stream"
+#: Lowest status of an answer that is not a success.
+STATUS_REDIRECT = 300
 
 
 class AnswerFraming(StrEnum):
@@ -47,49 +51,64 @@
     """Passes the answer to one request on; a resumed stream comes from several endpoints.
 
     :param reply: writes the answer to the client
-    :param is_stream: whether the answer is a stream of events
+    :param is_streaming: whether the route's answers are streams of events
     :param is_resumable: whether another endpoint can continue the stream after its last complete
         event, so that only complete events are passed on
     """
 
-    def __init__(self, reply: Reply, is_stream: bool, is_resumable: bool) -> None:
+    def __init__(self, reply: Reply, is_streaming: bool, is_resumable: bool) -> None:
         self._reply = reply
-        self._events = EventBuffer() if is_stream else None
+        self._is_streaming = is_streaming
         self._is_resumable = is_resumable
+        self._events = EventBuffer()
         self._framing = ""
 
     @property
     def last_event_id(self) -> bytes:
         """:return: id of the last complete event, or empty"""
-        return b"" if self._events is None else self._events.last_id
+        return self._events.last_id
 
     def describe_end(self) -> AnswerEnd:
         """:return: how the last answer ended"""
-        if self._events is None:
-            return AnswerEnd(self._framing, 0, 0)
         return AnswerEnd(self._framing, self._events.count, self._events.partial_bytes)
 
     async def relay(self, head: Response, parts: AsyncIterator[bytes]) -> None:
         """Pass an answer on to its end.
 
         :param parts: its body as it arrives
+        :raises TransferError: when a stream ends before it is complete
         """
-        reply = self._reply
-        events = self._events
         self._framing = _find_framing(head)
-        if events is not None:
-            events.drop_partial()
-        if not reply.has_begun:
-            await reply.begin(head.status_code, strip_headers(head))
+        self._events.drop_partial()
+        if not self._reply.has_begun:
+            await self._reply.begin(head.status_code, strip_headers(head))
+        if self._is_event_stream(head):
+            await self._relay_events(parts)
+        else:
+            async for data in parts:
+                await self._reply.write(data)
+        await self._reply.end()
+
+    async def _relay_events(self, parts: AsyncIterator[bytes]) -> None:
+        events = self._events
+        count_before = events.count
         async for data in parts:
-            if events is not None:
-                complete = events.feed(data)
-                data = complete if self._is_resumable else data
+            complete = events.feed(data)
+            data = complete if self._is_resumable else data
             if data:
-                await reply.write(data)
+                await self._reply.write(data)
+        if events.partial_bytes:
+            raise TransferError(Progress.ANSWERING, "the stream ended inside an event")
+        if self._framing == AnswerFraming.CONNECTION and events.count == count_before:
+            raise TransferError(Progress.ANSWERING, "the stream ended before its first event")
         if self._is_resumable and events.partial:
-            await reply.write(events.partial)
-        await reply.end()
+            await self._reply.write(events.partial)
+
+    def _is_event_stream(self, head: Response) -> bool:
+        for name, value in head.headers:
+            if name == b"content-type":
+                return value.partition(b";")[0].strip().lower() == EVENT_STREAM
+        return self._is_streaming and head.status_code < STATUS_REDIRECT
 
 
 def strip_headers(head: Response) -> Headers:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/events.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/events.py
@@ -5,9 +5,13 @@
 Splits an event stream into complete events and keeps the id of the last one.
 """
 
+import re
+
 __all__ = ["EventBuffer"]
 
-EVENT_END = b"\n\n"
+#: The blank line after an event; a line ends with LF, CR or both.
+EVENT_END = re.compile(rb"(?>\r\n|\n|\r){2}")
+LINE_ENDS = b"\r\n"
 
 
 class EventBuffer:
@@ -23,19 +27,18 @@
 
     @property
     def partial_bytes(self) -> int:
-        """:return: number of bytes after the last complete event"""
-        return len(self.partial)
+        """:return: number of bytes of an incomplete event, after the last complete one"""
+        return len(self.partial.strip(LINE_ENDS))
 
     def feed(self, data: bytes) -> bytes:
         """:return: the events completed by the data; an incomplete event is buffered"""
         text = self.partial + data
-        end = text.rfind(EVENT_END)
-        if end < 0:
-            self.partial = text
-            return b""
-        complete, self.partial = text[: end + 2], text[end + 2 :]
-        self.count += complete.count(EVENT_END)
-        for line in complete.split(b"\n"):
+        end = 0
+        for match in EVENT_END.finditer(text):
+            end = match.end()
+            self.count += 1
+        complete, self.partial = text[:end], text[end:]
+        for line in complete.splitlines():
             if line.startswith(b"id:"):
                 self.last_id = line[3:].strip()
         return complete
