Check by its content that an answer to the HTTP client is complete

A plain service that broke off an answer with neither a length nor chunks had its stump passed on as whole, and recorded under its idempotency key; so had a stream that ended inside an event. The client reports such answers as unknown: an event stream that ends inside an event, and JSON that ends with its connection and can't be parsed. Answers to a streaming request that are no stream are checked as those to other requests. Three rows of http.feature were red before; four rows show that complete answers that end with their connection pass.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerrelay.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerrelay.py
@@ -15,6 +15,7 @@
 from kingcupdyke_daemon.forwarder.dialect import Headers
 from kingcupdyke_daemon.forwarder.events import EventBuffer
 from kingcupdyke_daemon.forwarder.reply import Reply
+from kingcupdyke_wire.sse import EVENT_STREAM
 
 __all__ = ["AnswerEnd", "AnswerFraming", "AnswerRelay", "strip_headers"]
 
@@ -22,7 +23,6 @@
 CONNECTION_HEADERS = frozenset(
     (b"connection", b"keep-alive", b"proxy-connection", b"transfer-encoding", b"upgrade")
 )
-EVENT_STREAM = b"text/event-stream"
 #: Lowest status of an answer that is not a success.
 STATUS_REDIRECT = 300
 
@@ -107,7 +107,7 @@
     def _is_event_stream(self, head: Response) -> bool:
         for name, value in head.headers:
             if name == b"content-type":
-                return value.partition(b";")[0].strip().lower() == EVENT_STREAM
+                return value.partition(b";")[0].strip().lower() == EVENT_STREAM.encode()
         return self._is_streaming and head.status_code < STATUS_REDIRECT
 
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/events.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/events.py
@@ -5,14 +5,10 @@
 Splits an event stream into complete events and keeps the id of the last one.
 """
 
-import re
+from kingcupdyke_wire.sse import EVENT_END, LINE_ENDS
 
 __all__ = ["EventBuffer"]
 
-#: The blank line after an event; a line ends with LF, CR or both.
-EVENT_END = re.compile(rb"(?>\r\n|\n|\r){2}")
-LINE_ENDS = b"\r\n"
-
 
 class EventBuffer:
     """Passes on complete events only, so that another endpoint can resume after the last one."""
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/backend.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/backend.py
@@ -5,7 +5,6 @@
 Execution of attempts at the sidecar's backends: a model engine or a service.
 """
 
-import json
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager, aclosing, suppress
@@ -16,9 +15,11 @@
 
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke.rule import ServiceClass
+from kingcupdyke_wire.completeness import is_json
 from kingcupdyke_wire.engine import EngineClient, EngineRun
 from kingcupdyke_wire.http import ExchangeError, HttpClient
 from kingcupdyke_wire.sidecar_pb2 import RunRequest
+from kingcupdyke_wire.sse import EVENT_STREAM
 
 __all__ = ["Backend", "BackendHead", "BackendPart", "EngineBackend", "ServiceBackend"]
 
@@ -29,7 +30,7 @@
 #: Maximum number of times that a stalled or truncated stream is resumed.
 _MAX_RESUMES = 3
 _DONE_EVENT = b"data: [DONE]"
-_EVENT_STREAM = "text/event-stream"
+_INCOMPLETE = "the engine's answer is incomplete"
 
 
 class BackendHead(NamedTuple):
@@ -130,8 +131,8 @@
                 body = b"".join([part async for part in opened.parts])
         except ExchangeError as error:
             return Error(error.failure)
-        if not _is_json(body):
-            return Error(self._fail("the engine's answer is incomplete"))
+        if not is_json(body):
+            return Error(self._fail(_INCOMPLETE))
         return Ok((BackendHead(opened.status, opened.content_type), body))
 
     async def _probe(self, request: RunRequest, scope: CancelScope) -> None:
@@ -167,9 +168,9 @@
                     if not head_sent:
                         head_sent = True
                         yield BackendHead(opened.status, opened.content_type)
-                    if not opened.content_type.startswith(_EVENT_STREAM):
-                        async for part in opened.parts:
-                            yield BackendPart(part)
+                    if not opened.content_type.startswith(EVENT_STREAM):
+                        body = b"".join([part async for part in opened.parts])
+                        yield BackendPart(body) if is_json(body) else self._fail(_INCOMPLETE)
                         return
                     async for index, event in _read_events(opened.parts, events):
                         if index < events:
@@ -205,14 +206,6 @@
             index += 1
 
 
-def _is_json(body: bytes) -> bool:
-    try:
-        json.loads(body)
-    except ValueError:
-        return False
-    return True
-
-
 class ServiceBackend(Backend):
     """Runs attempts at plain services.
 
--- a/packages/kingcupdyke-wire/features/http.feature
+++ b/packages/kingcupdyke-wire/features/http.feature
@@ -12,6 +12,9 @@
       | answers too late                   | unknown | run     |
       | closes within the answer           | unknown | run     |
       | never answers                      | unknown | run     |
+      | ends a stream inside an event      | unknown | run     |
+      | ends its connection inside an event | unknown | run    |
+      | ends its connection inside a JSON value | unknown | run |
 
   Scenario Outline: The next request gets its own answer
     Given a server for http that <behaviour>
@@ -42,3 +45,15 @@
       | behaviour                     |
       | closes within the answer      |
       | stalls within the answer      |
+
+  Scenario Outline: An answer that ends with its connection is complete: <body>
+    Given a server for http whose answer "<body>" of type "<type>" ends with its connection
+    When http sends a request with a timeout of 0.5 s
+    Then http has the answer "<body>"
+
+    Examples:
+      | type              | body            |
+      | application/json  | {"a": 1}        |
+      | text/event-stream | data: 1\n\n     |
+      | text/event-stream | data: 1\r\n\r\n |
+      | text/plain        | some text       |
--- a/packages/kingcupdyke-wire/features/steps/http_steps.py
+++ b/packages/kingcupdyke-wire/features/steps/http_steps.py
@@ -51,10 +51,27 @@
             case "stalls its connections":
                 StandinProtocol.freeze_all()
                 await reply.send_response(200, path)
+            case "ends a stream inside an event":
+                headers = {"content-type": "text/event-stream"}
+                await reply.send_response(200, b"data: 1\n\ndata", headers)
+            case "ends its connection inside an event":
+                await end_connection(reply, "text/event-stream", b"data: 1\n\ndata")
+            case "ends its connection inside a JSON value":
+                await end_connection(reply, "application/json", b'{"a":')
+            case (content_type, body):
+                await end_connection(reply, content_type, body)
             case _:
                 await reply.send_response(200, path)
 
 
+async def end_connection(reply, content_type, body):
+    """Send an answer that has neither a length nor chunks."""
+    head = f"HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\n\r\n"
+    reply.send_unsolicited(head.encode() + body)
+    await sleep(0.01)
+    await reply.drop()
+
+
 async def send_all(context, requests):
     """Send requests with one client to the scenario's server and store the last result."""
     app = EchoApp(context.behaviour)
@@ -74,6 +91,16 @@
     context.requests = []
 
 
+@given('a server for http whose answer "{body}" of type "{content_type}" ends with its connection')
+def give_ending_server(context, body, content_type):
+    context.behaviour = (content_type, unescape(body).encode())
+    context.requests = []
+
+
+def unescape(text):
+    return text.replace("\\r", "\r").replace("\\n", "\n")
+
+
 @when("http sends a request with a timeout of {timeout_s:g} s")
 def send_request(context, timeout_s):
     async def request(app, client):
@@ -134,6 +161,12 @@
     assert context.result.ok.body == b"other", context.result
 
 
+@then('http has the answer "{body}"')
+def check_answer(context, body):
+    assert context.result.is_ok(), context.result
+    assert context.result.ok.body == unescape(body).encode(), context.result
+
+
 @then('http has read a part and reports "{outcome}" at step "{step}" with the peer\'s address')
 def check_stream(context, outcome, step):
     assert context.parts == [FIRST_PART], context.parts
--- /dev/null
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/completeness.py
@@ -0,0 +1,39 @@
+"""
+kingcupdyke_wire.completeness
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Checks by its content whether an answer whose body was read to its end is complete.
+"""
+
+import json
+from collections.abc import Mapping
+
+from kingcupdyke_wire.sse import EVENT_STREAM, ends_inside_event
+
+__all__ = ["find_truncation", "is_json"]
+
+JSON = "application/json"
+
+
+def find_truncation(headers: Mapping[str, str], body: bytes) -> str:
+    """Check an answer; the end of its connection does not show that nothing is missing.
+
+    :param headers: values of the header fields, by name in lower case
+    :return: why the answer is incomplete, or the empty string
+    """
+    content_type = headers.get("content-type", "").partition(";")[0].strip().lower()
+    if content_type == EVENT_STREAM and ends_inside_event(body):
+        return "the stream ended inside an event"
+    is_delimited = "content-length" in headers or "transfer-encoding" in headers
+    if content_type == JSON and not is_delimited and not is_json(body):
+        return "the connection ended inside a JSON value"
+    return ""
+
+
+def is_json(body: bytes) -> bool:
+    """:return: whether the body is one JSON value"""
+    try:
+        json.loads(body)
+    except ValueError:
+        return False
+    return True
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/engine.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/engine.py
@@ -19,7 +19,7 @@
 from kingcupdyke.inventory import EngineInventory
 from kingcupdyke_wire.decode import decode, make_failure
 from kingcupdyke_wire.http import HttpAnswer, HttpClient
-from kingcupdyke_wire.sse import split_events
+from kingcupdyke_wire.sse import EVENT_STREAM, split_events
 
 __all__ = [
     "OLD_FENCE",
@@ -37,7 +37,6 @@
 #: Reason of the "not run" failure of an order whose fencing number is too low.
 OLD_FENCE = "old fence"
 
-EVENT_STREAM = "text/event-stream"
 JSON_HEADERS = {"content-type": "application/json"}
 STATUS_OK = 200
 STATUS_CONFLICT = 409
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/http.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/http.py
@@ -23,6 +23,7 @@
 )
 
 from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke_wire.completeness import find_truncation
 
 __all__ = ["ExchangeError", "HttpAnswer", "HttpClient", "HttpStream"]
 
@@ -128,7 +129,7 @@
         :param path: path and query, quoted
         :param timeout_s: seconds for the whole exchange; None for the client's default
         :return: the answer with any status, or a failure: "not run" if nothing was sent,
-            otherwise "unknown"
+            otherwise "unknown", also if the answer ended before it was complete
         """
         progress = _Progress()
         request = self._build(method, path, headers, body, {"trace": progress.trace})
@@ -141,7 +142,10 @@
                     await _close(response)
         except EXCHANGE_ERRORS as error:
             return Error(self._make_failure(error, progress))
-        return Ok(HttpAnswer(response.status, _read_headers(response), content))
+        answer = HttpAnswer(response.status, _read_headers(response), content)
+        if reason := find_truncation(answer.headers, content):
+            return Error(Failure(Outcome.UNKNOWN, self._step, self.peer, reason))
+        return Ok(answer)
 
     @asynccontextmanager
     async def stream(
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/sse.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/sse.py
@@ -5,9 +5,23 @@
 Splits a byte stream into server-sent events.
 """
 
+import re
 from collections.abc import AsyncIterator
 
-__all__ = ["DONE_EVENT", "split_events"]
+__all__ = [
+    "DONE_EVENT",
+    "EVENT_END",
+    "EVENT_STREAM",
+    "LINE_ENDS",
+    "ends_inside_event",
+    "split_events",
+]
+
+#: Content type of a stream of events.
+EVENT_STREAM = "text/event-stream"
+#: The blank line after an event; a line ends with LF, CR or both.
+EVENT_END = re.compile(rb"(?>\r\n|\n|\r){2}")
+LINE_ENDS = b"\r\n"
 
 #: Event that ends a complete stream in the OpenAI format.
 DONE_EVENT = b"data: [DONE]\n\n"
@@ -28,3 +42,11 @@
         *events, remainder = (remainder + part).replace(b"\r\n", b"\n").split(BLANK_LINE)
         for event in events:
             yield event + BLANK_LINE
+
+
+def ends_inside_event(body: bytes) -> bool:
+    """:return: whether a stream ends with an incomplete event"""
+    end = 0
+    for match in EVENT_END.finditer(body):
+        end = match.end()
+    return bool(body[end:].strip(LINE_ENDS))
