--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
@@ -7,8 +7,6 @@
 
 import logging
 from collections.abc import Callable
-from socket import SO_LINGER, SOL_SOCKET
-from struct import pack
 
 from anyio import (
     BrokenResourceError,
@@ -49,6 +47,7 @@
     RequestHandler,
 )
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
+from kingcupdyke_wire.sockets import reset
 
 __all__ = ["ClientServer"]
 
@@ -171,7 +170,8 @@
                 return
             await self._handle(request)
             if not self.is_complete:
-                self._abort()
+                # The client must not mistake a truncated answer for a complete one.
+                reset(self._stream)
                 return
             if self._http.our_state is MUST_CLOSE or self._http.their_state is not DONE:
                 return
@@ -335,16 +335,6 @@
         ) as problem:
             _LOGGER.debug("the rejection could not be written: %r", problem)
 
-    def _abort(self) -> None:
-        """Reset the connection, so that the client does not mistake a truncated answer for a
-        complete one.
-        """
-        raw = self._stream.extra(SocketAttribute.raw_socket)
-        try:
-            raw.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
-        except OSError as error:
-            _LOGGER.debug("the connection was closed before it was reset: %r", error)
-
 
 def _check_head(head: Request, limits: ClientLimits) -> None:
     """:raises _RejectedRequest: when the framing is ambiguous or the body is too large"""
--- a/packages/kingcupdyke-standins/kingcupdyke_standins/link.py
+++ b/packages/kingcupdyke-standins/kingcupdyke_standins/link.py
@@ -5,6 +5,8 @@
 Stand-in of the link between regions: a TCP proxy with latency, limited throughput and faults.
 """
 
+import logging
+from contextlib import suppress
 from math import inf
 
 from anyio import (
@@ -19,18 +21,20 @@
     current_time,
     sleep_until,
 )
-from anyio.abc import ByteStream, SocketAttribute, TaskGroup
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
 from kingcupdyke_standins.asgi import HttpRequest, Reply, StandinApp
+from kingcupdyke_wire.sockets import reset
 
 __all__ = ["LinkApp"]
 
+_LOGGER = logging.getLogger(__name__)
 LOOPBACK = "127.0.0.1"
 _CHUNK_BYTES = 16_384
 #: Limit of the chunks in flight in one direction of one connection.
 _MAX_CHUNKS_IN_FLIGHT = 256
-_CONNECTION_ERRORS = (BrokenResourceError, ClosedResourceError, EndOfStream, OSError)
+_CONNECTION_ERRORS = (BrokenResourceError, ClosedResourceError, OSError)
 
 
 class LinkDirection:
@@ -100,7 +104,7 @@
             )
         return self._ports_by_target[target]
 
-    async def _forward(self, client: ByteStream, address: str, port: int) -> None:
+    async def _forward(self, client: SocketStream, address: str, port: int) -> None:
         frozen = self._frozen
         async with client:
             try:
@@ -118,22 +122,27 @@
 
     async def _read(
         self,
-        source: ByteStream,
+        source: SocketStream,
         chunks: MemoryObjectSendStream,
         direction: LinkDirection,
     ) -> None:
+        """Queue the data of a connection by its time of arrival; None means that it was reset."""
         async with chunks:
             try:
                 while True:
                     data = await source.receive(_CHUNK_BYTES)
                     await chunks.send((direction.admit(len(data)), data))
-            except _CONNECTION_ERRORS:
+            except EndOfStream:
                 return
+            except _CONNECTION_ERRORS as error:
+                _LOGGER.debug("a connection was reset: %r", error)
+                with suppress(*_CONNECTION_ERRORS):
+                    await chunks.send((direction.admit(0), None))
 
     async def _write(
         self,
         chunks: MemoryObjectReceiveStream,
-        sink: ByteStream,
+        sink: SocketStream,
         frozen: Event,
         tasks: TaskGroup,
     ) -> None:
@@ -141,7 +150,9 @@
             try:
                 async for arrival_s, data in chunks:
                     await sleep_until(arrival_s)
-                    if not self._discards_data(frozen):
+                    if data is None:
+                        reset(sink)
+                    elif not self._discards_data(frozen):
                         await sink.send(data)
             except _CONNECTION_ERRORS:
                 pass
