--- a/packages/kingcupdyke-daemon/features/forwarder.feature
+++ b/packages/kingcupdyke-daemon/features/forwarder.feature
@@ -117,3 +117,12 @@
   Scenario: A stream that breaks off long after its first event is resumed
     When forwarder: within 5 s "GET /resume/1" goes to endpoints with the scripts "latecut; rest"
     Then forwarder: the answer is "200 events 1,2,3,4"
+
+  Scenario Outline: A client of HTTP/1.0 sees that its answer broke off when <case>
+    When forwarder: a client of HTTP/1.0 reads the answer to "GET <path>" when <case>
+    Then forwarder: its connection is reset after a part of the answer
+
+    Examples:
+      | case | path |
+      | the endpoint breaks off | /stream/1 |
+      | the gateway ends | /stream/1 |
--- a/packages/kingcupdyke-daemon/features/steps/forwarder_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/forwarder_steps.py
@@ -329,3 +329,28 @@
                 rig.handler.cancel_all()
 
     run(job)
+
+
+@when('forwarder: a client of HTTP/1.0 reads the answer to "{line}" when {case}')
+def read_http_1_0(context, line, case):
+    async def job():
+        script = "cutevents" if case == "the endpoint breaks off" else "latecut"
+        async with open_rig([script]) as rig:
+            stream = await rig.send(
+                f"{line} HTTP/1.0\r\nhost: a.example\r\nx-id: r1\r\n\r\n".encode()
+            )
+            context.raw = await stream.receive()
+            while b"id: 1" not in context.raw:
+                context.raw += await stream.receive()
+            if script == "cutevents":
+                context.raw += await rig.read_all(stream)
+        if script == "latecut":
+            context.raw += await rig.read_all(stream)
+
+    run(job)
+
+
+@then("forwarder: its connection is reset after a part of the answer")
+def check_reset(context):
+    assert b"transfer-encoding" not in context.raw.lower(), context.raw
+    assert context.raw.endswith(b"!"), context.raw
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
@@ -154,6 +154,8 @@
         self._http = Connection(SERVER, max_incomplete_event_size=limits.max_header_bytes)
         self._pipelined_bytes = 0
         self._status = 0
+        #: Whether a request has reached the handler and its answer is not complete.
+        self._is_answering = False
         raw = stream.extra(SocketAttribute.raw_socket)
         for option in KEEPALIVE_OPTIONS:
             raw.setsockopt(*option)
@@ -170,15 +172,15 @@
                 return
             await self._handle(request)
             if not self.is_complete:
-                # The client must not mistake a truncated answer for a complete one.
-                reset(self._stream)
                 return
             if self._http.our_state is MUST_CLOSE or self._http.their_state is not DONE:
                 return
             self._http.start_next_cycle()
 
     async def aclose(self) -> None:
-        """Close the connection."""
+        """Close the connection; with an incomplete answer, it is reset."""
+        if self._is_answering:
+            reset(self._stream)
         await aclose_forcefully(self._stream)
 
     async def begin(self, status: int, headers: Headers) -> None:
@@ -194,6 +196,7 @@
     async def end(self) -> None:
         await self._send(EndOfMessage())
         self.is_complete = True
+        self._is_answering = False
 
     async def _send(self, event: object) -> None:
         data = self._http.send(event)
@@ -207,6 +210,7 @@
     async def _handle(self, request: ClientRequest) -> None:
         self.has_begun = False
         self.is_complete = False
+        self._is_answering = True
         server = self._server
         server.in_progress += 1
         server.held_body_bytes += len(request.body)
