--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -70,7 +70,16 @@
         values = dict(headers)
         limit = values.get(b"x-limit-s")
         timeout_s = float(limit) if limit else None
-        return RequestMetadata(values.get(b"x-id", b"").decode(), timeout_s, "", "", 0, 0, ())
+        return RequestMetadata(
+            values.get(b"x-id", b"").decode(),
+            timeout_s,
+            "",
+            "",
+            0,
+            0,
+            (),
+            values.get(b"x-resumes", b"").decode(),
+        )
 
     def write_request(self, headers, metadata):
         dropped = (b"connection", b"content-length", b"transfer-encoding", b"x-endpoint")
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/catalogue.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/catalogue.py
@@ -117,14 +117,18 @@
             return
         known = self._endpoint_table.state_by_id.get(found.name)
         if known is None or known.entry.is_leaving != entry.ok.is_leaving:
-            self._log_endpoint(found.name, "leaving" if entry.ok.is_leaving else "ready")
+            state = "leaving" if entry.ok.is_leaving else "ready"
+            self._log_endpoint(found.name, entry.ok.software_version, state)
         self._endpoint_table.put(entry.ok)
         self._on_change(self._timer.now())
 
     def _remove_endpoint(self, name: str, after_outage: bool) -> None:
-        self._log_endpoint(name, "lapsed" if after_outage else "removed")
+        known = self._endpoint_table.state_by_id.get(name)
+        software_version = "" if known is None else known.entry.software_version
+        self._log_endpoint(name, software_version, "lapsed" if after_outage else "removed")
         self._endpoint_table.remove(name, self._timer.now(), after_outage)
 
-    def _log_endpoint(self, endpoint: str, state: str) -> None:
+    def _log_endpoint(self, endpoint: str, software_version: str, state: str) -> None:
         age_ms = self.get_ages().list_ms
-        log_record(_LOGGER, "endpoint changed", EndpointRecord(endpoint, state, age_ms))
+        record = EndpointRecord(endpoint, state, software_version, age_ms)
+        log_record(_LOGGER, "endpoint changed", record)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -23,7 +23,7 @@
 from kingcupdyke_daemon.forwarder.dialect import Headers
 from kingcupdyke_daemon.forwarder.metrics import RequestTimes
 from kingcupdyke_daemon.forwarder.reply import ClientDisconnectedError, ClientRequest, Reply
-from kingcupdyke_daemon.forwarder.requestlog import RequestLog, RetryOutcome
+from kingcupdyke_daemon.forwarder.requestlog import RequestLog, RetryOutcome, SentTo
 from kingcupdyke_daemon.records import DataAges
 
 __all__ = ["RETRY_AFTER_S", "STATUS_UNAVAILABLE", "ForwardedRequest"]
@@ -113,7 +113,9 @@
             first_by_s=request.arrived_s + route.first_patience_s,
             deadline_s=self._deadline_s,
         )
-        self._request_log = RequestLog(deps, self._item, route.name, version, ages)
+        self._request_log = RequestLog(
+            deps, self._item, route.name, version, ages, metadata.resumes
+        )
         #: Cancels the attempts at the deadline, or when the process ends.
         self.scope = CancelScope(deadline=self._deadline_s)
         self._is_given_up = False
@@ -124,7 +126,7 @@
         self._is_in_flight = False
         self._kept_answer: _KeptAnswer | None = None
         self._reason = ""
-        self._sent_to: list[str] = []
+        self._sent_to: list[SentTo] = []
         self._queued_s = 0.0
         self._first_s: float | None = None
         self._status = 0
@@ -176,7 +178,8 @@
                 return
             state = self._deps.endpoint_table.state_by_id.get(decision.endpoint)
             self._request_log.log_send(decision, state, len(self._sent_to))
-            self._sent_to.append(decision.endpoint)
+            software_version = "" if state is None else state.entry.software_version
+            self._sent_to.append(SentTo(decision.endpoint, software_version))
             result = await self._try_endpoint(decision.endpoint)
             if result is _AttemptResult.DELIVERED:
                 return
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
@@ -7,6 +7,7 @@
 
 import logging
 from enum import StrEnum
+from typing import NamedTuple
 
 from kingcupdyke.forwarding.dispatcher import Refuse, Send, Wait, WorkItem
 from kingcupdyke.forwarding.endpointtable import EndpointState
@@ -22,7 +23,7 @@
     WaitRecord,
 )
 
-__all__ = ["RetryOutcome", "RequestLog"]
+__all__ = ["RetryOutcome", "RequestLog", "SentTo"]
 
 _LOGGER = logging.getLogger(__name__)
 #: Lowest status of a failure. The log lines of failures are never sampled.
@@ -37,16 +38,31 @@
     NO_BUDGET = "no budget"
 
 
+class SentTo(NamedTuple):
+    """An endpoint that a request was sent to."""
+
+    endpoint: str
+    #: Version of the endpoint's software, or empty if its entry is gone.
+    software_version: str
+
+
 class RequestLog:
     """Writes one log line for each decision on a request.
 
     :param route: name of the request's route
     :param version: version of the configuration in force when the request arrived
     :param ages: ages of the data that decisions are based on, when the request arrived
+    :param resumes: id of the attempt whose stream the request continues, or empty
     """
 
     def __init__(
-        self, deps: ForwarderDependencies, item: WorkItem, route: str, version: int, ages: DataAges
+        self,
+        deps: ForwarderDependencies,
+        item: WorkItem,
+        route: str,
+        version: int,
+        ages: DataAges,
+        resumes: str,
     ) -> None:
         self._metrics = deps.metrics
         self._sampler = deps.sampler
@@ -54,6 +70,7 @@
         self._route = route
         self._version = version
         self._ages = ages
+        self._resumes = resumes
 
     def log_wait(self, decision: Wait, waiting: int) -> None:
         """Log that the request starts to wait.
@@ -82,6 +99,7 @@
         record = SendRecord(
             request=self._item.attempt_id,
             endpoint=decision.endpoint,
+            software_version="" if state is None else state.entry.software_version,
             sends_before=sends_before,
             choices=decision.choices,
             cost_ms=round(decision.cost_s * 1000),
@@ -103,14 +121,14 @@
         outcome: str,
         status: int,
         reason: str,
-        endpoints: tuple[str, ...],
+        sends: tuple[SentTo, ...],
         end: AnswerEnd,
         times: RequestTimes,
         limit_s: float,
     ) -> None:
         """Log how the request ended.
 
-        :param endpoints: endpoints that the request was sent to, in order
+        :param sends: endpoints that the request was sent to, in order
         :param end: how the last answer of an endpoint ended
         :param limit_s: seconds from its arrival to its deadline
         """
@@ -125,7 +143,9 @@
             list_age_ms=self._ages.list_ms,
             model=self._item.model,
             adapter=self._item.adapter,
-            endpoints=endpoints,
+            resumes=self._resumes,
+            endpoints=tuple(each.endpoint for each in sends),
+            software_versions=tuple(each.software_version for each in sends),
             status=status,
             outcome=outcome,
             reason=reason,
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -92,6 +92,8 @@
 
     request: str
     endpoint: str
+    #: Version of the endpoint's software, or empty if its entry is gone.
+    software_version: str
     #: Number of endpoints that it was sent to before.
     sends_before: int
     #: Number of endpoints with capacity for it, and expected cost in ms of the chosen one.
@@ -127,8 +129,11 @@
     list_age_ms: int
     model: str
     adapter: str
-    #: Endpoints that it was sent to, in order of the sends.
+    #: Id of the attempt whose stream it continues, or empty for a new request.
+    resumes: str
+    #: Endpoints that it was sent to, in order of the sends, and versions of their software.
     endpoints: tuple[str, ...]
+    software_versions: tuple[str, ...]
     #: HTTP status that was sent to the client, or 0 if none was.
     status: int
     outcome: str
@@ -171,6 +176,8 @@
     endpoint: str
     #: ``ready``, ``leaving``, ``removed``, or ``lapsed`` in an outage of the store.
     state: str
+    #: Version of its software, or empty if it is unknown.
+    software_version: str
     list_age_ms: int
 
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpoint.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpoint.py
@@ -48,6 +48,8 @@
     in_memory: frozenset[str]
     #: Models with a copy of their weights on the endpoint's disk.
     on_disk: frozenset[str]
+    #: Version of the software that it runs, not of weights.
+    software_version: str = ""
 
     def differs(self, other: "EndpointEntry") -> bool:
         """:return: whether another entry has other models, or other copies of their weights"""
--- a/packages/kingcupdyke/kingcupdyke/forwarding/metadata.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/metadata.py
@@ -30,6 +30,8 @@
     #: Limit of tokens in the answer.
     output_tokens: int
     parts: tuple[PromptPart, ...]
+    #: Id of the attempt that began the stream which this one continues; empty for a new request.
+    resumes: str = ""
 
 
 class ForwardMetadata(NamedTuple):
