Reproduce the two versions: streams continue at any endpoint of the service

Rows on streams without an event, and on a service of one version, pass before and after the fix. Endpoints of the rig have a software version for that.

--- a/packages/kingcupdyke-daemon/features/forwarder.feature
+++ b/packages/kingcupdyke-daemon/features/forwarder.feature
@@ -37,6 +37,9 @@
       | a stream with a length that ends inside an event does not look complete | GET /stream/1 | sized:1,2,3,part | cut | 1 |
       | a resumable stream that ends with its connection inside an event continues at another endpoint | GET /resume/1 | bare:1,2,part; rest | 200 events 1,2,3,4 | 1 1 |
       | a resumable stream that ends with its connection inside an event does not look complete | GET /resume/1 | bare:1,2,3,part | cut | 1 |
+      | a resumable stream does not continue at another software version | GET /resume/1 | cutevents; @v2 rest | cut | 1 0 |
+      | a resumable stream continues at the software version that began it | GET /resume/1 | cutevents; @v2 rest; rest | 200 events 1,2,3,4 | 1 0 1 |
+      | a resumable stream without an event yet begins at another software version | GET /resume/1 | close; @v2 rest | 200 events 1,2,3,4 | 1 1 |
       | a stream whose events end with CRLF is passed on | GET /resume/1 | crlf:1,2,3,4 | 200 events 1,2,3,4 | 1 |
 
   Scenario: An exhausted retry budget stops retries
@@ -126,3 +129,19 @@
       | case | path |
       | the endpoint breaks off | /stream/1 |
       | the gateway ends | /stream/1 |
+
+  Scenario Outline: A client continues a stream: <case>
+    Given forwarder: endpoints with the scripts "<scripts>"
+    When forwarder: a client's stream breaks off, and "<gone>" is gone
+    And forwarder: the client continues it with the header "<header>"
+    Then forwarder: the answer is "<answer>"
+    And forwarder: the endpoints received "<received>" requests
+
+    Examples:
+      | case | scripts | gone | header | answer | received |
+      | at the software version that began it | cutevents rest; @v2 rest | none | x-resumes: r1 | 200 events 3,4 | 2 0 |
+      | at another endpoint of that version | cutevents; @v2 rest; rest | e1 | x-resumes: r1 | 200 events 3,4 | 1 0 1 |
+      | it is rejected while only another version serves | cutevents; @v2 rest | e1 | x-resumes: r1 | 503 | 1 0 |
+      | an unknown one is rejected while several versions serve | cutevents; @v2 rest | none | x-resumes: r9 | 503 | 1 0 |
+      | one without a name is rejected while several versions serve | cutevents; @v2 rest | none | x-a: b | 503 | 1 0 |
+      | an unknown one continues if only one version has served | cutevents; rest | none | x-resumes: r9 | 200 events 3,4 | 1 1 |
--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -126,7 +126,10 @@
 
     def __init__(self, name, script):
         self.name = name
-        self.script = script.split()
+        words = script.split()
+        #: Version of its software: a first word like ``@v2``, or ``v1``.
+        self.software_version = words.pop(0)[1:] if words[0].startswith("@") else "v1"
+        self.script = words
         #: Received requests in order: head and body.
         self.requests = []
         self.connections = 0
@@ -380,7 +383,8 @@
         timer.subscribe("queue", 0.01, queue.poll)
 
     def list_endpoint(self, endpoint):
-        self.endpoint_table.put(make_entry(endpoint.name, endpoint.address))
+        entry = make_entry(endpoint.name, endpoint.address)
+        self.endpoint_table.put(entry._replace(software_version=endpoint.software_version))
 
     async def send(self, data):
         """:return: a new connection on which the bytes have been sent"""
--- a/packages/kingcupdyke-daemon/features/steps/forwarder_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/forwarder_steps.py
@@ -8,7 +8,7 @@
 import re
 
 from anyio import create_task_group, current_time, run, sleep
-from behave import then, when
+from behave import given, then, when
 from forwarder_rig import make_configuration, open_rig
 
 TAIL = "HTTP/1.1\r\nhost: a.example\r\nx-id: {id}\r\nconnection: close\r\n\r\n"
@@ -354,3 +354,29 @@
 def check_reset(context):
     assert b"transfer-encoding" not in context.raw.lower(), context.raw
     assert context.raw.endswith(b"!"), context.raw
+
+
+@given('forwarder: endpoints with the scripts "{scripts}"')
+def give_endpoints(context, scripts):
+    context.scripts = scripts.split("; ")
+
+
+@when('forwarder: a client\'s stream breaks off, and "{gone}" is gone')
+def break_off(context, gone):
+    context.gone = gone
+
+
+@when('forwarder: the client continues it with the header "{header}"')
+def continue_stream(context, header):
+    async def job():
+        # Without a budget of retries, the gateway leaves it to the client to continue.
+        async with open_rig(context.scripts, retry_allowance=0.0) as rig:
+            context.raw = await rig.ask(write_request("GET /resume/1"))
+            assert describe(context.raw) == "cut", context.raw
+            rig.endpoint_table.remove(context.gone, 0.0, False)
+            fields = f"last-event-id: 2\r\n{header}\r\n".encode()
+            request = write_request("GET /resume/1", "r2")
+            context.raw = await rig.ask(request.replace(b"connection:", fields + b"connection:"))
+            context.endpoints = rig.endpoints
+
+    run(job)
