Continue a stream only at the software version that began it

Cause: nothing read an endpoint's software version; a stream that broke off continued at any endpoint of the service, whether the gateway resumed it within an answer or the client took it up. The first event that is passed on pins a request to the version of its endpoint, and the gateway records that version for the client's attempt: itself, at up to two peers of its region and at one of another, chosen by rendezvous hashing of the attempt id, so that a record outlives its gateway and costs three datagrams however many gateways there are. A gateway that is asked to continue a stream looks it up, asks those peers if it has no record, and sends the request to that version only. Without an endpoint of that version it is rejected at once. A stream whose origin nobody knows is rejected too, unless only one version of the service has been listed for as long as the stream can last.

--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -6,6 +6,7 @@
 """
 
 from contextlib import asynccontextmanager
+from math import inf
 
 from anyio import (
     BrokenResourceError,
@@ -38,6 +39,7 @@
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.handler import ForwardingHandler
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
+from kingcupdyke_daemon.forwarder.origindirectory import OriginDirectory
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
@@ -373,7 +375,9 @@
             timer,
             self.metrics,
             LineSampler(timer.now),
+            OriginDirectory("n1", timer, lambda: "north", dict, lambda host, message: None),
         )
+        self.endpoint_table.listed_since_s = -inf
         self.handler = ForwardingHandler(deps)
         self.limits = ClientLimits(2000, 10_000, 0.3, 0.6)
         self.handler.configuration = make_configuration(1, 1.0, self.limits)
--- a/packages/kingcupdyke-daemon/features/process.feature
+++ b/packages/kingcupdyke-daemon/features/process.feature
@@ -80,3 +80,7 @@
   Scenario: A watch whose position the store has compacted away is replaced by a new list
     When process: 2000 changes are made in a burst, the last of which lists another endpoint
     Then process: within 1 s the gateway has listed the objects again and uses the new endpoint
+
+  Scenario: A client continues its stream at another gateway, not at another software version
+    When process: a stream breaks off, its gateway ends, and another gateway is asked to continue it
+    Then process: the stream continues at the software version that began it
--- a/packages/kingcupdyke-daemon/features/steps/process_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/process_steps.py
@@ -8,9 +8,10 @@
 import json
 import logging
 import socket
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 from anyio import (
+    BrokenResourceError,
     Event,
     connect_tcp,
     create_task_group,
@@ -53,7 +54,9 @@
         try:
             fields = json.loads(value)
             address = (LOOPBACK, fields["port"])
-            return Ok(make_entry(endpoint, address)._replace(is_leaving=fields["leaving"]))
+            entry = make_entry(endpoint, address)
+            version = fields.get("version", "v1")
+            return Ok(entry._replace(is_leaving=fields["leaving"], software_version=version))
         except (ValueError, KeyError, TypeError) as error:
             return Error(Failure(Outcome.FAILED, Step.PARSE, endpoint, repr(error)))
 
@@ -85,7 +88,7 @@
 class Site:
     """A gateway, its store and its endpoints."""
 
-    def __init__(self, tasks, host="entry-n1", store=None):
+    def __init__(self, tasks, host="entry-n1", store=None, repeat_allowance=50.0):
         self.tasks = tasks
         self.store = store or MemoryStoreClient()
         #: Store client of the operator and the endpoints, not affected by outages of ``store``.
@@ -100,7 +103,7 @@
             store_url="",
             grace_s=GRACE_S,
             repeat_share=0.2,
-            repeat_allowance=50.0,
+            repeat_allowance=repeat_allowance,
             repeat_window_s=10.0,
             lease_s=3.0,
             apply_s=3.0,
@@ -137,12 +140,17 @@
 
     async def list(self, name, is_leaving):
         current = (await self.writer.get("endpoints", name)).ok
-        fields = {"port": self.endpoints[name].address[1], "leaving": is_leaving}
+        endpoint = self.endpoints[name]
+        fields = {"port": endpoint.address[1], "leaving": is_leaving}
+        fields["version"] = endpoint.software_version
         known = current.version if current else 0
         await self.writer.put("endpoints", name, json.dumps(fields).encode(), known)
 
-    async def ask(self, line="GET /safe/1", port=None):
-        """:return: the whole answer, or no bytes if the connection failed"""
+    async def ask(self, line="GET /safe/1", port=None, request=None):
+        """:return: the answer until its connection ended, or no bytes if there was no connection
+
+        :param request: bytes to send instead of the line's request
+        """
         address = (LOOPBACK, port or self.settings.front.port)
         try:
             stream = await connect_tcp(*address)
@@ -150,9 +158,10 @@
             return b""
         found = b""
         async with stream:
-            await stream.send(write_request(line))
-            async for data in stream:
-                found += data
+            await stream.send(request or write_request(line))
+            with suppress(BrokenResourceError):
+                async for data in stream:
+                    found += data
         return found
 
     async def is_ready(self):
@@ -592,3 +601,38 @@
 @then("process: within 1 s the gateway has listed the objects again and uses the new endpoint")
 def check_listed_again(context):
     assert context.answers == ["200 e2"] * 3, context.answers
+
+
+@when("process: a stream breaks off, its gateway ends, and another gateway is asked to continue it")
+def continue_elsewhere(context):
+    async def job():
+        async with create_task_group() as tasks:
+            other = Site(tasks, "entry-n2")
+            await other.configure(1)
+            for name, script in (("e1", "cutevents"), ("e2", "@v2 rest"), ("e3", "@v1 rest")):
+                await other.add(name, script)
+            await other.start()
+            async with create_task_group() as first_tasks:
+                # Without a budget of retries, the gateway leaves it to the client to continue.
+                store = MemoryStoreClient(other.store)
+                first = Site(first_tasks, "entry-n1", store, repeat_allowance=0.0)
+                await first.start()
+                await sleep(0.5)
+                context.before = describe(await first.ask("GET /resume/1"))
+                first_tasks.cancel_scope.cancel()
+            await other.writer.delete("endpoints", "e1", 1)
+            await sleep(0.1)
+            request = write_request("GET /resume/1", "r2")
+            fields = b"x-resumes: r1\r\nlast-event-id: 2\r\nconnection:"
+            request = request.replace(b"connection:", fields)
+            context.after = describe(await other.ask(request=request))
+            context.counts = [len(each.requests) for each in other.endpoints.values()]
+            tasks.cancel_scope.cancel()
+
+    run(job)
+
+
+@then("process: the stream continues at the software version that began it")
+def check_continued(context):
+    assert (context.before, context.after) == ("cut", "200 events 3,4"), context.after
+    assert context.counts == [1, 0, 1], context.counts
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerrelay.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerrelay.py
@@ -5,7 +5,7 @@
 Passes the answers of endpoints on to a client, and records how they ended.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -54,12 +54,20 @@
     :param is_streaming: whether the route's answers are streams of events
     :param is_resumable: whether another endpoint can continue the stream after its last complete
         event, so that only complete events are passed on
+    :param on_first_event: called once, before the first event is passed on
     """
 
-    def __init__(self, reply: Reply, is_streaming: bool, is_resumable: bool) -> None:
+    def __init__(
+        self,
+        reply: Reply,
+        is_streaming: bool,
+        is_resumable: bool,
+        on_first_event: Callable[[], None],
+    ) -> None:
         self._reply = reply
         self._is_streaming = is_streaming
         self._is_resumable = is_resumable
+        self._on_first_event = on_first_event
         self._events = EventBuffer()
         self._framing = ""
 
@@ -93,7 +101,10 @@
         events = self._events
         count_before = events.count
         async for data in parts:
+            is_first = not events.count
             complete = events.feed(data)
+            if complete and is_first:
+                self._on_first_event()
             data = complete if self._is_resumable else data
             if data:
                 await self._reply.write(data)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/dependencies.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/dependencies.py
@@ -13,6 +13,7 @@
 from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
+from kingcupdyke_daemon.forwarder.origindirectory import OriginDirectory
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
 from kingcupdyke_daemon.logs import LineSampler
@@ -32,3 +33,4 @@
     timer: TimerService
     metrics: ForwarderMetrics
     sampler: LineSampler
+    origins: OriginDirectory
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/dialect.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/dialect.py
@@ -16,7 +16,10 @@
 from kingcupdyke.forwarding.metadata import AnswerMetadata, ForwardMetadata, RequestMetadata
 from kingcupdyke.placement import Order
 
-__all__ = ["Dialect", "Headers"]
+__all__ = ["LAST_EVENT_ID", "Dialect", "Headers"]
+
+#: Header of a request that continues a stream after the event with this id.
+LAST_EVENT_ID = b"last-event-id"
 
 #: HTTP header fields as pairs of lower-case name and value.
 Headers = list[tuple[bytes, bytes]]
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -7,7 +7,6 @@
 
 from collections.abc import AsyncIterator
 from enum import StrEnum
-from typing import NamedTuple
 from uuid import uuid4
 
 from anyio import CancelScope, create_task_group, get_cancelled_exc_class, move_on_after
@@ -20,13 +19,15 @@
 from kingcupdyke_daemon.forwarder.answerrelay import AnswerRelay, strip_headers
 from kingcupdyke_daemon.forwarder.connection import EndpointConnection, Progress, TransferError
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
-from kingcupdyke_daemon.forwarder.dialect import Headers
+from kingcupdyke_daemon.forwarder.dialect import LAST_EVENT_ID
+from kingcupdyke_daemon.forwarder.finalanswer import FinalAnswer, KeptAnswer
 from kingcupdyke_daemon.forwarder.metrics import RequestTimes
 from kingcupdyke_daemon.forwarder.reply import ClientDisconnectedError, ClientRequest, Reply
 from kingcupdyke_daemon.forwarder.requestlog import RequestLog, RetryOutcome, SentTo
+from kingcupdyke_daemon.forwarder.streamcontinuation import StreamContinuation
 from kingcupdyke_daemon.records import DataAges
 
-__all__ = ["RETRY_AFTER_S", "STATUS_UNAVAILABLE", "ForwardedRequest"]
+__all__ = ["RETRY_AFTER_S", "ForwardedRequest"]
 
 #: Default of the Retry-After header of a rejection.
 RETRY_AFTER_S = 0.5
@@ -34,9 +35,6 @@
 FINAL_ANSWER_TIMEOUT_S = 1.0
 #: Limit on the body of a failed answer that is kept while another endpoint is tried.
 MAX_KEPT_BYTES = 65_536
-STATUS_UNAVAILABLE = 503
-STATUS_BAD_GATEWAY = 502
-STATUS_TIMEOUT = 504
 STATUS_MISDIRECTED = 421
 #: Lowest status that is treated as a failure of the endpoint.
 STATUS_FAILURE = 500
@@ -58,14 +56,6 @@
     BROKEN = "broken"
 
 
-class _KeptAnswer(NamedTuple):
-    """A failed answer of an endpoint, passed on unless another endpoint answers."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
 class ForwardedRequest:
     """A request in progress.
 
@@ -124,7 +114,7 @@
         self._attempts_run = 0
         #: Whether the request was sent to an endpoint whose attempt has not ended.
         self._is_in_flight = False
-        self._kept_answer: _KeptAnswer | None = None
+        self._final_answer = FinalAnswer(reply, deps.dialect, metadata.attempt_id)
         self._reason = ""
         self._sent_to: list[SentTo] = []
         self._queued_s = 0.0
@@ -132,7 +122,10 @@
         self._status = 0
         self._unread_tokens = 0
         is_stream = route.kind is RouteKind.STREAMING
-        self._answer = AnswerRelay(reply, is_stream, route.is_resumable)
+        self._answer = AnswerRelay(reply, is_stream, route.is_resumable, self._pin_version)
+        self._continuation = StreamContinuation(
+            deps.origins, deps.endpoint_table, deps.timer, route, metadata, request.headers
+        )
 
     @property
     def _is_retryable(self) -> bool:
@@ -165,6 +158,14 @@
         )
 
     async def _run_attempts(self) -> None:
+        if self._continuation.is_continued:
+            origin = await self._continuation.find_origin(self._item.service)
+            if origin.is_error():
+                await self._give_up(origin.error.reason)
+                return
+            self._item = self._item._replace(
+                service=origin.ok.service, software_version=origin.ok.software_version
+            )
         while True:
             since_s = self._deps.timer.now()
             decision = self._deps.queue.submit(self._item, frozenset(self._excluded))
@@ -210,30 +211,12 @@
         """Send the final answer of a request that no endpoint has answered."""
         self._is_given_up = True
         self._reason = reason
+        may_have_run = bool(self._attempts_run) or self._is_in_flight
+        is_late = self._deps.timer.now() >= self._deadline_s
         # The request's deadline must not cut off the final answer.
         with move_on_after(FINAL_ANSWER_TIMEOUT_S, shield=True):
-            await self._send_final_answer(reason, retry_after_s)
-
-    async def _send_final_answer(self, reason: str, retry_after_s: float) -> None:
-        reply = self._reply
-        if reply.has_begun:
-            return
-        if self._kept_answer is not None:
-            self._status = self._kept_answer.status
-            await reply.answer(
-                self._kept_answer.status, self._kept_answer.headers, self._kept_answer.body
-            )
-            return
-        write_rejection = self._deps.dialect.write_rejection
-        attempt_id = self._metadata.attempt_id
-        if not self._attempts_run and not self._is_in_flight:
-            headers = write_rejection(attempt_id, retry_after_s)
-            self._status = STATUS_UNAVAILABLE
-            await reply.reject(self._status, reason, headers)
-            return
-        is_late = self._deps.timer.now() >= self._deadline_s
-        self._status = STATUS_TIMEOUT if is_late else STATUS_BAD_GATEWAY
-        await reply.reject(self._status, reason, write_rejection(attempt_id, None))
+            status = await self._final_answer.send(reason, retry_after_s, may_have_run, is_late)
+            self._status = self._status if status is None else status
 
     async def _try_endpoint(self, endpoint: str) -> _AttemptResult:
         deps = self._deps
@@ -289,8 +272,8 @@
         metadata = ForwardMetadata(endpoint, remaining_s, self._route.priority)
         headers = deps.dialect.write_request(self._request.headers, metadata)
         if self._route.is_resumable and self._answer.last_event_id:
-            headers = [each for each in headers if each[0] != b"last-event-id"]
-            headers.append((b"last-event-id", self._answer.last_event_id))
+            headers = [each for each in headers if each[0] != LAST_EVENT_ID]
+            headers.append((LAST_EVENT_ID, self._answer.last_event_id))
         body = self._request.body
         if body or any(name == b"transfer-encoding" for name, _ in self._request.headers):
             headers.append((b"content-length", str(len(body)).encode()))
@@ -354,7 +337,7 @@
         if self._reply.has_begun:
             return _AttemptResult.BROKEN, True
         headers = [each for each in strip_headers(head) if each[0] != b"content-length"]
-        self._kept_answer = _KeptAnswer(head.status_code, headers, body)
+        self._final_answer.kept = KeptAnswer(head.status_code, headers, body)
         return _AttemptResult.FAILED, True
 
     async def _relay(
@@ -378,6 +361,15 @@
                 self._record_first_event(endpoint, sent_s)
             yield data
 
+    def _pin_version(self) -> None:
+        """Keep the stream at the software version whose first event is passed on now."""
+        if not self._route.is_resumable:
+            return
+        version = self._sent_to[-1].software_version
+        if self._item.software_version is None:
+            self._continuation.record_origin(self._item.service, version)
+        self._item = self._item._replace(software_version=version)
+
     def _record_activity(self, endpoint: str) -> None:
         state = self._deps.endpoint_table.state_by_id.get(endpoint)
         if state is not None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/handler.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/handler.py
@@ -14,11 +14,8 @@
 from kingcupdyke.forwarding.dispatcher import STOPPING_RETRY_S
 from kingcupdyke.forwarding.metadata import RequestMetadata
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
-from kingcupdyke_daemon.forwarder.forwardedrequest import (
-    RETRY_AFTER_S,
-    STATUS_UNAVAILABLE,
-    ForwardedRequest,
-)
+from kingcupdyke_daemon.forwarder.finalanswer import STATUS_UNAVAILABLE
+from kingcupdyke_daemon.forwarder.forwardedrequest import RETRY_AFTER_S, ForwardedRequest
 from kingcupdyke_daemon.forwarder.reply import ClientRequest, Reply, RequestHandler
 from kingcupdyke_daemon.logs import log_record
 from kingcupdyke_daemon.records import DataAges, RefusalRecord
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peergossip.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peergossip.py
@@ -15,6 +15,7 @@
 from kingcupdyke.error import OptionError
 from kingcupdyke.forwarding.peerstate import GatewayState, PeerTable
 from kingcupdyke.forwarding.storerelay import StoreRelay, list_relay_hosts
+from kingcupdyke.forwarding.streamorigin import OriginMessage
 from kingcupdyke.timer import TimerService
 from kingcupdyke.util import get_int_opt, get_str_opt
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
@@ -53,6 +54,7 @@
     :param timer: the timer service
     :param make_state: returns this gateway's state for a message with the given number
     :param on_state: called with each received state that is newer than the last of its sender
+    :param on_origins: called with each received message on origins of streams
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         timer: TimerService,
         make_state: Callable[[int], GatewayState],
         on_state: Callable[[GatewayState], None],
+        on_origins: Callable[[OriginMessage], None],
     ) -> None:
         self._host = host
         self._address = address
@@ -76,6 +79,9 @@
         self._timer = timer
         self._make_state = make_state
         self._on_state = on_state
+        self._on_origins = on_origins
+        self._outbox: list[tuple[str, bytes]] = []
+        self._posted = Event()
         self._address_by_host: dict[str, SocketAddress] = {}
         self._data_centre_by_host: dict[str, str] = {}
         self._next_remote_send_s = 0.0
@@ -121,10 +127,28 @@
         self._address_by_host.pop(name, None)
         self._data_centre_by_host.pop(name, None)
 
+    @property
+    def region(self) -> str:
+        """:return: region of this host"""
+        return self.region_by_data_centre.get(self._data_centre, "")
+
+    def list_live_regions(self) -> dict[str, str]:
+        """:return: regions of the peers that are live and listed, by host"""
+        live = {each.host for each in self._table.live(self._timer.now())}
+        return {
+            host: self.region_by_data_centre.get(data_centre, "")
+            for host, data_centre in self._data_centre_by_host.items()
+            if host in live
+        }
+
+    def post(self, host: str, message: bytes) -> None:
+        """Send a message to a peer immediately; it may be lost."""
+        self._outbox.append((host, message))
+        self._posted.set()
+
     def _is_remote(self, host: str) -> bool:
-        regions = self.region_by_data_centre
-        other = self._data_centre_by_host.get(host, "")
-        return regions.get(other) != regions.get(self._data_centre)
+        data_centre = self._data_centre_by_host.get(host, "")
+        return self.region_by_data_centre.get(data_centre, "") != self.region
 
     async def register(self) -> None:
         """Register this gateway in the store, with retries until this succeeds."""
@@ -153,16 +177,32 @@
         async with socket as udp, create_task_group() as tasks:
             tasks.start_soon(self._receive, udp)
             tasks.start_soon(self._send, udp)
+            tasks.start_soon(self._send_posted, udp)
 
     async def _receive(self, udp: UDPSocket) -> None:
         async for data, _ in udp:
             state = GatewayState.decode(data)
             if state.is_error():
-                self._apply_relay(data)
+                self._apply_other(data)
             elif self._table.receive(state.ok, self._timer.now()):
                 self._on_state(state.ok)
 
-    def _apply_relay(self, data: bytes) -> None:
+    async def _send_posted(self, udp: UDPSocket) -> None:
+        while True:
+            await self._posted.wait()
+            self._posted = Event()
+            outbox, self._outbox = self._outbox, []
+            for host, message in outbox:
+                address = self._address_by_host.get(host)
+                if address is not None:
+                    await self._send_to(udp, message, address)
+
+    def _apply_other(self, data: bytes) -> None:
+        """Apply a message that is not a gateway's state."""
+        origins = OriginMessage.decode(data)
+        if origins.is_ok():
+            self._on_origins(origins.ok)
+            return
         relay = StoreRelay.decode(data)
         if relay.is_error():
             _LOGGER.warning("a peer's message can't be decoded: %s", relay.error.reason)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -23,6 +23,7 @@
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.handler import ForwardingHandler
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics, MetricsHandler
+from kingcupdyke_daemon.forwarder.origindirectory import OriginDirectory
 from kingcupdyke_daemon.forwarder.peergossip import PEERS_KIND, PeerGossip
 from kingcupdyke_daemon.forwarder.plannerrunner import (
     LEASE_NAME,
@@ -32,7 +33,7 @@
 )
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
-from kingcupdyke_daemon.forwarder.reply import ClientRequest, Reply, RequestHandler
+from kingcupdyke_daemon.forwarder.readyhandler import ReadyHandler
 from kingcupdyke_daemon.forwarder.settings import ForwarderSettings, SettingsSource
 from kingcupdyke_daemon.forwarder.settingsreloader import SettingsReloader
 from kingcupdyke_daemon.forwarder.stategauges import StateGauges
@@ -77,16 +78,6 @@
 LEASE_RELEASE_TIMEOUT_S = 0.5
 
 
-class ReadyHandler(RequestHandler):
-    """Answers the load balancer's readiness check."""
-
-    def __init__(self) -> None:
-        self.is_ready = False
-
-    async def handle(self, request: ClientRequest, reply: Reply) -> None:
-        await reply.answer(200 if self.is_ready else 503, [], b"")
-
-
 class Forwarder:
     """A forwarding gateway.
 
@@ -121,6 +112,13 @@
             settings.repeat_share, settings.repeat_allowance, settings.repeat_window_s
         )
         self._metrics = ForwarderMetrics(settings.host)
+        self._origins = OriginDirectory(
+            settings.host,
+            self._timer,
+            lambda: self._peer_gossip.region,
+            lambda: self._peer_gossip.list_live_regions(),
+            lambda host, message: self._peer_gossip.post(host, message),
+        )
         self._request_handler = ForwardingHandler(
             ForwarderDependencies(
                 dialect,
@@ -132,6 +130,7 @@
                 self._timer,
                 self._metrics,
                 LineSampler(self._timer.now),
+                self._origins,
             ),
             lambda: self._catalogue.get_ages(),
         )
@@ -153,6 +152,7 @@
             self._timer,
             self._make_state,
             self._on_peer_state,
+            self._origins.receive,
         )
         self._lease_promises = LeasePromises(settings.host, settings.lease_s + LEASE_MARGIN_S)
         self._planner_runner = self._make_planner_runner(store)
--- a/packages/kingcupdyke/features/endpointtable.feature
+++ b/packages/kingcupdyke/features/endpointtable.feature
@@ -36,6 +36,19 @@
       | a placement with a lower fencing number is ignored | m1 | fence 5; place m1 0; fence 4; unplace m1 | has | m1 |
       | not a model that the endpoint denied | m1 | deny m1 | lacks | m1 |
 
+  Scenario Outline: The only software version: <case>
+    When endpointtable: "<events>" happens
+    Then endpointtable: the only software version of the last 4 s is "<version>"
+
+    Examples:
+      | case | events | version |
+      | all endpoints run it | list e1,e2; version e1 v1; version e2 v1; wait 0.1; wait 5 | v1 |
+      | unknown, as two are listed | list e1,e2; version e1 v1; version e2 v2; wait 5 | unknown |
+      | unknown, as the list has been known for too short | list e1; version e1 v1; wait 3 | unknown |
+      | unknown, as an endpoint of another one was removed | list e1,e2; version e1 v1; version e2 v2; wait 5; remove e2; wait 3 | unknown |
+      | unknown, as an endpoint has started again with another one | list e1; version e1 v1; wait 5; version e1 v2; wait 3 | unknown |
+      | after a long time without another one | list e1,e2; version e1 v1; version e2 v2; remove e2; wait 0.1; wait 5 | v1 |
+
   Scenario Outline: An endpoint that <case> has a backoff of <backoff> s
     When endpointtable: e1 fails "<failures>" times consecutively
     Then endpointtable: the backoff of e1 is <backoff> s
--- a/packages/kingcupdyke/features/steps/dispatcher_steps.py
+++ b/packages/kingcupdyke/features/steps/dispatcher_steps.py
@@ -88,6 +88,10 @@
     def do_drain(self, endpoint):
         self.endpoint_table.put(make_entry(endpoint, is_leaving=True))
 
+    def do_version(self, endpoint, software_version):
+        entry = self.endpoint_table.state_by_id[endpoint].entry
+        self.endpoint_table.put(entry._replace(software_version=software_version))
+
     def do_withdraw(self, attempt_id):
         self.dispatcher.withdraw(attempt_id)
 
--- a/packages/kingcupdyke/features/steps/endpointtable_steps.py
+++ b/packages/kingcupdyke/features/steps/endpointtable_steps.py
@@ -36,6 +36,11 @@
     def do_put(self, name):
         self.endpoint_table.put(make_entry(name))
 
+    def do_version(self, name, software_version):
+        started_ms = round(self.now_s * 1000)
+        entry = make_entry(name, started_ms=started_ms, software_version=software_version)
+        self.endpoint_table.put(entry)
+
     def do_outdated(self, name):
         self.endpoint_table.put(make_entry(name, started_ms=999))
 
@@ -117,6 +122,14 @@
     assert found == (has == "has"), found
 
 
+@then('endpointtable: the only software version of the last 4 s is "{version}"')
+def check_version(context, version):
+    script = context.script
+    since_s = script.now_s - 4.0
+    found = script.endpoint_table.find_only_version("service", since_s, script.now_s)
+    assert (found or "unknown") == version, found
+
+
 @when('endpointtable: e1 fails "{failures:d}" times consecutively')
 def fail_often(context, failures):
     context.script = EndpointTableScript()
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -61,6 +61,8 @@
     first_by_s: float
     #: Time by which the answer must be complete.
     deadline_s: float
+    #: Software version at which its stream must continue, or None for any.
+    software_version: str | None = None
 
 
 class Send(NamedTuple):
@@ -248,6 +250,10 @@
         ready = self._endpoint_table.list_ready(item.service)
         if not ready:
             return Refuse("no endpoint of the service", RETRY_AFTER_S)
+        if item.software_version is not None:
+            ready = [each for each in ready if each.entry.software_version == item.software_version]
+            if not ready:
+                return Refuse("no endpoint of the software that began the stream", RETRY_AFTER_S)
         states = [each for each in ready if each.entry.endpoint not in excluded]
         if not states:
             return Refuse("no further endpoint to try", RETRY_AFTER_S)
@@ -326,7 +332,9 @@
         self, item: WorkItem, engine_spec: EngineSpec, states: list[EndpointState], now_s: float
     ) -> Decision:
         """Wait for the planner to place the model, or reject if that would take too long."""
-        wait_s = self._endpoint_table.estimate_ready_in_s(item.model, item.adapter, now_s)
+        wait_s = self._endpoint_table.estimate_ready_in_s(
+            item.model, item.adapter, now_s, item.software_version
+        )
         if wait_s is None:
             wait_s = ORDER_DELAY_S + self._load_s(item, engine_spec, states, now_s)
         peers_tokens = (
--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
@@ -152,6 +152,12 @@
         self.state_by_id: dict[str, EndpointState] = {}
         #: Number of requests that wait at peers, by model.
         self.peer_waiting_by_model: dict[str, int] = {}
+        #: Time since which this gateway knows the list of endpoints.
+        self.listed_since_s = inf
+        #: Time at which each software version of a service was last listed.
+        self._listed_s_by_version: dict[tuple[str, str], float] = {}
+        #: Software versions of entries that were removed or changed since the last update of these.
+        self._former_versions: set[tuple[str, str]] = set()
         self._placement_by_replica: dict[Replica, tuple[bool, float, float]] = {}
         self._fence = 0
 
@@ -162,6 +168,7 @@
 
         :param after_outage: whether the store was unavailable, so that entries may have lapsed
         """
+        self.listed_since_s = min(self.listed_since_s, now_s)
         listed = {each.endpoint for each in entries}
         for entry in entries:
             self.put(entry)
@@ -176,6 +183,8 @@
             return
         if entry.started_ms < state.entry.started_ms:
             return
+        if entry.software_version != state.entry.software_version:
+            self._former_versions.add((state.entry.service, state.entry.software_version))
         if entry.started_ms > state.entry.started_ms:
             state.clear_prefixes()
             state.consecutive_failures = 0
@@ -189,12 +198,14 @@
         if state is None:
             return
         if not after_outage:
+            self._former_versions.add((state.entry.service, state.entry.software_version))
             del self.state_by_id[endpoint]
         elif state.lapses_s is None:
             state.lapses_s = now_s + LAPSED_ENTRY_S
 
     def drop_expired(self, now_s: float) -> None:
         """Remove entries that were not listed again after an outage, and expired placements."""
+        self._note_versions(now_s)
         for endpoint, state in list(self.state_by_id.items()):
             if state.lapses_s is not None and now_s >= state.lapses_s:
                 del self.state_by_id[endpoint]
@@ -202,6 +213,26 @@
             if now_s >= expires_s:
                 del self._placement_by_replica[replica]
 
+    def find_only_version(self, service: str, since_s: float, now_s: float) -> str | None:
+        """:return: the one software version of a service's endpoints that have been listed since a
+        time, or None if there were several, or if this gateway does not know
+        """
+        self._note_versions(now_s)
+        versions = [
+            version
+            for (name, version), listed_s in self._listed_s_by_version.items()
+            if name == service and listed_s >= since_s
+        ]
+        return versions[0] if len(versions) == 1 and self.listed_since_s <= since_s else None
+
+    def _note_versions(self, now_s: float) -> None:
+        """Record the time at which each software version was last listed."""
+        entries = [state.entry for state in self.state_by_id.values()]
+        listed = {(each.service, each.software_version) for each in entries}
+        for key in listed | self._former_versions:
+            self._listed_s_by_version[key] = now_s
+        self._former_versions.clear()
+
     def apply_peer_states(self, peers: list[GatewayState], now_s: float) -> None:
         """Replace the loads, demands and unreachable endpoints by those that live peers report."""
         for state in self.state_by_id.values():
@@ -266,8 +297,13 @@
                 return not replica.adapter or replica.adapter in model.adapters
         return False
 
-    def estimate_ready_in_s(self, model: str, adapter: str, now_s: float) -> float | None:
-        """:return: seconds until an ordered replica is ready, or None if none is ordered"""
+    def estimate_ready_in_s(
+        self, model: str, adapter: str, now_s: float, software_version: str | None = None
+    ) -> float | None:
+        """:return: seconds until an ordered replica is ready, or None if none is ordered
+
+        :param software_version: version that the endpoint must run, or None for any
+        """
         remaining = [
             ready_s - now_s
             for replica, (is_present, ready_s, _) in self._placement_by_replica.items()
@@ -275,10 +311,15 @@
             and replica.model == model
             and replica.adapter in ("", adapter)
             and self._is_usable(replica.endpoint, now_s)
+            and self._runs_version(replica.endpoint, software_version)
         ]
         expected = [each for each in remaining if each > -MAX_OVERDUE_S]
         return max(0.0, min(expected)) if expected else None
 
+    def _runs_version(self, endpoint: str, software_version: str | None) -> bool:
+        entry = self.state_by_id[endpoint].entry
+        return software_version in (None, entry.software_version)
+
     def _is_usable(self, endpoint: str, now_s: float) -> bool:
         state = self.state_by_id.get(endpoint)
         return state is not None and not state.entry.is_leaving and state.is_reachable(now_s)
--- /dev/null
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/streamorigin.py
@@ -0,0 +1,128 @@
+"""
+kingcupdyke.forwarding.streamorigin
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The software versions that began streams, which gateways tell each other.
+
+What two versions of a service's software write does not fit together, so a stream may continue only
+at the version that began it. A client may continue it at another gateway than the one where it
+began, also when that one has ended. Each origin is therefore stored by the gateway where the stream
+began and by a few of its peers, chosen by the attempt id, and any gateway can ask them.
+"""
+
+from collections import OrderedDict
+from collections.abc import Mapping
+from typing import NamedTuple
+from zlib import error as zlib_error
+
+from expression import Error, Ok, Result
+
+from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke.forwarding.peerstate import pack_message, unpack_message
+from kingcupdyke.util import rank_rendezvous
+
+__all__ = ["OriginMessage", "StreamOrigin", "StreamOriginTable", "choose_holders"]
+
+#: Number of peers in the gateway's region, and in other regions, that store an origin.
+LOCAL_HOLDERS = 2
+REMOTE_HOLDERS = 1
+#: Limit of origins that a gateway stores; beyond it the oldest are dropped.
+MAX_ORIGINS = 100_000
+
+
+class StreamOrigin(NamedTuple):
+    """Where a stream began."""
+
+    #: Id of the client's attempt that brought the first event.
+    attempt_id: str
+    service: str
+    software_version: str
+    #: Seconds for which the client may continue the stream.
+    valid_s: float
+
+
+class OriginMessage(NamedTuple):
+    """Origins that a gateway tells a peer, and attempts whose origins it asks for."""
+
+    #: Host of the sender.
+    sender: str
+    origins: tuple[StreamOrigin, ...] = ()
+    #: Attempts whose origins the sender asks for.
+    asked: tuple[str, ...] = ()
+    #: Attempts that the sender was asked for and whose origins it does not know.
+    unknown: tuple[str, ...] = ()
+
+    def encode(self) -> bytes:
+        """:return: the message as compressed JSON"""
+        return pack_message(self._asdict())
+
+    @classmethod
+    def decode(cls, value: bytes) -> Result["OriginMessage", Failure]:
+        """:return: the message, or a failure if the bytes are not a valid message"""
+        try:
+            fields = unpack_message(value)
+            return Ok(
+                cls(
+                    str(fields["sender"]),
+                    tuple(_decode_origin(*each) for each in fields["origins"]),
+                    tuple(map(str, fields["asked"])),
+                    tuple(map(str, fields["unknown"])),
+                )
+            )
+        except (ValueError, TypeError, KeyError, zlib_error) as error:
+            reason = f"invalid stream origin message: {error!r}"
+            return Error(Failure(Outcome.FAILED, Step.PARSE, "", reason))
+
+
+class StreamOriginTable:
+    """The origins that a gateway knows.
+
+    :param max_origins: limit of their number; beyond it the oldest are dropped
+    """
+
+    def __init__(self, max_origins: int = MAX_ORIGINS) -> None:
+        self._max_origins = max_origins
+        self._entry_by_attempt: OrderedDict[str, tuple[StreamOrigin, float]] = OrderedDict()
+
+    def put(self, origin: StreamOrigin, now_s: float) -> None:
+        """Store an origin, unless another one is known for the attempt."""
+        if self.get(origin.attempt_id, now_s) is not None:
+            return
+        self._entry_by_attempt[origin.attempt_id] = (origin, now_s + origin.valid_s)
+        self._entry_by_attempt.move_to_end(origin.attempt_id)
+        if len(self._entry_by_attempt) > self._max_origins:
+            self._entry_by_attempt.popitem(last=False)
+
+    def get(self, attempt_id: str, now_s: float) -> StreamOrigin | None:
+        """:return: the origin of an attempt's stream with the seconds that remain, or None"""
+        entry = self._entry_by_attempt.get(attempt_id)
+        if entry is None or now_s >= entry[1]:
+            return None
+        return entry[0]._replace(valid_s=round(entry[1] - now_s, 3))
+
+    def drop_expired(self, now_s: float) -> None:
+        """Remove the origins of streams that can't be continued any more."""
+        for attempt_id, (_, expires_s) in list(self._entry_by_attempt.items()):
+            if now_s >= expires_s:
+                del self._entry_by_attempt[attempt_id]
+
+
+def choose_holders(attempt_id: str, region: str, region_by_host: Mapping[str, str]) -> list[str]:
+    """Choose the peers that store the origin of an attempt's stream.
+
+    Gateways of all regions that know the same peers choose at least one peer in common.
+
+    :param region: region of the gateway that stores or asks
+    :param region_by_host: regions of its peers
+    :return: hosts of peers
+    """
+    ranked = rank_rendezvous(attempt_id, region_by_host)
+    local = [each for each in ranked if region_by_host[each] == region]
+    remote = [each for each in ranked if region_by_host[each] != region]
+    return local[:LOCAL_HOLDERS] + remote[:REMOTE_HOLDERS]
+
+
+def _decode_origin(
+    attempt_id: str, service: str, software_version: str, valid_s: float
+) -> StreamOrigin:
+    return StreamOrigin(str(attempt_id), str(service), str(software_version), float(valid_s))
