--- a/packages/kingcupdyke-daemon/features/origins.feature
+++ b/packages/kingcupdyke-daemon/features/origins.feature
@@ -21,3 +21,7 @@
     When origins: "b1" looks for the stream's origin
     Then origins: it is found: no
     And origins: that takes at most 0.1 s
+
+  Scenario: Messages on origins and states that are sent at the same time don't end the gateway
+    When origins: a gateway sends a peer 100 messages on origins, and its state in between
+    Then origins: the peer receives them all
--- a/packages/kingcupdyke-daemon/features/steps/origins_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/origins_steps.py
@@ -5,15 +5,25 @@
 Steps for the origins of streams, at gateways whose messages take 10 ms.
 """
 
+import json
+
 from anyio import create_task_group, current_time, run, sleep
 from behave import given, then, when
+from process_steps import find_port
 
+from kingcupdyke.forwarding.peerstate import GatewayState, PeerTable
 from kingcupdyke.forwarding.streamorigin import OriginMessage, StreamOrigin
 from kingcupdyke_daemon.forwarder.origindirectory import OriginDirectory
+from kingcupdyke_daemon.forwarder.peergossip import PeerGossip
+from kingcupdyke_daemon.forwarder.settings import SocketAddress
 from kingcupdyke_daemon.timer import LoopTimer
+from kingcupdyke_wire.memorystore import MemoryStoreClient
+from kingcupdyke_wire.store import StoreObject
 
 MESSAGE_S = 0.01
 ORIGIN = StreamOrigin("r1", "service", "v1", 5.0)
+#: Fields of an idle gateway's state after its host, incarnation and number.
+NO_STATE = (False, 1, (), (), (), 0, None, ())
 
 
 class Gateways:
@@ -46,6 +56,61 @@
             self.directory_by_host[host].receive(message)
 
 
+class GossipRig:
+    """A gateway's gossip over UDP.
+
+    :param store: lists the gateways
+    """
+
+    def __init__(self, tasks, host, store):
+        self.received = []
+        table = PeerTable()
+        self.address = SocketAddress("127.0.0.1", find_port())
+        self.gossip = PeerGossip(
+            host,
+            self.address,
+            "n1",
+            {"n1": "north"},
+            store,
+            table,
+            LoopTimer(tasks),
+            lambda number: GatewayState(host, "i", number, *NO_STATE),
+            lambda state: None,
+            self.received.append,
+        )
+
+    def add_peer(self, host, peer):
+        fields = peer.address._asdict() | {"data_centre": "n1"}
+        self.gossip.put_entry(StoreObject("gateways", host, 1, json.dumps(fields).encode()))
+
+
+@when("origins: a gateway sends a peer {count:d} messages on origins, and its state in between")
+def send_both(context, count):
+    async def job():
+        async with create_task_group() as tasks:
+            store = MemoryStoreClient()
+            sender, receiver = (GossipRig(tasks, host, store) for host in ("g1", "g2"))
+            sender.add_peer("g2", receiver)
+            for each in (sender, receiver):
+                tasks.start_soon(each.gossip.run)
+            await sleep(0.05)
+            for _ in range(count):
+                sender.gossip.post("g2", OriginMessage("g1", (ORIGIN,)).encode())
+                sender.gossip.state_changed.set()
+                await sleep(0)
+            await sleep(0.1)
+            context.received = len(receiver.received)
+            tasks.cancel_scope.cancel()
+
+    context.sent = count
+    run(job)
+
+
+@then("origins: the peer receives them all")
+def check_received(context):
+    assert context.received == context.sent, context.received
+
+
 @given('origins: gateways "{hosts}", by region')
 def give_gateways(context, hosts):
     context.hosts = hosts.split()
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peergossip.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peergossip.py
@@ -9,7 +9,7 @@
 import logging
 from collections.abc import Callable
 
-from anyio import Event, create_task_group, create_udp_socket, move_on_after, sleep
+from anyio import Event, Lock, create_task_group, create_udp_socket, move_on_after, sleep
 from anyio.abc import UDPSocket
 
 from kingcupdyke.error import OptionError
@@ -82,6 +82,7 @@
         self._on_origins = on_origins
         self._outbox: list[tuple[str, bytes]] = []
         self._posted = Event()
+        self._send_lock = Lock()
         self._address_by_host: dict[str, SocketAddress] = {}
         self._data_centre_by_host: dict[str, str] = {}
         self._next_remote_send_s = 0.0
@@ -250,6 +251,8 @@
 
     async def _send_to(self, udp: UDPSocket, data: bytes, address: SocketAddress) -> None:
         try:
-            await udp.sendto(data, *address)
+            # The socket raises an error if two tasks write to it.
+            async with self._send_lock:
+                await udp.sendto(data, *address)
         except OSError as error:
             _LOGGER.debug("sending a message to a peer failed: %r", error)
