Load models where streams must continue at one software version

Gateways report to the planner for which models and adapters streams wait at one version, in a message of their own, as gateways of an older build drop states with further fields. The planner loads what no endpoint of that version has, before other models. A stream that broke off within one answer at the only endpoint of its version with the model is no longer kept waiting for another one, so that the client can take it up there at once.

--- a/packages/kingcupdyke-daemon/features/origins.feature
+++ b/packages/kingcupdyke-daemon/features/origins.feature
@@ -25,3 +25,7 @@
   Scenario: Messages on origins and states that are sent at the same time don't end the gateway
     When origins: a gateway sends a peer 100 messages on origins, and its state in between
     Then origins: the peer receives them all
+
+  Scenario: A gateway reports to the planner the streams that wait for their software version
+    When origins: a stream of "v1" waits at a gateway while its peer "g2" plans and "g3" does not
+    Then origins: the gateway has reported it to "g2" only
--- a/packages/kingcupdyke-daemon/features/steps/origins_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/origins_steps.py
@@ -6,15 +6,19 @@
 """
 
 import json
+from types import SimpleNamespace
 
 from anyio import create_task_group, current_time, run, sleep
 from behave import given, then, when
 from process_steps import find_port
 
 from kingcupdyke.forwarding.peerstate import GatewayState, PeerTable
+from kingcupdyke.forwarding.pinneddemand import PinnedDemand, PinnedDemandMessage
 from kingcupdyke.forwarding.streamorigin import OriginMessage, StreamOrigin
+from kingcupdyke.timer import ManualTimer
 from kingcupdyke_daemon.forwarder.origindirectory import OriginDirectory
 from kingcupdyke_daemon.forwarder.peergossip import PeerGossip
+from kingcupdyke_daemon.forwarder.pinneddemands import PinnedDemands
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
 from kingcupdyke_daemon.timer import LoopTimer
 from kingcupdyke_wire.memorystore import MemoryStoreClient
@@ -77,6 +81,7 @@
             lambda number: GatewayState(host, "i", number, *NO_STATE),
             lambda state: None,
             self.received.append,
+            lambda message: None,
         )
 
     def add_peer(self, host, peer):
@@ -160,3 +165,30 @@
 @then("origins: that takes at most {limit:g} s")
 def check_seconds(context, limit):
     assert context.seconds <= limit, context.seconds
+
+
+@when(
+    'origins: a stream of "{version}" waits at a gateway while its peer "{planner}" plans and '
+    '"{other}" does not'
+)
+def wait_for_version(context, version, planner, other):
+    demand = PinnedDemand("service", "m1", "", version, 1)
+    dispatcher = SimpleNamespace(list_pinned_demands=lambda: (demand,))
+    peers = PeerTable()
+    context.reports = []
+    timer = ManualTimer()
+    for host, fence in ((planner, 5), (other, 0)):
+        state = GatewayState(host, "i", 1, *NO_STATE)
+        peers.receive(state._replace(fence=fence), 0.0)
+    pinned = PinnedDemands(
+        "g1", dispatcher, peers, timer, lambda *each: context.reports.append(each)
+    )
+    timer.advance(0.15)
+    assert pinned.list() == [demand], pinned.list()
+
+
+@then('origins: the gateway has reported it to "{planner}" only')
+def check_reports(context, planner):
+    ((host, data),) = context.reports
+    assert host == planner, host
+    assert PinnedDemandMessage.decode(data).ok.demands[0].software_version == "v1"
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peergossip.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peergossip.py
@@ -14,6 +14,7 @@
 
 from kingcupdyke.error import OptionError
 from kingcupdyke.forwarding.peerstate import GatewayState, PeerTable
+from kingcupdyke.forwarding.pinneddemand import PinnedDemandMessage
 from kingcupdyke.forwarding.storerelay import StoreRelay, list_relay_hosts
 from kingcupdyke.forwarding.streamorigin import OriginMessage
 from kingcupdyke.timer import TimerService
@@ -55,6 +56,7 @@
     :param make_state: returns this gateway's state for a message with the given number
     :param on_state: called with each received state that is newer than the last of its sender
     :param on_origins: called with each received message on origins of streams
+    :param on_pinned: called with each received message on pinned demand
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         make_state: Callable[[int], GatewayState],
         on_state: Callable[[GatewayState], None],
         on_origins: Callable[[OriginMessage], None],
+        on_pinned: Callable[[PinnedDemandMessage], None],
     ) -> None:
         self._host = host
         self._address = address
@@ -80,6 +83,7 @@
         self._make_state = make_state
         self._on_state = on_state
         self._on_origins = on_origins
+        self._on_pinned = on_pinned
         self._outbox: list[tuple[str, bytes]] = []
         self._posted = Event()
         self._send_lock = Lock()
@@ -204,6 +208,10 @@
         if origins.is_ok():
             self._on_origins(origins.ok)
             return
+        pinned = PinnedDemandMessage.decode(data)
+        if pinned.is_ok():
+            self._on_pinned(pinned.ok)
+            return
         relay = StoreRelay.decode(data)
         if relay.is_error():
             _LOGGER.warning("a peer's message can't be decoded: %s", relay.error.reason)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
@@ -25,6 +25,7 @@
 from kingcupdyke.lease import LeaseMachine
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
+from kingcupdyke_daemon.forwarder.pinneddemands import PinnedDemands
 from kingcupdyke_daemon.leasemanager import LeaseManager
 from kingcupdyke_daemon.logs import log_record
 from kingcupdyke_daemon.records import EngineRecord, OrderRecord
@@ -85,6 +86,7 @@
         endpoint_table: EndpointTable,
         dispatcher: Dispatcher,
         peers: PeerTable,
+        pinned_demands: PinnedDemands,
         lease_promises: LeasePromises,
         list_members: Callable[[], tuple[str, ...]],
         list_stopping: Callable[[], set[str]],
@@ -101,6 +103,7 @@
         self._endpoint_table = endpoint_table
         self._dispatcher = dispatcher
         self._peers = peers
+        self._pinned_demands = pinned_demands
         self._lease_promises = lease_promises
         self._list_members = list_members
         self._list_stopping = list_stopping
@@ -209,7 +212,10 @@
         for peer in self._peers.live(now_s):
             demands += peer.demands
         tokens_per_s = self._dispatcher.tokens_per_s
-        for timed in self._planner.plan(engine_spec_by_service, demands, tokens_per_s, now_s):
+        pinned = self._pinned_demands.list()
+        for timed in self._planner.plan(
+            engine_spec_by_service, demands, tokens_per_s, now_s, pinned
+        ):
             engine = self._planner.engine_by_id[timed.order.endpoint]
             tasks.start_soon(self._send_order, engine, timed)
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -25,6 +25,8 @@
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics, MetricsHandler
 from kingcupdyke_daemon.forwarder.origindirectory import OriginDirectory
 from kingcupdyke_daemon.forwarder.peergossip import PEERS_KIND, PeerGossip
+from kingcupdyke_daemon.forwarder.peerlog import PeerLog
+from kingcupdyke_daemon.forwarder.pinneddemands import PinnedDemands
 from kingcupdyke_daemon.forwarder.plannerrunner import (
     LEASE_NAME,
     RENEWAL_INTERVAL_S,
@@ -38,9 +40,8 @@
 from kingcupdyke_daemon.forwarder.settingsreloader import SettingsReloader
 from kingcupdyke_daemon.forwarder.stategauges import StateGauges
 from kingcupdyke_daemon.forwarder.storewatcher import StoreWatcher
-from kingcupdyke_daemon.logs import LineSampler, log_record
+from kingcupdyke_daemon.logs import LineSampler
 from kingcupdyke_daemon.process import make_incarnation
-from kingcupdyke_daemon.records import PeerRecord
 from kingcupdyke_daemon.timer import LoopTimer
 from kingcupdyke_wire.store import StoreClient
 
@@ -117,7 +118,7 @@
             self._timer,
             lambda: self._peer_gossip.region,
             lambda: self._peer_gossip.list_live_regions(),
-            lambda host, message: self._peer_gossip.post(host, message),
+            self._post,
         )
         self._request_handler = ForwardingHandler(
             ForwarderDependencies(
@@ -141,7 +142,10 @@
             MetricsHandler(self._metrics), ClientLimits, self._timer.now
         )
         self._peer_table = PeerTable()
-        self._live_hosts: set[str] = set()
+        self._peer_log = PeerLog()
+        self._pinned_demands = PinnedDemands(
+            settings.host, self._dispatcher, self._peer_table, self._timer, self._post
+        )
         self._peer_gossip = PeerGossip(
             settings.host,
             settings.peer,
@@ -153,6 +157,7 @@
             self._make_state,
             self._on_peer_state,
             self._origins.receive,
+            self._pinned_demands.receive,
         )
         self._lease_promises = LeasePromises(settings.host, settings.lease_s + LEASE_MARGIN_S)
         self._planner_runner = self._make_planner_runner(store)
@@ -265,6 +270,9 @@
             await self._planner_runner.release_lease()
         handed_over.set()
 
+    def _post(self, host: str, message: bytes) -> None:
+        self._peer_gossip.post(host, message)
+
     def _apply_settings(self, settings: ForwarderSettings) -> None:
         self._dispatcher.region_by_data_centre = settings.region_by_data_centre
         self._peer_gossip.region_by_data_centre = settings.region_by_data_centre
@@ -293,6 +301,7 @@
             self._endpoint_table,
             self._dispatcher,
             self._peer_table,
+            self._pinned_demands,
             self._lease_promises,
             self._list_members,
             self._list_stopping,
@@ -308,20 +317,17 @@
 
     def _list_members(self) -> tuple[str, ...]:
         """:return: hosts of live gateways that are not stopping, this one included"""
-        live = self._peer_table.live(self._timer.now())
-        hosts = {each.host for each in live if not each.is_stopping}
+        hosts = self._peer_table.list_hosts(False, self._timer.now())
         return tuple(sorted(hosts | {self._settings.host}))
 
     def _list_stopping(self) -> set[str]:
         """:return: hosts of live gateways that are stopping and will not take the lease"""
-        live = self._peer_table.live(self._timer.now())
-        return {each.host for each in live if each.is_stopping}
+        return self._peer_table.list_hosts(True, self._timer.now())
 
     def _is_candidate(self) -> bool:
         if self._is_stopping or not self._catalogue.endpoints.is_listed:
             return False
-        live = self._peer_table.live(self._timer.now())
-        hosts = sorted(each.host for each in live if not each.is_stopping)
+        hosts = self._peer_table.list_hosts(False, self._timer.now())
         return sum(host < self._settings.host for host in hosts) < MAX_CANDIDATES
 
     def _apply_configuration(self, configuration: Configuration) -> None:
@@ -388,12 +394,6 @@
     def _update_peers(self, now_s: float) -> None:
         """Apply the peers' latest states; one update covers many messages."""
         live = self._peer_table.live(now_s)
-        self._log_peer_changes({each.host for each in live})
+        self._peer_log.update(each.host for each in live)
         self._endpoint_table.apply_peer_states(live, now_s)
         self._queue.poll(now_s)
-
-    def _log_peer_changes(self, hosts: set[str]) -> None:
-        for host in sorted(hosts ^ self._live_hosts):
-            state = "heard" if host in hosts else "silent"
-            log_record(_LOGGER, "peer changed", PeerRecord(host, state, len(hosts)))
-        self._live_hosts = hosts
--- a/packages/kingcupdyke/features/residencyplan.feature
+++ b/packages/kingcupdyke/features/residencyplan.feature
@@ -116,3 +116,18 @@
     And residencyplan: "m2 0 500" is requested
     And residencyplan: "m3 1 0" is requested
     Then residencyplan: the orders are "unload m1 e1"
+
+  Scenario Outline: Streams that must continue at one software version: <case>
+    Given residencyplan: engines "<engines>" of 200 GB with models of "90 90 90" GB
+    And residencyplan: the engines "<others>" run another software version
+    When residencyplan: streams of that version wait for "<replicas>"
+    Then residencyplan: the orders are "<orders>"
+
+    Examples:
+      | case | engines | others | replicas | orders |
+      | a model that only the other version holds is loaded | e1=m1+e2=m2+e3=m3 | e2 e3 | m1 1 | load m1 e2 |
+      | not if an engine of the version holds it | e1=m1+e2=m1+e3=m3 | e2 e3 | m1 1 | |
+      | a model that no engine holds is loaded there | e1=m1+e2=m2 | e2 | m3 1 | load m3 e2 |
+      | nothing is loaded if the version has no engine left | e1=m1+e2=m2!draining | e2 | m3 1 | |
+      | memory is freed for it | e1=m1+e2=m2,m3 | e2 | m1 1 | unload m2 e2 |
+      | its adapter is loaded there as well | e1=m1:a1+e2=m1+e3=m3 | e2 e3 | m1+a1 1 | load_adapter m1+a1 e2 |
--- a/packages/kingcupdyke/features/steps/residencyplan_steps.py
+++ b/packages/kingcupdyke/features/steps/residencyplan_steps.py
@@ -11,6 +11,7 @@
 from kingcupdyke.forwarding.endpoint import EndpointReport
 from kingcupdyke.forwarding.enginestate import EngineState, OrderReply
 from kingcupdyke.forwarding.peerstate import Demand
+from kingcupdyke.forwarding.pinneddemand import PinnedDemand
 from kingcupdyke.forwarding.residencyplan import ResidencyPlan
 from kingcupdyke.placement import Order, OrderKind
 
@@ -81,6 +82,26 @@
     )
 
 
+@given('residencyplan: the engines "{names}" run another software version')
+def set_version(context, names):
+    for name in names.split():
+        engine = context.engines[name]
+        engine.entry = engine.entry._replace(software_version="v2")
+
+
+@when('residencyplan: streams of that version wait for "{replicas}"')
+def wait_pinned(context, replicas):
+    pinned = []
+    for text in replicas.split("; "):
+        replica, waiting = text.split()
+        model, _, adapter = replica.partition("+")
+        pinned.append(PinnedDemand("service", model, adapter, "v2", int(waiting)))
+    context.now_s += 1.0
+    context.orders = context.plan.plan(
+        context.engine_spec, context.engines.values(), [], TOKENS_PER_S, context.now_s, pinned
+    )
+
+
 @when("residencyplan: the orders are executed")
 def execute(context):
     for timed in context.orders:
--- a/packages/kingcupdyke/features/steps/streamorigin_steps.py
+++ b/packages/kingcupdyke/features/steps/streamorigin_steps.py
@@ -10,6 +10,11 @@
 
 from behave import given, then, when
 
+from kingcupdyke.forwarding.pinneddemand import (
+    PinnedDemand,
+    PinnedDemandMessage,
+    PinnedDemandTable,
+)
 from kingcupdyke.forwarding.streamorigin import (
     OriginMessage,
     StreamOrigin,
@@ -32,6 +37,25 @@
         assert OriginMessage.decode(each).is_error(), each
 
 
+@then("streamorigin: a message on pinned demand is the same when decoded")
+def check_pinned_round_trip(context):
+    message = PinnedDemandMessage("h", (PinnedDemand("s", "m", "a", "v1", 2),))
+    assert PinnedDemandMessage.decode(message.encode()).ok == message
+    assert PinnedDemandMessage.decode(OriginMessage("h").encode()).is_error()
+    assert OriginMessage.decode(message.encode()).is_error()
+
+
+@then("streamorigin: pinned demand counts for {seconds:g} s after the latest report of its gateway")
+def check_pinned_table(context, seconds):
+    table = PinnedDemandTable()
+    demand = PinnedDemand("s", "m", "", "v1", 2)
+    table.put(PinnedDemandMessage("g1", (demand,)), 0.0)
+    table.put(PinnedDemandMessage("g1", (demand._replace(waiting=1),)), 0.5)
+    table.put(PinnedDemandMessage("g2", (demand,)), 0.0)
+    assert [each.waiting for each in table.list(seconds - 0.1)] == [1, 2]
+    assert [each.waiting for each in table.list(seconds + 0.1)] == [1]
+
+
 @given("streamorigin: a table of at most {count:d} origins")
 def give_table(context, count):
     context.origins = StreamOriginTable(count)
--- a/packages/kingcupdyke/features/streamorigin.feature
+++ b/packages/kingcupdyke/features/streamorigin.feature
@@ -37,3 +37,7 @@
       | 3 1 |
       | 5 2 3 1 |
       | 20 20 20 |
+
+  Scenario: Gateways report to the planner what streams of one software version wait for
+    Then streamorigin: a message on pinned demand is the same when decoded
+    And streamorigin: pinned demand counts for 1 s after the latest report of its gateway
--- a/packages/kingcupdyke/kingcupdyke/forwarding/adapterplan.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/adapterplan.py
@@ -34,6 +34,9 @@
     requested.sort(key=lambda key: (-waiting.get(key, 0), -rate.get(key, 0.0), key))
     for key in requested:
         _place_adapter(plan_round, key)
+    for each in plan_round.pinned:
+        if each.adapter:
+            _place_adapter(plan_round, (each.model, each.adapter), each.software_version)
 
 
 def prefetch_adapters(plan_round: PlanRound) -> None:
@@ -42,9 +45,11 @@
         _prefetch_adapter(plan_round, engine)
 
 
-def _place_adapter(plan_round: PlanRound, key: AdapterKey) -> None:
+def _place_adapter(
+    plan_round: PlanRound, key: AdapterKey, software_version: str | None = None
+) -> None:
     model, adapter = key
-    holders = plan_round.list_holders(model)
+    holders = plan_round.list_holders(model, software_version)
     if any(engine.has_adapter(model, adapter) for engine in holders):
         return
     free = [each for each in holders if each.entry.endpoint in plan_round.free_engines]
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -5,14 +5,17 @@
 Decides for each request whether it is sent to an endpoint, waits, or is rejected.
 """
 
+from collections import Counter
 from math import inf
 from typing import NamedTuple
 
 from kingcupdyke.forwarding.configuration import EngineSpec, ServiceSpec
+from kingcupdyke.forwarding.decayingrate import DecayingRate
 from kingcupdyke.forwarding.endpoint import Replica
 from kingcupdyke.forwarding.endpointtable import DEFAULT_TOKENS_PER_S, EndpointState, EndpointTable
 from kingcupdyke.forwarding.metadata import PromptPart
 from kingcupdyke.forwarding.peerstate import Demand, EndpointLoad
+from kingcupdyke.forwarding.pinneddemand import PinnedDemand
 
 __all__ = ["STOPPING_RETRY_S", "Decision", "Dispatcher", "Refuse", "Send", "Wait", "WorkItem"]
 
@@ -36,8 +39,6 @@
 MIN_REMAINING_S = 0.03
 #: Assumed duration in seconds of a plain service's requests until the first one has ended.
 INITIAL_DURATION_S = 0.05
-#: Seconds over which demand is averaged.
-DEMAND_WINDOW_S = 3.0
 #: Weight of the newest request in a service's moving average of request durations.
 DURATION_WEIGHT = 0.1
 
@@ -91,24 +92,6 @@
 Decision = Send | Wait | Refuse
 
 
-class _DecayingRate:
-    """A rate that decays to zero within two demand windows without new amounts."""
-
-    def __init__(self) -> None:
-        self._rate = 0.0
-        self._updated_s = 0.0
-
-    def add(self, amount: float, now_s: float) -> None:
-        """Add an amount."""
-        self._rate = self.read(now_s) + amount / DEMAND_WINDOW_S
-        self._updated_s = now_s
-
-    def read(self, now_s: float) -> float:
-        """:return: the amount a second"""
-        passed_s = max(0.0, now_s - self._updated_s)
-        return self._rate * max(0.0, 1.0 - passed_s / (2 * DEMAND_WINDOW_S)) ** 2
-
-
 class Dispatcher:
     """Queues the requests of one gateway and chooses their endpoints, for all services.
 
@@ -130,7 +113,7 @@
         #: Time by which requests must be sent, as the process stops soon after.
         self.send_by_s = inf
         self._waiting_by_id: dict[str, tuple[WorkItem, frozenset[str]]] = {}
-        self._demand_rate_by_model: dict[tuple[str, str], _DecayingRate] = {}
+        self._demand_rate_by_model: dict[tuple[str, str], DecayingRate] = {}
         self._mean_duration_s_by_service: dict[str, float] = {}
 
     def configure(self, service_by_name: dict[str, ServiceSpec]) -> None:
@@ -219,10 +202,10 @@
         )
 
     def list_demands(self, now_s: float) -> tuple[Demand, ...]:
-        """:return: this gateway's demand for each model and adapter"""
+        """:return: this gateway's demand for each model and adapter, other than pinned demand"""
         waiting: dict[tuple[str, str], int] = {}
         for item, _ in self._waiting_by_id.values():
-            if item.model:
+            if item.model and item.software_version is None:
                 key = (item.model, item.adapter)
                 waiting[key] = waiting.get(key, 0) + 1
         demands = []
@@ -233,8 +216,17 @@
                 demands.append(Demand(model, adapter, count, round(rate, 1)))
         return tuple(demands)
 
-    def _get_demand_rate(self, item: WorkItem) -> _DecayingRate:
-        return self._demand_rate_by_model.setdefault((item.model, item.adapter), _DecayingRate())
+    def list_pinned_demands(self) -> tuple[PinnedDemand, ...]:
+        """:return: this gateway's waiting streams that must continue at one software version"""
+        waiting = Counter(
+            (item.service, item.model, item.adapter, item.software_version)
+            for item, _ in self._waiting_by_id.values()
+            if item.model and item.software_version is not None
+        )
+        return tuple(PinnedDemand(*key, count) for key, count in waiting.items())
+
+    def _get_demand_rate(self, item: WorkItem) -> DecayingRate:
+        return self._demand_rate_by_model.setdefault((item.model, item.adapter), DecayingRate())
 
     def _record_sent(self, item: WorkItem, endpoint: str, now_s: float) -> None:
         state = self._endpoint_table.state_by_id[endpoint]
@@ -263,6 +255,8 @@
             if item.model not in engine_spec.models_by_name:
                 return Refuse("the service has no such model", RETRY_AFTER_S)
             holders = [each for each in states if self._has_replica(each, item, now_s)]
+            if not holders and self._is_held_by_excluded(item, ready, now_s):
+                return Refuse("no further endpoint of that software has the model", RETRY_AFTER_S)
             if not holders:
                 return self._await_replica(item, engine_spec, states, now_s)
             states = holders
@@ -276,6 +270,16 @@
             return self._choose(item, available, now_s)
         return self._await_capacity(item, reachable, now_s)
 
+    def _is_held_by_excluded(
+        self, item: WorkItem, ready: list[EndpointState], now_s: float
+    ) -> bool:
+        """:return: whether a stream would wait for a replica that the planner does not place, as
+        an endpoint of the stream's software version holds the model
+        """
+        return item.software_version is not None and any(
+            self._has_replica(each, item, now_s) for each in ready
+        )
+
     def _choose(self, item: WorkItem, states: list[EndpointState], now_s: float) -> Send | Refuse:
         """Choose the cheapest endpoint; reject if it cannot begin the answer in time."""
         costs = [(self._cost_s(each, item, now_s), each) for each in states]
@@ -332,14 +336,11 @@
         self, item: WorkItem, engine_spec: EngineSpec, states: list[EndpointState], now_s: float
     ) -> Decision:
         """Wait for the planner to place the model, or reject if that would take too long."""
-        wait_s = self._endpoint_table.estimate_ready_in_s(
-            item.model, item.adapter, now_s, item.software_version
-        )
+        table = self._endpoint_table
+        wait_s = table.estimate_ready_in_s(item.model, item.adapter, now_s, item.software_version)
         if wait_s is None:
             wait_s = ORDER_DELAY_S + self._load_s(item, engine_spec, states, now_s)
-        peers_tokens = (
-            self._endpoint_table.peer_waiting_by_model.get(item.model, 0) * item.prompt_tokens
-        )
+        peers_tokens = table.peer_waiting_by_model.get(item.model, 0) * item.prompt_tokens
         tokens_before = sum(each.prompt_tokens for each in self._list_ahead(item, now_s))
         wait_s += (tokens_before + peers_tokens) / self.tokens_per_s
         left_s = self._latest_send_s(item) - now_s
--- a/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
@@ -171,3 +171,7 @@
             for host, state in self._state_by_host.items()
             if now_s - self._received_s_by_host[host] < PEER_TIMEOUT_S
         ]
+
+    def list_hosts(self, is_stopping: bool, now_s: float) -> set[str]:
+        """:return: hosts of the live peers that are stopping, or of those that are not"""
+        return {each.host for each in self.live(now_s) if each.is_stopping == is_stopping}
--- /dev/null
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/pinneddemand.py
@@ -0,0 +1,79 @@
+"""
+kingcupdyke.forwarding.pinneddemand
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Demand of streams that must continue at one software version, as gateways report it to the planner.
+"""
+
+from typing import NamedTuple
+from zlib import error as zlib_error
+
+from expression import Error, Ok, Result
+
+from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke.forwarding.peerstate import pack_message, unpack_message
+
+__all__ = ["PinnedDemand", "PinnedDemandMessage", "PinnedDemandTable"]
+
+#: Seconds after which a gateway's report no longer counts.
+REPORT_VALID_S = 1.0
+
+
+class PinnedDemand(NamedTuple):
+    """Streams that wait for a model, or an adapter of it, at endpoints of one software version."""
+
+    service: str
+    model: str
+    adapter: str
+    software_version: str
+    #: Number of waiting requests.
+    waiting: int
+
+
+class PinnedDemandMessage(NamedTuple):
+    """The pinned demand at one gateway."""
+
+    #: Host of the sender.
+    sender: str
+    demands: tuple[PinnedDemand, ...]
+
+    def encode(self) -> bytes:
+        """:return: the message as compressed JSON"""
+        return pack_message(self._asdict())
+
+    @classmethod
+    def decode(cls, value: bytes) -> Result["PinnedDemandMessage", Failure]:
+        """:return: the message, or a failure if the bytes are not a valid message"""
+        try:
+            fields = unpack_message(value)
+            demands = tuple(_decode_demand(*each) for each in fields["demands"])
+            return Ok(cls(str(fields["sender"]), demands))
+        except (ValueError, TypeError, KeyError, zlib_error) as error:
+            reason = f"invalid pinned demand message: {error!r}"
+            return Error(Failure(Outcome.FAILED, Step.PARSE, "", reason))
+
+
+class PinnedDemandTable:
+    """The latest pinned demand of each gateway."""
+
+    def __init__(self) -> None:
+        self._report_by_host: dict[str, tuple[PinnedDemandMessage, float]] = {}
+
+    def put(self, message: PinnedDemandMessage, now_s: float) -> None:
+        """Replace the demand of the message's sender."""
+        self._report_by_host[message.sender] = (message, now_s)
+
+    def list(self, now_s: float) -> list[PinnedDemand]:
+        """:return: demand that was reported within REPORT_VALID_S"""
+        return [
+            demand
+            for message, received_s in self._report_by_host.values()
+            if now_s - received_s < REPORT_VALID_S
+            for demand in message.demands
+        ]
+
+
+def _decode_demand(
+    service: str, model: str, adapter: str, software_version: str, waiting: int
+) -> PinnedDemand:
+    return PinnedDemand(str(service), str(model), str(adapter), str(software_version), int(waiting))
--- a/packages/kingcupdyke/kingcupdyke/forwarding/planner.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/planner.py
@@ -12,6 +12,7 @@
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.enginestate import EngineState, OrderReply
 from kingcupdyke.forwarding.peerstate import Demand, Placement
+from kingcupdyke.forwarding.pinneddemand import PinnedDemand
 from kingcupdyke.forwarding.planround import TimedOrder
 from kingcupdyke.forwarding.residencyplan import ResidencyPlan
 from kingcupdyke.placement import Order, OrderKind
@@ -78,11 +79,13 @@
         demands: Sequence[Demand],
         tokens_per_s: float,
         now_s: float,
+        pinned: Sequence[PinnedDemand] = (),
     ) -> list[TimedOrder]:
         """Decide on the orders of one round; they count as sent.
 
         :param demands: demand that all gateways report
         :param tokens_per_s: prompt tokens a second that one engine reads
+        :param pinned: demand that only engines of one software version can serve
         """
         orders: list[TimedOrder] = []
         for service, engine_spec in engine_spec_by_service.items():
@@ -92,7 +95,8 @@
                 if resent is not None:
                     orders.append(TimedOrder(resent, engine.expected_end_s - now_s, "", 0.0))
             plan = self._plan_by_service.setdefault(service, ResidencyPlan(service))
-            orders += plan.plan(engine_spec, engines, demands, tokens_per_s, now_s)
+            own_pinned = [each for each in pinned if each.service == service]
+            orders += plan.plan(engine_spec, engines, demands, tokens_per_s, now_s, own_pinned)
         for timed in orders:
             self._begin(timed, now_s)
         return orders
--- a/packages/kingcupdyke/kingcupdyke/forwarding/planround.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/planround.py
@@ -12,6 +12,7 @@
 from kingcupdyke.forwarding.configuration import EngineSpec, ModelSpec
 from kingcupdyke.forwarding.enginestate import EngineState
 from kingcupdyke.forwarding.peerstate import Demand
+from kingcupdyke.forwarding.pinneddemand import PinnedDemand
 from kingcupdyke.placement import Order, OrderKind
 
 __all__ = ["PlanRound", "TimedOrder", "find_load_s", "has_local_copy"]
@@ -36,6 +37,7 @@
     :param engine_spec: capacity and models of each engine
     :param engines: all engines of the service; draining and unreachable ones are ignored
     :param demands: demand that all gateways report; several for one model add up
+    :param pinned: demand that only engines of one software version can serve
     :param next_id: returns the id of a new order
     :param now_s: time in seconds
     """
@@ -45,10 +47,12 @@
         engine_spec: EngineSpec,
         engines: Iterable[EngineState],
         demands: Iterable[Demand],
+        pinned: Iterable[PinnedDemand],
         next_id: Callable[[], str],
         now_s: float,
     ) -> None:
         self.engine_spec = engine_spec
+        self.pinned = [each for each in pinned if each.model in engine_spec.models_by_name]
         self.now_s = now_s
         self.engines = [each for each in engines if not each.entry.is_leaving and each.is_reachable]
         #: Engines that accept an order in this round, by endpoint.
@@ -81,8 +85,11 @@
         for table in (self.waiting, self.rate, self.waiting_by_model, self.rate_by_model):
             table.default_factory = None
 
-    def list_holders(self, model: str) -> list[EngineState]:
-        """:return: engines that hold a model and have no order to unload it"""
+    def list_holders(self, model: str, software_version: str | None = None) -> list[EngineState]:
+        """:return: engines that hold a model and have no order to unload it
+
+        :param software_version: version that the engines must run, or None for any
+        """
         holders = self._holders_by_model.get(model)
         if holders is None:
             holders = self._holders_by_model[model] = [
@@ -92,7 +99,9 @@
                 and engine.unloading_model != model
                 and (engine.entry.endpoint, model) not in self._unloading
             ]
-        return holders
+        if software_version is None:
+            return holders
+        return [each for each in holders if each.entry.software_version == software_version]
 
     def list_copy_endpoints(self, spec: ModelSpec) -> frozenset[str]:
         """:return: endpoints with a copy of a model's weights on disk or in host memory"""
@@ -104,9 +113,24 @@
             self._copy_endpoints_by_model[spec.name] = endpoints
         return endpoints
 
-    def is_loading(self, model: str) -> bool:
-        """:return: whether an engine is loading a model"""
-        return any(engine.loading_model == model for engine in self.engines)
+    def is_loading(self, model: str, software_version: str | None = None) -> bool:
+        """:return: whether an engine is loading a model
+
+        :param software_version: version that the engine must run, or None for any
+        """
+        return any(
+            engine.loading_model == model
+            and software_version in (None, engine.entry.software_version)
+            for engine in self.engines
+        )
+
+    def is_placed(self, model: str) -> bool:
+        """:return: whether this round has an order to load a model, or to free memory for it"""
+        return any(
+            model == each.successor
+            or (model == each.order.model and each.order.kind == OrderKind.LOAD)
+            for each in self.orders
+        )
 
     def get_demand(self, model: str) -> float:
         """:return: demand for a model in tokens a second, waiting requests included"""
