Resume a stream at the endpoint where it broke off, if that still serves

At its software version, the endpoint that began a stream is often the only one with the model. A broken off stream no longer excludes its endpoint, an endpoint that can't be connected is excluded as before; the rejection is taken back. Three rows of forwarder.feature expect one send more, to the endpoint that broke off, whose script closes then; a new row resumes there.

--- a/packages/kingcupdyke-daemon/features/forwarder.feature
+++ b/packages/kingcupdyke-daemon/features/forwarder.feature
@@ -27,7 +27,8 @@
       | a stream is passed on | GET /stream/1 | events | 200 events 1,2,3,4 | 1 |
       | a truncated stream does not look complete to the client | GET /stream/1 | cutevents; ok | cut | 1 0 |
       | a resumable stream continues at another endpoint | GET /resume/1 | cutevents; rest | 200 events 1,2,3,4 | 1 1 |
-      | a resumable stream without another endpoint does not look complete | GET /resume/1 | cutevents | cut | 1 |
+      | a resumable stream without another endpoint does not look complete | GET /resume/1 | cutevents close | cut | 2 |
+      | a resumable stream continues at the endpoint where it broke off, if there is no other | GET /resume/1 | cutevents rest | 200 events 1,2,3,4 | 2 |
       | a request without an answer within the route's timeout gets a gateway timeout | GET /safe/1 | hang | 504 | 1 |
       | a path without a route is not found | GET /none/1 | ok | 404 | 0 |
       | a stream that ends with its connection is passed on | GET /stream/1 | bare:1,2,3,4 | 200 events 1,2,3,4 | 1 |
@@ -36,8 +37,8 @@
       | a stream with a last chunk inside an event does not look complete | GET /stream/1 | chunked:1,2,3,part | cut | 1 |
       | a stream with a length that ends inside an event does not look complete | GET /stream/1 | sized:1,2,3,part | cut | 1 |
       | a resumable stream that ends with its connection inside an event continues at another endpoint | GET /resume/1 | bare:1,2,part; rest | 200 events 1,2,3,4 | 1 1 |
-      | a resumable stream that ends with its connection inside an event does not look complete | GET /resume/1 | bare:1,2,3,part | cut | 1 |
-      | a resumable stream does not continue at another software version | GET /resume/1 | cutevents; @v2 rest | cut | 1 0 |
+      | a resumable stream that ends with its connection inside an event does not look complete | GET /resume/1 | bare:1,2,3,part close | cut | 2 |
+      | a resumable stream does not continue at another software version | GET /resume/1 | cutevents close; @v2 rest | cut | 2 0 |
       | a resumable stream continues at the software version that began it | GET /resume/1 | cutevents; @v2 rest; rest | 200 events 1,2,3,4 | 1 0 1 |
       | a resumable stream without an event yet begins at another software version | GET /resume/1 | close; @v2 rest | 200 events 1,2,3,4 | 1 1 |
       | a stream whose events end with CRLF is passed on | GET /resume/1 | crlf:1,2,3,4 | 200 events 1,2,3,4 | 1 |
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -184,7 +184,8 @@
             result = await self._try_endpoint(decision.endpoint)
             if result is _AttemptResult.DELIVERED:
                 return
-            self._excluded.add(decision.endpoint)
+            if result is not _AttemptResult.BROKEN or not self._route.is_resumable:
+                self._excluded.add(decision.endpoint)
             self._is_in_flight = False
             if result not in (_AttemptResult.NOT_RUN, _AttemptResult.NOT_SENT):
                 self._attempts_run += 1
--- a/packages/kingcupdyke/features/dispatcher.feature
+++ b/packages/kingcupdyke/features/dispatcher.feature
@@ -52,7 +52,6 @@
       | not those that wait for another model | e1=m1 | place e1 m2 2; demand m3 60; submit r1 model=m2 tokens=1000 deadline_s=4 | r1:wait |
       | a stream waits for a placement at the version that began it | e1=m1 e2=m3 | version e2 v2; place e2 m2 2; submit r1 model=m2 deadline_s=5 software_version=v2 | r1:wait |
       | not for one at another version | e1=m1 e2=m3 | version e2 v2; place e1 m2 2; submit r1 model=m2 deadline_s=5 software_version=v2 | r1:reject |
-      | it is rejected if the version's only endpoint with the model has failed it | e1=m1 e2=m2 | version e1 v2; version e2 v2; submit r1 model=m1 deadline_s=9 software_version=v2 excluded=e1 | r1:reject |
       | a request is sent once the endpoint's entry contains the model | e1=m1 | submit r1 model=m2 deadline_s=8; hold e1 m2; poll | r1:e1 |
       | a request for a model that is not configured is rejected | e1=m1 | submit r1 model=m9 | r1:reject |
       | a prompt goes to the endpoint that has read its prefix | e1=m1 e2=m1 | submit r1 model=m1 parts=x:2000 tokens=2000; begin r1; peer e1 4; submit r2 model=m1 parts=y:2000 tokens=2000; begin r2; peer e1 0; submit r3 model=m1 parts=y:2000 tokens=2000 | r1:e1 r2:e2 r3:e2 |
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -255,8 +255,6 @@
             if item.model not in engine_spec.models_by_name:
                 return Refuse("the service has no such model", RETRY_AFTER_S)
             holders = [each for each in states if self._has_replica(each, item, now_s)]
-            if not holders and self._is_held_by_excluded(item, ready, now_s):
-                return Refuse("no further endpoint of that software has the model", RETRY_AFTER_S)
             if not holders:
                 return self._await_replica(item, engine_spec, states, now_s)
             states = holders
@@ -270,16 +268,6 @@
             return self._choose(item, available, now_s)
         return self._await_capacity(item, reachable, now_s)
 
-    def _is_held_by_excluded(
-        self, item: WorkItem, ready: list[EndpointState], now_s: float
-    ) -> bool:
-        """:return: whether a stream would wait for a replica that the planner does not place, as
-        an endpoint of the stream's software version holds the model
-        """
-        return item.software_version is not None and any(
-            self._has_replica(each, item, now_s) for each in ready
-        )
-
     def _choose(self, item: WorkItem, states: list[EndpointState], now_s: float) -> Send | Refuse:
         """Choose the cheapest endpoint; reject if it cannot begin the answer in time."""
         costs = [(self._cost_s(each, item, now_s), each) for each in states]
