--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
@@ -18,6 +18,9 @@
 #: Seconds for which an entry is kept that is missing after an outage of the store, as it may have
 #: lapsed during the outage. A live endpoint is listed again within about two seconds.
 LAPSED_ENTRY_S = 2.0
+#: Seconds for which a software version is remembered that is no longer listed. Must exceed the
+#: timeouts of routes.
+VERSION_MEMORY_S = 3600.0
 #: Seconds for which a planner's placement overrides the endpoint's own entry.
 PLACEMENT_VALID_S = 3.0
 #: Seconds past its expected time for which a replica is still expected to become ready.
@@ -226,12 +229,15 @@
         return versions[0] if len(versions) == 1 and self.listed_since_s <= since_s else None
 
     def _note_versions(self, now_s: float) -> None:
-        """Record the time at which each software version was last listed."""
+        """Record when each software version was last listed, and forget those of long ago."""
         entries = [state.entry for state in self.state_by_id.values()]
         listed = {(each.service, each.software_version) for each in entries}
         for key in listed | self._former_versions:
             self._listed_s_by_version[key] = now_s
         self._former_versions.clear()
+        for key, listed_s in list(self._listed_s_by_version.items()):
+            if now_s - listed_s > VERSION_MEMORY_S:
+                del self._listed_s_by_version[key]
 
     def apply_peer_states(self, peers: list[GatewayState], now_s: float) -> None:
         """Replace the loads, demands and unreachable endpoints by those that live peers report."""
