Log the parts of prompts, and why connecting to an endpoint failed

Without them the logs can't tell what requests had in common under which an endpoint ended, nor an endpoint that ended (its address refuses connections) from one that is cut off. RequestRecord gains `parts`.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
@@ -136,8 +136,12 @@
         try:
             with fail_after(CONNECT_TIMEOUT_S):
                 stream = await connect_tcp(*address)
-        except (OSError, TimeoutError) as error:
-            raise TransferError(Progress.NOT_SENT, str(error) or "connect timed out") from error
+        except TimeoutError as error:
+            raise TransferError(Progress.NOT_SENT, "connect timed out") from error
+        except OSError as error:
+            # anyio names the error of the system only as the cause of its own.
+            reason = f"connecting failed: {error.__cause__ or error!r}"
+            raise TransferError(Progress.NOT_SENT, reason) from error
         raw = stream.extra(SocketAttribute.raw_socket)
         for option in KEEPALIVE_OPTIONS:
             raw.setsockopt(*option)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -129,6 +129,8 @@
     list_age_ms: int
     model: str
     adapter: str
+    #: Ids of the parts of its prompt, in order.
+    parts: tuple[str, ...]
     #: Id of the attempt whose stream it continues, or empty for a new request.
     resumes: str
     #: Endpoints that it was sent to, in order of the sends, and versions of their software.
