--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -32,7 +32,7 @@
 from kingcupdyke.forwarding.dispatcher import Dispatcher
 from kingcupdyke.forwarding.endpoint import EndpointEntry
 from kingcupdyke.forwarding.endpointtable import EndpointTable
-from kingcupdyke.forwarding.metadata import AnswerMetadata, RequestMetadata
+from kingcupdyke.forwarding.metadata import AnswerMetadata, PromptPart, RequestMetadata
 from kingcupdyke.forwarding.retrybudget import SharedRetryBudget
 from kingcupdyke_daemon.forwarder.clientserver import ClientServer
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
@@ -66,7 +66,7 @@
 
 
 class PlainDialect(Dialect):
-    """Headers x-id, x-limit-s, x-mark, x-not-run and x-endpoint; decodes no store objects."""
+    """Headers x-id, x-limit-s, x-parts, x-mark, x-not-run and x-endpoint; decodes no objects."""
 
     def read_request(self, headers):
         values = dict(headers)
@@ -79,7 +79,7 @@
             "",
             0,
             0,
-            (),
+            tuple(PromptPart(each, 1) for each in values.get(b"x-parts", b"").decode().split()),
             values.get(b"x-resumes", b"").decode(),
         )
 
@@ -138,6 +138,8 @@
         #: Times in seconds at which the gateway closed a connection during a request.
         self.closed_times_s = []
         self.address = ("127.0.0.1", 1)
+        #: Number of its starts; each one is listed as a later start.
+        self.starts = 1
 
     async def serve(self, listener):
         await listener.serve(self.handle)
@@ -388,7 +390,9 @@
 
     def list_endpoint(self, endpoint):
         entry = make_entry(endpoint.name, endpoint.address)
-        self.endpoint_table.put(entry._replace(software_version=endpoint.software_version))
+        self.endpoint_table.put(
+            entry._replace(software_version=endpoint.software_version, started_ms=endpoint.starts)
+        )
 
     async def send(self, data):
         """:return: a new connection on which the bytes have been sent"""
