--- a/packages/kingcupdyke-daemon/features/steps/origins_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/origins_steps.py
@@ -80,8 +80,7 @@
             LoopTimer(tasks),
             lambda number: GatewayState(host, "i", number, *NO_STATE),
             lambda state: None,
-            self.received.append,
-            lambda message: None,
+            {OriginMessage: self.received.append},
         )
 
     def add_peer(self, host, peer):
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -13,9 +13,10 @@
 from h11 import Response
 
 from kingcupdyke.forwarding.configuration import Route, RouteKind
-from kingcupdyke.forwarding.dispatcher import Refuse, Wait, WorkItem
+from kingcupdyke.forwarding.dispatcher import Refuse, Wait
 from kingcupdyke.forwarding.endpoint import Replica
 from kingcupdyke.forwarding.metadata import AnswerMetadata, ForwardMetadata, RequestMetadata
+from kingcupdyke.forwarding.workitem import WorkItem
 from kingcupdyke_daemon.forwarder.answerrelay import AnswerRelay, strip_headers
 from kingcupdyke_daemon.forwarder.connection import EndpointConnection, Progress, TransferError
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peergossip.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peergossip.py
@@ -7,23 +7,23 @@
 
 import json
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from typing import Protocol
 
 from anyio import Event, Lock, create_task_group, create_udp_socket, move_on_after, sleep
 from anyio.abc import UDPSocket
+from expression import Result
 
-from kingcupdyke.error import OptionError
+from kingcupdyke.error import Failure, OptionError
 from kingcupdyke.forwarding.peerstate import GatewayState, PeerTable
-from kingcupdyke.forwarding.pinneddemand import PinnedDemandMessage
 from kingcupdyke.forwarding.storerelay import StoreRelay, list_relay_hosts
-from kingcupdyke.forwarding.streamorigin import OriginMessage
 from kingcupdyke.timer import TimerService
 from kingcupdyke.util import get_int_opt, get_str_opt
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
 from kingcupdyke_daemon.forwarder.storewatcher import StoreWatcher
 from kingcupdyke_wire.store import Conflict, StoreClient, StoreObject
 
-__all__ = ["PEERS_KIND", "PeerGossip"]
+__all__ = ["PEERS_KIND", "PeerGossip", "PeerMessage"]
 
 _LOGGER = logging.getLogger(__name__)
 #: Kind of the store's objects by which gateways find each other.
@@ -43,6 +43,14 @@
 REGISTER_RETRY_DELAY_S = 0.5
 
 
+class PeerMessage(Protocol):
+    """A class of messages between gateways, other than their states."""
+
+    @classmethod
+    def decode(cls, value: bytes) -> Result["PeerMessage", Failure]:
+        """:return: the message, or a failure if the bytes are not a message of this class"""
+
+
 class PeerGossip:
     """Sends this gateway's state to its peers and receives theirs.
 
@@ -55,8 +63,7 @@
     :param timer: the timer service
     :param make_state: returns this gateway's state for a message with the given number
     :param on_state: called with each received state that is newer than the last of its sender
-    :param on_origins: called with each received message on origins of streams
-    :param on_pinned: called with each received message on pinned demand
+    :param handlers: called with each received message of their class
     """
 
     def __init__(
@@ -70,8 +77,7 @@
         timer: TimerService,
         make_state: Callable[[int], GatewayState],
         on_state: Callable[[GatewayState], None],
-        on_origins: Callable[[OriginMessage], None],
-        on_pinned: Callable[[PinnedDemandMessage], None],
+        handlers: Mapping[type[PeerMessage], Callable[[PeerMessage], None]],
     ) -> None:
         self._host = host
         self._address = address
@@ -82,8 +88,7 @@
         self._timer = timer
         self._make_state = make_state
         self._on_state = on_state
-        self._on_origins = on_origins
-        self._on_pinned = on_pinned
+        self._handlers = handlers
         self._outbox: list[tuple[str, bytes]] = []
         self._posted = Event()
         self._send_lock = Lock()
@@ -204,14 +209,11 @@
 
     def _apply_other(self, data: bytes) -> None:
         """Apply a message that is not a gateway's state."""
-        origins = OriginMessage.decode(data)
-        if origins.is_ok():
-            self._on_origins(origins.ok)
-            return
-        pinned = PinnedDemandMessage.decode(data)
-        if pinned.is_ok():
-            self._on_pinned(pinned.ok)
-            return
+        for kind, handle in self._handlers.items():
+            message = kind.decode(data)
+            if message.is_ok():
+                handle(message.ok)
+                return
         relay = StoreRelay.decode(data)
         if relay.is_error():
             _LOGGER.warning("a peer's message can't be decoded: %s", relay.error.reason)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -23,10 +23,9 @@
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.handler import ForwardingHandler
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics, MetricsHandler
-from kingcupdyke_daemon.forwarder.origindirectory import OriginDirectory
+from kingcupdyke_daemon.forwarder.peerexchanges import PeerExchanges
 from kingcupdyke_daemon.forwarder.peergossip import PEERS_KIND, PeerGossip
 from kingcupdyke_daemon.forwarder.peerlog import PeerLog
-from kingcupdyke_daemon.forwarder.pinneddemands import PinnedDemands
 from kingcupdyke_daemon.forwarder.plannerrunner import (
     LEASE_NAME,
     RENEWAL_INTERVAL_S,
@@ -113,12 +112,13 @@
             settings.repeat_share, settings.repeat_allowance, settings.repeat_window_s
         )
         self._metrics = ForwarderMetrics(settings.host)
-        self._origins = OriginDirectory(
+        self._peer_table = PeerTable()
+        self._exchanges = PeerExchanges(
             settings.host,
+            self._dispatcher,
+            self._peer_table,
             self._timer,
-            lambda: self._peer_gossip.region,
-            lambda: self._peer_gossip.list_live_regions(),
-            self._post,
+            lambda: self._peer_gossip,
         )
         self._request_handler = ForwardingHandler(
             ForwarderDependencies(
@@ -131,7 +131,7 @@
                 self._timer,
                 self._metrics,
                 LineSampler(self._timer.now),
-                self._origins,
+                self._exchanges.origins,
             ),
             lambda: self._catalogue.get_ages(),
         )
@@ -141,11 +141,7 @@
         self._metrics_server = ClientServer(
             MetricsHandler(self._metrics), ClientLimits, self._timer.now
         )
-        self._peer_table = PeerTable()
         self._peer_log = PeerLog()
-        self._pinned_demands = PinnedDemands(
-            settings.host, self._dispatcher, self._peer_table, self._timer, self._post
-        )
         self._peer_gossip = PeerGossip(
             settings.host,
             settings.peer,
@@ -156,8 +152,7 @@
             self._timer,
             self._make_state,
             self._on_peer_state,
-            self._origins.receive,
-            self._pinned_demands.receive,
+            self._exchanges.handlers,
         )
         self._lease_promises = LeasePromises(settings.host, settings.lease_s + LEASE_MARGIN_S)
         self._planner_runner = self._make_planner_runner(store)
@@ -270,9 +265,6 @@
             await self._planner_runner.release_lease()
         handed_over.set()
 
-    def _post(self, host: str, message: bytes) -> None:
-        self._peer_gossip.post(host, message)
-
     def _apply_settings(self, settings: ForwarderSettings) -> None:
         self._dispatcher.region_by_data_centre = settings.region_by_data_centre
         self._peer_gossip.region_by_data_centre = settings.region_by_data_centre
@@ -301,7 +293,7 @@
             self._endpoint_table,
             self._dispatcher,
             self._peer_table,
-            self._pinned_demands,
+            self._exchanges.pinned_demands,
             self._lease_promises,
             self._list_members,
             self._list_stopping,
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/queue.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/queue.py
@@ -7,7 +7,8 @@
 
 from anyio import Event
 
-from kingcupdyke.forwarding.dispatcher import Decision, Dispatcher, Refuse, Send, Wait, WorkItem
+from kingcupdyke.forwarding.dispatcher import Decision, Dispatcher, Refuse, Send, Wait
+from kingcupdyke.forwarding.workitem import WorkItem
 from kingcupdyke.timer import TimerService
 
 __all__ = ["WaitingQueue"]
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
@@ -9,8 +9,9 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from kingcupdyke.forwarding.dispatcher import Refuse, Send, Wait, WorkItem
+from kingcupdyke.forwarding.dispatcher import Refuse, Send, Wait
 from kingcupdyke.forwarding.endpointtable import EndpointState
+from kingcupdyke.forwarding.workitem import WorkItem
 from kingcupdyke_daemon.forwarder.answerrelay import AnswerEnd
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.metrics import RequestTimes
--- a/packages/kingcupdyke-measure/kingcupdyke_measure/simulationengine.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/simulationengine.py
@@ -7,9 +7,9 @@
 
 from anyio.abc import TaskGroup
 
-from kingcupdyke.forwarding.dispatcher import WorkItem
 from kingcupdyke.forwarding.endpoint import EndpointEntry, EndpointReport, LoadedModel
 from kingcupdyke.forwarding.enginestate import OrderReply
+from kingcupdyke.forwarding.workitem import WorkItem
 from kingcupdyke.placement import Order, OrderKind
 from kingcupdyke_measure.simulationplan import SimulatedModel, SimulationPlan
 from kingcupdyke_standins.batch import Batcher, Run, RunRequest, Speed
--- a/packages/kingcupdyke-measure/kingcupdyke_measure/simulator.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/simulator.py
@@ -11,13 +11,14 @@
 from anyio.abc import TaskGroup
 
 from kingcupdyke.forwarding.configuration import EngineSpec, ModelSpec, ServiceSpec
-from kingcupdyke.forwarding.dispatcher import Dispatcher, Refuse, Wait, WorkItem
+from kingcupdyke.forwarding.dispatcher import Dispatcher, Refuse, Wait
 from kingcupdyke.forwarding.endpoint import Replica
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.enginestate import EngineState
 from kingcupdyke.forwarding.peerstate import GatewayState
 from kingcupdyke.forwarding.planner import PlacementPlanner
 from kingcupdyke.forwarding.planround import TimedOrder
+from kingcupdyke.forwarding.workitem import WorkItem
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
 from kingcupdyke_daemon.timer import LoopTimer
 from kingcupdyke_measure.simulationengine import SERVICE, SimulatedEngine
--- a/packages/kingcupdyke/features/forwarding_builders.py
+++ b/packages/kingcupdyke/features/forwarding_builders.py
@@ -13,8 +13,8 @@
     ServiceSpec,
     WeightedService,
 )
-from kingcupdyke.forwarding.dispatcher import WorkItem
 from kingcupdyke.forwarding.endpoint import EndpointEntry, LoadedModel
+from kingcupdyke.forwarding.workitem import WorkItem
 
 __all__ = [
     "GB",
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -13,11 +13,11 @@
 from kingcupdyke.forwarding.decayingrate import DecayingRate
 from kingcupdyke.forwarding.endpoint import Replica
 from kingcupdyke.forwarding.endpointtable import DEFAULT_TOKENS_PER_S, EndpointState, EndpointTable
-from kingcupdyke.forwarding.metadata import PromptPart
 from kingcupdyke.forwarding.peerstate import Demand, EndpointLoad
 from kingcupdyke.forwarding.pinneddemand import PinnedDemand
+from kingcupdyke.forwarding.workitem import WorkItem
 
-__all__ = ["STOPPING_RETRY_S", "Decision", "Dispatcher", "Refuse", "Send", "Wait", "WorkItem"]
+__all__ = ["STOPPING_RETRY_S", "Decision", "Dispatcher", "Refuse", "Send", "Wait"]
 
 #: Backlog of unread prompts, in seconds of reading, up to which an engine receives further
 #: requests. It keeps the engine busy, and an urgent request does not wait long behind others.
@@ -43,29 +43,6 @@
 DURATION_WEIGHT = 0.1
 
 
-class WorkItem(NamedTuple):
-    """The properties of a request on which the dispatcher decides."""
-
-    attempt_id: str
-    service: str
-    model: str
-    adapter: str
-    parts: tuple[PromptPart, ...]
-    prompt_tokens: int
-    output_tokens: int
-    #: Rank; 0 is the most urgent.
-    priority: int
-    arrived_s: float
-    #: Time until which the first event counts as on time.
-    objective_s: float
-    #: Time by which the answer must have begun, as the client leaves then.
-    first_by_s: float
-    #: Time by which the answer must be complete.
-    deadline_s: float
-    #: Software version at which its stream must continue, or None for any.
-    software_version: str | None = None
-
-
 class Send(NamedTuple):
     """Send the request to an endpoint."""
 
