Reject requests with a part in their prompts that crashes endpoints

Callers saw most drafts rejected or broken off, as endpoint after endpoint ended. Cause: a request whose prompt crashes its endpoint looked like any broken connection, and no gateway kept what the requests at the ended endpoints had in common; each new request, and each repeat, ended another one. Class: a fault that travels with the work, handled as a fault of the place.

Gateways now check whether an endpoint has crashed under a request, tell each other of the prompts there, and find the parts that all crashes have in common and that no answer has survived (crashtable).

--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -29,12 +29,15 @@
     ServiceSpec,
     WeightedService,
 )
+from kingcupdyke.forwarding.crashreport import CrashMessage
+from kingcupdyke.forwarding.crashtable import CrashTable
 from kingcupdyke.forwarding.dispatcher import Dispatcher
 from kingcupdyke.forwarding.endpoint import EndpointEntry
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.metadata import AnswerMetadata, PromptPart, RequestMetadata
 from kingcupdyke.forwarding.retrybudget import SharedRetryBudget
 from kingcupdyke_daemon.forwarder.clientserver import ClientServer
+from kingcupdyke_daemon.forwarder.crashdirectory import CrashDirectory
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.handler import ForwardingHandler
@@ -356,17 +359,60 @@
     )
 
 
+class PeerNetwork:
+    """Carries messages between the rigs of gateways.
+
+    :param delay_s: time that each message takes
+    :param loss_interval: all but one of so many messages are lost; 1 loses none
+    """
+
+    def __init__(self, tasks, delay_s=0.002, loss_interval=1):
+        self._tasks = tasks
+        self._delay_s = delay_s
+        self._loss_interval = loss_interval
+        self._sent = 0
+        self.rig_by_host = {}
+
+    def list_peers(self, host):
+        """:return: incarnations of a gateway's peers by host"""
+        rigs = self.rig_by_host.items()
+        return {name: str(id(rig)) for name, rig in rigs if name != host}
+
+    def send(self, host, data):
+        self._sent += 1
+        if self._sent % self._loss_interval == 0:
+            self._tasks.start_soon(self._deliver, host, data)
+
+    async def _deliver(self, host, data):
+        await sleep(self._delay_s)
+        if host in self.rig_by_host:
+            self.rig_by_host[host].receive(data)
+
+
 class ForwarderRig:
     """A gateway's client server and request handler, with their collaborators and endpoints."""
 
-    def __init__(self, tasks, endpoints, retry_allowance=100.0):
+    def __init__(self, tasks, endpoints, retry_allowance=100.0, host="n1", network=None):
         timer = LoopTimer(tasks)
+        #: Carries messages between gateways.
+        self.network = network or PeerNetwork(tasks)
+        self.network.rig_by_host[host] = self
         self.endpoint_table = EndpointTable()
-        self.dispatcher = Dispatcher(self.endpoint_table, "n1", {"n1": "north"})
+        self.crash_table = CrashTable()
+        self.dispatcher = Dispatcher(self.endpoint_table, "n1", {"n1": "north"}, self.crash_table)
         queue = WaitingQueue(self.dispatcher, timer)
         self.pool = ConnectionPool(PlainDialect(), timer)
         budget = SharedRetryBudget(0.2, retry_allowance, 10.0)
         self.metrics = ForwarderMetrics("test")
+        self.crashes = CrashDirectory(
+            host,
+            self.crash_table,
+            self.endpoint_table,
+            timer,
+            tasks,
+            lambda: self.network.list_peers(host),
+            self.network.send,
+        )
         deps = ForwarderDependencies(
             PlainDialect(),
             self.dispatcher,
@@ -378,6 +424,7 @@
             self.metrics,
             LineSampler(timer.now),
             OriginDirectory("n1", timer, lambda: "north", dict, lambda host, message: None),
+            self.crashes,
         )
         self.endpoint_table.listed_since_s = -inf
         self.handler = ForwardingHandler(deps)
@@ -394,6 +441,10 @@
             entry._replace(software_version=endpoint.software_version, started_ms=endpoint.starts)
         )
 
+    def receive(self, data):
+        """Process a peer's message."""
+        self.crashes.receive(CrashMessage.decode(data).ok)
+
     async def send(self, data):
         """:return: a new connection on which the bytes have been sent"""
         stream = await connect_tcp(*self.address)
@@ -421,14 +472,16 @@
 
 
 @asynccontextmanager
-async def open_rig(scripts, retry_allowance=100.0):
+async def open_rig(scripts, retry_allowance=100.0, host="n1", network=None):
     """Run a rig while the context is open.
 
+    :param host: name of the gateway
+    :param network: carries its messages to its peers, or None if it has none
     :param scripts: one script for each of the endpoints e1, e2 ...; ``down`` does not listen
     """
     endpoints = [ScriptedEndpoint(f"e{n}", each) for n, each in enumerate(scripts, 1)]
     async with create_task_group() as tasks:
-        rig = ForwarderRig(tasks, endpoints, retry_allowance)
+        rig = ForwarderRig(tasks, endpoints, retry_allowance, host, network)
         for endpoint in endpoints:
             if endpoint.script != ["down"]:
                 listener = (await create_tcp_listener(local_host="127.0.0.1")).listeners[0]
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/crashdirectory.py
@@ -0,0 +1,210 @@
+"""
+kingcupdyke_daemon.forwarder.crashdirectory
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Finds out whether a lost request's endpoint has crashed, and tells the other gateways.
+"""
+
+import logging
+from collections.abc import Callable, Iterator, Mapping
+from typing import NamedTuple
+
+from anyio import aclose_forcefully, connect_tcp, move_on_after, sleep
+from anyio.abc import TaskGroup
+
+from kingcupdyke.forwarding.crashreport import CrashMessage, CrashReport
+from kingcupdyke.forwarding.crashtable import CrashSignature, CrashTable
+from kingcupdyke.forwarding.endpoint import EndpointEntry
+from kingcupdyke.forwarding.endpointtable import EndpointTable
+from kingcupdyke.timer import TimerService
+from kingcupdyke.util import rank_rendezvous
+from kingcupdyke_daemon.logs import log_record
+from kingcupdyke_daemon.records import CrashRecord, CrashSignatureRecord
+
+__all__ = ["CrashDirectory"]
+
+_LOGGER = logging.getLogger(__name__)
+#: Timeout for connecting to an endpoint whose connection broke.
+CONNECT_TIMEOUT_S = 1.0
+#: Time within which an endpoint that accepts connections must be listed with a later start to count
+#: as crashed, and interval between looks at the list.
+RESTART_TIMEOUT_S = 3.0
+RESTART_POLL_INTERVAL_S = 0.25
+#: Interval between looks for peers that have started.
+NEWCOMER_INTERVAL_S = 0.1
+#: Interval between messages with all reports, each to another peer.
+REPEAT_INTERVAL_S = 1.0
+#: Number of gateways that send a peer all reports when it starts.
+NEWCOMER_SENDERS = 3
+#: Limit of reports in one message, so that it fits in a datagram.
+MAX_MESSAGE_REPORTS = 32
+
+
+class _LostRequest(NamedTuple):
+    """A request whose connection to its endpoint broke."""
+
+    parts: tuple[str, ...]
+    is_beginning: bool
+    lost_s: float
+
+
+class CrashDirectory:
+    """Records crashes of endpoints here and at peers.
+
+    :param host: name of this host
+    :param table: the crashes that are known here
+    :param endpoint_table: the endpoints
+    :param timer: the timer service
+    :param tasks: task group of the checks whether an endpoint has crashed
+    :param list_peers: returns the incarnations of the live peers by host
+    :param send: sends a message to a peer; it may be lost
+    """
+
+    def __init__(
+        self,
+        host: str,
+        table: CrashTable,
+        endpoint_table: EndpointTable,
+        timer: TimerService,
+        tasks: TaskGroup,
+        list_peers: Callable[[], Mapping[str, str]],
+        send: Callable[[str, bytes], None],
+    ) -> None:
+        self._host = host
+        self._table = table
+        self._endpoint_table = endpoint_table
+        self._timer = timer
+        self._tasks = tasks
+        self._list_peers = list_peers
+        self._send = send
+        #: Lost requests by endpoint and start of its process, until it is known whether it crashed.
+        self._lost_by_process: dict[tuple[str, int], list[_LostRequest]] = {}
+        self._incarnation_by_peer: dict[str, str] = {}
+        self._repeats = 0
+        self._signatures: tuple[CrashSignature, ...] = ()
+        timer.subscribe("crash newcomers", NEWCOMER_INTERVAL_S, self._greet_newcomers)
+        timer.subscribe("crash repeats", REPEAT_INTERVAL_S, self._repeat)
+
+    def note_sound(self, parts: tuple[str, ...]) -> None:
+        """Record that an endpoint writes an answer to a prompt without crashing."""
+        now_s = self._timer.now()
+        if self._table.note_sound(parts, now_s):
+            message = self._table.make_message(self._host, now_s)
+            sound = tuple(each for each in message.sound_parts if each.part in parts)
+            self._broadcast(CrashMessage(self._host, (), sound))
+            self._log_signatures()
+
+    def note_lost(self, entry: EndpointEntry, parts: tuple[str, ...], is_beginning: bool) -> None:
+        """Record that a request's connection broke before or at the beginning of its answer.
+
+        :param entry: the endpoint's entry when the request was sent
+        :param is_beginning: whether the head of the answer had been received
+        """
+        state = self._endpoint_table.state_by_id.get(entry.endpoint)
+        if not parts or state is None or state.entry.is_leaving:
+            return
+        lost = _LostRequest(parts, is_beginning, self._timer.now())
+        process = (entry.endpoint, entry.started_ms)
+        if process in self._lost_by_process:
+            self._lost_by_process[process].append(lost)
+            return
+        self._lost_by_process[process] = [lost]
+        self._tasks.start_soon(self._check, entry)
+
+    def receive(self, message: CrashMessage) -> None:
+        """Process a message of a peer."""
+        if self._table.merge(message, self._timer.now()):
+            self._log_signatures()
+
+    async def _check(self, entry: EndpointEntry) -> None:
+        process = (entry.endpoint, entry.started_ms)
+        has_crashed = False
+        try:
+            has_crashed = await _refuses_connections(entry.address) or await self._restarts(entry)
+        finally:
+            lost = self._lost_by_process.pop(process)
+        if has_crashed:
+            self._record(process, lost)
+
+    async def _restarts(self, entry: EndpointEntry) -> bool:
+        """:return: whether an endpoint is listed with a later start within RESTART_TIMEOUT_S"""
+        with move_on_after(RESTART_TIMEOUT_S):
+            while True:
+                state = self._endpoint_table.state_by_id.get(entry.endpoint)
+                if state is not None and state.entry.started_ms > entry.started_ms:
+                    return True
+                await sleep(RESTART_POLL_INTERVAL_S)
+        return False
+
+    def _record(self, process: tuple[str, int], lost: list[_LostRequest]) -> None:
+        now_s = self._timer.now()
+        reports = tuple(
+            CrashReport(*process, each.parts, each.is_beginning, now_s - each.lost_s)
+            for each in lost
+        )
+        new = tuple(each for each in reports if self._table.record(each, now_s))
+        for each in new:
+            record = CrashRecord(each.endpoint, each.started_ms, each.parts, each.is_beginning)
+            log_record(_LOGGER, "endpoint crashed under request", record)
+        if new:
+            self._broadcast(CrashMessage(self._host, new, ()))
+            self._log_signatures()
+
+    def _broadcast(self, message: CrashMessage) -> None:
+        for data in _encode(message):
+            for peer in self._list_peers():
+                self._send(peer, data)
+
+    def _greet_newcomers(self, now_s: float) -> None:
+        """Send all reports to peers that have started, as one of the gateways chosen for that."""
+        peers = dict(self._list_peers())
+        newcomers = [
+            host
+            for host, incarnation in peers.items()
+            if self._incarnation_by_peer.get(host) != incarnation
+        ]
+        self._incarnation_by_peer = peers
+        for newcomer in newcomers:
+            senders = rank_rendezvous(newcomer, {self._host, *peers} - {newcomer})
+            if self._host in senders[:NEWCOMER_SENDERS]:
+                self._send_all(newcomer, now_s)
+
+    def _repeat(self, now_s: float) -> None:
+        """Send all reports to the next peer, as messages may have been lost."""
+        self._table.drop_expired(now_s)
+        self._log_signatures()
+        peers = sorted(self._list_peers())
+        if peers:
+            self._repeats += 1
+            self._send_all(peers[self._repeats % len(peers)], now_s)
+
+    def _send_all(self, peer: str, now_s: float) -> None:
+        if not self._table.is_empty:
+            for data in _encode(self._table.make_message(self._host, now_s)):
+                self._send(peer, data)
+
+    def _log_signatures(self) -> None:
+        known = {each.parts for each in self._signatures}
+        self._signatures = self._table.signatures
+        for each in self._signatures:
+            if each.parts not in known:
+                record = CrashSignatureRecord(tuple(sorted(each.parts)), each.crashes)
+                log_record(_LOGGER, "prompts crash endpoints", record, logging.WARNING)
+
+
+async def _refuses_connections(address: tuple[str, int]) -> bool:
+    """:return: whether no process listens at an address of a host that answers"""
+    try:
+        with move_on_after(CONNECT_TIMEOUT_S):
+            await aclose_forcefully(await connect_tcp(*address))
+    except OSError as error:
+        return isinstance(error.__cause__, ConnectionRefusedError)
+    return False
+
+
+def _encode(message: CrashMessage) -> Iterator[bytes]:
+    """:return: the message as datagrams; merging them in any order gives the same"""
+    reports = message.reports
+    for start in range(0, max(1, len(reports)), MAX_MESSAGE_REPORTS):
+        part = message._replace(reports=reports[start : start + MAX_MESSAGE_REPORTS])
+        yield part.encode()
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/dependencies.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/dependencies.py
@@ -11,6 +11,7 @@
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.retrybudget import SharedRetryBudget
 from kingcupdyke.timer import TimerService
+from kingcupdyke_daemon.forwarder.crashdirectory import CrashDirectory
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
 from kingcupdyke_daemon.forwarder.origindirectory import OriginDirectory
@@ -34,3 +35,4 @@
     metrics: ForwarderMetrics
     sampler: LineSampler
     origins: OriginDirectory
+    crashes: CrashDirectory
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -19,6 +19,7 @@
 from kingcupdyke.forwarding.workitem import WorkItem
 from kingcupdyke_daemon.forwarder.answerrelay import AnswerRelay, strip_headers
 from kingcupdyke_daemon.forwarder.connection import EndpointConnection, Progress, TransferError
+from kingcupdyke_daemon.forwarder.crashwatch import CrashWatch
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.dialect import LAST_EVENT_ID
 from kingcupdyke_daemon.forwarder.finalanswer import FinalAnswer, KeptAnswer
@@ -122,6 +123,7 @@
         self._first_s: float | None = None
         self._status = 0
         self._unread_tokens = 0
+        self._watch: CrashWatch | None = None
         is_stream = route.kind is RouteKind.STREAMING
         self._answer = AnswerRelay(reply, is_stream, route.is_resumable, self._pin_version)
         self._continuation = StreamContinuation(
@@ -225,18 +227,21 @@
         state = deps.endpoint_table.state_by_id.get(endpoint)
         if state is None:
             return _AttemptResult.NOT_SENT
-        address = state.entry.address
         self._unread_tokens = state.unread_tokens
+        self._watch = CrashWatch(deps.crashes, deps.timer, state.entry, self._item.part_ids)
         sent_s = deps.timer.now()
         connection: EndpointConnection | None = None
         is_reusable = False
         disconnect: ClientDisconnectedError | None = None
         try:
-            connection = await deps.pool.acquire(endpoint, address, not self._is_retryable)
+            connection = await deps.pool.acquire(
+                endpoint, state.entry.address, not self._is_retryable
+            )
             async with create_task_group() as tasks:
                 try:
                     result, is_reusable = await self._forward(tasks, connection, endpoint, sent_s)
                 except TransferError as error:
+                    self._watch.note_lost()
                     result = self._handle_transfer_error(endpoint, error)
                 except ClientDisconnectedError as error:
                     disconnect = error
@@ -297,6 +302,7 @@
             return (
                 _AttemptResult.UNKNOWN if not self._reply.has_begun else _AttemptResult.BROKEN
             ), False
+        self._watch.note_head()
         if head.status_code >= STATUS_FAILURE:
             return await self._keep_failure(connection, endpoint, head)
         if self._reply.has_begun and head.status_code != self._status:
@@ -304,6 +310,7 @@
             return _AttemptResult.BROKEN, False
         result = await self._relay(connection, endpoint, head, sent_s)
         deps.endpoint_table.note_success(endpoint)
+        self._watch.note_sound()
         return result, True
 
     async def _handle_not_run(
@@ -357,6 +364,7 @@
         has_first = False
         async for data in connection.read_body():
             self._record_activity(endpoint)
+            self._watch.note_data()
             if not has_first:
                 has_first = True
                 self._first_s = self._first_s or self._deps.timer.now()
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peerexchanges.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peerexchanges.py
@@ -7,11 +7,17 @@
 
 from collections.abc import Callable, Mapping
 
+from anyio.abc import TaskGroup
+
+from kingcupdyke.forwarding.crashreport import CrashMessage
+from kingcupdyke.forwarding.crashtable import CrashTable
 from kingcupdyke.forwarding.dispatcher import Dispatcher
+from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.peerstate import PeerTable
 from kingcupdyke.forwarding.pinneddemand import PinnedDemandMessage
 from kingcupdyke.forwarding.streamorigin import OriginMessage
 from kingcupdyke.timer import TimerService
+from kingcupdyke_daemon.forwarder.crashdirectory import CrashDirectory
 from kingcupdyke_daemon.forwarder.origindirectory import OriginDirectory
 from kingcupdyke_daemon.forwarder.peergossip import PeerGossip, PeerMessage
 from kingcupdyke_daemon.forwarder.pinneddemands import PinnedDemands
@@ -24,8 +30,11 @@
 
     :param host: name of this host
     :param dispatcher: this gateway's waiting requests
+    :param endpoint_table: the endpoints
+    :param crash_table: the crashes that are known here
     :param peers: the peers' states
     :param timer: the timer service
+    :param tasks: task group of the checks whether endpoints have crashed
     :param get_gossip: returns the sender and receiver of the messages
     """
 
@@ -33,8 +42,11 @@
         self,
         host: str,
         dispatcher: Dispatcher,
+        endpoint_table: EndpointTable,
+        crash_table: CrashTable,
         peers: PeerTable,
         timer: TimerService,
+        tasks: TaskGroup,
         get_gossip: Callable[[], PeerGossip],
     ) -> None:
         def post(peer: str, message: bytes) -> None:
@@ -48,6 +60,15 @@
             post,
         )
         self.pinned_demands = PinnedDemands(host, dispatcher, peers, timer, post)
+        self.crashes = CrashDirectory(
+            host,
+            crash_table,
+            endpoint_table,
+            timer,
+            tasks,
+            lambda: {each.host: each.incarnation for each in peers.live(timer.now())},
+            post,
+        )
 
     @property
     def handlers(self) -> Mapping[type[PeerMessage], Callable[[PeerMessage], None]]:
@@ -55,4 +76,5 @@
         return {
             OriginMessage: self.origins.receive,
             PinnedDemandMessage: self.pinned_demands.receive,
+            CrashMessage: self.crashes.receive,
         }
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
@@ -144,7 +144,7 @@
             list_age_ms=self._ages.list_ms,
             model=self._item.model,
             adapter=self._item.adapter,
-            parts=tuple(each.part_id for each in self._item.parts),
+            parts=self._item.part_ids,
             resumes=self._resumes,
             endpoints=tuple(each.endpoint for each in sends),
             software_versions=tuple(each.software_version for each in sends),
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/logs.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/logs.py
@@ -131,9 +131,11 @@
         logger.info(event, extra={"fields": values})
 
 
-def log_record(logger: logging.Logger, event: str, fields: NamedTuple) -> None:
+def log_record(
+    logger: logging.Logger, event: str, fields: NamedTuple, level: int = logging.INFO
+) -> None:
     """Log an event with typed fields."""
-    logger.info(event, extra={"fields": fields._asdict()})
+    logger.log(level, event, extra={"fields": fields._asdict()})
 
 
 def count_dropped() -> int:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -10,6 +10,8 @@
 __all__ = [
     "DataAges",
     "CallRecord",
+    "CrashRecord",
+    "CrashSignatureRecord",
     "EndpointRecord",
     "EngineRecord",
     "OrderRecord",
@@ -195,6 +197,27 @@
     heartbeat: int
 
 
+class CrashRecord(NamedTuple):
+    """Fields of a request that was lost with an endpoint that crashed."""
+
+    endpoint: str
+    #: Unix time in milliseconds of the start of the endpoint's process.
+    started_ms: int
+    #: Ids of the parts of the request's prompt, in order.
+    parts: tuple[str, ...]
+    #: Whether its answer was just beginning.
+    is_beginning: bool
+
+
+class CrashSignatureRecord(NamedTuple):
+    """Fields of the mark of prompts that are rejected from now on, as they crash endpoints."""
+
+    #: Ids of the parts that such prompts have in common.
+    parts: tuple[str, ...]
+    #: Number of crashes at which such a prompt was.
+    crashes: int
+
+
 class PeerRecord(NamedTuple):
     """Fields of a peer gateway that became responsive or unresponsive."""
 
--- /dev/null
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/crashreport.py
@@ -0,0 +1,74 @@
+"""
+kingcupdyke.forwarding.crashreport
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Reports on requests at endpoints that crashed, which gateways tell each other.
+"""
+
+from typing import NamedTuple
+from zlib import error as zlib_error
+
+from expression import Error, Ok, Result
+
+from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke.forwarding.peerstate import pack_message, unpack_message
+
+__all__ = ["CrashMessage", "CrashReport", "SoundPart"]
+
+
+class CrashReport(NamedTuple):
+    """A request whose answer had at most begun when its endpoint crashed."""
+
+    endpoint: str
+    #: Unix time in milliseconds of the start of the endpoint's process that crashed.
+    started_ms: int
+    #: Ids of the parts of the request's prompt, in order.
+    parts: tuple[str, ...]
+    #: Whether its answer was just beginning: the head had been received, and nothing after it.
+    is_beginning: bool
+    #: Seconds since the crash.
+    age_s: float
+
+
+class SoundPart(NamedTuple):
+    """A part of prompts on which an endpoint has written an answer without crashing."""
+
+    part: str
+    #: Seconds since the latest such answer.
+    age_s: float
+
+
+class CrashMessage(NamedTuple):
+    """All reports that a gateway has, its own and those of its peers."""
+
+    #: Host of the sender.
+    sender: str
+    reports: tuple[CrashReport, ...]
+    sound_parts: tuple[SoundPart, ...]
+
+    def encode(self) -> bytes:
+        """:return: the message as compressed JSON"""
+        return pack_message({"crashes": self._asdict()})
+
+    @classmethod
+    def decode(cls, value: bytes) -> Result["CrashMessage", Failure]:
+        """:return: the message, or a failure if the bytes are not a valid message"""
+        try:
+            fields = unpack_message(value)["crashes"]
+            reports = tuple(_decode_report(*each) for each in fields["reports"])
+            sound = tuple(
+                SoundPart(str(part), float(age_s)) for part, age_s in fields["sound_parts"]
+            )
+            return Ok(cls(str(fields["sender"]), reports, sound))
+        except (ValueError, TypeError, KeyError, zlib_error) as error:
+            reason = f"invalid crash message: {error!r}"
+            return Error(Failure(Outcome.FAILED, Step.PARSE, "", reason))
+
+
+def _decode_report(
+    endpoint: str, started_ms: int, parts: list[str], is_beginning: bool, age_s: float
+) -> CrashReport:
+    if not isinstance(parts, list):
+        raise TypeError("parts must be a list")
+    ids = tuple(str(each) for each in parts)
+    return CrashReport(str(endpoint), int(started_ms), ids, bool(is_beginning), float(age_s))
--- a/packages/kingcupdyke/kingcupdyke/forwarding/workitem.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/workitem.py
@@ -33,3 +33,8 @@
     deadline_s: float
     #: Software version at which its stream must continue, or None for any.
     software_version: str | None = None
+
+    @property
+    def part_ids(self) -> tuple[str, ...]:
+        """:return: ids of the parts of its prompt, in order"""
+        return tuple(each.part_id for each in self.parts)
