--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -30,7 +30,6 @@
     WeightedService,
 )
 from kingcupdyke.forwarding.crashreport import CrashMessage
-from kingcupdyke.forwarding.crashtable import CrashTable
 from kingcupdyke.forwarding.dispatcher import Dispatcher
 from kingcupdyke.forwarding.endpoint import EndpointEntry
 from kingcupdyke.forwarding.endpointtable import EndpointTable
@@ -398,8 +397,8 @@
         self.network = network or PeerNetwork(tasks)
         self.network.rig_by_host[host] = self
         self.endpoint_table = EndpointTable()
-        self.crash_table = CrashTable()
-        self.dispatcher = Dispatcher(self.endpoint_table, "n1", {"n1": "north"}, self.crash_table)
+        self.dispatcher = Dispatcher(self.endpoint_table, "n1", {"n1": "north"})
+        self.crash_table = self.dispatcher.crash_table
         queue = WaitingQueue(self.dispatcher, timer)
         self.pool = ConnectionPool(PlainDialect(), timer)
         budget = SharedRetryBudget(0.2, retry_allowance, 10.0)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peerexchanges.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peerexchanges.py
@@ -10,7 +10,6 @@
 from anyio.abc import TaskGroup
 
 from kingcupdyke.forwarding.crashreport import CrashMessage
-from kingcupdyke.forwarding.crashtable import CrashTable
 from kingcupdyke.forwarding.dispatcher import Dispatcher
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.peerstate import PeerTable
@@ -29,9 +28,8 @@
     """The directories that gateways keep together, each with messages of its own.
 
     :param host: name of this host
-    :param dispatcher: this gateway's waiting requests
+    :param dispatcher: this gateway's waiting requests, and the crashes that it knows
     :param endpoint_table: the endpoints
-    :param crash_table: the crashes that are known here
     :param peers: the peers' states
     :param timer: the timer service
     :param tasks: task group of the checks whether endpoints have crashed
@@ -43,7 +41,6 @@
         host: str,
         dispatcher: Dispatcher,
         endpoint_table: EndpointTable,
-        crash_table: CrashTable,
         peers: PeerTable,
         timer: TimerService,
         tasks: TaskGroup,
@@ -62,7 +59,7 @@
         self.pinned_demands = PinnedDemands(host, dispatcher, peers, timer, post)
         self.crashes = CrashDirectory(
             host,
-            crash_table,
+            dispatcher.crash_table,
             endpoint_table,
             timer,
             tasks,
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -11,7 +11,6 @@
 from anyio.abc import SocketListener, TaskGroup
 
 from kingcupdyke.forwarding.configuration import ClientLimits, Configuration
-from kingcupdyke.forwarding.crashtable import CrashTable
 from kingcupdyke.forwarding.dispatcher import Dispatcher
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.leasepromise import LeasePromises
@@ -104,12 +103,8 @@
         self._is_stopping = False
         self._timer = LoopTimer(tasks)
         self._endpoint_table = EndpointTable()
-        self._crash_table = CrashTable()
         self._dispatcher = Dispatcher(
-            self._endpoint_table,
-            settings.data_centre,
-            settings.region_by_data_centre,
-            self._crash_table,
+            self._endpoint_table, settings.data_centre, settings.region_by_data_centre
         )
         self._queue = WaitingQueue(self._dispatcher, self._timer)
         self._pool = ConnectionPool(dialect, self._timer)
@@ -122,7 +117,6 @@
             settings.host,
             self._dispatcher,
             self._endpoint_table,
-            self._crash_table,
             self._peer_table,
             self._timer,
             tasks,
@@ -191,7 +185,6 @@
             self._gateway_watcher,
             self._endpoint_table,
             self._dispatcher,
-            self._crash_table,
             self._peer_table,
             self._planner_runner,
             self._timer,
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/stategauges.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/stategauges.py
@@ -7,7 +7,6 @@
 
 from typing import NamedTuple
 
-from kingcupdyke.forwarding.crashtable import CrashTable
 from kingcupdyke.forwarding.dispatcher import Dispatcher
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.peerstate import PeerTable
@@ -28,7 +27,6 @@
     gateway_watcher: StoreWatcher
     endpoint_table: EndpointTable
     dispatcher: Dispatcher
-    crash_table: CrashTable
     peers: PeerTable
     planner_runner: PlannerRunner
     timer: TimerService
@@ -41,7 +39,9 @@
         metrics.add_gauge("requests_present", self._count_requests, "state")
         metrics.add_gauge("peers", lambda: {"": len(self.peers.live(self.timer.now()))})
         metrics.add_gauge("lease_fence", lambda: {"": self.planner_runner.held_fence})
-        metrics.add_gauge("crash_signatures", lambda: {"": len(self.crash_table.signatures)})
+        metrics.add_gauge(
+            "crash_signatures", lambda: {"": len(self.dispatcher.crash_table.signatures)}
+        )
         metrics.add_gauge("log_lines_dropped", lambda: {"": count_dropped()})
 
     def _list_ages(self) -> dict[str, float]:
--- a/packages/kingcupdyke/features/dispatcher.feature
+++ b/packages/kingcupdyke/features/dispatcher.feature
@@ -25,6 +25,8 @@
       | unless there is no other endpoint | e1 | fail e1; submit r1 | r1:e1 |
       | a stream continues at the software version that began it | e1 e2 | version e2 v2; submit r1 software_version=v2; submit r2 software_version=v2 | r1:e2 r2:e2 |
       | a stream is rejected if no endpoint has the version that began it | e1 e2 | version e2 v2; submit r1 software_version=v3 | r1:reject |
+      | a prompt that crashes endpoints is rejected immediately, and others are sent | e1 | crash x; submit r1 parts=x:9; submit r2 parts=y:9 | r1:reject r2:e1 |
+      | so is one that waits already | e1 | peer e1 4; submit r1 parts=x:9; submit r2 parts=y:9; crash x; poll | r1:reject r2:wait |
       | another region is used only if the local one is busier | e1 s1 | submit r1; submit r2; submit r3 | r1:e1 r2:e1 r3:e1 |
 
   Scenario Outline: Models: <case>
--- a/packages/kingcupdyke/features/steps/dispatcher_steps.py
+++ b/packages/kingcupdyke/features/steps/dispatcher_steps.py
@@ -11,6 +11,7 @@
 from behave import given, then, when
 from forwarding_builders import make_engine_spec, make_entry, make_held, make_item, make_services
 
+from kingcupdyke.forwarding.crashreport import CrashReport
 from kingcupdyke.forwarding.dispatcher import Dispatcher, Refuse, Send, Wait
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.metadata import PromptPart
@@ -47,6 +48,12 @@
             word, *rest = event.split()
             getattr(self, f"do_{word}")(*rest)
 
+    def do_crash(self, part):
+        """Record three crashes under prompts with a part."""
+        for number in range(3):
+            report = CrashReport(f"lost{number}", 1, (part,), True, 9.0 - number)
+            self.dispatcher.crash_table.record(report, self.now_s)
+
     def do_submit(self, attempt_id, *fields):
         values = dict(each.split("=") for each in fields)
         excluded = frozenset(filter(None, [values.pop("excluded", "")]))
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -79,20 +79,16 @@
     :param endpoint_table: the endpoints
     :param data_centre: data centre of this gateway
     :param region_by_data_centre: the region of each data centre
-    :param crash_table: tells which requests crash endpoints; by default one without crashes
     """
 
     def __init__(
-        self,
-        endpoint_table: EndpointTable,
-        data_centre: str,
-        region_by_data_centre: dict[str, str],
-        crash_table: CrashTable | None = None,
+        self, endpoint_table: EndpointTable, data_centre: str, region_by_data_centre: dict[str, str]
     ) -> None:
         self._endpoint_table = endpoint_table
         self._data_centre = data_centre
         self.region_by_data_centre = region_by_data_centre
-        self._crash_table = CrashTable() if crash_table is None else crash_table
+        #: Tells which requests crash endpoints.
+        self.crash_table = CrashTable()
         self._service_by_name: dict[str, ServiceSpec] = {}
         #: Time by which requests must be sent, as the process stops soon after.
         self.send_by_s = inf
@@ -223,7 +219,7 @@
             return Refuse("this gateway is stopping", STOPPING_RETRY_S)
         if self._latest_send_s(item) - now_s < MIN_REMAINING_S:
             return Refuse("the deadline has passed", RETRY_AFTER_S)
-        signature = self._crash_table.find_signature(item.part_ids, now_s)
+        signature = self.crash_table.find_signature(item.part_ids, now_s)
         if signature is not None:
             return Refuse("such prompts crash endpoints", signature.expires_s - now_s)
         ready = self._endpoint_table.list_ready(item.service)
