--- a/packages/kingcupdyke-measure/kingcupdyke_measure/simulator.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/simulator.py
@@ -18,6 +18,7 @@
 from kingcupdyke.forwarding.peerstate import GatewayState
 from kingcupdyke.forwarding.planner import PlacementPlanner
 from kingcupdyke.forwarding.planround import TimedOrder
+from kingcupdyke.forwarding.workitem import WorkItem
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
 from kingcupdyke_daemon.timer import LoopTimer
 from kingcupdyke_measure.simulationclient import ClientRequest
