--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -292,6 +292,7 @@
         head = await connection.read_head()
         self._record_activity(endpoint)
         answer = deps.dialect.read_answer(list(head.headers))
+        self._request_log.limit_per_s = answer.limit_per_s
         if answer.is_not_run or head.status_code == STATUS_MISDIRECTED:
             return await self._handle_not_run(connection, endpoint, head, answer)
         if not answer.is_stamped:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
@@ -72,6 +72,8 @@
         self._version = version
         self._ages = ages
         self._resumes = resumes
+        #: Limit of requests a second that the endpoint named in its last answer, or None.
+        self.limit_per_s: float | None = None
 
     def log_wait(self, decision: Wait, waiting: int) -> None:
         """Log that the request starts to wait.
@@ -158,6 +160,7 @@
             framing=end.framing,
             events=end.events,
             partial_bytes=end.partial_bytes,
+            limit_per_s=-1.0 if self.limit_per_s is None else self.limit_per_s,
         )
         if outcome == "answered" and status < STATUS_FAILURE:
             self._sampler.log(_LOGGER, "request ended", record)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -155,6 +155,8 @@
     #: Complete events of a stream, over all endpoints, and bytes that the last one sent after them.
     events: int
     partial_bytes: int
+    #: Limit of requests a second that the endpoint named in its last answer, or -1 without one.
+    limit_per_s: float
 
 
 class OrderRecord(NamedTuple):
--- a/packages/kingcupdyke/kingcupdyke/forwarding/metadata.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/metadata.py
@@ -58,3 +58,6 @@
     endpoint: str
     #: Seconds for which the endpoint keeps an idle connection open, or None if it sent none.
     keep_alive_s: float | None
+    #: Requests a second that the endpoint accepts from all gateways together, or None if it named
+    #: no limit.
+    limit_per_s: float | None = None
