--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -68,7 +68,9 @@
 
 
 class PlainDialect(Dialect):
-    """Headers x-id, x-limit-s, x-parts, x-mark, x-not-run and x-endpoint; decodes no objects."""
+    """Headers x-id, x-limit-s, x-parts, x-mark, x-not-run, x-endpoint and x-limit; decodes no
+    objects.
+    """
 
     def read_request(self, headers):
         values = dict(headers)
@@ -98,6 +100,7 @@
             b"x-mark" in values,
             values.get(b"x-endpoint", b"").decode(),
             None,
+            float(values[b"x-limit"]) if b"x-limit" in values else None,
         )
 
     def write_rejection(self, attempt_id, retry_after_s):
--- /dev/null
+++ b/packages/kingcupdyke-daemon/features/limits.feature
@@ -0,0 +1,17 @@
+Feature: All gateways together keep the limit that an endpoint names in its answers
+
+  Scenario Outline: At several gateways, <case>
+    Given limits: 3 gateways before an endpoint with a limit of 1 a second and one without
+    And limits: messages between the gateways are "<messages>"
+    When limits: 9 requests a second come for 9 s, and "<event>" happens after 5 s
+    Then limits: from 4 s on the endpoint has received at most 11 requests in any 4 s
+    And limits: it has received at least 3 requests in the last 4 s
+    And limits: all requests have been answered
+
+    Examples:
+      | case | messages | event |
+      | requests that come evenly | soon | nothing |
+      | messages that come late | late | nothing |
+      | messages of which most are lost | lost | nothing |
+      | gateways of which one starts again | soon | a restart |
+      | gateways of which one joins late | soon | a join |
--- a/packages/kingcupdyke-daemon/features/steps/crashes_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/crashes_steps.py
@@ -99,10 +99,12 @@
 class Fleet:
     """Gateways before the same endpoints, in contact over a network.
 
+    :param tasks: runs the endpoints and the network
     :param stack: closes the gateways
     """
 
-    def __init__(self, stack, network, endpoints):
+    def __init__(self, tasks, stack, network, endpoints):
+        self.tasks = tasks
         self._stack = stack
         self._network = network
         self._endpoints = endpoints
@@ -130,7 +132,7 @@
     """Run the gateways and endpoints while the context is open."""
     async with create_task_group() as tasks, AsyncExitStack() as stack:
         network = PeerNetwork(tasks, *MESSAGES[context.messages])
-        fleet = Fleet(stack, network, context.endpoints)
+        fleet = Fleet(tasks, stack, network, context.endpoints)
         for number in range(context.gateways):
             await fleet.start(f"g{number}")
         for endpoint in context.endpoints:
--- /dev/null
+++ b/packages/kingcupdyke-daemon/features/steps/limits_steps.py
@@ -0,0 +1,121 @@
+"""
+limits_steps
+~~~~~~~~~~~~
+
+Steps for endpoints that name a limit, at several gateways before the same endpoints.
+"""
+
+from anyio import create_tcp_listener, current_time, run, sleep
+from anyio.abc import SocketAttribute
+from behave import given, then, when
+from crashes_steps import open_fleet
+from forwarder_rig import ScriptedEndpoint
+from forwarder_steps import describe, write_request
+
+EVENT_AFTER_S = 5.0
+
+
+class LimitedEndpoint(ScriptedEndpoint):
+    """An endpoint that names a limit in its answers.
+
+    :param limit: requests a second, or None to name none
+    """
+
+    def __init__(self, name, limit):
+        super().__init__(name, "ok")
+        self.limit = limit
+        #: Times in seconds at which it received requests.
+        self.received_s = []
+
+    async def run(self, on_start):
+        listener = (await create_tcp_listener(local_host="127.0.0.1")).listeners[0]
+        self.address = listener.extra(SocketAttribute.local_address)
+        on_start(self)
+        await listener.serve(self.handle)
+
+    async def do_ok(self, stream, attempt_id):
+        self.received_s.append(current_time())
+        extra = "" if self.limit is None else f"x-limit: {self.limit}\r\n"
+        await self.answer(stream, attempt_id, body=self.name.encode(), extra=extra)
+        return True
+
+
+@given(
+    "limits: {gateways:d} gateways before an endpoint with a limit of {limit:g} a second and one "
+    "without"
+)
+def give_fleet(context, gateways, limit):
+    context.gateways = gateways
+    context.endpoints = [LimitedEndpoint("e1", limit), LimitedEndpoint("e2", None)]
+    context.messages = "soon"
+
+
+@given('limits: messages between the gateways are "{messages}"')
+def give_messages(context, messages):
+    context.messages = messages
+
+
+async def ask(context, rig, number):
+    context.answers.append(describe(await rig.ask(write_request("GET /safe/1", f"r{number}"))))
+
+
+async def send_evenly(context, fleet, rate, seconds, first=0):
+    """Send requests to the gateways in turn.
+
+    :return: their number
+    """
+    count = round(rate * seconds)
+    for number in range(first, first + count):
+        fleet.tasks.start_soon(ask, context, fleet.choose(number), number)
+        await sleep(1.0 / rate)
+    return count
+
+
+async def await_answers(context, count):
+    while len(context.answers) < count:
+        await sleep(0.05)
+
+
+@when('limits: {rate:d} requests a second come for {seconds:d} s, and "{event}" happens after 5 s')
+def send_requests(context, rate, seconds, event):
+    host = {"a restart": "g0", "a join": "g3"}.get(event)
+
+    async def job():
+        context.answers = []
+        async with open_fleet(context) as fleet:
+            context.started_s = current_time()
+            count = await send_evenly(context, fleet, rate, EVENT_AFTER_S)
+            if host is not None:
+                await fleet.start(host)
+            count += await send_evenly(context, fleet, rate, seconds - EVENT_AFTER_S, count)
+            context.ended_s = current_time()
+            await await_answers(context, count)
+
+    run(job)
+
+
+def list_received(context):
+    """:return: seconds after the start at which the endpoint with a limit received requests"""
+    return [each - context.started_s for each in context.endpoints[0].received_s]
+
+
+@then(
+    "limits: from {start:d} s on the endpoint has received at most {limit:d} requests in any "
+    "{window:d} s"
+)
+def check_windows(context, start, limit, window):
+    times_s = [each for each in list_received(context) if each >= start]
+    counts = [sum(0 <= each - first < window for each in times_s) for first in times_s]
+    assert max(counts, default=0) <= limit, max(counts)
+
+
+@then("limits: it has received at least {count:d} requests in the last {window:d} s")
+def check_used(context, count, window):
+    since_s = context.ended_s - window
+    found = sum(each >= since_s for each in context.endpoints[0].received_s)
+    assert found >= count, found
+
+
+@then("limits: all requests have been answered")
+def check_answered(context):
+    assert set(context.answers) == {"200 e1", "200 e2"}, context.answers
