Keep the limits that endpoints name, over all gateways together

An endpoint in need got as many requests as before it named its limit. Cause: nothing read the header. Class: a bound on what all gateways do together, which no gateway can keep by itself; the same holds for the retry budget, which each gateway keeps by a fixed share.

Gateways now tell each other of limits, of their end and of the requests sent to such endpoints, and count these together (limittable, limitdirectory); the dispatcher sends no request beyond the limit, and rejects at once what can't be sent in time.

--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -33,6 +33,7 @@
 from kingcupdyke.forwarding.dispatcher import Dispatcher
 from kingcupdyke.forwarding.endpoint import EndpointEntry
 from kingcupdyke.forwarding.endpointtable import EndpointTable
+from kingcupdyke.forwarding.limitmessage import LimitMessage
 from kingcupdyke.forwarding.metadata import AnswerMetadata, PromptPart, RequestMetadata
 from kingcupdyke.forwarding.retrybudget import SharedRetryBudget
 from kingcupdyke_daemon.forwarder.clientserver import ClientServer
@@ -40,6 +41,7 @@
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.handler import ForwardingHandler
+from kingcupdyke_daemon.forwarder.limitdirectory import LimitDirectory
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
 from kingcupdyke_daemon.forwarder.origindirectory import OriginDirectory
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
@@ -415,6 +417,16 @@
             lambda: self.network.list_peers(host),
             self.network.send,
         )
+        self.endpoint_limits = LimitDirectory(
+            host,
+            str(id(self)),
+            self.dispatcher.limit_table,
+            self.endpoint_table,
+            timer,
+            lambda: self.network.list_peers(host),
+            lambda: len(self.network.rig_by_host),
+            self.network.send,
+        )
         deps = ForwarderDependencies(
             PlainDialect(),
             self.dispatcher,
@@ -427,6 +439,7 @@
             LineSampler(timer.now),
             OriginDirectory("n1", timer, lambda: "north", dict, lambda host, message: None),
             self.crashes,
+            self.endpoint_limits,
         )
         self.endpoint_table.listed_since_s = -inf
         self.handler = ForwardingHandler(deps)
@@ -445,7 +458,11 @@
 
     def receive(self, data):
         """Process a peer's message."""
-        self.crashes.receive(CrashMessage.decode(data).ok)
+        crashes = CrashMessage.decode(data)
+        if crashes.is_ok():
+            self.crashes.receive(crashes.ok)
+        else:
+            self.endpoint_limits.receive(LimitMessage.decode(data).ok)
 
     async def send(self, data):
         """:return: a new connection on which the bytes have been sent"""
--- a/packages/kingcupdyke-daemon/features/limits.feature
+++ b/packages/kingcupdyke-daemon/features/limits.feature
@@ -15,3 +15,15 @@
       | messages of which most are lost | lost | nothing |
       | gateways of which one starts again | soon | a restart |
       | gateways of which one joins late | soon | a join |
+
+  Scenario: A limit that is no longer named ends at all gateways
+    Given limits: 3 gateways before an endpoint with a limit of 1 a second and one without
+    When limits: 9 requests a second come for 6 s, and the endpoint names no limit after 4 s
+    Then limits: it has received at least 5 requests in the last 1 s
+    And limits: all requests have been answered
+
+  Scenario: Requests that the limit of the only endpoint does not permit are rejected immediately
+    Given limits: 3 gateways before an endpoint with a limit of 1 a second and no other
+    When limits: 30 requests come at the same time, after the endpoint has named its limit
+    Then limits: those that are rejected have been so within 0.2 s, with a Retry-After header
+    And limits: at most 5 are answered
--- a/packages/kingcupdyke-daemon/features/steps/limits_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/limits_steps.py
@@ -50,6 +50,15 @@
     context.messages = "soon"
 
 
+@given(
+    "limits: {gateways:d} gateways before an endpoint with a limit of {limit:g} a second and no "
+    "other"
+)
+def give_single(context, gateways, limit):
+    give_fleet(context, gateways, limit)
+    del context.endpoints[1:]
+
+
 @given('limits: messages between the gateways are "{messages}"')
 def give_messages(context, messages):
     context.messages = messages
@@ -94,6 +103,63 @@
     run(job)
 
 
+@when(
+    "limits: {rate:d} requests a second come for {seconds:d} s, and the endpoint names no limit "
+    "after {end_s:d} s"
+)
+def end_limit(context, rate, seconds, end_s):
+    async def job():
+        context.answers = []
+        async with open_fleet(context) as fleet:
+            context.started_s = current_time()
+            count = await send_evenly(context, fleet, rate, end_s)
+            context.endpoints[0].limit = None
+            count += await send_evenly(context, fleet, rate, seconds - end_s, count)
+            context.ended_s = current_time()
+            await await_answers(context, count)
+
+    run(job)
+
+
+@when("limits: {count:d} requests come at the same time, after the endpoint has named its limit")
+def send_together(context, count):
+    context.rejections = []
+
+    async def ask_timed(rig, number):
+        started_s = current_time()
+        raw = await rig.ask(write_request("GET /safe/1", f"r{number}"))
+        context.answers.append(describe(raw))
+        if describe(raw) == "503":
+            context.rejections.append((current_time() - started_s, raw))
+
+    async def job():
+        context.answers = []
+        async with open_fleet(context) as fleet:
+            await ask(context, fleet.choose(0), "first")
+            await sleep(0.05)
+            for number in range(count):
+                fleet.tasks.start_soon(ask_timed, fleet.choose(number), number)
+            await await_answers(context, count + 1)
+
+    run(job)
+
+
+@then(
+    "limits: those that are rejected have been so within {limit_s:g} s, with a Retry-After header"
+)
+def check_rejections(context, limit_s):
+    assert context.rejections
+    for seconds, raw in context.rejections:
+        assert seconds <= limit_s, seconds
+        assert b"retry-after: " in raw, raw
+
+
+@then("limits: at most {count:d} are answered")
+def check_answered_count(context, count):
+    answered = context.answers.count("200 e1")
+    assert answered <= count, context.answers
+
+
 def list_received(context):
     """:return: seconds after the start at which the endpoint with a limit received requests"""
     return [each - context.started_s for each in context.endpoints[0].received_s]
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import AsyncIterator
-from enum import StrEnum
 from uuid import uuid4
 
 from anyio import CancelScope, create_task_group, get_cancelled_exc_class, move_on_after
@@ -14,10 +13,11 @@
 
 from kingcupdyke.forwarding.configuration import Route, RouteKind
 from kingcupdyke.forwarding.dispatcher import Refuse, Wait
-from kingcupdyke.forwarding.endpoint import Replica
+from kingcupdyke.forwarding.endpoint import EndpointEntry, Replica
 from kingcupdyke.forwarding.metadata import AnswerMetadata, ForwardMetadata, RequestMetadata
 from kingcupdyke.forwarding.workitem import WorkItem
 from kingcupdyke_daemon.forwarder.answerrelay import AnswerRelay, strip_headers
+from kingcupdyke_daemon.forwarder.attemptresult import AttemptResult
 from kingcupdyke_daemon.forwarder.connection import EndpointConnection, Progress, TransferError
 from kingcupdyke_daemon.forwarder.crashwatch import CrashWatch
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
@@ -42,22 +42,6 @@
 STATUS_FAILURE = 500
 
 
-class _AttemptResult(StrEnum):
-    """How the attempt at one endpoint ended."""
-
-    DELIVERED = "delivered"
-    #: No byte of the request was sent.
-    NOT_SENT = "not_sent"
-    #: The request certainly did not run there, for example because the endpoint reported this.
-    NOT_RUN = "not_run"
-    #: The endpoint answered with a failure, which is kept.
-    FAILED = "failed"
-    #: The request may have run there.
-    UNKNOWN = "unknown"
-    #: The answer broke off after a part of it was passed on.
-    BROKEN = "broken"
-
-
 class ForwardedRequest:
     """A request in progress.
 
@@ -185,12 +169,12 @@
             software_version = "" if state is None else state.entry.software_version
             self._sent_to.append(SentTo(decision.endpoint, software_version))
             result = await self._try_endpoint(decision.endpoint)
-            if result is _AttemptResult.DELIVERED:
+            if result is AttemptResult.DELIVERED:
                 return
-            if result is not _AttemptResult.BROKEN or not self._route.is_resumable:
+            if result is not AttemptResult.BROKEN or not self._route.is_resumable:
                 self._excluded.add(decision.endpoint)
             self._is_in_flight = False
-            if result not in (_AttemptResult.NOT_RUN, _AttemptResult.NOT_SENT):
+            if result not in (AttemptResult.NOT_RUN, AttemptResult.NOT_SENT):
                 self._attempts_run += 1
             outcome = self._decide_retry(result)
             self._request_log.log_failure(decision.endpoint, result, outcome, self._reason)
@@ -198,13 +182,13 @@
                 await self._give_up(self._reason)
                 return
 
-    def _decide_retry(self, result: _AttemptResult) -> RetryOutcome:
-        if result is _AttemptResult.NOT_SENT:
+    def _decide_retry(self, result: AttemptResult) -> RetryOutcome:
+        if result is AttemptResult.NOT_SENT:
             return RetryOutcome.RETRIED
-        if result is not _AttemptResult.NOT_RUN:
+        if result is not AttemptResult.NOT_RUN:
             if not self._is_retryable or self._attempts_run >= self._route.max_attempts:
                 return RetryOutcome.NOT_RETRYABLE
-            if result is _AttemptResult.BROKEN and not self._route.is_resumable:
+            if result is AttemptResult.BROKEN and not self._route.is_resumable:
                 return RetryOutcome.NOT_RETRYABLE
         now_s = self._deps.timer.now()
         is_granted = self._deps.budget.take(self._item.service, self._gateway_count, now_s)
@@ -222,13 +206,14 @@
             status = await self._final_answer.send(reason, retry_after_s, may_have_run, is_late)
             self._status = self._status if status is None else status
 
-    async def _try_endpoint(self, endpoint: str) -> _AttemptResult:
+    async def _try_endpoint(self, endpoint: str) -> AttemptResult:
         deps = self._deps
         state = deps.endpoint_table.state_by_id.get(endpoint)
         if state is None:
-            return _AttemptResult.NOT_SENT
+            return AttemptResult.NOT_SENT
         self._unread_tokens = state.unread_tokens
         self._watch = CrashWatch(deps.crashes, deps.timer, state.entry, self._item.part_ids)
+        deps.limits.tell_sent(state.entry)
         sent_s = deps.timer.now()
         connection: EndpointConnection | None = None
         is_reusable = False
@@ -239,7 +224,9 @@
             )
             async with create_task_group() as tasks:
                 try:
-                    result, is_reusable = await self._forward(tasks, connection, endpoint, sent_s)
+                    result, is_reusable = await self._forward(
+                        tasks, connection, state.entry, sent_s
+                    )
                 except TransferError as error:
                     self._watch.note_lost()
                     result = self._handle_transfer_error(endpoint, error)
@@ -261,20 +248,21 @@
             await deps.pool.release(endpoint, connection)
         return result
 
-    def _handle_transfer_error(self, endpoint: str, error: TransferError) -> _AttemptResult:
+    def _handle_transfer_error(self, endpoint: str, error: TransferError) -> AttemptResult:
         self._reason = f"endpoint {endpoint}: {error.reason}"
         self._deps.endpoint_table.note_failure(endpoint, self._deps.timer.now(), True)
         if error.progress is Progress.NOT_SENT:
-            return _AttemptResult.NOT_SENT
-        return _AttemptResult.BROKEN if self._reply.has_begun else _AttemptResult.UNKNOWN
+            return AttemptResult.NOT_SENT
+        return AttemptResult.BROKEN if self._reply.has_begun else AttemptResult.UNKNOWN
 
     async def _forward(
-        self, tasks: object, connection: EndpointConnection, endpoint: str, sent_s: float
-    ) -> tuple[_AttemptResult, bool]:
+        self, tasks: object, connection: EndpointConnection, entry: EndpointEntry, sent_s: float
+    ) -> tuple[AttemptResult, bool]:
         """:return: how the attempt ended, and whether the connection can be reused
         :raises TransferError: when the connection breaks
         """
         deps = self._deps
+        endpoint = entry.endpoint
         remaining_s = self._deadline_s - deps.timer.now()
         metadata = ForwardMetadata(endpoint, remaining_s, self._route.priority)
         headers = deps.dialect.write_request(self._request.headers, metadata)
@@ -292,7 +280,7 @@
         head = await connection.read_head()
         self._record_activity(endpoint)
         answer = deps.dialect.read_answer(list(head.headers))
-        self._request_log.limit_per_s = answer.limit_per_s
+        self._note_limit(entry, answer)
         if answer.is_not_run or head.status_code == STATUS_MISDIRECTED:
             return await self._handle_not_run(connection, endpoint, head, answer)
         if not answer.is_stamped:
@@ -301,26 +289,33 @@
             )
             deps.endpoint_table.note_failure(endpoint, deps.timer.now(), False)
             return (
-                _AttemptResult.UNKNOWN if not self._reply.has_begun else _AttemptResult.BROKEN
+                AttemptResult.UNKNOWN if not self._reply.has_begun else AttemptResult.BROKEN
             ), False
         self._watch.note_head()
         if head.status_code >= STATUS_FAILURE:
             return await self._keep_failure(connection, endpoint, head)
         if self._reply.has_begun and head.status_code != self._status:
             self._reason = f"endpoint {endpoint}: status {head.status_code} on resuming"
-            return _AttemptResult.BROKEN, False
+            return AttemptResult.BROKEN, False
         result = await self._relay(connection, endpoint, head, sent_s)
         deps.endpoint_table.note_success(endpoint)
         self._watch.note_sound()
         return result, True
 
+    def _note_limit(self, entry: EndpointEntry, answer: AnswerMetadata) -> None:
+        """Record the limit in an answer; one that is not the endpoint's own work ends no limit."""
+        self._request_log.limit_per_s = answer.limit_per_s
+        is_other = answer.endpoint not in ("", entry.endpoint)
+        if not is_other and (answer.is_stamped or answer.limit_per_s is not None):
+            self._deps.limits.note_answer(entry, answer.limit_per_s)
+
     async def _handle_not_run(
         self,
         connection: EndpointConnection,
         endpoint: str,
         head: Response,
         answer: AnswerMetadata,
-    ) -> tuple[_AttemptResult, bool]:
+    ) -> tuple[AttemptResult, bool]:
         self._reason = f"endpoint {endpoint}: status {head.status_code}, not run"
         async for _ in connection.read_body():
             pass
@@ -331,11 +326,11 @@
             self._deps.endpoint_table.deny_replica(replica, now_s)
         elif head.status_code == STATUS_MISDIRECTED:
             self._deps.endpoint_table.note_failure(endpoint, now_s, True)
-        return _AttemptResult.NOT_RUN, True
+        return AttemptResult.NOT_RUN, True
 
     async def _keep_failure(
         self, connection: EndpointConnection, endpoint: str, head: Response
-    ) -> tuple[_AttemptResult, bool]:
+    ) -> tuple[AttemptResult, bool]:
         """Keep a failed answer, which is passed on only if no other endpoint answers."""
         self._deps.endpoint_table.note_failure(endpoint, self._deps.timer.now(), False)
         self._reason = f"endpoint {endpoint}: status {head.status_code}"
@@ -343,20 +338,20 @@
         async for data in connection.read_body():
             body += data
             if len(body) > MAX_KEPT_BYTES:
-                return _AttemptResult.FAILED, False
+                return AttemptResult.FAILED, False
         if self._reply.has_begun:
-            return _AttemptResult.BROKEN, True
+            return AttemptResult.BROKEN, True
         headers = [each for each in strip_headers(head) if each[0] != b"content-length"]
         self._final_answer.kept = KeptAnswer(head.status_code, headers, body)
-        return _AttemptResult.FAILED, True
+        return AttemptResult.FAILED, True
 
     async def _relay(
         self, connection: EndpointConnection, endpoint: str, head: Response, sent_s: float
-    ) -> _AttemptResult:
+    ) -> AttemptResult:
         if not self._reply.has_begun:
             self._status = head.status_code
         await self._answer.relay(head, self._read_parts(connection, endpoint, sent_s))
-        return _AttemptResult.DELIVERED
+        return AttemptResult.DELIVERED
 
     async def _read_parts(
         self, connection: EndpointConnection, endpoint: str, sent_s: float
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peerexchanges.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peerexchanges.py
@@ -12,11 +12,13 @@
 from kingcupdyke.forwarding.crashreport import CrashMessage
 from kingcupdyke.forwarding.dispatcher import Dispatcher
 from kingcupdyke.forwarding.endpointtable import EndpointTable
+from kingcupdyke.forwarding.limitmessage import LimitMessage
 from kingcupdyke.forwarding.peerstate import PeerTable
 from kingcupdyke.forwarding.pinneddemand import PinnedDemandMessage
 from kingcupdyke.forwarding.streamorigin import OriginMessage
 from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.forwarder.crashdirectory import CrashDirectory
+from kingcupdyke_daemon.forwarder.limitdirectory import LimitDirectory
 from kingcupdyke_daemon.forwarder.origindirectory import OriginDirectory
 from kingcupdyke_daemon.forwarder.peergossip import PeerGossip, PeerMessage
 from kingcupdyke_daemon.forwarder.pinneddemands import PinnedDemands
@@ -28,7 +30,8 @@
     """The directories that gateways keep together, each with messages of its own.
 
     :param host: name of this host
-    :param dispatcher: this gateway's waiting requests, and the crashes that it knows
+    :param incarnation: identifies this start of the process
+    :param dispatcher: this gateway's waiting requests, and the crashes and limits that it knows
     :param endpoint_table: the endpoints
     :param peers: the peers' states
     :param timer: the timer service
@@ -39,6 +42,7 @@
     def __init__(
         self,
         host: str,
+        incarnation: str,
         dispatcher: Dispatcher,
         endpoint_table: EndpointTable,
         peers: PeerTable,
@@ -57,13 +61,27 @@
             post,
         )
         self.pinned_demands = PinnedDemands(host, dispatcher, peers, timer, post)
+
+        def list_incarnations() -> dict[str, str]:
+            return {each.host: each.incarnation for each in peers.live(timer.now())}
+
+        self.limits = LimitDirectory(
+            host,
+            incarnation,
+            dispatcher.limit_table,
+            endpoint_table,
+            timer,
+            list_incarnations,
+            lambda: get_gossip().gateway_count,
+            post,
+        )
         self.crashes = CrashDirectory(
             host,
             dispatcher.crash_table,
             endpoint_table,
             timer,
             tasks,
-            lambda: {each.host: each.incarnation for each in peers.live(timer.now())},
+            list_incarnations,
             post,
         )
 
@@ -74,4 +92,5 @@
             OriginMessage: self.origins.receive,
             PinnedDemandMessage: self.pinned_demands.receive,
             CrashMessage: self.crashes.receive,
+            LimitMessage: self.limits.receive,
         }
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -115,6 +115,7 @@
         self._peer_table = PeerTable()
         self._exchanges = PeerExchanges(
             settings.host,
+            self._incarnation,
             self._dispatcher,
             self._endpoint_table,
             self._peer_table,
@@ -135,6 +136,7 @@
                 LineSampler(self._timer.now),
                 self._exchanges.origins,
                 self._exchanges.crashes,
+                self._exchanges.limits,
             ),
             lambda: self._catalogue.get_ages(),
         )
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/stategauges.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/stategauges.py
@@ -42,6 +42,9 @@
         metrics.add_gauge(
             "crash_signatures", lambda: {"": len(self.dispatcher.crash_table.signatures)}
         )
+        metrics.add_gauge(
+            "endpoint_limit", lambda: dict(self.dispatcher.limit_table.list_limited()), "endpoint"
+        )
         metrics.add_gauge("log_lines_dropped", lambda: {"": count_dropped()})
 
     def _list_ages(self) -> dict[str, float]:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -14,6 +14,7 @@
     "CrashSignatureRecord",
     "EndpointRecord",
     "EngineRecord",
+    "LimitRecord",
     "OrderRecord",
     "PeerRecord",
     "RefusalRecord",
@@ -220,6 +221,16 @@
     crashes: int
 
 
+class LimitRecord(NamedTuple):
+    """Fields of an endpoint whose limit has changed."""
+
+    endpoint: str
+    #: Requests a second that it accepts from all gateways together, or -1 if it names no limit.
+    limit_per_s: float
+    #: Gateway that has told this one, or empty if the endpoint itself has.
+    peer: str
+
+
 class PeerRecord(NamedTuple):
     """Fields of a peer gateway that became responsive or unresponsive."""
 
--- a/packages/kingcupdyke/features/dispatcher.feature
+++ b/packages/kingcupdyke/features/dispatcher.feature
@@ -27,6 +27,11 @@
       | a stream is rejected if no endpoint has the version that began it | e1 e2 | version e2 v2; submit r1 software_version=v3 | r1:reject |
       | a prompt that crashes endpoints is rejected immediately, and others are sent | e1 | crash x; submit r1 parts=x:9; submit r2 parts=y:9 | r1:reject r2:e1 |
       | so is one that waits already | e1 | peer e1 4; submit r1 parts=x:9; submit r2 parts=y:9; crash x; poll | r1:reject r2:wait |
+      | an endpoint whose limit is reached gets no requests | e1 e2 | limit e1 0.25; submit r1; submit r2; submit r3 | r1:e1 r2:e2 r3:e2 |
+      | a request waits for the limit of the only endpoint | e1 | limit e1 1; submit r1; submit r2; wait 1; poll | r1:e1 r2:e1 |
+      | a request that the limit does not permit in time is rejected immediately | e1 | limit e1 0.25; submit r1; submit r2 deadline_s=3 | r1:e1 r2:reject |
+      | so is one behind others that wait for the limit | e1 | limit e1 1; submit r1; submit r2; submit r3; submit r4; submit r5; submit r6 | r1:e1 r2:wait r3:wait r4:wait r5:reject r6:reject |
+      | a limit that has ended permits all requests | e1 | limit e1 0.25; submit r1; limit e1 none; submit r2 | r1:e1 r2:e1 |
       | another region is used only if the local one is busier | e1 s1 | submit r1; submit r2; submit r3 | r1:e1 r2:e1 r3:e1 |
 
   Scenario Outline: Models: <case>
--- a/packages/kingcupdyke/features/steps/dispatcher_steps.py
+++ b/packages/kingcupdyke/features/steps/dispatcher_steps.py
@@ -54,6 +54,11 @@
             report = CrashReport(f"lost{number}", 1, (part,), True, 9.0 - number)
             self.dispatcher.crash_table.record(report, self.now_s)
 
+    def do_limit(self, endpoint, limit):
+        entry = self.endpoint_table.state_by_id[endpoint].entry
+        limit_per_s = None if limit == "none" else float(limit)
+        self.dispatcher.limit_table.note_answer(entry, limit_per_s, self.now_s)
+
     def do_submit(self, attempt_id, *fields):
         values = dict(each.split("=") for each in fields)
         excluded = frozenset(filter(None, [values.pop("excluded", "")]))
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from math import inf
+from math import inf, isfinite
 from typing import NamedTuple
 
 from kingcupdyke.forwarding.configuration import EngineSpec, ServiceSpec
@@ -14,6 +14,7 @@
 from kingcupdyke.forwarding.decayingrate import DecayingRate
 from kingcupdyke.forwarding.endpoint import Replica
 from kingcupdyke.forwarding.endpointtable import DEFAULT_TOKENS_PER_S, EndpointState, EndpointTable
+from kingcupdyke.forwarding.limittable import LimitTable
 from kingcupdyke.forwarding.peerstate import Demand, EndpointLoad
 from kingcupdyke.forwarding.pinneddemand import PinnedDemand
 from kingcupdyke.forwarding.workitem import WorkItem
@@ -38,6 +39,8 @@
 STOPPING_RETRY_S = 0.01
 #: Minimum seconds until the deadline with which a request is still sent.
 MIN_REMAINING_S = 0.03
+#: Least limit of an endpoint, in requests a second, by which a wait is estimated.
+MIN_LIMIT_PER_S = 0.25
 #: Assumed duration in seconds of a plain service's requests until the first one has ended.
 INITIAL_DURATION_S = 0.05
 #: Weight of the newest request in a service's moving average of request durations.
@@ -89,6 +92,8 @@
         self.region_by_data_centre = region_by_data_centre
         #: Tells which requests crash endpoints.
         self.crash_table = CrashTable()
+        #: Limits that endpoints name, and the requests sent to them.
+        self.limit_table = LimitTable()
         self._service_by_name: dict[str, ServiceSpec] = {}
         #: Time by which requests must be sent, as the process stops soon after.
         self.send_by_s = inf
@@ -212,6 +217,7 @@
         state = self._endpoint_table.state_by_id[endpoint]
         cached = state.count_cached_tokens(item.model, item.parts)
         state.note_sent(item.attempt_id, max(1, item.prompt_tokens - cached), now_s)
+        self.limit_table.note_sent(state.entry, now_s)
         state.add_prefixes(item.model, item.parts)
 
     def _decide(self, item: WorkItem, excluded: frozenset[str], now_s: float) -> Decision:
@@ -246,10 +252,15 @@
             for each in states
             if each.backoff_until_s <= now_s and not each.is_unresponsive(now_s)
         ] or states
-        available = [each for each in reachable if self._has_capacity(each, engine_spec)]
+        permitted = [
+            each for each in reachable if not self.limit_table.find_delay(each.entry, now_s)
+        ]
+        if not permitted:
+            return self._await_permission(item, reachable, now_s)
+        available = [each for each in permitted if self._has_capacity(each, engine_spec)]
         if available:
             return self._choose(item, available, now_s)
-        return self._await_capacity(item, reachable, now_s)
+        return self._await_capacity(item, permitted, now_s)
 
     def _choose(self, item: WorkItem, states: list[EndpointState], now_s: float) -> Send | Refuse:
         """Choose the cheapest endpoint; reject if it cannot begin the answer in time."""
@@ -345,6 +356,19 @@
             and _rank(other, now_s) < rank
         ]
 
+    def _await_permission(
+        self, item: WorkItem, states: list[EndpointState], now_s: float
+    ) -> Decision:
+        """Wait until the limit of an endpoint permits it, or reject if that takes too long."""
+        table = self.limit_table
+        delay_s = min(table.find_delay(each.entry, now_s) for each in states)
+        rate = sum(table.get_limit(each.entry) or 0.0 for each in states)
+        wait_s = delay_s + len(self._list_ahead(item, now_s)) / max(rate, MIN_LIMIT_PER_S)
+        if now_s + wait_s + MIN_REMAINING_S > self._latest_send_s(item):
+            retry_after_s = wait_s if isfinite(wait_s) else RETRY_AFTER_S
+            return Refuse("the endpoints accept no more requests", max(0.1, retry_after_s))
+        return Wait("the endpoints accept no more requests yet")
+
     def _await_capacity(
         self, item: WorkItem, states: list[EndpointState], now_s: float
     ) -> Decision:
