Bound what the forwarding gateway reads of endpoints that send bytes without end

Requests hung until their deadline when an endpoint sent, without end, heads that announce another one, an answer to another attempt, an answer that says that it has not run, or a slow failure; an event without end filled memory until then. Cause: these bodies were read whole, or buffered, without a bound of their own. Class: input of a peer that is bounded only by the request's deadline. Each of these reads now has a bound in bytes, number or seconds, after which the connection is closed and the request goes on as its result says: a request that has not run is sent elsewhere, a failure is retried, a stream is resumed or broken off.

--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -398,6 +398,7 @@
 
     def __init__(self, tasks, endpoints, retry_allowance=100.0, host="n1", network=None):
         timer = LoopTimer(tasks)
+        self._tasks = tasks
         #: Carries messages between gateways.
         self.network = network or PeerNetwork(tasks)
         self.network.rig_by_host[host] = self
@@ -450,6 +451,13 @@
         self.address = SocketAddress("127.0.0.1", 0)
         timer.subscribe("queue", 0.01, queue.poll)
 
+    async def serve_endpoint(self, endpoint):
+        """Let an endpoint listen, and list it."""
+        listener = (await create_tcp_listener(local_host="127.0.0.1")).listeners[0]
+        endpoint.address = listener.extra(SocketAttribute.local_address)
+        self._tasks.start_soon(endpoint.serve, listener)
+        self.list_endpoint(endpoint)
+
     def list_endpoint(self, endpoint):
         entry = make_entry(endpoint.name, endpoint.address)
         self.endpoint_table.put(
@@ -502,11 +510,10 @@
     async with create_task_group() as tasks:
         rig = ForwarderRig(tasks, endpoints, retry_allowance, host, network)
         for endpoint in endpoints:
-            if endpoint.script != ["down"]:
-                listener = (await create_tcp_listener(local_host="127.0.0.1")).listeners[0]
-                endpoint.address = listener.extra(SocketAttribute.local_address)
-                tasks.start_soon(endpoint.serve, listener)
-            rig.list_endpoint(endpoint)
+            if endpoint.script == ["down"]:
+                rig.list_endpoint(endpoint)
+            else:
+                await rig.serve_endpoint(endpoint)
         front = await rig.server.listen(SocketAddress("127.0.0.1", 0))
         rig.address = front.extra(SocketAttribute.local_address)
         tasks.start_soon(rig.server.serve, front, tasks)
--- a/packages/kingcupdyke-daemon/features/limits.feature
+++ b/packages/kingcupdyke-daemon/features/limits.feature
@@ -27,3 +27,8 @@
     When limits: 30 requests come at the same time, after the endpoint has named its limit
     Then limits: those that are rejected have been so within 0.2 s, with a Retry-After header
     And limits: at most 5 are answered
+
+  Scenario: A request to an endpoint with a limit counts at once at the other gateways
+    Given limits: 3 gateways before an endpoint with a limit of 0.4 a second and no other
+    When limits: a request comes at one gateway, 5 s after the endpoint has named its limit
+    Then limits: 0.05 s later no gateway may send to the endpoint
--- a/packages/kingcupdyke-daemon/features/steps/limits_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/limits_steps.py
@@ -185,3 +185,38 @@
 @then("limits: all requests have been answered")
 def check_answered(context):
     assert set(context.answers) == {"200 e1", "200 e2"}, context.answers
+
+
+@when(
+    "limits: a request comes at one gateway, {seconds:g} s after the endpoint has named its limit"
+)
+def send_later(context, seconds):
+    context.seconds = seconds
+
+
+@then("limits: {seconds:g} s later no gateway may send to the endpoint")
+def check_counted(context, seconds):
+    async def job():
+        context.answers = []
+        async with open_fleet(context) as fleet:
+            await ask(context, fleet.choose(0), "first")
+            await sleep(context.seconds)
+            context.before = list_delays(fleet)
+            await ask(context, fleet.choose(0), "second")
+            await sleep(seconds)
+            context.after = list_delays(fleet)
+
+    run(job)
+    assert context.answers == ["200 e1", "200 e1"], context.answers
+    assert not any(context.before), context.before
+    assert all(context.after), context.after
+
+
+def list_delays(fleet):
+    """:return: seconds until each gateway may send to the first endpoint"""
+    return [
+        rig.dispatcher.limit_table.find_delay(
+            rig.endpoint_table.state_by_id["e1"].entry, current_time()
+        )
+        for rig in fleet.rig_by_host.values()
+    ]
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerrelay.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerrelay.py
@@ -15,7 +15,7 @@
 from kingcupdyke_daemon.forwarder.dialect import Headers
 from kingcupdyke_daemon.forwarder.events import EventBuffer
 from kingcupdyke_daemon.forwarder.reply import Reply
-from kingcupdyke_wire.sse import EVENT_STREAM
+from kingcupdyke_wire.sse import EVENT_STREAM, EventTooLongError
 
 __all__ = ["AnswerEnd", "AnswerFraming", "AnswerRelay", "strip_headers"]
 
@@ -84,7 +84,7 @@
         """Pass an answer on to its end.
 
         :param parts: its body as it arrives
-        :raises TransferError: when a stream ends before it is complete
+        :raises TransferError: when a stream ends before it is complete, or an event is too long
         """
         self._framing = _find_framing(head)
         self._events.drop_partial()
@@ -102,7 +102,10 @@
         count_before = events.count
         async for data in parts:
             is_first = not events.count
-            complete = events.feed(data)
+            try:
+                complete = events.feed(data)
+            except EventTooLongError as error:
+                raise TransferError(Progress.ANSWERING, str(error)) from error
             if complete and is_first:
                 self._on_first_event()
             data = complete if self._is_resumable else data
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
@@ -26,6 +26,7 @@
     aclose_forcefully,
     connect_tcp,
     fail_after,
+    move_on_after,
 )
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 from h11 import (
@@ -62,6 +63,13 @@
 #: Number of answers read in search of the answer to the current request. A request fails if all of
 #: them are for other attempts.
 MAX_STRAY_ANSWERS = 3
+#: Limit of the size of the body of each of them.
+MAX_STRAY_BYTES = 1_048_576
+#: Limit of the heads that announce the head of the answer.
+MAX_INFORMATIONAL_HEADS = 8
+#: Limit of a body that is read whole before it is used, in bytes and seconds.
+MAX_SHORT_BODY_BYTES = 65_536
+SHORT_BODY_TIMEOUT_S = 0.5
 
 #: Socket options that close a connection within seconds when its peer becomes unresponsive.
 KEEPALIVE_OPTIONS = (
@@ -213,6 +221,21 @@
                 raise TransferError(self._progress, "the answer ended early")
             yield bytes(event.data)
 
+    async def read_short_body(self) -> bytes | None:
+        """Read the body of an answer that is not passed on as it arrives.
+
+        :return: the body, or None if it is too long or too slow, so that the rest stays unread
+        :raises TransferError: when the connection breaks before the end of the body
+        """
+        body = b""
+        with move_on_after(SHORT_BODY_TIMEOUT_S):
+            async for data in self.read_body():
+                body += data
+                if len(body) > MAX_SHORT_BODY_BYTES:
+                    return None
+            return body
+        return None
+
     def prepare_reuse(self) -> bool:
         """Prepare the connection for the next request.
 
@@ -237,8 +260,11 @@
             _LOGGER.debug("sending the request failed: %r", error)
 
     async def _skip_answer(self) -> None:
-        async for _ in self.read_body():
-            pass
+        skipped = 0
+        async for data in self.read_body():
+            skipped += len(data)
+            if skipped > MAX_STRAY_BYTES:
+                raise TransferError(self._progress, "the answer to another attempt is too long")
         # h11 accepts one answer per request. To read another one, replay the request on a new
         # parser without sending it, and feed it the bytes received after the skipped answer.
         rest = self._http.trailing_data[0]
@@ -253,13 +279,14 @@
             self._http.receive_data(rest)
 
     async def _next(self, kind: type) -> Response:
-        while True:
+        for _ in range(MAX_INFORMATIONAL_HEADS + 1):
             event = await self._next_event()
             if isinstance(event, InformationalResponse):
                 continue
             if not isinstance(event, kind):
                 raise TransferError(self._progress, "the connection was closed")
             return event
+        raise TransferError(self._progress, "received only informational answers")
 
     async def _next_event(self) -> object:
         try:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -35,8 +35,6 @@
 RETRY_AFTER_S = 0.5
 #: Timeout for writing a final answer that the gateway gives itself.
 FINAL_ANSWER_TIMEOUT_S = 1.0
-#: Limit on the body of a failed answer that is kept while another endpoint is tried.
-MAX_KEPT_BYTES = 65_536
 STATUS_MISDIRECTED = 421
 #: Lowest status that is treated as a failure of the endpoint.
 STATUS_FAILURE = 500
@@ -317,8 +315,7 @@
         answer: AnswerMetadata,
     ) -> tuple[AttemptResult, bool]:
         self._reason = f"endpoint {endpoint}: status {head.status_code}, not run"
-        async for _ in connection.read_body():
-            pass
+        is_reusable = await connection.read_short_body() is not None
         now_s = self._deps.timer.now()
         is_other = answer.endpoint and answer.endpoint != endpoint
         if head.status_code == STATUS_MISDIRECTED and not is_other and self._item.model:
@@ -326,7 +323,7 @@
             self._deps.endpoint_table.deny_replica(replica, now_s)
         elif head.status_code == STATUS_MISDIRECTED:
             self._deps.endpoint_table.note_failure(endpoint, now_s, True)
-        return AttemptResult.NOT_RUN, True
+        return AttemptResult.NOT_RUN, is_reusable
 
     async def _keep_failure(
         self, connection: EndpointConnection, endpoint: str, head: Response
@@ -334,11 +331,9 @@
         """Keep a failed answer, which is passed on only if no other endpoint answers."""
         self._deps.endpoint_table.note_failure(endpoint, self._deps.timer.now(), False)
         self._reason = f"endpoint {endpoint}: status {head.status_code}"
-        body = b""
-        async for data in connection.read_body():
-            body += data
-            if len(body) > MAX_KEPT_BYTES:
-                return AttemptResult.FAILED, False
+        body = await connection.read_short_body()
+        if body is None:
+            return AttemptResult.FAILED, False
         if self._reply.has_begun:
             return AttemptResult.BROKEN, True
         headers = [each for each in strip_headers(head) if each[0] != b"content-length"]
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/sse.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/sse.py
@@ -12,7 +12,9 @@
     "DONE_EVENT",
     "EVENT_END",
     "EVENT_STREAM",
+    "EventTooLongError",
     "LINE_ENDS",
+    "MAX_EVENT_BYTES",
     "ends_inside_event",
     "split_events",
 ]
@@ -23,12 +25,21 @@
 EVENT_END = re.compile(rb"(?>\r\n|\n|\r){2}")
 LINE_ENDS = b"\r\n"
 
+#: Limit of the size of an event.
+MAX_EVENT_BYTES = 1_048_576
 #: Event that ends a complete stream in the OpenAI format.
 DONE_EVENT = b"data: [DONE]\n\n"
 
 BLANK_LINE = b"\n\n"
 
 
+class EventTooLongError(Exception):
+    """An event of a stream has no end within MAX_EVENT_BYTES."""
+
+    def __init__(self) -> None:
+        super().__init__(f"an event is longer than {MAX_EVENT_BYTES} bytes")
+
+
 async def split_events(parts: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
     """Split a stream into complete events.
 
