Bound the answers that the HTTP client reads whole, and the events of engines

A server that sent a body without end filled the client's memory until the timeout; an engine's event without end did so for as long as it went on. Answers that are read whole are limited to 16 MiB, in sidecars too, and events to 1 MiB; beyond that the exchange fails as unknown and its connection is closed.

--- a/packages/kingcupdyke-daemon/features/run.feature
+++ b/packages/kingcupdyke-daemon/features/run.feature
@@ -20,3 +20,12 @@
       | body          | items     |
       | {"error": 1}  | head part |
       | {"error":     | head fail |
+
+  Scenario Outline: An engine's answer without end to a <kind> request is a failure
+    When an engine answers a <kind> request with JSON without end
+    Then the run's backend yields "<items>"
+
+    Examples:
+      | kind      | items     |
+      | streaming | head fail |
+      | whole     | fail      |
--- a/packages/kingcupdyke-daemon/features/steps/run_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/run_steps.py
@@ -53,14 +53,33 @@
         yield EngineRun(400, "application/json", request_id, read_parts())
 
 
+class EndlessEngine:
+    """Answers each request with JSON without end."""
+
+    @asynccontextmanager
+    async def open_run(self, path, body, request_id, *options):
+        async def read_parts():
+            for _ in range(10_000):
+                yield b" " * 65_536
+            raise AssertionError("the engine's answer was read without end")
+
+        yield EngineRun(200, "application/json", request_id, read_parts())
+
+
+async def collect_items(context, engine, is_stream):
+    backend = EngineBackend(engine, "e1")
+    request = RunRequest(attempt_id="one", service_class="interactive", stream=is_stream)
+    context.items = [each async for each in backend.run(request)]
+
+
 @when('an engine answers a streaming request with the JSON "{body}"')
 def answer_json(context, body):
-    async def collect():
-        backend = EngineBackend(JsonEngine(body.encode()), "e1")
-        request = RunRequest(attempt_id="one", service_class="interactive", stream=True)
-        context.items = [each async for each in backend.run(request)]
+    anyio.run(collect_items, context, JsonEngine(body.encode()), True)
+
 
-    anyio.run(collect)
+@when("an engine answers a {kind} request with JSON without end")
+def answer_without_end(context, kind):
+    anyio.run(collect_items, context, EndlessEngine(), kind == "streaming")
 
 
 @then('the run\'s backend yields "{items}"')
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/backend.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/backend.py
@@ -17,7 +17,7 @@
 from kingcupdyke.rule import ServiceClass
 from kingcupdyke_wire.completeness import is_json
 from kingcupdyke_wire.engine import EngineClient, EngineRun
-from kingcupdyke_wire.http import ExchangeError, HttpClient
+from kingcupdyke_wire.http import AnswerTooLongError, ExchangeError, HttpClient, read_whole
 from kingcupdyke_wire.sidecar_pb2 import RunRequest
 from kingcupdyke_wire.sse import EVENT_STREAM
 
@@ -128,9 +128,11 @@
             async with self._open(request) as opened:
                 if opened.request_id != request.attempt_id:
                     return Error(self._fail("the engine answered another request"))
-                body = b"".join([part async for part in opened.parts])
+                body = await read_whole(opened.parts)
         except ExchangeError as error:
             return Error(error.failure)
+        except AnswerTooLongError as error:
+            return Error(self._fail(str(error)))
         if not is_json(body):
             return Error(self._fail(_INCOMPLETE))
         return Ok((BackendHead(opened.status, opened.content_type), body))
@@ -169,7 +171,7 @@
                         head_sent = True
                         yield BackendHead(opened.status, opened.content_type)
                     if not opened.content_type.startswith(EVENT_STREAM):
-                        body = b"".join([part async for part in opened.parts])
+                        body = await read_whole(opened.parts)
                         yield BackendPart(body) if is_json(body) else self._fail(_INCOMPLETE)
                         return
                     async for index, event in _read_events(opened.parts, events):
@@ -187,6 +189,9 @@
                     yield error.failure
                     return
                 reason = error.failure.reason
+            except AnswerTooLongError as error:
+                yield self._fail(str(error))
+                return
             except ConnectionError as error:
                 reason = f"the engine's stream broke off: {error!r}"
         yield self._fail(reason)
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/engine.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/engine.py
@@ -18,8 +18,8 @@
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke.inventory import EngineInventory
 from kingcupdyke_wire.decode import decode, make_failure
-from kingcupdyke_wire.http import HttpAnswer, HttpClient
-from kingcupdyke_wire.sse import EVENT_STREAM, split_events
+from kingcupdyke_wire.http import ExchangeError, HttpAnswer, HttpClient
+from kingcupdyke_wire.sse import EVENT_STREAM, EventTooLongError, split_events
 
 __all__ = [
     "OLD_FENCE",
@@ -259,11 +259,23 @@
             content_type = stream.headers.get("content-type", "")
             parts = stream.parts
             if content_type.startswith(EVENT_STREAM):
-                parts = split_events(parts)
+                parts = self._split_events(parts)
             yield EngineRun(
                 stream.status, content_type, stream.headers.get("x-request-id", ""), parts
             )
 
+    async def _split_events(self, parts: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+        """Yield the events of a stream.
+
+        :raises kingcupdyke_wire.http.ExchangeError: when the exchange fails or an event is too long
+        """
+        try:
+            async for event in split_events(parts):
+                yield event
+        except EventTooLongError as error:
+            failure = Failure(Outcome.UNKNOWN, Step.RUN, self._run_http.peer, str(error))
+            raise ExchangeError(failure) from error
+
     async def kv_export(self, request_id: str) -> Result[KvCache, Failure]:
         answer = await self._post("/admin/kv/export", {"request_id": request_id})
         return answer.bind(lambda each: self._decode(each, lambda d: _read_kv(request_id, d)))
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/http.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/http.py
@@ -5,7 +5,7 @@
 HTTP client whose failures state whether the server may have executed the request.
 """
 
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterable, AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 from urllib.parse import urlsplit
@@ -23,18 +23,50 @@
 )
 
 from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke.util import MIB
 from kingcupdyke_wire.completeness import find_truncation
 
-__all__ = ["ExchangeError", "HttpAnswer", "HttpClient", "HttpStream"]
+__all__ = [
+    "AnswerTooLongError",
+    "ExchangeError",
+    "HttpAnswer",
+    "HttpClient",
+    "HttpStream",
+    "read_whole",
+]
 
 #: Seconds for which an idle connection is kept. Servers commonly close theirs after 5 s;
 #: closing first avoids sending a request on a connection that the server has just closed.
 KEEPALIVE_EXPIRY_S = 2.0
 MAX_IDLE_CONNECTIONS = 64
+#: Limit of the size of an answer that is read whole.
+MAX_BODY_BYTES = 16 * MIB
 #: Trace event of httpcore after which bytes of the request may have been sent.
 SEND_STARTED = "http11.send_request_headers.started"
+
+
+class AnswerTooLongError(Exception):
+    """An answer that is read whole is longer than MAX_BODY_BYTES."""
+
+    def __init__(self) -> None:
+        super().__init__(f"the answer is longer than {MAX_BODY_BYTES} bytes")
+
+
 #: Exceptions of a failed exchange; :func:`anyio.fail_after` raises the built-in TimeoutError.
-EXCHANGE_ERRORS = (NetworkError, ProtocolError, TimeoutException, TimeoutError)
+EXCHANGE_ERRORS = (NetworkError, ProtocolError, TimeoutException, TimeoutError, AnswerTooLongError)
+
+
+async def read_whole(parts: AsyncIterable[bytes]) -> bytes:
+    """Read a body to its end.
+
+    :raises AnswerTooLongError: when it is longer than MAX_BODY_BYTES
+    """
+    body = bytearray()
+    async for part in parts:
+        body += part
+        if len(body) > MAX_BODY_BYTES:
+            raise AnswerTooLongError
+    return bytes(body)
 
 
 class HttpAnswer(NamedTuple):
@@ -129,7 +161,8 @@
         :param path: path and query, quoted
         :param timeout_s: seconds for the whole exchange; None for the client's default
         :return: the answer with any status, or a failure: "not run" if nothing was sent,
-            otherwise "unknown", also if the answer ended before it was complete
+            otherwise "unknown", also if the answer ended before it was complete or is longer than
+            MAX_BODY_BYTES
         """
         progress = _Progress()
         request = self._build(method, path, headers, body, {"trace": progress.trace})
@@ -137,7 +170,7 @@
             with fail_after(self._timeout_s if timeout_s is None else timeout_s):
                 response = await self._pool.handle_async_request(request)
                 try:
-                    content = await response.aread()
+                    content = await read_whole(response.stream)
                 finally:
                     await _close(response)
         except EXCHANGE_ERRORS as error:
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/sse.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/sse.py
@@ -47,12 +47,15 @@
 
     :param parts: parts of the stream, which may end within an event
     :return: events, each with its final blank line
+    :raises EventTooLongError: when an event has no end within MAX_EVENT_BYTES
     """
     remainder = b""
     async for part in parts:
         *events, remainder = (remainder + part).replace(b"\r\n", b"\n").split(BLANK_LINE)
         for event in events:
             yield event + BLANK_LINE
+        if len(remainder) > MAX_EVENT_BYTES:
+            raise EventTooLongError
 
 
 def ends_inside_event(body: bytes) -> bool:
