Test the messages on requests to endpoints with a limit, and the repeated ones

The request comes between them now, and the scenario is red without the message. Without repeats no scenario was reliably red; one on lost messages is.

--- a/packages/kingcupdyke-daemon/features/limits.feature
+++ b/packages/kingcupdyke-daemon/features/limits.feature
@@ -30,5 +30,10 @@
 
   Scenario: A request to an endpoint with a limit counts at once at the other gateways
     Given limits: 3 gateways before an endpoint with a limit of 0.4 a second and no other
-    When limits: a request comes at one gateway, 5 s after the endpoint has named its limit
+    When limits: a request comes at one gateway, 5.25 s after the endpoint has named its limit
     Then limits: 0.05 s later no gateway may send to the endpoint
+
+  Scenario: Gateways agree on a limit although messages were lost
+    Given limits: 3 gateways before an endpoint with a limit of 1 a second and no other
+    When limits: one gateway knows the limit, as all messages on it were lost
+    Then limits: after 0.8 s all gateways know it
--- a/packages/kingcupdyke-daemon/features/steps/limits_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/limits_steps.py
@@ -218,3 +218,22 @@
         )
         for rig in fleet.rig_by_host.values()
     ]
+
+
+@when("limits: one gateway knows the limit, as all messages on it were lost")
+def lose_messages(context):
+    pass
+
+
+@then("limits: after {seconds:g} s all gateways know it")
+def check_known(context, seconds):
+    async def job():
+        async with open_fleet(context) as fleet:
+            rigs = list(fleet.rig_by_host.values())
+            entry = rigs[0].endpoint_table.state_by_id["e1"].entry
+            rigs[0].dispatcher.limit_table.note_answer(entry, 1.0, current_time())
+            await sleep(seconds)
+            context.limits = [each.dispatcher.limit_table.get_limit(entry) for each in rigs]
+
+    run(job)
+    assert context.limits == [1.0, 1.0, 1.0], context.limits
