Read and log that an endpoint says in an answer that it leaves

Nothing in the logs said so, so that they could not tell an endpoint that never says it in its entry from one whose entry came late. `request ended` gains `leaving`; nothing acts on it yet.

--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -70,8 +70,8 @@
 
 
 class PlainDialect(Dialect):
-    """Headers x-id, x-limit-s, x-parts, x-mark, x-not-run, x-endpoint and x-limit; decodes no
-    objects.
+    """Headers x-id, x-limit-s, x-parts, x-mark, x-not-run, x-endpoint, x-limit and x-leaving;
+    decodes no objects.
     """
 
     def read_request(self, headers):
@@ -103,6 +103,7 @@
             values.get(b"x-endpoint", b"").decode(),
             None,
             float(values[b"x-limit"]) if b"x-limit" in values else None,
+            b"x-leaving" in values,
         )
 
     def write_rejection(self, attempt_id, retry_after_s):
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -279,6 +279,8 @@
         self._record_activity(endpoint)
         answer = deps.dialect.read_answer(list(head.headers))
         self._note_limit(entry, answer)
+        if answer.is_leaving:
+            self._request_log.leaving.append(answer.endpoint or endpoint)
         if answer.is_not_run or head.status_code == STATUS_MISDIRECTED:
             return await self._handle_not_run(connection, endpoint, head, answer)
         if not answer.is_stamped:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
@@ -74,6 +74,8 @@
         self._resumes = resumes
         #: Limit of requests a second that the endpoint named in its last answer, or None.
         self.limit_per_s: float | None = None
+        #: Endpoints that have said in an answer that they are leaving.
+        self.leaving: list[str] = []
 
     def log_wait(self, decision: Wait, waiting: int) -> None:
         """Log that the request starts to wait.
@@ -161,6 +163,7 @@
             events=end.events,
             partial_bytes=end.partial_bytes,
             limit_per_s=-1.0 if self.limit_per_s is None else self.limit_per_s,
+            leaving=tuple(self.leaving),
         )
         if outcome == "answered" and status < STATUS_FAILURE:
             self._sampler.log(_LOGGER, "request ended", record)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -158,6 +158,8 @@
     partial_bytes: int
     #: Limit of requests a second that the endpoint named in its last answer, or -1 without one.
     limit_per_s: float
+    #: Endpoints that said in their answers that they are leaving, in order.
+    leaving: tuple[str, ...]
 
 
 class OrderRecord(NamedTuple):
--- a/packages/kingcupdyke/kingcupdyke/forwarding/metadata.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/metadata.py
@@ -61,3 +61,5 @@
     #: Requests a second that the endpoint accepts from all gateways together, or None if it named
     #: no limit.
     limit_per_s: float | None = None
+    #: Whether the endpoint states that it is leaving.
+    is_leaving: bool = False
