--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/crashdirectory.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/crashdirectory.py
@@ -17,7 +17,7 @@
 from kingcupdyke.forwarding.endpoint import EndpointEntry
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.timer import TimerService
-from kingcupdyke.util import rank_rendezvous
+from kingcupdyke_daemon.forwarder.peerbroadcast import PeerBroadcast
 from kingcupdyke_daemon.logs import log_record
 from kingcupdyke_daemon.records import CrashRecord, CrashSignatureRecord
 
@@ -30,12 +30,8 @@
 #: as crashed, and interval between looks at the list.
 RESTART_TIMEOUT_S = 3.0
 RESTART_POLL_INTERVAL_S = 0.25
-#: Interval between looks for peers that have started.
-NEWCOMER_INTERVAL_S = 0.1
-#: Interval between messages with all reports, each to another peer.
-REPEAT_INTERVAL_S = 1.0
-#: Number of gateways that send a peer all reports when it starts.
-NEWCOMER_SENDERS = 3
+#: Interval between clean-ups of expired reports.
+CLEANUP_INTERVAL_S = 1.0
 #: Limit of reports in one message, so that it fits in a datagram.
 MAX_MESSAGE_REPORTS = 32
 
@@ -75,15 +71,11 @@
         self._endpoint_table = endpoint_table
         self._timer = timer
         self._tasks = tasks
-        self._list_peers = list_peers
-        self._send = send
         #: Lost requests by endpoint and start of its process, until it is known whether it crashed.
         self._lost_by_process: dict[tuple[str, int], list[_LostRequest]] = {}
-        self._incarnation_by_peer: dict[str, str] = {}
-        self._repeats = 0
         self._signatures: tuple[CrashSignature, ...] = ()
-        timer.subscribe("crash newcomers", NEWCOMER_INTERVAL_S, self._greet_newcomers)
-        timer.subscribe("crash repeats", REPEAT_INTERVAL_S, self._repeat)
+        self._broadcast = PeerBroadcast("crash", host, timer, list_peers, send, self._encode_all)
+        timer.subscribe("crash clean-up", CLEANUP_INTERVAL_S, self._drop_expired)
 
     def note_sound(self, parts: tuple[str, ...]) -> None:
         """Record that an endpoint writes an answer to a prompt without crashing."""
@@ -91,7 +83,7 @@
         if self._table.note_sound(parts, now_s):
             message = self._table.make_message(self._host, now_s)
             sound = tuple(each for each in message.sound_parts if each.part in parts)
-            self._broadcast(CrashMessage(self._host, (), sound))
+            self._broadcast.post(_encode(CrashMessage(self._host, (), sound)))
             self._log_signatures()
 
     def note_lost(self, entry: EndpointEntry, parts: tuple[str, ...], is_beginning: bool) -> None:
@@ -147,41 +139,16 @@
             record = CrashRecord(each.endpoint, each.started_ms, each.parts, each.is_beginning)
             log_record(_LOGGER, "endpoint crashed under request", record)
         if new:
-            self._broadcast(CrashMessage(self._host, new, ()))
+            self._broadcast.post(_encode(CrashMessage(self._host, new, ())))
             self._log_signatures()
 
-    def _broadcast(self, message: CrashMessage) -> None:
-        for data in _encode(message):
-            for peer in self._list_peers():
-                self._send(peer, data)
-
-    def _greet_newcomers(self, now_s: float) -> None:
-        """Send all reports to peers that have started, as one of the gateways chosen for that."""
-        peers = dict(self._list_peers())
-        newcomers = [
-            host
-            for host, incarnation in peers.items()
-            if self._incarnation_by_peer.get(host) != incarnation
-        ]
-        self._incarnation_by_peer = peers
-        for newcomer in newcomers:
-            senders = rank_rendezvous(newcomer, {self._host, *peers} - {newcomer})
-            if self._host in senders[:NEWCOMER_SENDERS]:
-                self._send_all(newcomer, now_s)
-
-    def _repeat(self, now_s: float) -> None:
-        """Send all reports to the next peer, as messages may have been lost."""
+    def _drop_expired(self, now_s: float) -> None:
         self._table.drop_expired(now_s)
         self._log_signatures()
-        peers = sorted(self._list_peers())
-        if peers:
-            self._repeats += 1
-            self._send_all(peers[self._repeats % len(peers)], now_s)
 
-    def _send_all(self, peer: str, now_s: float) -> None:
+    def _encode_all(self, now_s: float) -> Iterator[bytes]:
         if not self._table.is_empty:
-            for data in _encode(self._table.make_message(self._host, now_s)):
-                self._send(peer, data)
+            yield from _encode(self._table.make_message(self._host, now_s))
 
     def _log_signatures(self) -> None:
         known = {each.parts for each in self._signatures}
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -7,7 +7,7 @@
 
 import logging
 
-from anyio import Event, move_on_after, sleep
+from anyio import Event, sleep
 from anyio.abc import SocketListener, TaskGroup
 
 from kingcupdyke.forwarding.configuration import ClientLimits, Configuration
@@ -26,6 +26,7 @@
 from kingcupdyke_daemon.forwarder.peerexchanges import PeerExchanges
 from kingcupdyke_daemon.forwarder.peergossip import PEERS_KIND, PeerGossip
 from kingcupdyke_daemon.forwarder.peerlog import PeerLog
+from kingcupdyke_daemon.forwarder.plannedstop import SEND_GRACE_FRACTION, PlannedStop
 from kingcupdyke_daemon.forwarder.plannerrunner import (
     LEASE_NAME,
     RENEWAL_INTERVAL_S,
@@ -57,25 +58,12 @@
 SETTINGS_POLL_INTERVAL_S = 1.0
 #: Number of gateways that contend for the planner's lease.
 MAX_CANDIDATES = 2
-#: Time for which requests are still accepted after a planned stop began, if the grace period allows
-#: it: the load balancer checks once a second and stops sending after two failed checks.
-ACCEPT_S = 2.6
-#: Time for which requests are rejected after that, before the process may end.
-REJECT_S = 0.6
-#: Fractions of the grace period after which no request is sent to an endpoint any more, and after
-#: which requests in progress get a final answer or are cut off.
-SEND_GRACE_FRACTION = 0.55
-ANSWER_GRACE_FRACTION = 0.9
-#: Time for writing those final answers.
-FINAL_ANSWERS_S = 0.15
 #: How much longer a lease lasts than the minimum time between the orders of two planners. Must
 #: exceed the time after a proof of the lease during which orders are sent.
 LEASE_MARGIN_S = 1.2
 #: Time after its last renewal for which the lease may be kept by promises of peers. A gateway that
 #: the holder did not list as a member waits this much longer before it takes the lease.
 MAX_UNRENEWED_LEASE_S = 40.0
-#: Timeout for releasing the lease.
-LEASE_RELEASE_TIMEOUT_S = 0.5
 
 
 class Forwarder:
@@ -240,35 +228,15 @@
         self._is_stopping = True
         self._dispatcher.send_by_s = started_s + self._settings.grace_s * SEND_GRACE_FRACTION
         self._ready.is_ready = False
-        self._client_server.is_stopping = True
         self._peer_gossip.state_changed.set()
-        end_s = started_s + self._settings.grace_s * ANSWER_GRACE_FRACTION
-        handed_over = Event()
-        self._tasks.start_soon(self._hand_over, end_s, handed_over)
-        accept_s = min(ACCEPT_S, self._settings.grace_s * ANSWER_GRACE_FRACTION - REJECT_S)
-        await sleep(max(0.0, started_s + accept_s - self._timer.now()))
-        self._request_handler.is_rejecting = True
-        await self._client_server.close_idle()
-        await sleep(REJECT_S)
-        await client_listener.aclose()
-        await self._client_server.close_idle()
-        while self._client_server.in_progress and self._timer.now() < end_s:
-            await sleep(QUEUE_POLL_INTERVAL_S)
-        await handed_over.wait()
-        if self._client_server.in_progress:
-            self._request_handler.cancel_all()
-            await sleep(FINAL_ANSWERS_S)
-        _LOGGER.warning("stopped with %d requests in progress", self._client_server.in_progress)
-
-    async def _hand_over(self, end_s: float, handed_over: Event) -> None:
-        """Release the planner's lease. While the store is unavailable no other gateway could take
-        the lease, so this gateway keeps planning until the store is back or the process must end.
-        """
-        while self._planner_runner.is_store_unavailable and self._timer.now() < end_s:
-            await sleep(CLEANUP_INTERVAL_S)
-        with move_on_after(LEASE_RELEASE_TIMEOUT_S):
-            await self._planner_runner.release_lease()
-        handed_over.set()
+        planned_stop = PlannedStop(
+            self._client_server,
+            self._request_handler,
+            self._planner_runner,
+            self._timer,
+            self._tasks,
+        )
+        await planned_stop.run(client_listener, self._settings.grace_s)
 
     def _apply_settings(self, settings: ForwarderSettings) -> None:
         self._dispatcher.region_by_data_centre = settings.region_by_data_centre
