Send nothing new to an endpoint that has said in an answer that it leaves

Callers' requests reached endpoints that had told the same gateway in an answer that they leave. Cause: gateways knew it from an endpoint's entry alone, and only for as long as that entry, among those of one start, was the one read last; an entry from before undid it. Class: a fact that holds for good, kept as a field of a record that is replaced.

A process that has said that it leaves, by whatever answer or entry, now stays so at this gateway until it is gone: answers to requests, also those to other attempts, to orders and to requests for reports. It is known by the start of the process, so that another endpoint at the address, or a later start under the id, is used. Gateways tell each other at once, tell peers that start, and repeat all of it to each in turn. A request whose connection takes its time is checked again before it is sent.

--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -33,6 +33,7 @@
 from kingcupdyke.forwarding.dispatcher import Dispatcher
 from kingcupdyke.forwarding.endpoint import EndpointEntry
 from kingcupdyke.forwarding.endpointtable import EndpointTable
+from kingcupdyke.forwarding.leavingmessage import LeavingMessage
 from kingcupdyke.forwarding.limitmessage import LimitMessage
 from kingcupdyke.forwarding.metadata import AnswerMetadata, PromptPart, RequestMetadata
 from kingcupdyke.forwarding.retrybudget import SharedRetryBudget
@@ -41,6 +42,7 @@
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.handler import ForwardingHandler
+from kingcupdyke_daemon.forwarder.leavingdirectory import LeavingDirectory
 from kingcupdyke_daemon.forwarder.limitdirectory import LimitDirectory
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
 from kingcupdyke_daemon.forwarder.origindirectory import OriginDirectory
@@ -429,6 +431,13 @@
             lambda: len(self.network.rig_by_host),
             self.network.send,
         )
+        self.leaving = LeavingDirectory(
+            host,
+            self.endpoint_table,
+            timer,
+            lambda: self.network.list_peers(host),
+            self.network.send,
+        )
         deps = ForwarderDependencies(
             PlainDialect(),
             self.dispatcher,
@@ -442,6 +451,7 @@
             OriginDirectory("n1", timer, lambda: "north", dict, lambda host, message: None),
             self.crashes,
             self.endpoint_limits,
+            self.leaving,
         )
         self.endpoint_table.listed_since_s = -inf
         self.handler = ForwardingHandler(deps)
@@ -467,11 +477,17 @@
 
     def receive(self, data):
         """Process a peer's message."""
-        crashes = CrashMessage.decode(data)
-        if crashes.is_ok():
-            self.crashes.receive(crashes.ok)
-        else:
-            self.endpoint_limits.receive(LimitMessage.decode(data).ok)
+        handlers = {
+            CrashMessage: self.crashes.receive,
+            LimitMessage: self.endpoint_limits.receive,
+            LeavingMessage: self.leaving.receive,
+        }
+        for kind, receive in handlers.items():
+            message = kind.decode(data)
+            if message.is_ok():
+                receive(message.ok)
+                return
+        raise ValueError(data)
 
     async def send(self, data):
         """:return: a new connection on which the bytes have been sent"""
--- a/packages/kingcupdyke-daemon/features/steps/leaving_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/leaving_steps.py
@@ -101,11 +101,15 @@
     for rig in fleet.rig_by_host.values():
         rig.endpoint_table.remove(endpoint.name, current_time(), False)
     await sleep(0.3)
-    # Of endpoints that cost the same, the one listed first is chosen.
-    other = rig.endpoint_table.state_by_id["e2"].entry
-    fleet.list_endpoint(endpoint)
+    list_first(fleet, endpoint)
+
+
+def list_first(fleet, endpoint):
+    """List an endpoint before the other one: of endpoints that cost the same, it is chosen."""
     for rig in fleet.rig_by_host.values():
+        other = rig.endpoint_table.state_by_id["e2"].entry
         rig.endpoint_table.remove("e2", current_time(), False)
+        rig.list_endpoint(endpoint)
         rig.endpoint_table.put(other)
 
 
@@ -235,7 +239,7 @@
                 endpoint.name = "e3"
             else:
                 endpoint.starts += 1
-            fleet.list_endpoint(endpoint)
+            list_first(fleet, endpoint)
             for host, rig in fleet.rig_by_host.items():
                 for number in range(10):
                     await ask(context, rig, f"{host}-{number}")
@@ -248,6 +252,7 @@
     endpoint = context.endpoints[0]
     ids = [find(head, "x-id") for head, _ in endpoint.requests]
     assert {each.partition("-")[0] for each in ids} == {"rg0", "rg1", "rg2"}, ids
+    assert {find(head, "x-endpoint") for head, _ in endpoint.requests} == {endpoint.name}
 
 
 @when("leaving: another endpoint answers at its address that it leaves")
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from enum import IntEnum
 from select import POLLIN, poll
 from socket import (
@@ -44,6 +44,7 @@
     Response,
 )
 
+from kingcupdyke.forwarding.metadata import AnswerMetadata
 from kingcupdyke_daemon.forwarder.dialect import Dialect, Headers
 
 __all__ = ["EndpointConnection", "Progress", "KEEPALIVE_OPTIONS", "TransferError"]
@@ -193,15 +194,17 @@
         self._progress = Progress.SENT
         tasks.start_soon(self._send_all, head + data + end)
 
-    async def read_head(self) -> Response:
+    async def read_head(self, on_answer: Callable[[AnswerMetadata], None]) -> Response:
         """Read the head of the answer, skipping answers to other attempts.
 
+        :param on_answer: called with the metadata of each answer, also to another attempt
         :raises TransferError: when the connection breaks or only carries other answers
         """
         for _ in range(MAX_STRAY_ANSWERS):
             response = await self._next(Response)
             metadata = self._dialect.read_answer(list(response.headers))
             self.keep_alive_s = metadata.keep_alive_s
+            on_answer(metadata)
             if not self._attempt_id or metadata.attempt_id in ("", self._attempt_id):
                 self._progress = Progress.ANSWERING
                 return response
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/dependencies.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/dependencies.py
@@ -13,6 +13,7 @@
 from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.forwarder.crashdirectory import CrashDirectory
 from kingcupdyke_daemon.forwarder.dialect import Dialect
+from kingcupdyke_daemon.forwarder.leavingdirectory import LeavingDirectory
 from kingcupdyke_daemon.forwarder.limitdirectory import LimitDirectory
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
 from kingcupdyke_daemon.forwarder.origindirectory import OriginDirectory
@@ -38,3 +39,4 @@
     origins: OriginDirectory
     crashes: CrashDirectory
     limits: LimitDirectory
+    leaving: LeavingDirectory
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import AsyncIterator
+from functools import partial
 from uuid import uuid4
 
 from anyio import CancelScope, create_task_group, get_cancelled_exc_class, move_on_after
@@ -207,7 +208,7 @@
     async def _try_endpoint(self, endpoint: str) -> AttemptResult:
         deps = self._deps
         state = deps.endpoint_table.state_by_id.get(endpoint)
-        if state is None:
+        if state is None or not deps.endpoint_table.may_send(state):
             return AttemptResult.NOT_SENT
         self._unread_tokens = state.unread_tokens
         self._watch = CrashWatch(deps.crashes, deps.timer, state.entry, self._item.part_ids)
@@ -220,6 +221,9 @@
             connection = await deps.pool.acquire(
                 endpoint, state.entry.address, not self._is_retryable
             )
+            if not deps.endpoint_table.may_send(state):
+                self._reason = f"endpoint {endpoint} is leaving"
+                return AttemptResult.NOT_SENT
             async with create_task_group() as tasks:
                 try:
                     result, is_reusable = await self._forward(
@@ -275,12 +279,10 @@
         method, target = self._request.method, self._request.target
         self._is_in_flight = True
         connection.send(tasks, method, target, headers, body, self._metadata.attempt_id)
-        head = await connection.read_head()
+        head = await connection.read_head(partial(self._note_leaving, entry))
         self._record_activity(endpoint)
         answer = deps.dialect.read_answer(list(head.headers))
         self._note_limit(entry, answer)
-        if answer.is_leaving:
-            self._request_log.leaving.append(answer.endpoint or endpoint)
         if answer.is_not_run or head.status_code == STATUS_MISDIRECTED:
             return await self._handle_not_run(connection, endpoint, head, answer)
         if not answer.is_stamped:
@@ -302,6 +304,12 @@
         self._watch.note_sound()
         return result, True
 
+    def _note_leaving(self, entry: EndpointEntry, answer: AnswerMetadata) -> None:
+        """Record that an endpoint says in an answer, to whatever request, that it is leaving."""
+        if answer.is_leaving:
+            self._request_log.leaving.append(answer.endpoint or entry.endpoint)
+            self._deps.leaving.note_answer(entry, answer)
+
     def _note_limit(self, entry: EndpointEntry, answer: AnswerMetadata) -> None:
         """Record the limit in an answer; one that is not the endpoint's own work ends no limit."""
         self._request_log.limit_per_s = answer.limit_per_s
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peerexchanges.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peerexchanges.py
@@ -12,12 +12,14 @@
 from kingcupdyke.forwarding.crashreport import CrashMessage
 from kingcupdyke.forwarding.dispatcher import Dispatcher
 from kingcupdyke.forwarding.endpointtable import EndpointTable
+from kingcupdyke.forwarding.leavingmessage import LeavingMessage
 from kingcupdyke.forwarding.limitmessage import LimitMessage
 from kingcupdyke.forwarding.peerstate import PeerTable
 from kingcupdyke.forwarding.pinneddemand import PinnedDemandMessage
 from kingcupdyke.forwarding.streamorigin import OriginMessage
 from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.forwarder.crashdirectory import CrashDirectory
+from kingcupdyke_daemon.forwarder.leavingdirectory import LeavingDirectory
 from kingcupdyke_daemon.forwarder.limitdirectory import LimitDirectory
 from kingcupdyke_daemon.forwarder.origindirectory import OriginDirectory
 from kingcupdyke_daemon.forwarder.peergossip import PeerGossip, PeerMessage
@@ -75,6 +77,7 @@
             lambda: get_gossip().gateway_count,
             post,
         )
+        self.leaving = LeavingDirectory(host, endpoint_table, timer, list_incarnations, post)
         self.crashes = CrashDirectory(
             host,
             dispatcher.crash_table,
@@ -93,4 +96,5 @@
             PinnedDemandMessage: self.pinned_demands.receive,
             CrashMessage: self.crashes.receive,
             LimitMessage: self.limits.receive,
+            LeavingMessage: self.leaving.receive,
         }
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
@@ -24,12 +24,13 @@
 from kingcupdyke.forwarding.planround import TimedOrder
 from kingcupdyke.lease import LeaseMachine
 from kingcupdyke_daemon.forwarder.dialect import Dialect
+from kingcupdyke_daemon.forwarder.leavingdirectory import LeavingDirectory
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
 from kingcupdyke_daemon.forwarder.pinneddemands import PinnedDemands
 from kingcupdyke_daemon.leasemanager import LeaseManager
 from kingcupdyke_daemon.logs import log_record
 from kingcupdyke_daemon.records import EngineRecord, OrderRecord
-from kingcupdyke_wire.http import HttpClient
+from kingcupdyke_wire.http import HttpAnswer, HttpClient
 from kingcupdyke_wire.store import StoreClient
 
 __all__ = ["LEASE_NAME", "LEASES_KIND", "PlannerRunner", "read_clock"]
@@ -69,6 +70,7 @@
     :param lease: state machine of the lease; its times are those of :func:`read_clock`
     :param first_order_delay_s: seconds from taking a lease that another host released to the first
         order
+    :param leaving: is told of engines that say that they are leaving
     :param lease_promises: promises of peers, which prove that the lease is still held while the
         store does not answer
     :param list_members: returns the hosts on whose promises the lease is to rely
@@ -87,6 +89,7 @@
         dispatcher: Dispatcher,
         peers: PeerTable,
         pinned_demands: PinnedDemands,
+        leaving: LeavingDirectory,
         lease_promises: LeasePromises,
         list_members: Callable[[], tuple[str, ...]],
         list_stopping: Callable[[], set[str]],
@@ -104,6 +107,7 @@
         self._dispatcher = dispatcher
         self._peers = peers
         self._pinned_demands = pinned_demands
+        self._leaving = leaving
         self._lease_promises = lease_promises
         self._list_members = list_members
         self._list_stopping = list_stopping
@@ -241,6 +245,7 @@
         )
         reply, reason = OrderReply.UNKNOWN, ""
         if answer.is_ok():
+            self._note_leaving(engine.entry, answer.ok)
             reply = self._dialect.read_order_reply(answer.ok.status)
             reason = answer.ok.body[:MAX_LOGGED_BYTES].decode("utf-8", "replace")
         else:
@@ -275,6 +280,7 @@
             self._endpoint_table.note_failure(endpoint, self._now(), True)
             engine.report_failed(self._now())
             return
+        self._note_leaving(engine.entry, answer.ok)
         if answer.ok.status != 200:
             _LOGGER.info("no report from %s: status %d", endpoint, answer.ok.status)
             return
@@ -284,6 +290,13 @@
             return
         self._planner.observe_report(engine, report.ok, self._now())
 
+    def _note_leaving(self, entry: EndpointEntry, answer: HttpAnswer) -> None:
+        headers = [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in answer.headers.items()
+        ]
+        self._leaving.note_answer(entry, self._dialect.read_answer(headers))
+
     def _get_http(self, engine: EngineState) -> HttpClient:
         key = (engine.entry.endpoint, engine.entry.address)
         http = self._http_by_key.get(key)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -125,6 +125,7 @@
                 self._exchanges.origins,
                 self._exchanges.crashes,
                 self._exchanges.limits,
+                self._exchanges.leaving,
             ),
             lambda: self._catalogue.get_ages(),
         )
@@ -267,6 +268,7 @@
             self._dispatcher,
             self._peer_table,
             self._exchanges.pinned_demands,
+            self._exchanges.leaving,
             self._lease_promises,
             self._list_members,
             self._list_stopping,
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -14,6 +14,7 @@
     "CrashSignatureRecord",
     "EndpointRecord",
     "EngineRecord",
+    "LeavingRecord",
     "LimitRecord",
     "OrderRecord",
     "PeerRecord",
@@ -223,6 +224,16 @@
     crashes: int
 
 
+class LeavingRecord(NamedTuple):
+    """Fields of an endpoint that has said in an answer that it is leaving."""
+
+    endpoint: str
+    #: Unix time in milliseconds of the start of the endpoint's process.
+    started_ms: int
+    #: Gateway that has told this one, or empty if the endpoint itself has.
+    peer: str
+
+
 class LimitRecord(NamedTuple):
     """Fields of an endpoint whose limit has changed."""
 
--- a/packages/kingcupdyke/features/steps/enginestate_steps.py
+++ b/packages/kingcupdyke/features/steps/enginestate_steps.py
@@ -51,6 +51,9 @@
         entry = make_entry("e1", heartbeat=int(heartbeat), started_ms=2000, models=read_held(held))
         self.engine.observe_entry(entry)
 
+    def do_leave(self):
+        self.engine.observe_entry(self.engine.entry._replace(is_leaving=True))
+
     def do_load(self, model):
         self.begin(OrderKind.LOAD, model)
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
@@ -10,6 +10,8 @@
 from math import inf
 
 from kingcupdyke.forwarding.endpoint import EndpointEntry, Replica
+from kingcupdyke.forwarding.leavingmessage import LeavingReport
+from kingcupdyke.forwarding.leavingtable import LeavingProcess, LeavingTable
 from kingcupdyke.forwarding.metadata import PromptPart
 from kingcupdyke.forwarding.peerstate import GatewayState
 
@@ -153,6 +155,8 @@
 
     def __init__(self) -> None:
         self.state_by_id: dict[str, EndpointState] = {}
+        #: Processes of endpoints that have said that they are leaving.
+        self.leaving_table = LeavingTable()
         #: Number of requests that wait at peers, by model.
         self.peer_waiting_by_model: dict[str, int] = {}
         #: Time since which this gateway knows the list of endpoints.
@@ -179,7 +183,15 @@
             self.remove(endpoint, now_s, after_outage)
 
     def put(self, entry: EndpointEntry) -> None:
-        """Add or update an entry; one of an earlier start is ignored."""
+        """Add or update an entry; one of an earlier start is ignored.
+
+        A process that has said that it is leaving stays so, whatever its entry says.
+        """
+        process = LeavingProcess(entry.endpoint, entry.started_ms)
+        if entry.is_leaving:
+            self.leaving_table.add(process)
+        elif process in self.leaving_table:
+            entry = entry._replace(is_leaving=True)
         state = self.state_by_id.get(entry.endpoint)
         if state is None:
             self.state_by_id[entry.endpoint] = EndpointState(entry)
@@ -195,6 +207,39 @@
         state.entry = entry
         state.lapses_s = None
 
+    def note_leaving(self, process: LeavingProcess) -> bool:
+        """Record that a process has said that it is leaving.
+
+        :return: whether that is new
+        """
+        is_new = self.leaving_table.add(process)
+        self._mark_leaving(process)
+        return is_new
+
+    def merge_leaving(self, reports: Iterable[LeavingReport], now_s: float) -> list[LeavingProcess]:
+        """Add what a peer knows of leaving processes.
+
+        :return: those that are new
+        """
+        new = [
+            LeavingProcess(each.endpoint, each.started_ms)
+            for each in reports
+            if self.leaving_table.merge(each, now_s)
+        ]
+        for process in new:
+            self._mark_leaving(process)
+        return new
+
+    def _mark_leaving(self, process: LeavingProcess) -> None:
+        state = self.state_by_id.get(process.endpoint)
+        if state is not None and state.entry.started_ms == process.started_ms:
+            state.entry = state.entry._replace(is_leaving=True)
+
+    def may_send(self, state: EndpointState) -> bool:
+        """:return: whether an endpoint is still listed and not leaving"""
+        is_listed = self.state_by_id.get(state.entry.endpoint) is state
+        return is_listed and not state.entry.is_leaving
+
     def remove(self, endpoint: str, now_s: float, after_outage: bool) -> None:
         """Remove an entry that is no longer listed, after an outage only LAPSED_ENTRY_S later."""
         state = self.state_by_id.get(endpoint)
@@ -209,6 +254,9 @@
     def drop_expired(self, now_s: float) -> None:
         """Remove entries that were not listed again after an outage, and expired placements."""
         self._note_versions(now_s)
+        entries = [state.entry for state in self.state_by_id.values()]
+        listed = {LeavingProcess(each.endpoint, each.started_ms) for each in entries}
+        self.leaving_table.drop_expired(listed, now_s)
         for endpoint, state in list(self.state_by_id.items()):
             if state.lapses_s is not None and now_s >= state.lapses_s:
                 del self.state_by_id[endpoint]
--- a/packages/kingcupdyke/kingcupdyke/forwarding/enginestate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/enginestate.py
@@ -117,6 +117,9 @@
     def observe_entry(self, entry: EndpointEntry) -> None:
         """Update from the engine's entry in the list, unless that is older than the known entry."""
         known = self.entry
+        if entry.is_leaving and entry.started_ms == known.started_ms:
+            # An answer may have said so, with the entry as before.
+            self.entry = known = known._replace(is_leaving=True)
         if (entry.started_ms, entry.heartbeat) <= (known.started_ms, known.heartbeat):
             return
         self.entry = entry
