--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from kingcupdyke.forwarding.dispatcher import Refuse, Send, Wait
-from kingcupdyke.forwarding.endpointtable import EndpointState
+from kingcupdyke.forwarding.endpointstate import EndpointState
 from kingcupdyke.forwarding.workitem import WorkItem
 from kingcupdyke_daemon.forwarder.answerrelay import AnswerEnd
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -13,7 +13,8 @@
 from kingcupdyke.forwarding.crashtable import CrashTable
 from kingcupdyke.forwarding.decayingrate import DecayingRate
 from kingcupdyke.forwarding.endpoint import Replica
-from kingcupdyke.forwarding.endpointtable import DEFAULT_TOKENS_PER_S, EndpointState, EndpointTable
+from kingcupdyke.forwarding.endpointstate import DEFAULT_TOKENS_PER_S, EndpointState
+from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.limittable import LimitTable
 from kingcupdyke.forwarding.peerstate import Demand, EndpointLoad
 from kingcupdyke.forwarding.pinneddemand import PinnedDemand
--- /dev/null
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpointstate.py
@@ -0,0 +1,130 @@
+"""
+kingcupdyke.forwarding.endpointstate
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+One endpoint as a gateway knows it: its entry, requests in flight and recent failures.
+"""
+
+from collections import OrderedDict
+from math import inf
+
+from kingcupdyke.forwarding.endpoint import EndpointEntry
+from kingcupdyke.forwarding.metadata import PromptPart
+
+__all__ = ["DEFAULT_TOKENS_PER_S", "EndpointState"]
+
+#: Seconds without a byte at which an endpoint with requests in flight counts as unresponsive.
+UNRESPONSIVE_S = 1.3
+#: Number of consecutive failed connections at which an endpoint counts as unreachable.
+UNREACHABLE_FAILURES = 2
+#: Limit of prompt prefixes that are remembered for each endpoint.
+MAX_PREFIXES = 512
+#: Prompt tokens a second that an endpoint is assumed to read until its answers give samples.
+DEFAULT_TOKENS_PER_S = 20_000.0
+#: Largest factor between the default speed and a sample, and weight of the newest sample.
+SPEED_RANGE = 8.0
+SPEED_WEIGHT = 0.1
+#: Seconds to the first event that do not depend on the prompt.
+FIXED_FIRST_EVENT_S = 0.03
+#: Prompt tokens below which the time to the first event gives no useful sample of the speed.
+MIN_SAMPLE_TOKENS = 800
+
+
+class EndpointState:
+    """One endpoint: its entry, its requests in flight and its recent behaviour."""
+
+    def __init__(self, entry: EndpointEntry) -> None:
+        self.entry = entry
+        #: Unread prompt tokens of this gateway's requests in flight, by attempt id.
+        self.tokens_by_attempt: dict[str, int] = {}
+        #: Time of the last byte from it, and time since which it has had requests in flight.
+        self.last_byte_s = -inf
+        self.in_flight_since_s = inf
+        self.peer_requests = 0
+        self.peer_tokens = 0
+        #: Number of peers that cannot reach it.
+        self.unreachable_peers = 0
+        self.backoff_until_s = 0.0
+        self.consecutive_failures = 0
+        #: Moving average of the share of requests that failed.
+        self.failure_share = 0.0
+        #: Moving average of the prompt tokens a second that it reads.
+        self.tokens_per_s = DEFAULT_TOKENS_PER_S
+        #: Time at which the entry is removed as it is no longer listed, or None while it is listed.
+        self.lapses_s: float | None = None
+        self._prefixes: OrderedDict[tuple[str, ...], None] = OrderedDict()
+
+    @property
+    def requests(self) -> int:
+        """:return: requests in flight from all gateways"""
+        return len(self.tokens_by_attempt) + self.peer_requests
+
+    @property
+    def local_unread_tokens(self) -> int:
+        """:return: unread prompt tokens of this gateway's requests"""
+        return sum(self.tokens_by_attempt.values())
+
+    @property
+    def unread_tokens(self) -> int:
+        """:return: unread prompt tokens of all gateways' requests"""
+        return self.local_unread_tokens + self.peer_tokens
+
+    def update_speed(self, tokens: int, seconds: float) -> None:
+        """Update the estimated reading speed when the first event of a stream has come.
+
+        :param tokens: unread prompt tokens when the request was sent
+        :param seconds: seconds from then until the first event
+        """
+        reading_s = seconds - FIXED_FIRST_EVENT_S
+        if tokens < MIN_SAMPLE_TOKENS or reading_s <= 0:
+            return
+        sample = min(
+            max(tokens / reading_s, DEFAULT_TOKENS_PER_S / SPEED_RANGE),
+            DEFAULT_TOKENS_PER_S * SPEED_RANGE,
+        )
+        self.tokens_per_s += SPEED_WEIGHT * (sample - self.tokens_per_s)
+
+    def is_reachable(self, now_s: float) -> bool:
+        """:return: whether this gateway can connect to it and it is not unresponsive"""
+        return self.consecutive_failures < UNREACHABLE_FAILURES and not self.is_unresponsive(now_s)
+
+    def is_unresponsive(self, now_s: float) -> bool:
+        """:return: whether it has requests in flight and has sent nothing for UNRESPONSIVE_S"""
+        return now_s - max(self.last_byte_s, self.in_flight_since_s) > UNRESPONSIVE_S
+
+    def note_sent(self, attempt_id: str, tokens: int, now_s: float) -> None:
+        """Record that a request is sent to the endpoint."""
+        if not self.tokens_by_attempt:
+            self.in_flight_since_s = now_s
+        self.tokens_by_attempt[attempt_id] = tokens
+
+    def note_ended(self, attempt_id: str) -> None:
+        """Record that a request is no longer in flight at the endpoint."""
+        self.tokens_by_attempt.pop(attempt_id, None)
+        if not self.tokens_by_attempt:
+            self.in_flight_since_s = inf
+
+    def count_cached_tokens(self, model: str, parts: tuple[PromptPart, ...]) -> int:
+        """:return: tokens of the longest prefix of a prompt that was sent there recently"""
+        cached = 0
+        key: tuple[str, ...] = (model,)
+        for part in parts:
+            key = (*key, part.part_id)
+            if key not in self._prefixes:
+                break
+            cached += part.tokens
+        return cached
+
+    def add_prefixes(self, model: str, parts: tuple[PromptPart, ...]) -> None:
+        """Remember the prefixes of a prompt that the endpoint now reads."""
+        key: tuple[str, ...] = (model,)
+        for part in parts:
+            key = (*key, part.part_id)
+            self._prefixes[key] = None
+            self._prefixes.move_to_end(key)
+        while len(self._prefixes) > MAX_PREFIXES:
+            self._prefixes.popitem(last=False)
+
+    def clear_prefixes(self) -> None:
+        """Forget all prefixes, as the endpoint has restarted."""
+        self._prefixes.clear()
