--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/catalogue.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/catalogue.py
@@ -116,10 +116,12 @@
             _LOGGER.warning("an endpoint's entry can't be decoded: %s", entry.error.reason)
             return
         known = self._endpoint_table.state_by_id.get(found.name)
-        if known is None or known.entry.is_leaving != entry.ok.is_leaving:
-            state = "leaving" if entry.ok.is_leaving else "ready"
-            self._log_endpoint(found.name, entry.ok.software_version, state)
+        was_leaving = None if known is None else known.entry.is_leaving
         self._endpoint_table.put(entry.ok)
+        is_leaving = self._endpoint_table.state_by_id[found.name].entry.is_leaving
+        if was_leaving != is_leaving:
+            state = "leaving" if is_leaving else "ready"
+            self._log_endpoint(found.name, entry.ok.software_version, state)
         self._on_change(self._timer.now())
 
     def _remove_endpoint(self, name: str, after_outage: bool) -> None:
