Log what the planner takes an engine to hold when it sends an order

An order over an engine's room could not be told from the lines: they had the expected number of orders, but not the models and adapters that the planner counted, nor whether these came from a report or from an entry.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
@@ -236,6 +236,7 @@
         if not fence:
             self._planner.answered(engine, timed, OrderReply.REFUSED, self._now())
             return
+        held, held_source = _list_held(engine), engine.models_source
         body = self._dialect.encode_order(order, engine.order_count, self._host, fence)
         headers = {"content-type": "application/json"}
         headers |= self._dialect.expect_endpoint(order.endpoint)
@@ -263,6 +264,8 @@
             outcome=reply.value,
             reason=reason,
             expected_ms=round(timed.expected_s * 1000),
+            held=held,
+            held_source=held_source,
         )
         log_record(_LOGGER, "order answered", record)
         self._metrics.count_order(order.kind, reply.value)
@@ -309,6 +312,12 @@
         return http
 
 
+def _list_held(engine: EngineState) -> tuple[str, ...]:
+    """:return: models and adapters that an engine is taken to hold"""
+    adapters = (f"{model}/{name}" for model, name in engine.list_adapters())
+    return (*sorted(engine.models_by_name), *sorted(adapters))
+
+
 def _log_engine(entry: EndpointEntry) -> None:
     record = EngineRecord(
         entry.endpoint,
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -178,6 +178,10 @@
     reason: str
     #: Milliseconds that the order was expected to take.
     expected_ms: int
+    #: Models, and adapters as ``MODEL/ADAPTER``, that the planner took the engine to hold when it
+    #: sent the order, and whether it took the models from a ``report`` or an ``entry``.
+    held: tuple[str, ...]
+    held_source: str
 
 
 class EndpointRecord(NamedTuple):
--- a/packages/kingcupdyke/kingcupdyke/forwarding/enginestate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/enginestate.py
@@ -63,6 +63,8 @@
         #: Number of orders that the engine has accepted since its start, updated by reports.
         self.order_count = 0
         self.models_by_name = _by_name(entry.models)
+        #: What the models were taken from last: ``entry`` or ``report``.
+        self.models_source = "entry"
         #: Adapters that were ordered and not yet reported, as model and name.
         self.ordered_adapters: set[tuple[str, str]] = set()
         self._ordered_s_by_adapter: dict[tuple[str, str], float] = {}
@@ -143,6 +145,7 @@
         if report.is_busy:
             return
         self.models_by_name = _by_name(report.models)
+        self.models_source = "report"
         # An entry older than the report may still come, so an ordered adapter stays in this set
         # until an entry contains it.
         self.ordered_adapters |= set(report.pending_adapters)
@@ -228,6 +231,7 @@
         if order is not None and not self._is_done(order, listed):
             return
         self.models_by_name = listed
+        self.models_source = "entry"
         # Adapters that the entry contains need not be counted as ordered any longer.
         self.ordered_adapters -= self._held_adapters(listed)
         self._drop_adapters()
@@ -267,6 +271,7 @@
         self.is_busy = False
         self.order_count = 0
         self.models_by_name = _by_name(self.entry.models)
+        self.models_source = "entry"
         self.ordered_adapters.clear()
         self.open_order = None
         self._next_resend_s = 0.0
