Reproduce the overfull engine: an entry from before the last report frees room that is taken

Six rows give the planner's record of an engine an entry that is newer than the last one and older than the last report: it undoes what the report showed. The simulated engine answers as the real one does to an order that holds already.

--- a/packages/kingcupdyke/features/engine_simulation.py
+++ b/packages/kingcupdyke/features/engine_simulation.py
@@ -24,6 +24,9 @@
 REPORT_LAG_S = 0.1
 #: Seconds without orders between the terms of two planners.
 HANDOVER_S = 4.0
+#: Probability with which an outage of the list begins in a round, and its length in seconds.
+LIST_OUTAGE_PROBABILITY = 0.004
+LIST_OUTAGE_S = (1.0, 8.0)
 
 
 class Call(NamedTuple):
@@ -107,6 +110,8 @@
         """:return: the answer to an order"""
         if self.executing is not None or expected != self.count:
             return OrderReply.CONFLICT
+        if order.kind == OrderKind.LOAD and order.model in self.models:
+            return OrderReply.HOLDS
         self.count += 1
         if order.kind == OrderKind.LOAD:
             is_cold = order.model not in self.on_disk
@@ -122,7 +127,8 @@
             self.models.get(order.model, set()).discard(order.adapter)
         self.check()
         self.record_report(now_s)
-        return OrderReply.ACCEPTED
+        is_complete = order.kind == OrderKind.UNLOAD_ADAPTER
+        return OrderReply.HOLDS if is_complete else OrderReply.ACCEPTED
 
     def check(self):
         loading = (
@@ -140,10 +146,18 @@
 
 
 class EngineSimulation:
-    """Engines, consecutive planners, and random faults that depend on a seed."""
+    """Engines, consecutive planners, and random faults that depend on a seed.
 
-    def __init__(self, engines, sizes, seed):
+    :param has_list_outages: whether the list of engines fails at times; an entry that was written
+        before an outage then comes after it
+    """
+
+    def __init__(self, engines, sizes, seed, has_list_outages=False):
         self.rng = Random(seed)
+        self.has_list_outages = has_list_outages
+        self.list_outage_until_s = 0.0
+        #: Entries that were written before the outage of the list and are read after it.
+        self.late_entries = []
         self.spec = make_engine_spec(sizes, adapter_slots=3)
         self.held, self.loads, self.overfull, self.requested = set(), [], [], set()
         self.engine_by_name = {
@@ -170,10 +184,12 @@
             now_s += ROUND_S
             for fake_engine in self.engine_by_name.values():
                 fake_engine.advance(now_s)
-                if rng.random() < 0.05:
+                if rng.random() < 0.05 and not self.late_entries:
                     self.engine_state_by_name[fake_engine.name].observe_entry(fake_engine.entry())
                 if rng.random() < 0.0008:
                     fake_engine.restart(now_s)
+            if self.has_list_outages:
+                self.play_list_outages(now_s)
             if rng.random() < 0.05:
                 self.change_demand()
             if rng.random() < 0.002:
@@ -183,6 +199,15 @@
             if now_s >= orders_from_s:
                 self.run_round(now_s)
 
+    def play_list_outages(self, now_s):
+        if self.late_entries and now_s >= self.list_outage_until_s:
+            for entry in self.late_entries:
+                self.engine_state_by_name[entry.endpoint].observe_entry(entry)
+            self.late_entries.clear()
+        elif not self.late_entries and self.rng.random() < LIST_OUTAGE_PROBABILITY:
+            self.list_outage_until_s = now_s + self.rng.uniform(*LIST_OUTAGE_S)
+            self.late_entries = [each.entry() for each in self.engine_by_name.values()]
+
     def change_demand(self):
         names = list(self.spec.models_by_name)
         self.demands = []
--- a/packages/kingcupdyke/features/enginestate.feature
+++ b/packages/kingcupdyke/features/enginestate.feature
@@ -29,6 +29,19 @@
       | an engine that has said in an answer that it leaves accepts none, with its entry as before | report 0 m1+a1; leave | rejects | m1+a1 | 0 |
       | a restarted engine accepts nothing before its report | report 7 m1+a1; restart 1 - | rejects | - | 0 |
 
+  Scenario Outline: An entry from before what is known frees no room: <case>
+    When enginestate: "<events>" happens to an engine that holds "m1+a1"
+    Then enginestate: it <accepts> orders and holds "<held>" after <count> orders
+
+    Examples:
+      | case | events | accepts | held | count |
+      | from before a load that a report has shown | report 0 m1+a1; load m2; accepted; report 1 m1+a1,m2; entry 2 m1+a1 | accepts | m1+a1 m2 | 1 |
+      | from before a load that an entry has shown, with a model loaded before it | report 0 m1+a1,m3; load m2; accepted; entry 2 m2 | accepts | m1+a1 m2 m3 | 1 |
+      | from before an adapter of an earlier planner | report 1 m1+a1+a2; entry 2 m1+a1 | accepts | m1+a1+a2 | 1 |
+      | from before a model of an earlier planner | report 1 m1+a1,m2; entry 2 m1+a1 | accepts | m1+a1 m2 | 1 |
+      | from before an unload that a report has shown | report 0 m1+a1,m2; unload m2; accepted; report 1 m1+a1; entry 2 m1+a1,m2 | accepts | m1+a1 | 1 |
+      | from before an adapter was unloaded | report 0 m1+a1; unloadadapter a1; holds; entry 2 m1+a1 | accepts | m1 | 1 |
+
   Scenario Outline: While an engine executes an order, its planner requests its report: <case>
     When enginestate: "<events>" happens to an engine that holds "m1+a1"
     Then enginestate: in the next 3 s its report is requested <times> times
@@ -54,3 +67,15 @@
       | 2 | 90 90 90 90 10 | 4 |
       | 5 | 65 73 73 34 73 73 73 65 73 66 73 73 65 66 | 5 |
       | 5 | 65 73 73 34 73 73 73 65 73 66 73 73 65 66 | 6 |
+
+  Scenario Outline: Engines stay within their limits also if their list fails and old entries come: seed <seed>
+    When enginestate: <engines> engines of 200 GB with models of "<sizes>" GB run for 240 s under faults and outages of their list, with seed <seed>
+    Then enginestate: no engine was ever ordered to hold more than its memory and adapter slots
+    And enginestate: each requested model was held at some time
+
+    Examples:
+      | engines | sizes | seed |
+      | 3 | 60 70 70 60 30 70 | 11 |
+      | 3 | 60 70 70 60 30 70 | 12 |
+      | 2 | 90 90 90 90 10 | 13 |
+      | 5 | 65 73 73 34 73 73 73 65 73 66 73 73 65 66 | 14 |
--- a/packages/kingcupdyke/features/steps/enginestate_steps.py
+++ b/packages/kingcupdyke/features/steps/enginestate_steps.py
@@ -75,6 +75,12 @@
         assert order is not None
         self.engine.begin(order, self.now_s, 1.0)
 
+    def do_unloadadapter(self, adapter):
+        self.begin(OrderKind.UNLOAD_ADAPTER, "m1", adapter)
+
+    def do_holds(self):
+        self.engine.answered(OrderReply.HOLDS, self.now_s)
+
     def do_accepted(self):
         self.engine.answered(OrderReply.ACCEPTED, self.now_s)
 
@@ -131,6 +137,16 @@
     context.simulation.run(length)
 
 
+@when(
+    'enginestate: {engines:d} engines of 200 GB with models of "{sizes}" GB run for {length:d} s '
+    "under faults and outages of their list, with seed {seed:d}"
+)
+def run_simulation_with_outages(context, engines, sizes, length, seed):
+    sizes_gb = tuple(int(each) for each in sizes.split())
+    context.simulation = EngineSimulation(engines, sizes_gb, seed, has_list_outages=True)
+    context.simulation.run(length)
+
+
 @then("enginestate: no engine was ever ordered to hold more than its memory and adapter slots")
 def check_memory(context):
     assert not context.simulation.overfull, context.simulation.overfull[0]
