Send an order only with the number that was known when it was decided on

An order that was sent again, or whose call began after a report had come, named the number of that moment, while what it loads had been decided on by the models before. With another planner's late order in between, the engine could accept a load over its room. The number is now kept with the order.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
@@ -236,8 +236,8 @@
         if not fence:
             self._planner.answered(engine, timed, OrderReply.REFUSED, self._now())
             return
-        held = _list_held(engine)
-        body = self._dialect.encode_order(order, engine.order_count, self._host, fence)
+        held, expected_count = _list_held(engine), engine.expected_count
+        body = self._dialect.encode_order(order, expected_count, self._host, fence)
         headers = {"content-type": "application/json"}
         headers |= self._dialect.expect_endpoint(order.endpoint)
         http = self._get_http(engine)
@@ -259,7 +259,7 @@
             model=order.model,
             adapter=order.adapter,
             endpoint=order.endpoint,
-            order_count=engine.order_count,
+            order_count=expected_count,
             fence=fence,
             outcome=reply.value,
             reason=reason,
--- a/packages/kingcupdyke/features/engine_simulation.py
+++ b/packages/kingcupdyke/features/engine_simulation.py
@@ -240,7 +240,12 @@
         delay_s = self.rng.uniform(2, 12) if draw < 0.1 else 0.02
         is_answered = draw >= 0.15
         call = Call(
-            now_s + delay_s, engine, order, engine.order_count, fake_engine.started_ms, is_answered
+            now_s + delay_s,
+            engine,
+            order,
+            engine.expected_count,
+            fake_engine.started_ms,
+            is_answered,
         )
         self.calls.append(call)
         if not is_answered:
--- a/packages/kingcupdyke/features/enginestate.feature
+++ b/packages/kingcupdyke/features/enginestate.feature
@@ -29,6 +29,16 @@
       | an engine that has said in an answer that it leaves accepts none, with its entry as before | report 0 m1+a1; leave | rejects | m1+a1 | 0 |
       | a restarted engine accepts nothing before its report | report 7 m1+a1; restart 1 - | rejects | - | 0 |
 
+  Scenario Outline: An order is never sent with a number that was learnt after it was decided on: <case>
+    When enginestate: "<events>" happens to an engine that holds "m1+a1"
+    Then enginestate: the open order expects <count> orders
+
+    Examples:
+      | case | events | count |
+      | a busy engine reports another planner's order before it is sent again | report 0 m1+a1; load m2; unknown; busy 1 m1+a1; resend | 0 |
+      | a report comes before the first call | report 0 m1+a1; load m2; busy 1 m1+a1 | 0 |
+      | the next order has the new number | report 0 m1+a1; load m2; accepted; report 1 m1+a1,m2; load m3 | 1 |
+
   Scenario Outline: An entry from before what is known frees no room: <case>
     When enginestate: "<events>" happens to an engine that holds "m1+a1"
     Then enginestate: it <accepts> orders and holds "<held>" after <count> orders
--- a/packages/kingcupdyke/features/steps/enginestate_steps.py
+++ b/packages/kingcupdyke/features/steps/enginestate_steps.py
@@ -128,6 +128,13 @@
     assert engine.order_count == count, engine.order_count
 
 
+@then("enginestate: the open order expects {count:d} orders")
+def check_expected(context, count):
+    engine = context.script.engine
+    assert engine.open_order is not None
+    assert engine.expected_count == count, engine.expected_count
+
+
 @when(
     'enginestate: {engines:d} engines of 200 GB with models of "{sizes}" GB run for {length:d} s '
     "under faults, with seed {seed:d}"
--- a/packages/kingcupdyke/kingcupdyke/forwarding/enginestate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/enginestate.py
@@ -74,6 +74,9 @@
         self.ordered_adapters: set[tuple[str, str]] = set()
         self._ordered_s_by_adapter: dict[tuple[str, str], float] = {}
         self.open_order: Order | None = None
+        #: Number of orders that the engine must have accepted before the open order: the number
+        #: that was known, with the models, when the order was decided on.
+        self.expected_count = 0
         self.is_call_in_flight = False
         self.is_busy = False
         self.expected_end_s = 0.0
@@ -182,6 +185,8 @@
 
         :param expected_s: expected duration of the order in seconds
         """
+        if order != self.open_order:
+            self.expected_count = self.order_count
         self.open_order = order
         self.is_call_in_flight = True
         self.expected_end_s = now_s + expected_s
