Count an order as accepted once, and only if the engine has accepted it

The planner counted an order that the engine answered with "already so" as accepted, and one that a report had counted before its answer came, twice. Its number was then ahead of the engine's, true reports were taken for older ones, and a late order of another planner could make the numbers equal with models that were not. An adapter's unload is complete with such an answer and counts as before.

--- a/packages/kingcupdyke/features/enginestate.feature
+++ b/packages/kingcupdyke/features/enginestate.feature
@@ -39,6 +39,18 @@
       | a report comes before the first call | report 0 m1+a1; load m2; busy 1 m1+a1 | 0 |
       | the next order has the new number | report 0 m1+a1; load m2; accepted; report 1 m1+a1,m2; load m3 | 1 |
 
+  Scenario Outline: The number of accepted orders is never ahead of the engine's: <case>
+    When enginestate: "<events>" happens to an engine that holds "m1+a1"
+    Then enginestate: it <accepts> orders and holds "<held>" after <count> orders
+
+    Examples:
+      | case | events | accepts | held | count |
+      | an engine that is already so has accepted nothing | report 0 m1+a1; load m2; holds | rejects | m1+a1 | 0 |
+      | its next report counts | report 0 m1+a1; load m2; holds; report 0 m1+a1,m2 | accepts | m1+a1 m2 | 0 |
+      | the same for an adapter | report 0 m1+a1; adapter a2; holds; report 0 m1+a1+a2 | accepts | m1+a1+a2 | 0 |
+      | an unload of an adapter is complete at once | report 0 m1+a1; unloadadapter a1; holds | accepts | m1 | 1 |
+      | a report comes before the answer | report 0 m1+a1; load m2; busy 1 m1+a1; accepted | rejects | m1+a1 | 1 |
+
   Scenario Outline: An entry from before what is known frees no room: <case>
     When enginestate: "<events>" happens to an engine that holds "m1+a1"
     Then enginestate: it <accepts> orders and holds "<held>" after <count> orders
--- a/packages/kingcupdyke/kingcupdyke/forwarding/enginestate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/enginestate.py
@@ -209,19 +209,17 @@
         if reply is OrderReply.UNKNOWN:
             self._next_resend_s = now_s + RESEND_INTERVAL_S
             return
-        if reply is OrderReply.ACCEPTED:
+        is_unload = order.kind == OrderKind.UNLOAD_ADAPTER
+        if reply is OrderReply.ACCEPTED or (reply is OrderReply.HOLDS and is_unload):
             self._accept(order, now_s)
-        elif reply is OrderReply.HOLDS:
-            self._accept(order, now_s)
-            self.open_order = None
-            self._needs_report = True
         else:
             self._needs_report = True
             self.has_report = False
             self.open_order = None if reply is not OrderReply.CONFLICT else order
 
     def _accept(self, order: Order, now_s: float) -> None:
-        self.order_count += 1
+        # A report may have counted the order already.
+        self.order_count = max(self.order_count, self.expected_count + 1)
         key = (order.model, order.adapter)
         if order.kind == OrderKind.LOAD_ADAPTER:
             self.ordered_adapters.add(key)
