Give an engine orders again after a conflict that no further order explains

An order that was rejected while the engine was busy stayed open until the engine's number rose. It did not rise if the planner had taken the engine for idle too early, so that the engine got no order again in this term. The next report of an idle engine now ends such an order. A row of enginestate.feature was red before.

--- a/packages/kingcupdyke/features/enginestate.feature
+++ b/packages/kingcupdyke/features/enginestate.feature
@@ -17,6 +17,7 @@
       | an unload ends when its entry lacks the model | report 0 m1+a1; unload m1; accepted; entry 2 - | accepts | - | 1 |
       | an adapter counts as loaded immediately | report 0 m1+a1; adapter a2; accepted | accepts | m1+a1+a2 | 1 |
       | after a conflict, a report is needed | report 0 m1+a1; load m2; conflict | rejects | m1+a1 | 0 |
+      | also if the engine was busy without a further order | report 0 m1+a1; load m2; conflict; busy 0 m1+a1; report 0 m1+a1 | accepts | m1+a1 | 0 |
       | the report after a conflict permits orders | report 0 m1+a1; load m2; conflict; report 4 m1+a1 | accepts | m1+a1 | 4 |
       | a lost answer keeps the order open | report 0 m1+a1; load m2; unknown | rejects | m1+a1 | 0 |
       | an entry does not settle a lost answer | report 0 m1+a1; load m2; unknown; entry 2 m1+a1,m2 | rejects | m1+a1 | 0 |
--- a/packages/kingcupdyke/kingcupdyke/forwarding/enginestate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/enginestate.py
@@ -78,6 +78,9 @@
         #: that was known, with the models, when the order was decided on.
         self.expected_count = 0
         self.is_call_in_flight = False
+        #: Whether the engine has rejected the open order, as another one was in progress or had
+        #: been accepted.
+        self._has_conflict = False
         self.is_busy = False
         self.expected_end_s = 0.0
         self._next_resend_s = 0.0
@@ -159,7 +162,8 @@
         self._has_reported_models = True
         self.ordered_adapters = set(report.pending_adapters)
         self._drop_adapters()
-        if self.open_order is not None and (has_advanced or self._is_settled()):
+        is_over = has_advanced or self._has_conflict or self._is_settled()
+        if self.open_order is not None and is_over:
             self.open_order = None
 
     def begin_report_request(self, now_s: float) -> bool:
@@ -188,6 +192,7 @@
         if order != self.open_order:
             self.expected_count = self.order_count
         self.open_order = order
+        self._has_conflict = False
         self.is_call_in_flight = True
         self.expected_end_s = now_s + expected_s
         self._next_report_s = now_s + POLL_INTERVAL_S
@@ -215,7 +220,9 @@
         else:
             self._needs_report = True
             self.has_report = False
-            self.open_order = None if reply is not OrderReply.CONFLICT else order
+            self._has_conflict = reply is OrderReply.CONFLICT
+            if not self._has_conflict:
+                self.open_order = None
 
     def _accept(self, order: Order, now_s: float) -> None:
         # A report may have counted the order already.
