Tie an engine's report to the process that it is of

A report names the start of the engine's process, which was not read. One of the process before a restart, received late, was taken for the new one's; one of a later start than the entry's was taken for an older one of the known process, so that the engine got no orders until its entry came.

--- a/packages/kingcupdyke/features/enginestate.feature
+++ b/packages/kingcupdyke/features/enginestate.feature
@@ -28,6 +28,11 @@
       | after a rejection, a report is needed | report 0 m1+a1; load m2; refused | rejects | m1+a1 | 0 |
       | a restart discards everything | report 7 m1+a1; restart 1 -; report 0 - | accepts | - | 0 |
       | an engine that has said in an answer that it leaves accepts none, with its entry as before | report 0 m1+a1; leave | rejects | m1+a1 | 0 |
+      | a report of the process before a restart does not count | report 7 m1+a1; restart 1 -; former 7 m1+a1 | rejects | - | 0 |
+      | a report of a later start is a restart | report 7 m1+a1; later 0 - | accepts | - | 0 |
+      | the entry of that start changes nothing then | report 7 m1+a1; later 1 m2; restart 1 - | accepts | m2 | 1 |
+      | an entry from before that start comes late | report 7 m1+a1; later 1 m2; entry 9 m1+a1 | accepts | m2 | 1 |
+      | a report that names no start is one of the known process | report 7 m1+a1; unnamed 8 m1 | accepts | m1 | 8 |
       | a restarted engine accepts nothing before its report | report 7 m1+a1; restart 1 - | rejects | - | 0 |
 
   Scenario Outline: An order is never sent with a number that was learnt after it was decided on: <case>
--- a/packages/kingcupdyke/features/steps/enginestate_steps.py
+++ b/packages/kingcupdyke/features/steps/enginestate_steps.py
@@ -31,14 +31,26 @@
             word, *rest = event.split()
             getattr(self, f"do_{word}")(*rest)
 
-    def do_report(self, count, held, is_busy=False):
+    def do_report(self, count, held, is_busy=False, started_ms=None):
+        started_ms = self.engine.entry.started_ms if started_ms is None else started_ms
         models = read_held(held)
-        report = EndpointReport(models, is_busy, int(count), 0, 0, (), frozenset(), frozenset())
+        report = EndpointReport(
+            models, is_busy, int(count), 0, 0, (), frozenset(), frozenset(), started_ms
+        )
         self.engine.observe_report(report, self.now_s)
 
     def do_busy(self, count, held):
         self.do_report(count, held, True)
 
+    def do_former(self, count, held):
+        self.do_report(count, held, started_ms=1000)
+
+    def do_later(self, count, held):
+        self.do_report(count, held, started_ms=2000)
+
+    def do_unnamed(self, count, held):
+        self.do_report(count, held, started_ms=0)
+
     def do_unanswered(self):
         self.engine.report_failed(self.now_s)
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpoint.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpoint.py
@@ -73,3 +73,5 @@
     pending_adapters: tuple[tuple[str, str], ...]
     in_memory: frozenset[str]
     on_disk: frozenset[str]
+    #: Unix time of the engine's start in milliseconds, or 0 if unknown.
+    started_ms: int = 0
--- a/packages/kingcupdyke/kingcupdyke/forwarding/enginestate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/enginestate.py
@@ -145,8 +145,13 @@
         self._adapters_at_entry = self.list_adapters()
 
     def observe_report(self, report: EndpointReport, now_s: float) -> None:
-        """Update from the engine's report."""
+        """Update from the engine's report, unless it is of an earlier process of the engine."""
         self._has_report_failed = False
+        if report.started_ms and report.started_ms < self.entry.started_ms:
+            self._needs_report = True
+            return
+        if report.started_ms > self.entry.started_ms:
+            self._restart_before_entry(report)
         if report.order_count < self.order_count and self.has_report:
             # The state in the report is older than the last accepted order: request a new report.
             self._needs_report = True
@@ -290,6 +295,14 @@
             return order.model not in self.models_by_name
         return not self._next_resend_s
 
+    def _restart_before_entry(self, report: EndpointReport) -> None:
+        """Discard what is known, as the report shows a later start than the entry."""
+        self.entry = self.entry._replace(
+            started_ms=report.started_ms, heartbeat=-1, is_leaving=False
+        )
+        self._restart()
+        self.models_by_name = _by_name(report.models)
+
     def _restart(self) -> None:
         self.has_report = False
         self.is_busy = False
