Ignore an endpoint's entry that is older than the known one of the same start

Of entries of one start the one that was read last counted, also an older one, such as after an outage of the store or from a peer: a gateway then sent requests for models that the endpoint no longer held. An older entry now only shows that the endpoint is listed, and that it leaves if it says so. A row of endpointtable.feature was red before.

--- a/packages/kingcupdyke/features/endpointtable.feature
+++ b/packages/kingcupdyke/features/endpointtable.feature
@@ -15,6 +15,7 @@
       | unless it is listed again | list e1,e2; outage; list e2; wait 1; put e1; wait 3 | e1 e2 |
       | a removal after an outage is delayed as well | list e1,e2; outage; remove e1; wait 1.9 | e1 e2 |
       | and is done after the retention time | list e1,e2; outage; remove e1; wait 2.1 | e2 |
+      | an older entry shows that an endpoint is listed | beat e1 5 m1; outage; list e2; wait 1; beat e1 3 m1; wait 3 | e1 e2 |
       | an entry of an earlier start is ignored | list e1; drain e1; outdated e1 | |
 
   Scenario Outline: A replica: <case>
@@ -28,6 +29,8 @@
       | not a model that the entry lacks | m1 | | lacks | m2 |
       | an adapter that the entry names | m1+a1 | | has | m1+a1 |
       | not an adapter that the entry lacks | m1+a1 | | lacks | m1+a2 |
+      | not a model that an older entry brings back | m1 | beat e1 5 m2; beat e1 3 m1 | lacks | m1 |
+      | a model of a later start with a lower heartbeat | m1 | beat e1 5 m2; restart e1 1 m3 | has | m3 |
       | an adapter that the planner ordered, from its expected time on | m1 | place m1+a1 0.5; wait 0.6 | has | m1+a1 |
       | not before its expected time | m1 | place m1+a1 0.5; wait 0.4 | lacks | m1+a1 |
       | a model that the planner ordered, only once the entry names it | m1 | place m2 0.5; wait 0.6 | lacks | m2 |
--- a/packages/kingcupdyke/features/leavingtable.feature
+++ b/packages/kingcupdyke/features/leavingtable.feature
@@ -24,6 +24,7 @@
       | case | entries | state |
       | one that says so | 1 leaving | leaving |
       | one from before comes again | 1 leaving; 1 ready | leaving |
+      | an older one says so | 1 ready 5; 1 leaving 4 | leaving |
       | one from before comes again after it was removed | 1 leaving; gone; 1 ready | leaving |
       | the endpoint has started again | 1 leaving; 2 ready | ready |
       | an answer said so | 1 ready; 1 said | leaving |
--- a/packages/kingcupdyke/features/steps/endpointtable_steps.py
+++ b/packages/kingcupdyke/features/steps/endpointtable_steps.py
@@ -41,6 +41,15 @@
         entry = make_entry(name, started_ms=started_ms, software_version=software_version)
         self.endpoint_table.put(entry)
 
+    def do_beat(self, name, heartbeat, held):
+        entry = make_entry(name, heartbeat=int(heartbeat), models=make_held(held))
+        self.endpoint_table.put(entry)
+
+    def do_restart(self, name, heartbeat, held):
+        models = make_held(held)
+        entry = make_entry(name, heartbeat=int(heartbeat), started_ms=2000, models=models)
+        self.endpoint_table.put(entry)
+
     def do_outdated(self, name):
         self.endpoint_table.put(make_entry(name, started_ms=999))
 
--- a/packages/kingcupdyke/features/steps/leavingtable_steps.py
+++ b/packages/kingcupdyke/features/steps/leavingtable_steps.py
@@ -65,13 +65,15 @@
 def put_entries(context, entries):
     table = context.endpoint_table = EndpointTable()
     for each in entries.split("; "):
-        started_ms, _, word = each.partition(" ")
         if each == "gone":
             table.remove("e1", 0.0, False)
-        elif word == "said":
+            continue
+        started_ms, word, heartbeat = f"{each} 1".split()[:3]
+        if word == "said":
             table.note_leaving(LeavingProcess("e1", int(started_ms)))
         else:
-            table.put(make_entry("e1", started_ms=int(started_ms), is_leaving=word == "leaving"))
+            entry = make_entry("e1", started_ms=int(started_ms), heartbeat=int(heartbeat))
+            table.put(entry._replace(is_leaving=word == "leaving"))
 
 
 @then("leavingtable: endpoint e1 is {state}")
--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
@@ -67,13 +67,13 @@
             self.remove(endpoint, now_s, after_outage)
 
     def put(self, entry: EndpointEntry) -> None:
-        """Add or update an entry; one of an earlier start is ignored.
+        """Add or update an entry; an older one only shows that the endpoint is listed.
 
         A process that has said that it is leaving stays so, whatever its entry says.
         """
         process = LeavingProcess(entry.endpoint, entry.started_ms)
         if entry.is_leaving:
-            self.leaving_table.add(process)
+            self.note_leaving(process)
         elif process in self.leaving_table:
             entry = entry._replace(is_leaving=True)
         state = self.state_by_id.get(entry.endpoint)
@@ -82,6 +82,10 @@
             return
         if entry.started_ms < state.entry.started_ms:
             return
+        state.lapses_s = None
+        is_same_start = entry.started_ms == state.entry.started_ms
+        if is_same_start and entry.heartbeat < state.entry.heartbeat:
+            return
         if entry.software_version != state.entry.software_version:
             self._former_versions.add((state.entry.service, state.entry.software_version))
         if entry.started_ms > state.entry.started_ms:
@@ -89,7 +93,6 @@
             state.consecutive_failures = 0
             state.backoff_until_s = 0.0
         state.entry = entry
-        state.lapses_s = None
 
     def note_leaving(self, process: LeavingProcess) -> bool:
         """Record that a process has said that it is leaving.
