Test that engines' answers to their planner say that they leave

Both calls, a request for a report and an order, through a planner that holds its lease and an engine behind a real socket.

--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -400,7 +400,7 @@
     """A gateway's client server and request handler, with their collaborators and endpoints."""
 
     def __init__(self, tasks, endpoints, retry_allowance=100.0, host="n1", network=None):
-        timer = LoopTimer(tasks)
+        timer = self.timer = LoopTimer(tasks)
         self._tasks = tasks
         #: Carries messages between gateways.
         self.network = network or PeerNetwork(tasks)
--- a/packages/kingcupdyke-daemon/features/leaving.feature
+++ b/packages/kingcupdyke-daemon/features/leaving.feature
@@ -32,6 +32,15 @@
       | an answer to another request only | GET /safe/1 | crossed |
       | the head of a stream | GET /stream/1 | stream |
 
+  Scenario Outline: An engine is noticed in its answer to <call>
+    When leaving: an engine says so in its answer to a planner's "<method>" call
+    Then leaving: it is known to leave, and gets no order after that
+
+    Examples:
+      | call | method |
+      | a request for its report | GET |
+      | an order | POST |
+
   Scenario: An endpoint whose entry has said so gets no requests after an entry from before
     Given leaving: 1 gateways before an endpoint that will leave and one that stays
     When leaving: its entry says so, and its entry from before comes again
