--- a/packages/kingcupdyke-daemon/features/leaving.feature
+++ b/packages/kingcupdyke-daemon/features/leaving.feature
@@ -67,6 +67,17 @@
     When leaving: another endpoint answers at its address that it leaves
     Then leaving: after 1 s it gets requests
 
+  Scenario: An answer at one gateway is known at once at the others
+    Given leaving: 3 gateways before an endpoint that will leave and one that stays
+    When leaving: one gateway gets an answer that says so
+    Then leaving: after 0.1 s all gateways know it
+
+  Scenario: A gateway that starts soon knows what its peers know
+    Given leaving: 3 gateways before an endpoint that will leave and one that stays
+    When leaving: one gateway knows it, as all messages on it were lost
+    And leaving: another gateway starts
+    Then leaving: after 0.4 s that gateway knows it
+
   Scenario: Gateways agree although messages were lost
     Given leaving: 3 gateways before an endpoint that will leave and one that stays
     When leaving: one gateway knows it, as all messages on it were lost
--- a/packages/kingcupdyke-daemon/features/steps/leaving_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/leaving_steps.py
@@ -281,19 +281,44 @@
 
 @when("leaving: one gateway knows it, as all messages on it were lost")
 def lose_messages(context):
-    pass
+    async def know(rig):
+        entry = rig.endpoint_table.state_by_id["e1"].entry
+        rig.endpoint_table.put(entry._replace(is_leaving=True))
+
+    context.let_know = know
+    context.newcomers = []
+
+
+@when("leaving: one gateway gets an answer that says so")
+def get_answer(context):
+    async def know(rig):
+        await rig.ask(write_request("GET /safe/1"))
+
+    context.endpoints[0].is_leaving = True
+    context.let_know = know
+    context.newcomers = []
+
+
+@when("leaving: another gateway starts")
+def start_another(context):
+    context.newcomers = ["g9"]
 
 
+@then("leaving: after {seconds:g} s that gateway knows it")
 @then("leaving: after {seconds:g} s all gateways know it")
 def check_known(context, seconds):
     async def job():
         async with open_fleet(context) as fleet:
-            rigs = list(fleet.rig_by_host.values())
-            entry = rigs[0].endpoint_table.state_by_id["e1"].entry
-            rigs[0].endpoint_table.put(entry._replace(is_leaving=True))
+            # The gateways have greeted each other.
+            await sleep(0.3)
+            await context.let_know(fleet.choose(0))
+            for host in context.newcomers:
+                await fleet.start(host)
             await sleep(seconds)
-            states = [each.endpoint_table.state_by_id["e1"] for each in rigs]
-            context.known = [each.entry.is_leaving for each in states]
+            tables = [rig.endpoint_table for rig in fleet.rig_by_host.values()]
+            context.known = [each.state_by_id["e1"].entry.is_leaving for each in tables]
 
     run(job)
-    assert context.known == [True, True, True], context.known
+    # The newcomer is the last one.
+    known = context.known[-1:] if context.newcomers else context.known
+    assert all(known), context.known
