--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -13,10 +13,11 @@
 from h11 import Response
 
 from kingcupdyke.forwarding.configuration import Route, RouteKind
-from kingcupdyke.forwarding.dispatcher import Refuse, Wait
+from kingcupdyke.forwarding.decision import Refuse, Wait
 from kingcupdyke.forwarding.endpoint import EndpointEntry, Replica
 from kingcupdyke.forwarding.metadata import AnswerMetadata, ForwardMetadata, RequestMetadata
 from kingcupdyke.forwarding.workitem import WorkItem
+from kingcupdyke_daemon.forwarder.answerobserver import AnswerObserver
 from kingcupdyke_daemon.forwarder.answerrelay import AnswerRelay, strip_headers
 from kingcupdyke_daemon.forwarder.attemptresult import AttemptResult
 from kingcupdyke_daemon.forwarder.connection import EndpointConnection, Progress, TransferError
@@ -91,6 +92,7 @@
         self._request_log = RequestLog(
             deps, self._item, route.name, version, ages, metadata.resumes
         )
+        self._observer = AnswerObserver(deps, self._request_log)
         #: Cancels the attempts at the deadline, or when the process ends.
         self.scope = CancelScope(deadline=self._deadline_s)
         self._is_given_up = False
@@ -279,10 +281,10 @@
         method, target = self._request.method, self._request.target
         self._is_in_flight = True
         connection.send(tasks, method, target, headers, body, self._metadata.attempt_id)
-        head = await connection.read_head(partial(self._note_leaving, entry))
+        head = await connection.read_head(partial(self._observer.note_any, entry))
         self._record_activity(endpoint)
         answer = deps.dialect.read_answer(list(head.headers))
-        self._note_limit(entry, answer)
+        self._observer.note_own(entry, answer)
         if answer.is_not_run or head.status_code == STATUS_MISDIRECTED:
             return await self._handle_not_run(connection, endpoint, head, answer)
         if not answer.is_stamped:
@@ -304,19 +306,6 @@
         self._watch.note_sound()
         return result, True
 
-    def _note_leaving(self, entry: EndpointEntry, answer: AnswerMetadata) -> None:
-        """Record that an endpoint says in an answer, to whatever request, that it is leaving."""
-        if answer.is_leaving:
-            self._request_log.leaving.append(answer.endpoint or entry.endpoint)
-            self._deps.leaving.note_answer(entry, answer)
-
-    def _note_limit(self, entry: EndpointEntry, answer: AnswerMetadata) -> None:
-        """Record the limit in an answer; one that is not the endpoint's own work ends no limit."""
-        self._request_log.limit_per_s = answer.limit_per_s
-        is_other = answer.endpoint not in ("", entry.endpoint)
-        if not is_other and (answer.is_stamped or answer.limit_per_s is not None):
-            self._deps.limits.note_answer(entry, answer.limit_per_s)
-
     async def _handle_not_run(
         self,
         connection: EndpointConnection,
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/queue.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/queue.py
@@ -7,7 +7,8 @@
 
 from anyio import Event
 
-from kingcupdyke.forwarding.dispatcher import Decision, Dispatcher, Refuse, Send, Wait
+from kingcupdyke.forwarding.decision import Decision, Refuse, Send, Wait
+from kingcupdyke.forwarding.dispatcher import Dispatcher
 from kingcupdyke.forwarding.workitem import WorkItem
 from kingcupdyke.timer import TimerService
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
@@ -9,7 +9,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from kingcupdyke.forwarding.dispatcher import Refuse, Send, Wait
+from kingcupdyke.forwarding.decision import Refuse, Send, Wait
 from kingcupdyke.forwarding.endpointstate import EndpointState
 from kingcupdyke.forwarding.workitem import WorkItem
 from kingcupdyke_daemon.forwarder.answerrelay import AnswerEnd
--- a/packages/kingcupdyke-measure/kingcupdyke_measure/simulator.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/simulator.py
@@ -11,7 +11,8 @@
 from anyio.abc import TaskGroup
 
 from kingcupdyke.forwarding.configuration import EngineSpec, ModelSpec, ServiceSpec
-from kingcupdyke.forwarding.dispatcher import Dispatcher, Refuse, Wait
+from kingcupdyke.forwarding.decision import Refuse, Wait
+from kingcupdyke.forwarding.dispatcher import Dispatcher
 from kingcupdyke.forwarding.endpoint import Replica
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.enginestate import EngineState
--- a/packages/kingcupdyke/features/steps/dispatcher_steps.py
+++ b/packages/kingcupdyke/features/steps/dispatcher_steps.py
@@ -12,7 +12,8 @@
 from forwarding_builders import make_engine_spec, make_entry, make_held, make_item, make_services
 
 from kingcupdyke.forwarding.crashreport import CrashReport
-from kingcupdyke.forwarding.dispatcher import Dispatcher, Refuse, Send, Wait
+from kingcupdyke.forwarding.decision import Refuse, Send, Wait
+from kingcupdyke.forwarding.dispatcher import Dispatcher
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.metadata import PromptPart
 from kingcupdyke.forwarding.peerstate import Demand, EndpointLoad, GatewayState, Placement
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -7,11 +7,11 @@
 
 from collections import Counter
 from math import inf, isfinite
-from typing import NamedTuple
 
 from kingcupdyke.forwarding.configuration import EngineSpec, ServiceSpec
 from kingcupdyke.forwarding.crashtable import CrashTable
 from kingcupdyke.forwarding.decayingrate import DecayingRate
+from kingcupdyke.forwarding.decision import Decision, Refuse, Send, Wait
 from kingcupdyke.forwarding.endpoint import Replica
 from kingcupdyke.forwarding.endpointstate import DEFAULT_TOKENS_PER_S, EndpointState
 from kingcupdyke.forwarding.endpointtable import EndpointTable
@@ -20,7 +20,7 @@
 from kingcupdyke.forwarding.pinneddemand import PinnedDemand
 from kingcupdyke.forwarding.workitem import WorkItem
 
-__all__ = ["STOPPING_RETRY_S", "Decision", "Dispatcher", "Refuse", "Send", "Wait"]
+__all__ = ["STOPPING_RETRY_S", "Dispatcher"]
 
 #: Backlog of unread prompts, in seconds of reading, up to which an engine receives further
 #: requests. It keeps the engine busy, and an urgent request does not wait long behind others.
@@ -48,32 +48,6 @@
 DURATION_WEIGHT = 0.1
 
 
-class Send(NamedTuple):
-    """Send the request to an endpoint."""
-
-    endpoint: str
-    #: Number of endpoints that had capacity for it.
-    choices: int
-    #: Expected seconds to the first event, plus the costs of distance and failures.
-    cost_s: float
-
-
-class Wait(NamedTuple):
-    """Keep the request waiting until an endpoint can accept it."""
-
-    reason: str
-
-
-class Refuse(NamedTuple):
-    """Reject the request, as it cannot be served in time."""
-
-    reason: str
-    retry_after_s: float
-
-
-Decision = Send | Wait | Refuse
-
-
 class Dispatcher:
     """Queues the requests of one gateway and chooses their endpoints, for all services.
 
