Log which requests are the same

Nothing in the lines told whether two requests were the same one that came again. `request ended` gains `fingerprint`, the same for all requests with its method, path, caller and body; nothing acts on it yet.

--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -89,6 +89,7 @@
             0,
             tuple(PromptPart(each, 1) for each in values.get(b"x-parts", b"").decode().split()),
             values.get(b"x-resumes", b"").decode(),
+            values.get(b"x-caller", b"").decode(),
         )
 
     def write_request(self, headers, metadata):
--- a/packages/kingcupdyke-daemon/features/steps/walks_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/walks_steps.py
@@ -158,7 +158,7 @@
 def make_end_record(status):
     """:return: the record that is logged at the end of a request"""
     end = (status, "answered", "", 0, 1, 1, 9, "length", 0, 0, -1.0, ())
-    return RequestRecord("r", "route", 1, 0, 0, "", "", (), "", (), (), *end)
+    return RequestRecord("r", "route", 1, 0, 0, "", "", (), "", "", (), (), *end)
 
 
 @when("walks: {succeeded:d} requests succeed and {rejected:d} are rejected within a second")
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -25,6 +25,7 @@
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.dialect import LAST_EVENT_ID
 from kingcupdyke_daemon.forwarder.finalanswer import FinalAnswer, KeptAnswer
+from kingcupdyke_daemon.forwarder.fingerprint import make_fingerprint
 from kingcupdyke_daemon.forwarder.metrics import RequestTimes
 from kingcupdyke_daemon.forwarder.reply import ClientDisconnectedError, ClientRequest, Reply
 from kingcupdyke_daemon.forwarder.requestlog import RequestLog, RetryOutcome, SentTo
@@ -88,6 +89,7 @@
             objective_s=request.arrived_s + route.objective_s,
             first_by_s=request.arrived_s + route.first_patience_s,
             deadline_s=self._deadline_s,
+            fingerprint=make_fingerprint(request, metadata),
         )
         self._request_log = RequestLog(
             deps, self._item, route.name, version, ages, metadata.resumes
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
@@ -149,6 +149,7 @@
             model=self._item.model,
             adapter=self._item.adapter,
             parts=self._item.part_ids,
+            fingerprint=self._item.fingerprint,
             resumes=self._resumes,
             endpoints=tuple(each.endpoint for each in sends),
             software_versions=tuple(each.software_version for each in sends),
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -135,6 +135,8 @@
     adapter: str
     #: Ids of the parts of its prompt, in order.
     parts: tuple[str, ...]
+    #: The same for all requests with its method, path, caller and body.
+    fingerprint: str
     #: Id of the attempt whose stream it continues, or empty for a new request.
     resumes: str
     #: Endpoints that it was sent to, in order of the sends, and versions of their software.
--- a/packages/kingcupdyke/kingcupdyke/forwarding/metadata.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/metadata.py
@@ -32,6 +32,8 @@
     parts: tuple[PromptPart, ...]
     #: Id of the attempt that began the stream which this one continues; empty for a new request.
     resumes: str = ""
+    #: What identifies the caller beside the host that it calls; empty if nothing does.
+    caller: str = ""
 
 
 class ForwardMetadata(NamedTuple):
--- a/packages/kingcupdyke/kingcupdyke/forwarding/workitem.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/workitem.py
@@ -33,6 +33,8 @@
     deadline_s: float
     #: Software version at which its stream must continue, or None for any.
     software_version: str | None = None
+    #: Identifies requests with the same method, path, caller and body; empty if unknown.
+    fingerprint: str = ""
 
     @property
     def part_ids(self) -> tuple[str, ...]:
