Let the endpoints of process.feature be ready again only as a later start

Two scenarios were red since a process that has said that it leaves stays so: they let the same start of an endpoint be ready again, which no endpoint does. It has a later start now, as one that is ready again has; the checks are as before.

--- a/packages/kingcupdyke-daemon/features/steps/process_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/process_steps.py
@@ -56,7 +56,12 @@
             address = (LOOPBACK, fields["port"])
             entry = make_entry(endpoint, address)
             version = fields.get("version", "v1")
-            return Ok(entry._replace(is_leaving=fields["leaving"], software_version=version))
+            started_ms = fields.get("started", 1)
+            return Ok(
+                entry._replace(
+                    is_leaving=fields["leaving"], software_version=version, started_ms=started_ms
+                )
+            )
         except (ValueError, KeyError, TypeError) as error:
             return Error(Failure(Outcome.FAILED, Step.PARSE, endpoint, repr(error)))
 
@@ -141,7 +146,10 @@
     async def list(self, name, is_leaving):
         current = (await self.writer.get("endpoints", name)).ok
         endpoint = self.endpoints[name]
-        fields = {"port": endpoint.address[1], "leaving": is_leaving}
+        # An endpoint that is ready after it was leaving has started again.
+        if current and json.loads(current.value)["leaving"] and not is_leaving:
+            endpoint.starts += 1
+        fields = {"port": endpoint.address[1], "leaving": is_leaving, "started": endpoint.starts}
         fields["version"] = endpoint.software_version
         known = current.version if current else 0
         await self.writer.put("endpoints", name, json.dumps(fields).encode(), known)
