Reject a request that has crashed three endpoints one after the other, at all gateways

Cause: a request that comes again was a new one; what gateways know of crashes is kept by the parts of prompts, which it doesn't have. Class: as before, harm that travels with the work, handled as a fault of the place; here the work is known by all of it.

A crash is recorded under the request's fingerprint too. Three crashes count if each time the request was sent after the crash before, so that copies at endpoints that end together are one, and no half second has to lie between them; an answer clears it. The gateways tell each other as they do of prompts. An answer costs a look into a table, whatever that holds (a scenario).

--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -416,6 +416,7 @@
         self.crashes = CrashDirectory(
             host,
             self.crash_table,
+            self.dispatcher.request_crash_table,
             self.endpoint_table,
             timer,
             tasks,
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/crashwatch.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/crashwatch.py
@@ -6,6 +6,7 @@
 """
 
 from kingcupdyke.forwarding.endpoint import EndpointEntry
+from kingcupdyke.forwarding.workitem import WorkItem
 from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.forwarder.crashdirectory import CrashDirectory
 
@@ -23,7 +24,7 @@
     :param crashes: is told of lost and of sound prompts
     :param timer: the timer service
     :param entry: entry of the endpoint
-    :param parts: ids of the parts of the prompt, in order
+    :param item: the request
     """
 
     def __init__(
@@ -31,12 +32,13 @@
         crashes: CrashDirectory,
         timer: TimerService,
         entry: EndpointEntry,
-        parts: tuple[str, ...],
+        item: WorkItem,
     ) -> None:
         self._crashes = crashes
         self._timer = timer
         self._entry = entry
-        self._parts = parts
+        self._item = item
+        self._sent_s = timer.now()
         self._head_s: float | None = None
         self._has_data = False
         self._is_sound = False
@@ -55,13 +57,13 @@
         """Record that the endpoint has written the answer, or enough of it."""
         if not self._is_sound:
             self._is_sound = True
-            self._crashes.note_sound(self._parts)
+            self._crashes.note_sound(self._item)
 
     def note_lost(self) -> None:
         """Record that the connection to the endpoint broke."""
         if not self._has_data or self._answer_age_s <= BEGINNING_S:
             is_beginning = self._head_s is not None and not self._has_data
-            self._crashes.note_lost(self._entry, self._parts, is_beginning)
+            self._crashes.note_lost(self._entry, self._item, is_beginning, self._sent_s)
 
     @property
     def _answer_age_s(self) -> float:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -215,7 +215,7 @@
         if state is None or not deps.endpoint_table.may_send(state):
             return AttemptResult.NOT_SENT
         self._unread_tokens = state.unread_tokens
-        self._watch = CrashWatch(deps.crashes, deps.timer, state.entry, self._item.part_ids)
+        self._watch = CrashWatch(deps.crashes, deps.timer, state.entry, self._item)
         deps.limits.tell_sent(state.entry)
         sent_s = deps.timer.now()
         connection: EndpointConnection | None = None
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peerbroadcast.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peerbroadcast.py
@@ -5,6 +5,7 @@
 Sends facts to all peers so that they have them soon, although messages are lost and peers start.
 """
 
+from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 
 from kingcupdyke.timer import TimerService
@@ -16,12 +17,14 @@
 NEWCOMER_INTERVAL_S = 0.1
 #: Interval between messages with all facts, each to another peer.
 REPEAT_INTERVAL_S = 1.0
+#: Time after which a new fact is sent again.
+RESEND_DELAY_S = 0.2
 #: Number of gateways that send a peer all facts when it starts.
 NEWCOMER_SENDERS = 3
 
 
 class PeerBroadcast:
-    """Sends new facts to all peers, and all facts to peers that start and to each peer in turn.
+    """Sends new facts to all peers twice, and all facts to peers that start and to each in turn.
 
     :param name: what the facts are about, unique among the broadcasts
     :param host: name of this host
@@ -46,11 +49,25 @@
         self._encode_all = encode_all
         self._incarnation_by_peer: dict[str, str] = {}
         self._repeats = 0
+        self._now = timer.now
+        #: Messages that are sent again, with the time in seconds of that.
+        self._resends: deque[tuple[float, list[bytes]]] = deque()
         timer.subscribe(f"{name} newcomers", NEWCOMER_INTERVAL_S, self._greet_newcomers)
+        timer.subscribe(f"{name} resends", NEWCOMER_INTERVAL_S, self._resend)
         timer.subscribe(f"{name} repeats", REPEAT_INTERVAL_S, self._repeat)
 
     def post(self, messages: Iterable[bytes]) -> None:
-        """Send messages to all peers immediately."""
+        """Send messages to all peers immediately, and again after RESEND_DELAY_S."""
+        posted = list(messages)
+        self._send_to_all(posted)
+        self._resends.append((self._now() + RESEND_DELAY_S, posted))
+
+    def _resend(self, now_s: float) -> None:
+        while self._resends and self._resends[0][0] <= now_s:
+            _, messages = self._resends.popleft()
+            self._send_to_all(messages)
+
+    def _send_to_all(self, messages: list[bytes]) -> None:
         peers = list(self._list_peers())
         for data in messages:
             for peer in peers:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peerexchanges.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peerexchanges.py
@@ -81,6 +81,7 @@
         self.crashes = CrashDirectory(
             host,
             dispatcher.crash_table,
+            dispatcher.request_crash_table,
             endpoint_table,
             timer,
             tasks,
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/stategauges.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/stategauges.py
@@ -42,6 +42,10 @@
         metrics.add_gauge(
             "crash_signatures", lambda: {"": len(self.dispatcher.crash_table.signatures)}
         )
+        metrics.add_gauge(
+            "crashing_requests",
+            lambda: {"": self.dispatcher.request_crash_table.count_rejected(self.timer.now())},
+        )
         metrics.add_gauge(
             "endpoint_limit", lambda: dict(self.dispatcher.limit_table.list_limited()), "endpoint"
         )
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -21,6 +21,7 @@
     "RefusalRecord",
     "RejectionRecord",
     "RetryRecord",
+    "RequestCrashRecord",
     "RequestRecord",
     "SendRecord",
     "WaitRecord",
@@ -214,8 +215,9 @@
     endpoint: str
     #: Unix time in milliseconds of the start of the endpoint's process.
     started_ms: int
-    #: Ids of the parts of the request's prompt, in order.
+    #: Ids of the parts of the request's prompt, in order, and the request's fingerprint.
     parts: tuple[str, ...]
+    fingerprint: str
     #: Whether its answer was just beginning.
     is_beginning: bool
 
@@ -229,6 +231,12 @@
     crashes: int
 
 
+class RequestCrashRecord(NamedTuple):
+    """Fields of a request that is rejected from now on, as it crashes endpoints."""
+
+    fingerprint: str
+
+
 class LeavingRecord(NamedTuple):
     """Fields of an endpoint that has said in an answer that it is leaving."""
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/crashreport.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/crashreport.py
@@ -13,7 +13,7 @@
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke.forwarding.peerstate import pack_message, unpack_message
 
-__all__ = ["CrashMessage", "CrashReport", "SoundPart"]
+__all__ = ["CrashMessage", "CrashReport", "RequestCrash", "SoundPart", "SoundRequest"]
 
 
 class CrashReport(NamedTuple):
@@ -38,13 +38,36 @@
     age_s: float
 
 
+class RequestCrash(NamedTuple):
+    """A crash of an endpoint that ran a request, known by the request's fingerprint."""
+
+    request: str
+    endpoint: str
+    #: Unix time in milliseconds of the start of the endpoint's process that crashed.
+    started_ms: int
+    #: Seconds from sending the request to the crash.
+    run_s: float
+    #: Seconds since the crash.
+    age_s: float
+
+
+class SoundRequest(NamedTuple):
+    """A request, by its fingerprint, that an endpoint has answered without crashing."""
+
+    request: str
+    #: Seconds since the latest such answer.
+    age_s: float
+
+
 class CrashMessage(NamedTuple):
-    """All reports that a gateway has, its own and those of its peers."""
+    """Reports of a gateway, its own and those of its peers."""
 
     #: Host of the sender.
     sender: str
     reports: tuple[CrashReport, ...]
     sound_parts: tuple[SoundPart, ...]
+    request_crashes: tuple[RequestCrash, ...] = ()
+    sound_requests: tuple[SoundRequest, ...] = ()
 
     def encode(self) -> bytes:
         """:return: the message as compressed JSON"""
@@ -59,7 +82,13 @@
             sound = tuple(
                 SoundPart(str(part), float(age_s)) for part, age_s in fields["sound_parts"]
             )
-            return Ok(cls(str(fields["sender"]), reports, sound))
+            # Gateways of an earlier version send no such fields.
+            crashes = tuple(_decode_crash(*each) for each in fields.get("request_crashes", ()))
+            sound_requests = tuple(
+                SoundRequest(str(request), float(age_s))
+                for request, age_s in fields.get("sound_requests", ())
+            )
+            return Ok(cls(str(fields["sender"]), reports, sound, crashes, sound_requests))
         except (ValueError, TypeError, KeyError, zlib_error) as error:
             reason = f"invalid crash message: {error!r}"
             return Error(Failure(Outcome.FAILED, Step.PARSE, "", reason))
@@ -72,3 +101,9 @@
         raise TypeError("parts must be a list")
     ids = tuple(str(each) for each in parts)
     return CrashReport(str(endpoint), int(started_ms), ids, bool(is_beginning), float(age_s))
+
+
+def _decode_crash(
+    request: str, endpoint: str, started_ms: int, run_s: float, age_s: float
+) -> RequestCrash:
+    return RequestCrash(str(request), str(endpoint), int(started_ms), float(run_s), float(age_s))
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -18,6 +18,7 @@
 from kingcupdyke.forwarding.limittable import LimitTable
 from kingcupdyke.forwarding.peerstate import Demand, EndpointLoad
 from kingcupdyke.forwarding.pinneddemand import PinnedDemand
+from kingcupdyke.forwarding.requestcrashtable import RequestCrashTable
 from kingcupdyke.forwarding.workitem import WorkItem
 
 __all__ = ["STOPPING_RETRY_S", "Dispatcher"]
@@ -65,8 +66,9 @@
         self._endpoint_table = endpoint_table
         self._data_centre = data_centre
         self.region_by_data_centre = region_by_data_centre
-        #: Tells which requests crash endpoints.
+        #: Tell which prompts, and which requests, crash endpoints.
         self.crash_table = CrashTable()
+        self.request_crash_table = RequestCrashTable()
         #: Limits that endpoints name, and the requests sent to them.
         self.limit_table = LimitTable()
         self._service_by_name: dict[str, ServiceSpec] = {}
@@ -203,6 +205,9 @@
         signature = self.crash_table.find_signature(item.part_ids, now_s)
         if signature is not None:
             return Refuse("such prompts crash endpoints", signature.expires_s - now_s)
+        expires_s = self.request_crash_table.find_expiry(item.fingerprint, now_s)
+        if expires_s is not None:
+            return Refuse("this request crashes endpoints", expires_s - now_s)
         ready = self._endpoint_table.list_ready(item.service)
         if not ready:
             return Refuse("no endpoint of the service", RETRY_AFTER_S)
