--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/crashdirectory.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/crashdirectory.py
@@ -95,12 +95,14 @@
         now_s = self._timer.now()
         if self._request_table.note_sound(item.fingerprint, now_s):
             sound_request = SoundRequest(item.fingerprint, 0.0)
-            self._broadcast.post(_encode(CrashMessage(self._host, (), (), (), (sound_request,))))
+            message = CrashMessage(self._host, (), (), (), (sound_request,))
+            self._broadcast.post(_encode(message), is_resent=False)
         parts = item.part_ids
         if self._table.note_sound(parts, now_s):
-            message = self._table.make_message(self._host, now_s)
-            sound = tuple(each for each in message.sound_parts if each.part in parts)
-            self._broadcast.post(_encode(CrashMessage(self._host, (), sound)))
+            known = self._table.make_message(self._host, now_s)
+            sound = tuple(each for each in known.sound_parts if each.part in parts)
+            message = CrashMessage(self._host, (), sound)
+            self._broadcast.post(_encode(message), is_resent=False)
             self._log_signatures()
 
     def note_lost(
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peerbroadcast.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peerbroadcast.py
@@ -13,8 +13,8 @@
 
 __all__ = ["PeerBroadcast"]
 
-#: Interval between looks for peers that have started.
-NEWCOMER_INTERVAL_S = 0.1
+#: Interval between looks for peers that have started, and for messages that are due.
+UPDATE_INTERVAL_S = 0.1
 #: Interval between messages with all facts, each to another peer.
 REPEAT_INTERVAL_S = 1.0
 #: Time after which a new fact is sent again.
@@ -24,7 +24,7 @@
 
 
 class PeerBroadcast:
-    """Sends new facts to all peers twice, and all facts to peers that start and to each in turn.
+    """Sends new facts to all peers, and all facts to peers that start and to each peer in turn.
 
     :param name: what the facts are about, unique among the broadcasts
     :param host: name of this host
@@ -52,17 +52,22 @@
         self._now = timer.now
         #: Messages that are sent again, with the time in seconds of that.
         self._resends: deque[tuple[float, list[bytes]]] = deque()
-        timer.subscribe(f"{name} newcomers", NEWCOMER_INTERVAL_S, self._greet_newcomers)
-        timer.subscribe(f"{name} resends", NEWCOMER_INTERVAL_S, self._resend)
+        timer.subscribe(f"{name} messages", UPDATE_INTERVAL_S, self._update)
         timer.subscribe(f"{name} repeats", REPEAT_INTERVAL_S, self._repeat)
 
-    def post(self, messages: Iterable[bytes]) -> None:
-        """Send messages to all peers immediately, and again after RESEND_DELAY_S."""
+    def post(self, messages: Iterable[bytes], is_resent: bool = True) -> None:
+        """Send messages to all peers immediately.
+
+        :param is_resent: whether to send them again after RESEND_DELAY_S; must be False if their
+            ages have to be exact
+        """
         posted = list(messages)
         self._send_to_all(posted)
-        self._resends.append((self._now() + RESEND_DELAY_S, posted))
+        if is_resent:
+            self._resends.append((self._now() + RESEND_DELAY_S, posted))
 
-    def _resend(self, now_s: float) -> None:
+    def _update(self, now_s: float) -> None:
+        self._greet_newcomers(now_s)
         while self._resends and self._resends[0][0] <= now_s:
             _, messages = self._resends.popleft()
             self._send_to_all(messages)
