--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -152,6 +152,16 @@
         #: Number of its starts; each one is listed as a later start.
         self.starts = 1
 
+    async def run(self, on_start):
+        """Listen and serve.
+
+        :param on_start: called with the endpoint when it listens
+        """
+        listener = (await create_tcp_listener(local_host="127.0.0.1")).listeners[0]
+        self.address = listener.extra(SocketAttribute.local_address)
+        on_start(self)
+        await self.serve(listener)
+
     async def serve(self, listener):
         await listener.serve(self.handle)
 
--- a/packages/kingcupdyke-daemon/features/steps/leaving_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/leaving_steps.py
@@ -5,8 +5,7 @@
 Steps for endpoints that say in their answers that they leave, at several gateways.
 """
 
-from anyio import create_task_group, create_tcp_listener, current_time, run, sleep
-from anyio.abc import SocketAttribute
+from anyio import create_task_group, current_time, run, sleep
 from behave import given, then, when
 from crashes_steps import Fleet, open_fleet
 from forwarder_rig import ScriptedEndpoint, find, make_entry
@@ -30,12 +29,6 @@
         #: Times in seconds at which it received requests.
         self.received_s = []
 
-    async def run(self, on_start):
-        listener = (await create_tcp_listener(local_host="127.0.0.1")).listeners[0]
-        self.address = listener.extra(SocketAttribute.local_address)
-        on_start(self)
-        await listener.serve(self.handle)
-
     async def read(self, stream, data):
         found = await super().read(stream, data)
         self.received_s.append(current_time())
--- a/packages/kingcupdyke-daemon/features/steps/limits_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/limits_steps.py
@@ -5,8 +5,7 @@
 Steps for endpoints that name a limit, at several gateways before the same endpoints.
 """
 
-from anyio import create_tcp_listener, current_time, run, sleep
-from anyio.abc import SocketAttribute
+from anyio import current_time, run, sleep
 from behave import given, then, when
 from crashes_steps import open_fleet
 from forwarder_rig import ScriptedEndpoint
@@ -27,12 +26,6 @@
         #: Times in seconds at which it received requests.
         self.received_s = []
 
-    async def run(self, on_start):
-        listener = (await create_tcp_listener(local_host="127.0.0.1")).listeners[0]
-        self.address = listener.extra(SocketAttribute.local_address)
-        on_start(self)
-        await listener.serve(self.handle)
-
     async def do_ok(self, stream, attempt_id):
         self.received_s.append(current_time())
         extra = "" if self.limit is None else f"x-limit: {self.limit}\r\n"
