Give each connection to an endpoint one owner, so that no request is sent on another's

Cause: the pool waited for the close of a broken connection while it looked for another one; close_expired then replaced the list that it still took from, and two requests got the same connection. The second one closed it and set what the connection recorded of the first back to not sent, so that a request that ran was sent again.

Change: a connection is taken out of the pool in one step without waiting and is closed in the background. What was sent belongs to the exchange of one request, which only rises; a connection in use refuses a second request and is not affected. connection.py is split into the connection and the exchange; drop, which nothing called, is gone.

--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -420,7 +420,7 @@
         self.dispatcher = Dispatcher(self.endpoint_table, "n1", {"n1": "north"})
         self.crash_table = self.dispatcher.crash_table
         queue = WaitingQueue(self.dispatcher, timer)
-        self.pool = ConnectionPool(PlainDialect(), timer)
+        self.pool = ConnectionPool(timer, tasks)
         budget = SharedRetryBudget(0.2, retry_allowance, 10.0)
         self.metrics = ForwarderMetrics("test")
         self.crashes = CrashDirectory(
@@ -548,5 +548,5 @@
         tasks.start_soon(rig.server.serve, front, tasks)
         yield rig
         rig.metrics.close()
-        await rig.pool.aclose()
+        rig.pool.close_all()
         tasks.cancel_scope.cancel()
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
@@ -0,0 +1,154 @@
+"""
+kingcupdyke_daemon.forwarder.exchange
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+One request on a connection to an endpoint, and its answer.
+"""
+
+import logging
+from collections.abc import AsyncIterator, Callable
+
+from anyio import move_on_after
+from anyio.abc import TaskGroup
+from h11 import Data, EndOfMessage, InformationalResponse, LocalProtocolError, Request, Response
+
+from kingcupdyke.forwarding.metadata import AnswerMetadata
+from kingcupdyke_daemon.forwarder.connection import (
+    TRANSFER_ERRORS,
+    EndpointConnection,
+    Progress,
+    TransferError,
+)
+from kingcupdyke_daemon.forwarder.dialect import Dialect, Headers
+
+__all__ = ["Exchange"]
+
+_LOGGER = logging.getLogger(__name__)
+#: Number of answers read in search of the answer to the current request. A request fails if all of
+#: them are for other attempts.
+MAX_STRAY_ANSWERS = 3
+#: Limit of the size of the body of each of them.
+MAX_STRAY_BYTES = 1_048_576
+#: Limit of the heads that announce the head of the answer.
+MAX_INFORMATIONAL_HEADS = 8
+#: Limit of a body that is read whole before it is used, in bytes and seconds.
+MAX_SHORT_BODY_BYTES = 65_536
+SHORT_BODY_TIMEOUT_S = 0.5
+
+
+class Exchange:
+    """The transfer of one request and of its answer.
+
+    :param connection: an idle connection, which this exchange owns from :meth:`send` on
+    :param dialect: reads the attempt id from the headers of an answer
+    :param attempt_id: id of the client's attempt, which the answer must name; empty if unknown
+    """
+
+    def __init__(self, connection: EndpointConnection, dialect: Dialect, attempt_id: str) -> None:
+        self._connection = connection
+        self._dialect = dialect
+        self._attempt_id = attempt_id
+        self._request: Request | None = None
+        self._progress = Progress.NOT_SENT
+
+    @property
+    def progress(self) -> Progress:
+        """:return: how far the request has come; it only rises"""
+        return self._progress
+
+    def send(
+        self, tasks: TaskGroup, method: bytes, target: bytes, headers: Headers, body: bytes
+    ) -> None:
+        """Start sending the request; the answer may arrive before it is sent completely.
+
+        :param tasks: task group that sends the bytes in the background
+        :raises TransferError: when the request is not valid HTTP/1.1, or the connection is in use;
+            nothing has been sent then
+        """
+        try:
+            request = Request(method=method, target=target, headers=headers)
+            data = self._connection.begin(request, body)
+        except LocalProtocolError as error:
+            raise TransferError(self._progress, f"sending the request failed: {error!r}") from error
+        self._request = request
+        self._progress = Progress.SENT
+        tasks.start_soon(self._send_all, data)
+
+    async def read_head(self, on_answer: Callable[[AnswerMetadata], None]) -> Response:
+        """Read the head of the answer, skipping answers to other attempts.
+
+        :param on_answer: called with the metadata of each answer, also to another attempt
+        :raises TransferError: when the connection breaks or only carries other answers
+        """
+        for _ in range(MAX_STRAY_ANSWERS):
+            response = await self._next_response()
+            metadata = self._dialect.read_answer(list(response.headers))
+            self._connection.keep_alive_s = metadata.keep_alive_s
+            on_answer(metadata)
+            if not self._attempt_id or metadata.attempt_id in ("", self._attempt_id):
+                self._progress = Progress.ANSWERING
+                return response
+            await self._skip_answer()
+        raise TransferError(self._progress, "received only answers to other attempts")
+
+    async def read_body(self) -> AsyncIterator[bytes]:
+        """Yield the body of the answer as it arrives.
+
+        :raises TransferError: when the connection breaks before the end of the body
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, EndOfMessage):
+                return
+            if not isinstance(event, Data):
+                raise TransferError(self._progress, "the answer ended early")
+            yield bytes(event.data)
+
+    async def read_short_body(self) -> bytes | None:
+        """Read the body of an answer that is not passed on as it arrives.
+
+        :return: the body, or None if it is too long or too slow, so that the rest stays unread
+        :raises TransferError: when the connection breaks before the end of the body
+        """
+        body = b""
+        with move_on_after(SHORT_BODY_TIMEOUT_S):
+            async for data in self.read_body():
+                body += data
+                if len(body) > MAX_SHORT_BODY_BYTES:
+                    return None
+            return body
+        return None
+
+    async def _send_all(self, data: bytes) -> None:
+        try:
+            await self._connection.write(data)
+        except TRANSFER_ERRORS as error:
+            # The endpoint may have answered before: reading the answer determines the outcome.
+            _LOGGER.debug("sending the request failed: %r", error)
+
+    async def _skip_answer(self) -> None:
+        skipped = 0
+        async for data in self.read_body():
+            skipped += len(data)
+            if skipped > MAX_STRAY_BYTES:
+                raise TransferError(self._progress, "the answer to another attempt is too long")
+        self._connection.expect_another_answer(self._request)
+
+    async def _next_response(self) -> Response:
+        for _ in range(MAX_INFORMATIONAL_HEADS + 1):
+            event = await self._next_event()
+            if isinstance(event, InformationalResponse):
+                continue
+            if not isinstance(event, Response):
+                raise TransferError(self._progress, "the connection was closed")
+            return event
+        raise TransferError(self._progress, "received only informational answers")
+
+    async def _next_event(self) -> object:
+        try:
+            event = await self._connection.next_event()
+        except TRANSFER_ERRORS as error:
+            raise TransferError(self._progress, f"reading the answer failed: {error!r}") from error
+        if event is None:
+            raise TransferError(self._progress, "the connection was closed")
+        return event
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -24,6 +24,7 @@
 from kingcupdyke_daemon.forwarder.crashwatch import CrashWatch
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.dialect import LAST_EVENT_ID
+from kingcupdyke_daemon.forwarder.exchange import Exchange
 from kingcupdyke_daemon.forwarder.finalanswer import FinalAnswer, KeptAnswer
 from kingcupdyke_daemon.forwarder.fingerprint import make_fingerprint
 from kingcupdyke_daemon.forwarder.metrics import RequestTimes
@@ -251,7 +252,7 @@
             deps.dispatcher.ended(self._item.attempt_id, endpoint, self._item.service, seconds)
             deps.queue.poll(deps.timer.now())
         if is_reusable:
-            await deps.pool.release(endpoint, connection)
+            deps.pool.release(endpoint, connection)
         return result
 
     def _handle_transfer_error(self, endpoint: str, error: TransferError) -> AttemptResult:
@@ -282,13 +283,14 @@
             headers.append((b"content-length", b"0"))
         method, target = self._request.method, self._request.target
         self._is_in_flight = True
-        connection.send(tasks, method, target, headers, body, self._metadata.attempt_id)
-        head = await connection.read_head(partial(self._observer.note_any, entry))
+        exchange = Exchange(connection, deps.dialect, self._metadata.attempt_id)
+        exchange.send(tasks, method, target, headers, body)
+        head = await exchange.read_head(partial(self._observer.note_any, entry))
         self._record_activity(endpoint)
         answer = deps.dialect.read_answer(list(head.headers))
         self._observer.note_own(entry, answer)
         if answer.is_not_run or head.status_code == STATUS_MISDIRECTED:
-            return await self._handle_not_run(connection, endpoint, head, answer)
+            return await self._handle_not_run(exchange, endpoint, head, answer)
         if not answer.is_stamped:
             self._reason = (
                 f"endpoint {endpoint}: status {head.status_code} without the server's stamp"
@@ -299,24 +301,24 @@
             ), False
         self._watch.note_head()
         if head.status_code >= STATUS_FAILURE:
-            return await self._keep_failure(connection, endpoint, head)
+            return await self._keep_failure(exchange, endpoint, head)
         if self._reply.has_begun and head.status_code != self._status:
             self._reason = f"endpoint {endpoint}: status {head.status_code} on resuming"
             return AttemptResult.BROKEN, False
-        result = await self._relay(connection, endpoint, head, sent_s)
+        result = await self._relay(exchange, endpoint, head, sent_s)
         deps.endpoint_table.note_success(endpoint)
         self._watch.note_sound()
         return result, True
 
     async def _handle_not_run(
         self,
-        connection: EndpointConnection,
+        exchange: Exchange,
         endpoint: str,
         head: Response,
         answer: AnswerMetadata,
     ) -> tuple[AttemptResult, bool]:
         self._reason = f"endpoint {endpoint}: status {head.status_code}, not run"
-        is_reusable = await connection.read_short_body() is not None
+        is_reusable = await exchange.read_short_body() is not None
         now_s = self._deps.timer.now()
         is_other = answer.endpoint and answer.endpoint != endpoint
         if head.status_code == STATUS_MISDIRECTED and not is_other and self._item.model:
@@ -327,12 +329,12 @@
         return AttemptResult.NOT_RUN, is_reusable
 
     async def _keep_failure(
-        self, connection: EndpointConnection, endpoint: str, head: Response
+        self, exchange: Exchange, endpoint: str, head: Response
     ) -> tuple[AttemptResult, bool]:
         """Keep a failed answer, which is passed on only if no other endpoint answers."""
         self._deps.endpoint_table.note_failure(endpoint, self._deps.timer.now(), False)
         self._reason = f"endpoint {endpoint}: status {head.status_code}"
-        body = await connection.read_short_body()
+        body = await exchange.read_short_body()
         if body is None:
             return AttemptResult.FAILED, False
         if self._reply.has_begun:
@@ -342,19 +344,19 @@
         return AttemptResult.FAILED, True
 
     async def _relay(
-        self, connection: EndpointConnection, endpoint: str, head: Response, sent_s: float
+        self, exchange: Exchange, endpoint: str, head: Response, sent_s: float
     ) -> AttemptResult:
         if not self._reply.has_begun:
             self._status = head.status_code
-        await self._answer.relay(head, self._read_parts(connection, endpoint, sent_s))
+        await self._answer.relay(head, self._read_parts(exchange, endpoint, sent_s))
         return AttemptResult.DELIVERED
 
     async def _read_parts(
-        self, connection: EndpointConnection, endpoint: str, sent_s: float
+        self, exchange: Exchange, endpoint: str, sent_s: float
     ) -> AsyncIterator[bytes]:
         """Yield the body of an answer, and record the endpoint's activity."""
         has_first = False
-        async for data in connection.read_body():
+        async for data in exchange.read_body():
             self._record_activity(endpoint)
             self._watch.note_data()
             if not has_first:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/pool.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/pool.py
@@ -5,11 +5,12 @@
 Pool of idle connections to endpoints.
 """
 
-from anyio import create_task_group
+from collections.abc import Iterable
+
+from anyio.abc import TaskGroup
 
 from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.forwarder.connection import EndpointConnection
-from kingcupdyke_daemon.forwarder.dialect import Dialect
 
 __all__ = ["ConnectionPool"]
 
@@ -27,60 +28,78 @@
 class ConnectionPool:
     """Keeps idle connections by endpoint and reuses the most recently used one first.
 
-    :param dialect: passed to new connections
+    A connection is owned by the pool or by one request. Whatever takes one out of the pool does so
+    without waiting, so that no other task can take it as well; it is closed in the background.
+
     :param timer: the timer service
+    :param tasks: task group that closes connections
     """
 
-    def __init__(self, dialect: Dialect, timer: TimerService) -> None:
-        self._dialect = dialect
+    def __init__(self, timer: TimerService, tasks: TaskGroup) -> None:
         self._timer = timer
+        self._tasks = tasks
         self._idle_by_endpoint: dict[str, list[EndpointConnection]] = {}
 
+    @property
+    def idle_count(self) -> int:
+        """:return: number of idle connections"""
+        return sum(len(idle) for idle in self._idle_by_endpoint.values())
+
     async def acquire(
         self, endpoint: str, address: tuple[str, int], needs_fresh: bool
     ) -> EndpointConnection:
-        """Return an idle connection, or open a new one.
+        """Return an idle connection, or open a new one; the caller owns it.
 
         :param needs_fresh: whether the request must not be retried, so that a connection that the
             endpoint may be closing is not used
         :raises TransferError: when the connection can't be established
         """
-        idle = self._idle_by_endpoint.get(endpoint, [])
-        while idle:
-            connection = idle.pop()
-            idle_s = self._timer.now() - connection.idle_since_s
-            margin_s = NON_RETRYABLE_MARGIN_S if needs_fresh else IDLE_MARGIN_S
-            max_idle_s = _max_idle_s(connection, margin_s)
-            if idle_s < max_idle_s and connection.is_reusable():
-                return connection
-            await connection.aclose()
-        return await EndpointConnection.open(address, self._dialect)
+        margin_s = NON_RETRYABLE_MARGIN_S if needs_fresh else IDLE_MARGIN_S
+        connection = self._take(endpoint, margin_s)
+        return connection or await EndpointConnection.open(address)
 
-    async def release(self, endpoint: str, connection: EndpointConnection) -> None:
-        """Keep a connection whose request has ended cleanly, if it can be reused."""
+    def release(self, endpoint: str, connection: EndpointConnection) -> None:
+        """Take over a connection whose request has ended cleanly; it is closed if not reusable."""
         idle = self._idle_by_endpoint.setdefault(endpoint, [])
         if len(idle) >= MAX_IDLE_CONNECTIONS or not connection.prepare_reuse():
-            await connection.aclose()
+            self._close([connection])
             return
         connection.idle_since_s = self._timer.now()
         idle.append(connection)
 
-    async def drop(self, endpoint: str) -> None:
-        """Close the idle connections to an endpoint that was removed."""
-        await _close_all(self._idle_by_endpoint.pop(endpoint, []))
-
-    async def close_expired(self) -> None:
+    def close_expired(self) -> None:
         """Close the connections whose idle time has expired."""
         now_s = self._timer.now()
         for endpoint, idle in list(self._idle_by_endpoint.items()):
             expired = [each for each in idle if now_s - each.idle_since_s >= _max_idle_s(each)]
-            self._idle_by_endpoint[endpoint] = [each for each in idle if each not in expired]
-            await _close_all(expired)
-
-    async def aclose(self) -> None:
+            kept = [each for each in idle if each not in expired]
+            if kept:
+                self._idle_by_endpoint[endpoint] = kept
+            else:
+                del self._idle_by_endpoint[endpoint]
+            self._close(expired)
+
+    def close_all(self) -> None:
         """Close all idle connections."""
-        for endpoint in list(self._idle_by_endpoint):
-            await self.drop(endpoint)
+        idle_by_endpoint, self._idle_by_endpoint = self._idle_by_endpoint, {}
+        for idle in idle_by_endpoint.values():
+            self._close(idle)
+
+    def _take(self, endpoint: str, margin_s: float) -> EndpointConnection | None:
+        """Take the first usable connection out of the pool, and those that are not usable."""
+        now_s = self._timer.now()
+        idle = self._idle_by_endpoint.get(endpoint, [])
+        while idle:
+            connection = idle.pop()
+            idle_s = now_s - connection.idle_since_s
+            if idle_s < _max_idle_s(connection, margin_s) and connection.is_reusable():
+                return connection
+            self._close([connection])
+        return None
+
+    def _close(self, connections: Iterable[EndpointConnection]) -> None:
+        for connection in connections:
+            self._tasks.start_soon(connection.aclose)
 
 
 def _max_idle_s(connection: EndpointConnection, margin_s: float = IDLE_MARGIN_S) -> float:
@@ -89,9 +108,3 @@
         DEFAULT_KEEP_ALIVE_S if connection.keep_alive_s is None else connection.keep_alive_s
     )
     return max(0.0, keep_alive_s - margin_s)
-
-
-async def _close_all(connections: list[EndpointConnection]) -> None:
-    async with create_task_group() as tasks:
-        for connection in connections:
-            tasks.start_soon(connection.aclose)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -95,7 +95,7 @@
             self._endpoint_table, settings.data_centre, settings.region_by_data_centre
         )
         self._queue = WaitingQueue(self._dispatcher, self._timer)
-        self._pool = ConnectionPool(dialect, self._timer)
+        self._pool = ConnectionPool(self._timer, tasks)
         self._retry_budget = SharedRetryBudget(
             settings.repeat_share, settings.repeat_allowance, settings.repeat_window_s
         )
@@ -238,6 +238,7 @@
             self._tasks,
         )
         await planned_stop.run(client_listener, self._settings.grace_s)
+        self._pool.close_all()
 
     def _apply_settings(self, settings: ForwarderSettings) -> None:
         self._dispatcher.region_by_data_centre = settings.region_by_data_centre
@@ -316,7 +317,7 @@
         self._request_handler.gateway_count = self._peer_gossip.gateway_count
         confirmed_s = now_s - self._catalogue.configurations.last_answer_s
         self._request_handler.is_configuration_fresh = confirmed_s < 4 * self._settings.apply_s
-        self._tasks.start_soon(self._pool.close_expired)
+        self._pool.close_expired()
         self._update_ready()
 
     async def _notify_demand(self) -> None:
