Let peers state the interval of their messages, and send at once what others must know

Cause: intervals between the messages of gateways grow with their number, the time after which a peer was taken for gone did not: from 42 gateways on no peer of another region was steadily live. A waiting request let a gateway send its state to all local peers up to 40 times a second, and placements waited for the next message, 2.5 s at 68 gateways for another region. A relay that exceeds a datagram was dropped without a line.

Change: a state names its interval, and three of them without a message count as gone; unknown further fields are ignored. New placements and stops are sent to all at once, what waits to planners and local peers, at an interval that grows with the gateways. A relay that is too large is logged.

--- a/packages/kingcupdyke-daemon/features/steps/origins_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/origins_steps.py
@@ -100,7 +100,7 @@
             await sleep(0.05)
             for _ in range(count):
                 sender.gossip.post("g2", OriginMessage("g1", (ORIGIN,)).encode())
-                sender.gossip.state_changed.set()
+                sender.gossip.send_state_soon()
                 await sleep(0)
             await sleep(0.1)
             context.received = len(receiver.received)
--- a/packages/kingcupdyke-daemon/features/steps/planning_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/planning_steps.py
@@ -70,7 +70,7 @@
         return [head for head, _ in self.requests if head.startswith("POST")]
 
 
-def make_planner_runner(rig):
+def make_planner_runner(rig, dialect=None, on_placement=lambda: None):
     configuration = Configuration(
         1, (), (ServiceSpec("service", "/", 10, ENGINE_SPEC),), ClientLimits()
     )
@@ -82,7 +82,7 @@
         lease,
         LEASE_S,
         MemoryStoreClient(),
-        EngineDialect(),
+        dialect or EngineDialect(),
         rig.endpoint_table,
         rig.dispatcher,
         peers,
@@ -95,6 +95,7 @@
         lambda: configuration,
         current_time,
         rig.metrics,
+        on_placement,
     )
 
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peergossip.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peergossip.py
@@ -15,6 +15,7 @@
 from expression import Result
 
 from kingcupdyke.error import Failure, OptionError
+from kingcupdyke.forwarding.peerschedule import PeerSchedule, PeerScope
 from kingcupdyke.forwarding.peerstate import GatewayState, PeerTable
 from kingcupdyke.forwarding.storerelay import StoreRelay, list_relay_hosts
 from kingcupdyke.timer import TimerService
@@ -28,13 +29,6 @@
 _LOGGER = logging.getLogger(__name__)
 #: Kind of the store's objects by which gateways find each other.
 PEERS_KIND = "kingcupdyke-gateways"
-#: Interval between messages to peers of the local region, and to peers of other regions, where
-#: traffic is paid for.
-SEND_INTERVAL_S = 0.1
-REMOTE_SEND_INTERVAL_S = 0.3
-#: Number of peers up to which these intervals apply. With more peers the intervals grow in
-#: proportion, so that the rate of messages that a gateway receives stays about the same.
-PEERS_AT_FULL_RATE = 8
 #: Interval between messages that relay the store's objects to peers that can't reach the store.
 RELAY_INTERVAL_S = 0.3
 #: Maximum size of a datagram.
@@ -94,14 +88,15 @@
         self._send_lock = Lock()
         self._address_by_host: dict[str, SocketAddress] = {}
         self._data_centre_by_host: dict[str, str] = {}
-        self._next_remote_send_s = 0.0
+        self._schedule = PeerSchedule()
+        self._rescheduled = Event()
         self._message_number = 0
         self._next_relay_s = 0.0
         #: Watchers whose objects are relayed to peers that can't reach the store, and are received
         #: from peers while this gateway can't reach it.
         self.watchers: tuple[StoreWatcher, ...] = ()
-        #: Set to send the state immediately; in other regions only to planners.
-        self.state_changed = Event()
+        #: Kinds whose relay does not fit into a datagram.
+        self._oversized_kinds: set[str] = set()
 
     @property
     def gateway_count(self) -> int:
@@ -151,14 +146,27 @@
             if host in live
         }
 
+    def list_local_hosts(self) -> list[str]:
+        """:return: hosts of the other gateways of this region that the store lists"""
+        return [host for host in self._address_by_host if self._get_scope(host) is PeerScope.LOCAL]
+
     def post(self, host: str, message: bytes) -> None:
         """Send a message to a peer immediately; it may be lost."""
         self._outbox.append((host, message))
         self._posted.set()
 
-    def _is_remote(self, host: str) -> bool:
+    def send_state_soon(self, is_demand: bool = False) -> None:
+        """Send the state to all peers without waiting until they are due.
+
+        :param is_demand: whether only planners and local peers must know it
+        """
+        self._schedule.make_urgent(is_demand)
+        self._rescheduled.set()
+
+    def _get_scope(self, host: str) -> PeerScope:
         data_centre = self._data_centre_by_host.get(host, "")
-        return self.region_by_data_centre.get(data_centre, "") != self.region
+        is_local = self.region_by_data_centre.get(data_centre, "") == self.region
+        return PeerScope.LOCAL if is_local else PeerScope.REMOTE
 
     async def register(self) -> None:
         """Register this gateway in the store, with retries until this succeeds."""
@@ -224,24 +232,32 @@
 
     async def _send(self, udp: UDPSocket) -> None:
         while True:
-            self._message_number += 1
-            data = self._make_state(self._message_number).encode()
-            is_urgent = self.state_changed.is_set()
-            self.state_changed = Event()
             now_s = self._timer.now()
-            is_remote_due = now_s >= self._next_remote_send_s
-            if is_remote_due:
-                self._next_remote_send_s = now_s + REMOTE_SEND_INTERVAL_S * self._slowdown
-            planners = {each.host for each in self._table.live(now_s) if each.fence}
-            for host, address in list(self._address_by_host.items()):
-                is_notified = is_urgent and host in planners
-                if is_remote_due or is_notified or not self._is_remote(host):
-                    await self._send_to(udp, data, address)
+            self._rescheduled = Event()
+            if not self._schedule.get_wait_s(now_s):
+                await self._send_state(udp, now_s)
             if now_s >= self._next_relay_s:
                 self._next_relay_s = now_s + RELAY_INTERVAL_S
                 await self._send_relays(udp)
-            with move_on_after(SEND_INTERVAL_S * self._slowdown):
-                await self.state_changed.wait()
+            now_s = self._timer.now()
+            wait_s = min(self._schedule.get_wait_s(now_s), self._next_relay_s - now_s)
+            with move_on_after(wait_s):
+                await self._rescheduled.wait()
+
+    async def _send_state(self, udp: UDPSocket, now_s: float) -> None:
+        planners = {each.host for each in self._table.live(now_s) if each.fence}
+        scope_by_host = {host: self._get_scope(host) for host in self._address_by_host}
+        hosts = self._schedule.take_due(scope_by_host, planners, now_s)
+        self._message_number += 1
+        state = self._make_state(self._message_number)
+        data_by_scope = {}
+        for scope in PeerScope:
+            interval_s = self._schedule.get_interval_s(scope, len(scope_by_host))
+            data_by_scope[scope] = state._replace(interval_s=interval_s).encode()
+        for host in hosts:
+            address = self._address_by_host.get(host)
+            if address is not None:
+                await self._send_to(udp, data_by_scope[scope_by_host[host]], address)
 
     async def _send_relays(self, udp: UDPSocket) -> None:
         peers = self._table.live(self._timer.now())
@@ -249,15 +265,25 @@
             if watcher.is_store_unreachable or not watcher.is_listed:
                 continue
             hosts = list_relay_hosts(watcher.kind, self._host, peers)
-            data = watcher.make_relay().encode() if hosts else b""
+            if not hosts:
+                continue
+            data = watcher.make_relay().encode()
+            if self._is_oversized(watcher.kind, len(data)):
+                continue
             for host in hosts:
                 address = self._address_by_host.get(host)
-                if address is not None and len(data) <= MAX_DATAGRAM_BYTES:
+                if address is not None:
                     await self._send_to(udp, data, address)
 
-    @property
-    def _slowdown(self) -> float:
-        return max(1.0, len(self._address_by_host) / PEERS_AT_FULL_RATE)
+    def _is_oversized(self, kind: str, size: int) -> bool:
+        """:return: whether a relay is too large to be sent; logged when this changes"""
+        is_oversized = size > MAX_DATAGRAM_BYTES
+        if is_oversized and kind not in self._oversized_kinds:
+            self._oversized_kinds.add(kind)
+            _LOGGER.warning("the relay of %s has %d bytes and is not sent", kind, size)
+        elif not is_oversized:
+            self._oversized_kinds.discard(kind)
+        return is_oversized
 
     async def _send_to(self, udp: UDPSocket, data: bytes, address: SocketAddress) -> None:
         try:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
@@ -76,6 +76,7 @@
     :param list_members: returns the hosts on whose promises the lease is to rely
     :param list_stopping: returns the hosts that are stopping and will not take the lease
     :param is_candidate: returns whether this gateway is one of those that contend for the lease
+    :param on_placement: called when there is a new placement to send to peers
     """
 
     def __init__(
@@ -97,6 +98,7 @@
         get_configuration: Callable[[], Configuration | None],
         now: Callable[[], float],
         metrics: ForwarderMetrics,
+        on_placement: Callable[[], None],
     ) -> None:
         self._host = host
         self._lease = lease
@@ -117,7 +119,7 @@
         self._metrics = metrics
         self._term = 0
         self._orders_from_s = 0.0
-        self._planner = PlacementPlanner(endpoint_table)
+        self._planner = PlacementPlanner(endpoint_table, on_placement)
         #: HTTP clients by endpoint and address.
         self._http_by_key: dict[tuple[str, tuple[str, int]], HttpClient] = {}
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -229,7 +229,7 @@
         self._is_stopping = True
         self._dispatcher.send_by_s = started_s + self._settings.grace_s * SEND_GRACE_FRACTION
         self._ready.is_ready = False
-        self._peer_gossip.state_changed.set()
+        self._peer_gossip.send_state_soon()
         planned_stop = PlannedStop(
             self._client_server,
             self._request_handler,
@@ -277,6 +277,7 @@
             lambda: self._request_handler.configuration,
             self._timer.now,
             self._metrics,
+            self._peer_gossip.send_state_soon,
         )
 
     def _get_limits(self) -> ClientLimits:
@@ -325,7 +326,7 @@
         while True:
             await self._queue.demand_changed.wait()
             self._queue.demand_changed = Event()
-            self._peer_gossip.state_changed.set()
+            self._peer_gossip.send_state_soon(is_demand=True)
             await sleep(QUEUE_POLL_INTERVAL_S)
 
     def _make_state(self, number: int) -> GatewayState:
--- a/packages/kingcupdyke-measure/kingcupdyke_measure/simulator.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/simulator.py
@@ -90,7 +90,7 @@
         services = {SERVICE: ServiceSpec(SERVICE, "/", 1000, engine_spec)}
         timer = LoopTimer(tasks)
         self._gateways = [_Gateway(f"g{n}", services, timer) for n in range(plan.gateways)]
-        self._planner = PlacementPlanner(self._gateways[0].endpoint_table)
+        self._planner = PlacementPlanner(self._gateways[0].endpoint_table, lambda: None)
         self._engine_by_name = {
             f"e{n}": SimulatedEngine(f"e{n}", plan, self._violations) for n in range(plan.engines)
         }
--- a/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
@@ -29,8 +29,12 @@
 RAW_DEFLATE = -15
 #: Limit of a message's size in bytes after decompression.
 MAX_MESSAGE_BYTES = 1_000_000
-#: Seconds without a message after which a peer's state is ignored.
-PEER_TIMEOUT_S = 1.5
+#: Limit of the interval that a peer may state.
+MAX_INTERVAL_S = 60.0
+#: Time without a message after which a peer's state is ignored: this number of the intervals that
+#: the peer states, and not less than this number of seconds.
+PEER_TIMEOUT_INTERVALS = 3
+MIN_PEER_TIMEOUT_S = 1.5
 
 
 class EndpointLoad(NamedTuple):
@@ -98,6 +102,8 @@
     placements: tuple[Placement, ...]
     #: Kinds of objects that this gateway cannot read from the store now.
     unreadable_kinds: tuple[str, ...] = ()
+    #: Seconds until the receiver is sent the next state, at most.
+    interval_s: float = 0.0
 
     def encode(self) -> bytes:
         """:return: the message as compressed JSON"""
@@ -107,7 +113,10 @@
     def decode(cls, value: bytes) -> Result["GatewayState", Failure]:
         """:return: the message, or a failure if the bytes are not a valid message"""
         try:
-            fields = cls(*unpack_message(value))
+            # A later version may send more fields.
+            fields = cls(*unpack_message(value)[: len(cls._fields)])
+            if not 0.0 <= fields.interval_s <= MAX_INTERVAL_S:
+                raise ValueError(f"invalid interval: {fields.interval_s!r}")
             return Ok(
                 fields._replace(
                     loads=tuple(EndpointLoad(*each) for each in fields.loads),
@@ -120,6 +129,7 @@
                     ),
                     placements=tuple(Placement(*each) for each in fields.placements),
                     unreadable_kinds=tuple(fields.unreadable_kinds),
+                    interval_s=float(fields.interval_s),
                 )
             )
         except (ValueError, TypeError, zlib_error) as error:
@@ -165,12 +175,16 @@
         return True
 
     def live(self, now_s: float) -> list[GatewayState]:
-        """:return: states of the peers that have sent a message within PEER_TIMEOUT_S"""
-        return [
-            state
-            for host, state in self._state_by_host.items()
-            if now_s - self._received_s_by_host[host] < PEER_TIMEOUT_S
-        ]
+        """:return: states of the peers that have sent a message within their timeouts"""
+        return [state for host, state in self._state_by_host.items() if self.is_live(host, now_s)]
+
+    def is_live(self, host: str, now_s: float) -> bool:
+        """:return: whether a peer has sent a message within its timeout"""
+        state = self._state_by_host.get(host)
+        if state is None:
+            return False
+        timeout_s = max(MIN_PEER_TIMEOUT_S, PEER_TIMEOUT_INTERVALS * state.interval_s)
+        return now_s - self._received_s_by_host[host] < timeout_s
 
     def list_hosts(self, is_stopping: bool, now_s: float) -> set[str]:
         """:return: hosts of the live peers that are stopping, or of those that are not"""
--- a/packages/kingcupdyke/kingcupdyke/forwarding/planner.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/planner.py
@@ -5,7 +5,7 @@
 The planner of one term: its engines, its orders, and the placements announced to peers.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from kingcupdyke.forwarding.configuration import EngineSpec
 from kingcupdyke.forwarding.endpoint import EndpointReport
@@ -29,10 +29,12 @@
     """Decides on orders and tracks their outcome; the caller sends them.
 
     :param endpoint_table: the endpoints known to this gateway
+    :param on_placement: called when there is a new placement to announce to peers
     """
 
-    def __init__(self, endpoint_table: EndpointTable) -> None:
+    def __init__(self, endpoint_table: EndpointTable, on_placement: Callable[[], None]) -> None:
         self._endpoint_table = endpoint_table
+        self._on_placement = on_placement
         self._plan_by_service: dict[str, ResidencyPlan] = {}
         self._placements: list[tuple[float, Placement]] = []
         self.engine_by_id: dict[str, EngineState] = {}
@@ -140,3 +142,4 @@
     def _announce(self, order: Order, is_present: bool, ready_in_s: float, now_s: float) -> None:
         placement = Placement(order.endpoint, order.model, order.adapter, is_present, ready_in_s)
         self._placements.append((now_s, placement))
+        self._on_placement()
