Let a few gateways of each region read the store for the others

Change: two gateways of each region, chosen by rendezvous hashing among those that can read the store, watch endpoints and gateways at most twenty times a second together, and pass changes on with the positions before and after them. A follower that misses changes, or hears nothing for 1.5 s, asks the store itself; a reader that is behind is ignored; no older version replaces a newer one. The configuration is watched by each gateway as before.

--- a/packages/kingcupdyke-daemon/features/steps/process_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/process_steps.py
@@ -118,6 +118,7 @@
         self.stop = Event()
         self.ended_s = None
         self.endpoints = {}
+        self._running = None
 
     async def start(self):
         self.tasks.start_soon(self._run)
@@ -125,11 +126,16 @@
 
     async def _run(self):
         async with create_task_group() as tasks:
+            self._running = tasks.cancel_scope
             forwarder = Forwarder(self.settings, self.source, JsonDialect(), self.store, tasks)
             await forwarder.run(self.stop)
             self.ended_s = current_time()
             tasks.cancel_scope.cancel()
 
+    def kill(self):
+        """End the gateway without notice."""
+        self._running.cancel()
+
     async def configure(self, version):
         current = (await self.writer.get("configurations", "only")).ok
         value = json.dumps({"version": version}).encode()
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/catalogue.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/catalogue.py
@@ -30,6 +30,7 @@
     :param on_configuration: called with each configuration that is newer than the one in force
     :param on_change: called with the time in seconds after each change that may allow a decision on
         waiting requests
+    :param get_endpoint_interval_s: returns the least seconds between calls that watch endpoints
     """
 
     def __init__(
@@ -40,6 +41,7 @@
         timer: TimerService,
         on_configuration: Callable[[Configuration], None],
         on_change: Callable[[float], None],
+        get_endpoint_interval_s: Callable[[], float],
     ) -> None:
         self._dialect = dialect
         self._endpoint_table = endpoint_table
@@ -62,6 +64,7 @@
             self._apply_endpoints,
             self._apply_endpoint,
             self._remove_endpoint,
+            get_endpoint_interval_s,
         )
 
     @property
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -16,6 +16,8 @@
 from kingcupdyke.forwarding.leasepromise import LeasePromises
 from kingcupdyke.forwarding.peerstate import GatewayState, PeerTable
 from kingcupdyke.forwarding.retrybudget import SharedRetryBudget
+from kingcupdyke.forwarding.storechanges import READERS_IN_REGION, StoreChanges
+from kingcupdyke.forwarding.watchinterval import choose_watch_interval
 from kingcupdyke.lease import LeaseMachine
 from kingcupdyke_daemon.forwarder.catalogue import Catalogue
 from kingcupdyke_daemon.forwarder.clientserver import ClientServer
@@ -39,6 +41,7 @@
 from kingcupdyke_daemon.forwarder.settings import ForwarderSettings, SettingsSource
 from kingcupdyke_daemon.forwarder.settingsreloader import SettingsReloader
 from kingcupdyke_daemon.forwarder.stategauges import StateGauges
+from kingcupdyke_daemon.forwarder.storereaders import StoreReaders
 from kingcupdyke_daemon.forwarder.storewatcher import StoreWatcher
 from kingcupdyke_daemon.logs import LineSampler
 from kingcupdyke_daemon.process import make_incarnation
@@ -146,7 +149,10 @@
             self._timer,
             self._make_state,
             self._on_peer_state,
-            self._exchanges.handlers,
+            {
+                **self._exchanges.handlers,
+                StoreChanges: lambda each: self._store_readers.receive(each),
+            },
         )
         self._lease_promises = LeasePromises(settings.host, settings.lease_s + LEASE_MARGIN_S)
         self._planner_runner = self._make_planner_runner(store)
@@ -157,6 +163,7 @@
             self._timer,
             self._apply_configuration,
             self._on_catalogue_change,
+            self._get_watch_interval_s,
         )
         self._gateway_watcher = StoreWatcher(
             store,
@@ -165,12 +172,20 @@
             self._peer_gossip.replace_entries,
             self._peer_gossip.put_entry,
             self._peer_gossip.remove_entry,
+            self._get_watch_interval_s,
         )
         self._peer_gossip.watchers = (
             self._catalogue.configurations,
             self._catalogue.endpoints,
             self._gateway_watcher,
         )
+        self._store_readers = StoreReaders(
+            settings.host,
+            self._peer_gossip,
+            self._peer_table,
+            (self._catalogue.endpoints, self._gateway_watcher),
+            self._timer,
+        )
         StateGauges(
             self._catalogue,
             self._gateway_watcher,
@@ -284,6 +299,11 @@
         configuration = self._request_handler.configuration
         return ClientLimits() if configuration is None else configuration.limits
 
+    def _get_watch_interval_s(self) -> float:
+        regions = set(self._settings.region_by_data_centre.values())
+        readers = READERS_IN_REGION * max(1, len(regions))
+        return choose_watch_interval(min(readers, self._peer_gossip.gateway_count))
+
     def _list_members(self) -> tuple[str, ...]:
         """:return: hosts of live gateways that are not stopping, this one included"""
         hosts = self._peer_table.list_hosts(False, self._timer.now())
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/storewatcher.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/storewatcher.py
@@ -9,12 +9,13 @@
 from collections.abc import Callable
 from random import Random
 
-from anyio import sleep
+from anyio import Event, move_on_after, sleep
 
 from kingcupdyke.error import Failure
+from kingcupdyke.forwarding.storechanges import StoreChange, StoreChanges
 from kingcupdyke.forwarding.storerelay import RelayedObject, StoreRelay
 from kingcupdyke.timer import TimerService
-from kingcupdyke_wire.store import COMPACTED, StoreClient, StoreObject
+from kingcupdyke_wire.store import COMPACTED, StoreClient, StoreObject, WatchEvent
 
 __all__ = ["StoreWatcher"]
 
@@ -24,6 +25,8 @@
 #: Delay before a failed call is retried: doubles from the first value up to the second.
 INITIAL_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 0.8
+#: Time without news from peers after which a watcher that follows them asks the store itself.
+FOLLOW_TIMEOUT_S = 1.5
 #: Minimum duration of a failure that counts as an outage of the store.
 MIN_OUTAGE_S = 1.0
 
@@ -38,6 +41,8 @@
     :param on_change: called with a new or changed object
     :param on_removal: called with the name of a removed object, and whether an outage of the store
         is in progress or ended recently
+    :param get_interval_s: returns the seconds from the start of a watch call to the start of the
+        next one, at least
     """
 
     def __init__(
@@ -48,6 +53,7 @@
         on_list: Callable[[list[StoreObject], bool], None],
         on_change: Callable[[StoreObject], None],
         on_removal: Callable[[str, bool], None],
+        get_interval_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -55,6 +61,7 @@
         self._on_list = on_list
         self._on_change = on_change
         self._on_removal = on_removal
+        self._get_interval_s = get_interval_s
         self._rng = Random(kind)
         self._failed_since_s: float | None = None
         self._outage_recent_until_s = 0.0
@@ -64,6 +71,11 @@
         self.is_listed = False
         #: Time in seconds of the last answer of the store, received directly or from a peer.
         self.last_answer_s = 0.0
+        #: Called with the changes that a call has returned.
+        self.on_read: Callable[[StoreChanges], None] = lambda changes: None
+        self._is_following = False
+        self._has_gap = False
+        self._heard = Event()
 
     async def watch_forever(self) -> None:
         """List and watch until cancelled."""
@@ -95,6 +107,33 @@
         """:return: whether the last call to the store failed"""
         return self._failed_since_s is not None
 
+    @property
+    def is_following(self) -> bool:
+        """:return: whether peers pass on all changes"""
+        return self._is_following
+
+    def follow(self, is_following: bool) -> None:
+        """Rely on peers for changes, or ask the store for them."""
+        self._is_following = is_following
+        self._heard.set()
+
+    def make_changes(self) -> StoreChanges:
+        """:return: a message without changes, which tells the position that has been read"""
+        return StoreChanges("", self._kind, self._position, self._position, False, ())
+
+    def apply_changes(self, message: StoreChanges) -> None:
+        """Apply the changes that a peer has read, unless some before them are missing."""
+        if not self.is_listed or message.position < self._position:
+            return
+        self._has_gap = message.from_position > self._position
+        if not self._has_gap:
+            self.last_answer_s = self._timer.now()
+            for each in message.changes:
+                value = None if each.value is None else each.value.encode()
+                self._apply(each.name, each.version, value, message.after_outage)
+            self._position = message.position
+        self._heard.set()
+
     def make_relay(self) -> StoreRelay:
         """:return: the objects as last read, for a peer that can't reach the store"""
         objects = tuple(
@@ -147,20 +186,56 @@
         if listed.is_error():
             return listed.error
         self._record_answer()
-        position, objects = listed.ok
-        self._position = position
+        self._position, objects = listed.ok
         self._object_by_name = {each.name: each for each in objects}
         self._on_list(objects, self.had_recent_outage)
         self.is_listed = True
         while True:
-            watched = await self._store.watch(self._kind, position, WATCH_TIMEOUT_S)
+            await self._follow()
+            next_call_s = self._timer.now() + self._get_interval_s()
+            from_position = self._position
+            watched = await self._store.watch(self._kind, from_position, WATCH_TIMEOUT_S)
             if watched.is_error():
                 is_compacted = watched.error.reason == COMPACTED
                 return None if is_compacted else watched.error
             self._record_answer()
-            position = self._position = watched.ok.position
-            for event in watched.ok.events:
-                if event.current is None:
-                    self._drop(event.name, self.had_recent_outage)
-                else:
-                    self._put(event.current)
+            position, events = watched.ok
+            for event in events:
+                value = None if event.current is None else event.current.value
+                self._apply(event.name, _get_version(event), value, self.had_recent_outage)
+            self._position = max(self._position, position)
+            changes = tuple(_make_change(each) for each in events)
+            self.on_read(
+                StoreChanges(
+                    "", self._kind, from_position, position, self.had_recent_outage, changes
+                )
+            )
+            await sleep(max(0.0, next_call_s - self._timer.now()))
+
+    async def _follow(self) -> None:
+        """Wait for as long as peers pass on all changes."""
+        while self._is_following and not self._has_gap:
+            self._heard = Event()
+            with move_on_after(FOLLOW_TIMEOUT_S) as scope:
+                await self._heard.wait()
+            if scope.cancelled_caught:
+                break
+        self._has_gap = False
+
+    def _apply(self, name: str, version: int, value: bytes | None, after_outage: bool) -> None:
+        """Apply a change, unless a later one of the same object is known."""
+        known = self._object_by_name.get(name)
+        if value is None:
+            if known is not None and known.version <= version:
+                self._drop(name, after_outage)
+        elif known is None or known.version < version:
+            self._put(StoreObject(self._kind, name, version, value))
+
+
+def _get_version(event: WatchEvent) -> int:
+    return event.position if event.current is None else event.current.version
+
+
+def _make_change(event: WatchEvent) -> StoreChange:
+    value = None if event.current is None else event.current.value.decode("utf-8", "replace")
+    return StoreChange(event.name, _get_version(event), value)
