Let a connection that is lost while it is established fail the call, not the gateway

Cause: for a call on a connection that was lost between its establishment and the call, grpclib raises AttributeError ("'Connection' object has no attribute '_transport'"), which is none of CALL_ERRORS; the task group of the gateway ended with it, and so did the gateway. Change: HostChannel raises ConnectionResetError instead and is used by heartbeats, attempts, peers, announcements and the tool.

--- /dev/null
+++ b/packages/kingcupdyke-daemon/features/link.feature
@@ -0,0 +1,29 @@
+Feature: A gateway keeps trying to reach a sidecar whose connection is lost early
+
+  Scenario Outline: A connection that is reset while it is being established does not end the heartbeats
+    When link: the connection is reset <steps> steps of the event loop after the sidecar's host has accepted it
+    Then link: the heartbeats go on and connect again
+
+    Examples:
+      | steps |
+      | 0     |
+      | 1     |
+      | 2     |
+      | 3     |
+      | 4     |
+      | 5     |
+      | 6     |
+
+  Scenario Outline: A call over a connection that is reset while it is being established fails as one that was not sent
+    When link: an attempt's connection is reset <steps> steps of the event loop after the sidecar's host has accepted it
+    Then link: the attempt ends with a failure
+
+    Examples:
+      | steps |
+      | 0     |
+      | 1     |
+      | 2     |
+      | 3     |
+      | 4     |
+      | 5     |
+      | 6     |
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/link.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/link.py
@@ -5,8 +5,9 @@
 The connection of a gateway to one sidecar.
 """
 
+import logging
 from collections.abc import AsyncIterator, Callable
-from contextlib import aclosing, suppress
+from contextlib import aclosing
 from functools import partial
 
 from anyio import current_time, fail_after, move_on_after, sleep
@@ -15,7 +16,13 @@
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke.host import Host
 from kingcupdyke_daemon.gateway.streamwatch import StreamWatch
-from kingcupdyke_wire.calls import CALL_ERRORS, contain_cancellation, uncancel_task
+from kingcupdyke_wire.calls import (
+    CALL_ERRORS,
+    contain_cancellation,
+    log_call_errors,
+    uncancel_task,
+)
+from kingcupdyke_wire.channel import HostChannel
 from kingcupdyke_wire.sidecar_grpc import SidecarStub
 from kingcupdyke_wire.sidecar_pb2 import (
     BeatReply,
@@ -32,6 +39,8 @@
 
 __all__ = ["SidecarLink"]
 
+_LOGGER = logging.getLogger(__name__)
+
 #: Maximum number of times that the stream of one attempt is resumed.
 _MAX_RESUMES = 4
 _CONNECT_TIMEOUT_S = 1.0
@@ -102,7 +111,7 @@
         answered = True
         while True:
             previous = self.last_heartbeat
-            with suppress(*CALL_ERRORS), contain_cancellation():
+            with log_call_errors(_LOGGER, f"Beat to {self.peer}"):
                 await self._send_heartbeats()
             if self.last_heartbeat is previous and not answered:
                 self._report_unresponsive()
@@ -156,7 +165,8 @@
 
     async def cancel(self, attempt_id: str) -> None:
         """Cancel an attempt whose answer is not needed; a lost message does no harm."""
-        with move_on_after(_CANCEL_TIMEOUT_S), suppress(*CALL_ERRORS), contain_cancellation():
+        call = f"Cancel to {self.peer}"
+        with move_on_after(_CANCEL_TIMEOUT_S), log_call_errors(_LOGGER, call):
             await SidecarStub(self._channel).Cancel(CancelRequest(attempt_id=attempt_id))
 
     async def describe(self) -> DescribeReply:
@@ -178,7 +188,7 @@
             return Failure(Outcome.UNKNOWN, Step.ORDER, self.peer, repr(error))
 
     def _open_channel(self) -> Channel:
-        return Channel(self.host.address, self.host.port)
+        return HostChannel(self.host.address, self.host.port)
 
     def _replace_channel(self) -> None:
         self.replacement_count += 1
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
@@ -131,7 +131,8 @@
         try:
             with fail_after(_DESCRIBE_TIMEOUT_S):
                 reply = await link.describe()
-        except CALL_ERRORS:
+        except CALL_ERRORS as error:
+            _LOGGER.debug("Describe to %s failed: %r", name, error)
             return
         if reply.capacity_bytes:
             leaving = reply.handing_over or reply.load.leaving or self._directory.is_leaving(name)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gossip.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gossip.py
@@ -7,7 +7,6 @@
 
 import logging
 from collections.abc import Callable, Iterable
-from contextlib import suppress
 from random import Random
 
 from anyio import fail_after, sleep
@@ -27,7 +26,8 @@
 )
 from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.settings import HostSettings
-from kingcupdyke_wire.calls import CALL_ERRORS, contain_cancellation
+from kingcupdyke_wire.calls import log_call_errors
+from kingcupdyke_wire.channel import HostChannel
 from kingcupdyke_wire.configlog import read_config, read_log, watch_changes
 from kingcupdyke_wire.convert import apply_update, make_update, read_leaving
 from kingcupdyke_wire.hostlist import HostListClient
@@ -146,7 +146,7 @@
         channel = self._get_channel(name)
         if channel is None:
             return None
-        with suppress(*CALL_ERRORS), contain_cancellation(), fail_after(_PEER_TIMEOUT_S):
+        with log_call_errors(_LOGGER, f"Push to {name}"), fail_after(_PEER_TIMEOUT_S):
             return await PeerStub(channel).Push(update)
         self._drop_channel(name)
         return None
@@ -201,7 +201,7 @@
         ):
             return existing[1]
         self._drop_channel(name)
-        channel = Channel(host.address, host.peer_port or host.port)
+        channel = HostChannel(host.address, host.peer_port or host.port)
         self._channels_by_host[name] = (host, channel)
         if len(self._channels_by_host) > _MAX_CHANNELS:
             self._drop_channel(next(iter(self._channels_by_host)))
@@ -252,7 +252,7 @@
         channel = self._get_channel(name)
         if channel is None:
             return
-        with suppress(*CALL_ERRORS), contain_cancellation(), fail_after(_PEER_TIMEOUT_S):
+        with log_call_errors(_LOGGER, f"Pull from {name}"), fail_after(_PEER_TIMEOUT_S):
             update = await PeerStub(channel).Pull(PullRequest(version=self.replica.version))
             self.accept(update)
             return
--- a/packages/kingcupdyke-tool/kingcupdyke_tool/hostcalls.py
+++ b/packages/kingcupdyke-tool/kingcupdyke_tool/hostcalls.py
@@ -13,12 +13,12 @@
 from anyio import fail_after
 from expression import Error, Ok, Result
 from google.protobuf.json_format import MessageToDict
-from grpclib.client import Channel
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke.host import Host
+from kingcupdyke_wire.channel import HostChannel
 from kingcupdyke_wire.http import HttpAnswer, HttpClient
 from kingcupdyke_wire.sidecar_grpc import SidecarStub
 from kingcupdyke_wire.sidecar_pb2 import DescribeRequest, DrainRequest
@@ -68,7 +68,7 @@
         return await self._call("Drain", DrainRequest(reason="operator", token=self._token))
 
     async def _call(self, method: str, request: DescribeRequest | DrainRequest) -> Answer:
-        channel = Channel(self._host.address, self._host.port)
+        channel = HostChannel(self._host.address, self._host.port)
         connected = False
         try:
             with fail_after(CALL_TIMEOUT_S):
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/announce.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/announce.py
@@ -5,22 +5,24 @@
 Sends an accepted configuration change directly to daemons, without the store.
 """
 
+import logging
 from collections.abc import Iterable
-from contextlib import suppress
 from random import Random
 
 from anyio import create_task_group, fail_after
-from grpclib.client import Channel
 
 from kingcupdyke.config import ConfigChange
 from kingcupdyke.host import Host
-from kingcupdyke_wire.calls import CALL_ERRORS, contain_cancellation
+from kingcupdyke_wire.calls import log_call_errors
+from kingcupdyke_wire.channel import HostChannel
 from kingcupdyke_wire.convert import write_change
 from kingcupdyke_wire.peer_grpc import PeerStub
 from kingcupdyke_wire.peer_pb2 import News
 
 __all__ = ["announce_change"]
 
+_LOGGER = logging.getLogger(__name__)
+
 #: Daemons that receive the change in each data centre; they forward it to the others.
 _HOSTS_PER_DATA_CENTRE = 2
 #: Timeout of one push in seconds.
@@ -51,9 +53,9 @@
 
 
 async def _push(host: Host, news: News, notified_hosts: list[str]) -> None:
-    channel = Channel(host.address, host.peer_port or host.port)
+    channel = HostChannel(host.address, host.peer_port or host.port)
     try:
-        with suppress(*CALL_ERRORS), contain_cancellation(), fail_after(_PUSH_TIMEOUT_S):
+        with log_call_errors(_LOGGER, f"Push to {host.host}"), fail_after(_PUSH_TIMEOUT_S):
             await PeerStub(channel).Push(news)
             notified_hosts.append(host.host)
     finally:
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/calls.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/calls.py
@@ -8,11 +8,12 @@
 from asyncio import current_task
 from collections.abc import Generator
 from contextlib import contextmanager
+from logging import Logger
 
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from h2.exceptions import H2Error
 
-__all__ = ["CALL_ERRORS", "contain_cancellation", "uncancel_task"]
+__all__ = ["CALL_ERRORS", "contain_cancellation", "log_call_errors", "uncancel_task"]
 
 #: Exceptions of a call that failed or was rejected.
 CALL_ERRORS = (
@@ -42,6 +43,20 @@
         raise
 
 
+@contextmanager
+def log_call_errors(logger: Logger, call: str) -> Generator[None, None, None]:
+    """Log the failure of a call that the code around it can do without.
+
+    :param logger: the logger of the calling module
+    :param call: the method and the host that was called, for the log
+    """
+    try:
+        yield
+    except CALL_ERRORS as error:
+        uncancel_task()
+        logger.debug("%s failed: %r", call, error)
+
+
 def uncancel_task() -> None:
     """Undo the cancellation requests that grpclib has left on the current task.
 
