Tell requests with other prompts apart when one of them crashes endpoints

Cause: the fingerprint of a request held method, host, path, caller and body, but not the model and the parts of the prompt that the caller names in headers. Change: the fingerprint also holds the model and the ids of the parts.

--- a/packages/kingcupdyke-daemon/features/repeatedcrashes.feature
+++ b/packages/kingcupdyke-daemon/features/repeatedcrashes.feature
@@ -5,7 +5,7 @@
     And repeatedcrashes: messages between the gateways are "<messages>"
     When repeatedcrashes: it comes 13 times as "<request>" at all gateways, and "<event>" happens after the fifth
     Then repeatedcrashes: it has reached endpoints at most 6 times
-    And repeatedcrashes: requests with another body, path or caller have been answered
+    And repeatedcrashes: requests with another body, path, caller or prompt have been answered
     And repeatedcrashes: all gateways reject it
 
     Examples:
--- a/packages/kingcupdyke-daemon/features/steps/repeatedcrashes_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/repeatedcrashes_steps.py
@@ -16,12 +16,15 @@
 #: Seconds within which all gateways have the messages that are not lost, and repeated ones.
 MESSAGES_S = 3.5
 BAD_BODY = b"bad"
+#: A part of prompts that no endpoint crashes on.
+SOUND_PART = "sound-part"
 HEAD = "{line} HTTP/1.1\r\nhost: a.example\r\nx-id: {id}\r\nx-caller: {caller}\r\n"
 END = "connection: close\r\ncontent-length: {length}\r\n\r\n"
 
 
 class PlainFragileEndpoint(FragileEndpoint):
-    """An endpoint that crashes when it runs a request with a certain path, caller and body.
+    """An endpoint that crashes when it runs a request with a certain path, caller and body, and no
+    prompt in parts.
 
     :param is_renamed: whether it is listed under another id after each start
     """
@@ -52,7 +55,8 @@
             await self.ending.wait()
             raise EndpointCrash
         path = head.split()[1].partition("?")[0]
-        if path.endswith("/bad") and body == BAD_BODY and find(head, "x-caller") == "c1":
+        is_suspect = find(head, "x-caller") == "c1" and "x-parts" not in head
+        if path.endswith("/bad") and body == BAD_BODY and is_suspect:
             self.bad_requests += 1
             await sleep(RUN_S)
             raise EndpointCrash
@@ -62,9 +66,11 @@
         return True
 
 
-def write(line, attempt_id, body=BAD_BODY, caller="c1"):
+def write(line, attempt_id, body=BAD_BODY, caller="c1", parts=""):
     """:return: the bytes of a request"""
     head = HEAD.format(line=line, id=attempt_id, caller=caller)
+    if parts:
+        head += f"x-parts: {parts}\r\n"
     return (head + END.format(length=len(body))).encode() + body
 
 
@@ -95,6 +101,7 @@
         write(line, f"body{number}", b"good"),
         write(line.replace("/bad", "/good"), f"path{number}"),
         write(line, f"caller{number}", caller="c2"),
+        write(line, f"parts{number}", parts=SOUND_PART),
     )
     for each in requests:
         context.sound.append(describe(await rig.ask(each)))
@@ -137,7 +144,7 @@
     assert found <= limit, found
 
 
-@then("repeatedcrashes: requests with another body, path or caller have been answered")
+@then("repeatedcrashes: requests with another body, path, caller or prompt have been answered")
 def check_sound(context):
     assert context.sound
     assert set(context.sound) <= {"200 sound", "200 events 1,2,3,4"}, context.sound
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/fingerprint.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/fingerprint.py
@@ -17,9 +17,10 @@
 
 
 def make_fingerprint(request: ClientRequest, metadata: RequestMetadata) -> str:
-    """:return: a hash of a request's method, host, path, caller and body"""
+    """:return: a hash of a request's method, host, path, caller, model, prompt and body"""
     digest = blake2b(digest_size=FINGERPRINT_BYTES)
-    texts = (request.host, request.path, metadata.caller)
+    part_ids = (each.part_id for each in metadata.parts)
+    texts = (request.host, request.path, metadata.caller, metadata.model, *part_ids)
     for part in (request.method, *(each.encode() for each in texts)):
         # The length keeps the parts apart.
         digest.update(b"%d:%s" % (len(part), part))
