Wake a gateway up once for all that is due, and not at all for an empty queue

Cause: each of about 18 periodic tasks of a gateway slept by itself, so that a gateway without any request woke up some 150 times a second: 40 times to poll a queue without requests, 20 times to plan at gateways that do not hold the planner's lease. Change: the timer calls subscribers at multiples of their periods; the queue subscribes while requests wait; planning rounds wait until the lease is held.

--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -472,7 +472,6 @@
         self.server = ClientServer(self.handler, lambda: self.limits, timer.now)
         self.endpoints = endpoints
         self.address = SocketAddress("127.0.0.1", 0)
-        timer.subscribe("queue", 0.01, queue.poll)
 
     async def serve_endpoint(self, endpoint):
         """Let an endpoint listen, and list it."""
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from time import CLOCK_BOOTTIME, clock_gettime
 
-from anyio import create_task_group, sleep
+from anyio import Event, create_task_group, sleep
 from anyio.abc import TaskGroup
 
 from kingcupdyke.error import Outcome
@@ -118,6 +118,8 @@
         self._now = now
         self._metrics = metrics
         self._term = 0
+        #: Set while the lease is held, as of the last check; no rounds are run otherwise.
+        self._held = Event()
         self._orders_from_s = 0.0
         self._planner = PlacementPlanner(endpoint_table, on_placement)
         #: HTTP clients by endpoint and address.
@@ -169,6 +171,7 @@
         async with create_task_group() as tasks:
             tasks.start_soon(self._maintain_lease)
             while True:
+                await self._held.wait()
                 await sleep(PLANNING_INTERVAL_S)
                 if self.fence:
                     self._plan_round(tasks)
@@ -181,16 +184,20 @@
         while True:
             await sleep(LEASE_TICK_INTERVAL_S)
             held = self._lease.fence_at(read_clock()) is not None
-            if not held and not self._is_candidate():
-                continue
-            self._lease.may_take = self._lease_promises.may_take(read_clock())
-            self._lease.members = self._list_members()
-            await self._lease_manager.tick()
+            if held or self._is_candidate():
+                self._lease.may_take = self._lease_promises.may_take(read_clock())
+                self._lease.members = self._list_members()
+                await self._lease_manager.tick()
             self._check_new_term()
 
     def _check_new_term(self) -> None:
         fence = self._lease.fence_at(read_clock())
-        if fence is None or fence == self._term:
+        if fence is None:
+            if self._held.is_set():
+                self._held = Event()
+            return
+        self._held.set()
+        if fence == self._term:
             return
         self._term = fence
         if self._lease_manager.was_released:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -51,8 +51,8 @@
 __all__ = ["Forwarder"]
 
 _LOGGER = logging.getLogger(__name__)
-#: Interval between attempts to dispatch waiting requests.
-QUEUE_POLL_INTERVAL_S = 0.025
+#: Minimum interval between messages to the planner when requests start to wait.
+DEMAND_INTERVAL_S = 0.025
 #: Interval between updates of the endpoint table with the loads that peers have reported.
 PEER_UPDATE_INTERVAL_S = 0.05
 #: Interval between clean-ups of idle connections and expired entries.
@@ -230,7 +230,6 @@
         self._tasks.start_soon(self._peer_gossip.register)
         self._tasks.start_soon(self._planner_runner.run)
         self._tasks.start_soon(self._notify_demand)
-        self._timer.subscribe("queue", QUEUE_POLL_INTERVAL_S, self._queue.poll)
         self._timer.subscribe("peers", PEER_UPDATE_INTERVAL_S, self._update_peers)
         self._timer.subscribe("tidy", CLEANUP_INTERVAL_S, self._clean_up)
         self._timer.subscribe("settings", SETTINGS_POLL_INTERVAL_S, self._settings_reloader.check)
@@ -345,7 +344,7 @@
             await self._queue.demand_changed.wait()
             self._queue.demand_changed = Event()
             self._peer_gossip.send_state_soon(is_demand=True)
-            await sleep(QUEUE_POLL_INTERVAL_S)
+            await sleep(DEMAND_INTERVAL_S)
 
     def _make_state(self, number: int) -> GatewayState:
         now_s = self._timer.now()
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/queue.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/queue.py
@@ -14,17 +14,23 @@
 
 __all__ = ["WaitingQueue"]
 
+#: Interval in seconds between decisions on waiting requests when nothing else changes.
+POLL_INTERVAL_S = 0.025
+
 
 class WaitingQueue:
     """Wakes the tasks of waiting requests when the dispatcher decides on them.
 
     :param dispatcher: decides where requests are sent
-    :param timer: the timer service
+    :param timer: the timer service, which polls while requests wait
+    :param name: unique name of the queue's subscription
     """
 
-    def __init__(self, dispatcher: Dispatcher, timer: TimerService) -> None:
+    def __init__(self, dispatcher: Dispatcher, timer: TimerService, name: str = "queue") -> None:
         self._dispatcher = dispatcher
         self._timer = timer
+        self._name = name
+        self._is_polled = False
         self._event_by_attempt: dict[str, Event] = {}
         self._decision_by_attempt: dict[str, Send | Refuse] = {}
         #: Set when a request starts to wait. The task that notifies peers waits for the event, then
@@ -36,6 +42,7 @@
         decision = self._dispatcher.submit(item, excluded, self._timer.now())
         if isinstance(decision, Wait):
             self.demand_changed.set()
+            self._begin_polls()
         return decision
 
     async def wait(self, attempt_id: str) -> Send | Refuse:
@@ -57,9 +64,20 @@
     def poll(self, now_s: float) -> None:
         """Ask the dispatcher for new decisions and wake the requests concerned."""
         if not self._dispatcher.waiting:
+            self._end_polls()
             return
         for attempt_id, decision in self._dispatcher.poll(now_s).items():
             event = self._event_by_attempt.get(attempt_id)
             if event is not None:
                 self._decision_by_attempt[attempt_id] = decision
                 event.set()
+
+    def _begin_polls(self) -> None:
+        if not self._is_polled:
+            self._is_polled = True
+            self._timer.subscribe(self._name, POLL_INTERVAL_S, self.poll)
+
+    def _end_polls(self) -> None:
+        if self._is_polled:
+            self._is_polled = False
+            self._timer.unsubscribe(self._name)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/timer.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/timer.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable
 
-from anyio import CancelScope, current_time, sleep
+from anyio import CancelScope, current_time, sleep_until
 from anyio.abc import TaskGroup
 
 from kingcupdyke.timer import TimerService
@@ -18,11 +18,15 @@
 class LoopTimer(TimerService):
     """Calls subscribers from tasks of a task group.
 
+    Calls are due at multiples of their periods since the start, so that the process wakes up once
+    for all subscriptions that are due at a time.
+
     :param tasks: the task group that runs the subscriptions
     """
 
     def __init__(self, tasks: TaskGroup) -> None:
         self._tasks = tasks
+        self._started_s = current_time()
         self._scopes_by_name: dict[str, CancelScope] = {}
 
     def now(self) -> float:
@@ -34,6 +38,10 @@
         self._scopes_by_name[name] = scope
         self._tasks.start_soon(self._run, scope, period_s, callback)
 
+    def list_names(self) -> list[str]:
+        """:return: names of the subscriptions"""
+        return list(self._scopes_by_name)
+
     def unsubscribe(self, name: str) -> None:
         scope = self._scopes_by_name.pop(name, None)
         if scope is not None:
@@ -42,7 +50,10 @@
     async def _run(
         self, scope: CancelScope, period_s: float, callback: Callable[[float], None]
     ) -> None:
+        periods = 0
         with scope:
             while True:
-                await sleep(period_s)
+                # A call may come a little before it is due.
+                periods = max(periods, int((current_time() - self._started_s) / period_s)) + 1
+                await sleep_until(self._started_s + periods * period_s)
                 callback(current_time())
--- a/packages/kingcupdyke-measure/kingcupdyke_measure/simulator.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/simulator.py
@@ -36,9 +36,8 @@
 #: Seconds between exchanges of the gateways' states, and between updates of the engines' entries.
 PEER_UPDATE_INTERVAL_S = 0.1
 ENTRY_UPDATE_INTERVAL_S = 0.05
-#: Seconds between planning rounds, and between polls of a gateway's queue.
+#: Seconds between planning rounds.
 PLANNING_INTERVAL_S = 0.05
-QUEUE_POLL_INTERVAL_S = 0.025
 #: Limit of attempts of a client request: the first one, and a retry after a rejection.
 MAX_ATTEMPTS = 2
 #: Share of the time until the deadline that a client waits at most before it retries.
@@ -56,8 +55,7 @@
         self.endpoint_table = EndpointTable()
         self.dispatcher = Dispatcher(self.endpoint_table, "", {})
         self.dispatcher.configure(services)
-        self.queue = WaitingQueue(self.dispatcher, timer)
-        timer.subscribe(f"queue {name}", QUEUE_POLL_INTERVAL_S, self.queue.poll)
+        self.queue = WaitingQueue(self.dispatcher, timer, f"queue {name}")
 
     def make_gateway_state(self, planner: PlacementPlanner | None, now_s: float) -> GatewayState:
         """Make the state that is sent to peers; ``planner`` is set where the planner runs."""
