Let the planner ask its peers for promises when its renewal is overdue

Cause: while the store does not answer, the planner's lease is proved by promises of all peers, which came with their states: at 68 gateways each 0.84 s in the region and each 2.5 s from the other one. A proof must be younger than 1 s, so that no orders were sent in most of an outage. The test's ports are no longer those that the system assigns to connections ("Address already in use" once in this feature's first run).

--- a/packages/kingcupdyke-daemon/features/steps/process_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/process_steps.py
@@ -7,8 +7,10 @@
 
 import json
 import logging
+import os
 import socket
 from contextlib import asynccontextmanager, suppress
+from itertools import cycle
 
 from anyio import (
     BrokenResourceError,
@@ -36,6 +38,9 @@
 from kingcupdyke_wire.memorystore import MemoryStoreClient
 
 LOOPBACK = "127.0.0.1"
+#: Ports for listeners, in an order that differs between processes that run beside each other.
+FIRST_PORT, PORT_COUNT = 20_000, 12_000
+PORTS = cycle(FIRST_PORT + (37 * os.getpid() + n) % PORT_COUNT for n in range(PORT_COUNT))
 GRACE_S = 4.0
 
 
@@ -67,9 +72,18 @@
 
 
 def find_port():
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return probe.getsockname()[1]
+    """:return: a free port that this process has not returned recently, and that the system does
+    not assign to connections
+    """
+    for port in PORTS:
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(type=kind) as probe:
+                    probe.bind((LOOPBACK, port))
+        except OSError:
+            continue
+        return port
+    raise OSError("no free port")
 
 
 class ListedSettings(SettingsSource):
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peergossip.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peergossip.py
@@ -7,7 +7,7 @@
 
 import json
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Protocol
 
 from anyio import Event, Lock, create_task_group, create_udp_socket, move_on_after, sleep
@@ -163,6 +163,11 @@
         self._schedule.make_urgent(is_demand)
         self._rescheduled.set()
 
+    def send_state_to(self, hosts: Iterable[str]) -> None:
+        """Send the state to these peers immediately."""
+        self._schedule.ask(hosts)
+        self._rescheduled.set()
+
     def _get_scope(self, host: str) -> PeerScope:
         data_centre = self._data_centre_by_host.get(host, "")
         is_local = self.region_by_data_centre.get(data_centre, "") == self.region
--- a/packages/kingcupdyke/kingcupdyke/forwarding/peerschedule.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/peerschedule.py
@@ -5,7 +5,7 @@
 Decides when a gateway sends its state to which peers.
 """
 
-from collections.abc import Mapping, Set
+from collections.abc import Iterable, Mapping, Set
 from enum import Enum
 
 __all__ = ["PeerSchedule", "PeerScope"]
@@ -41,6 +41,7 @@
         self._urgent_from_s = 0.0
         self._is_urgent = False
         self._is_demand_urgent = False
+        self._asked_hosts: set[str] = set()
 
     @staticmethod
     def get_interval_s(scope: PeerScope, peers: int) -> float:
@@ -61,8 +62,14 @@
         else:
             self._is_urgent = True
 
+    def ask(self, hosts: Iterable[str]) -> None:
+        """Let the state be sent to these hosts immediately, whatever the interval."""
+        self._asked_hosts.update(hosts)
+
     def get_wait_s(self, now_s: float) -> float:
         """:return: seconds until peers are due, or 0 if some are due now"""
+        if self._asked_hosts:
+            return 0.0
         due_s = list(self._due_s_by_scope.values())
         if self._is_urgent or self._is_demand_urgent:
             due_s.append(self._urgent_from_s)
@@ -76,13 +83,14 @@
         :param planners: hosts of the peers that hold the planner's lease
         """
         scopes = {scope for scope, due_s in self._due_s_by_scope.items() if now_s >= due_s}
-        urgent_hosts: Set[str] = frozenset()
+        urgent_hosts: Set[str] = self._asked_hosts
+        self._asked_hosts = set()
         if now_s >= self._urgent_from_s:
             if self._is_urgent:
                 scopes = set(PeerScope)
             if self._is_demand_urgent:
                 scopes.add(PeerScope.LOCAL)
-                urgent_hosts = planners
+                urgent_hosts = urgent_hosts | planners
             self._note_urgent(len(scope_by_host), now_s)
         for scope in scopes:
             self._due_s_by_scope[scope] = now_s + self.get_interval_s(scope, len(scope_by_host))
--- a/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
@@ -104,6 +104,8 @@
     unreadable_kinds: tuple[str, ...] = ()
     #: Seconds until the receiver is sent the next state, at most.
     interval_s: float = 0.0
+    #: Whether the receiver is to send its state, with its promise, at once.
+    wants_promise: bool = False
 
     def encode(self) -> bytes:
         """:return: the message as compressed JSON"""
