Add up what peers report as it arrives, not 20 times a second

Cause: each 0.05 s a gateway summed up the loads and demands of all peers anew, and woke up for that and for its check of the planner's lease, whether or not a message had come. Change: PeerReports keeps the sums and takes a state when it arrives; a check for silent peers runs each 0.1 s; the lease is checked by a subscription, with the others.

--- a/packages/kingcupdyke-daemon/features/steps/planning_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/planning_steps.py
@@ -93,7 +93,7 @@
         set,
         lambda: True,
         lambda: configuration,
-        current_time,
+        rig.timer,
         rig.metrics,
         on_placement,
     )
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
@@ -23,6 +23,7 @@
 from kingcupdyke.forwarding.planner import PlacementPlanner
 from kingcupdyke.forwarding.planround import TimedOrder
 from kingcupdyke.lease import LeaseMachine
+from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.leavingdirectory import LeavingDirectory
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
@@ -44,6 +45,8 @@
 MAX_PROOF_AGE_S = 1.0
 #: Interval between renewals of the lease by its holder, and between reads of it by other gateways.
 RENEWAL_INTERVAL_S = 0.8
+#: Seconds since the last renewal after which the next one is overdue.
+RENEWAL_OVERDUE_S = RENEWAL_INTERVAL_S + 0.3
 #: Time without a renewal after which the store counts as unavailable: two renewal intervals plus
 #: the time of an answer.
 STORE_UNAVAILABLE_AFTER_S = 2 * RENEWAL_INTERVAL_S + 0.2
@@ -76,6 +79,7 @@
     :param list_members: returns the hosts on whose promises the lease is to rely
     :param list_stopping: returns the hosts that are stopping and will not take the lease
     :param is_candidate: returns whether this gateway is one of those that contend for the lease
+    :param timer: the timer service
     :param on_placement: called when there is a new placement to send to peers
     """
 
@@ -96,7 +100,7 @@
         list_stopping: Callable[[], set[str]],
         is_candidate: Callable[[], bool],
         get_configuration: Callable[[], Configuration | None],
-        now: Callable[[], float],
+        timer: TimerService,
         metrics: ForwarderMetrics,
         on_placement: Callable[[], None],
     ) -> None:
@@ -115,7 +119,9 @@
         self._list_stopping = list_stopping
         self._is_candidate = is_candidate
         self._get_configuration = get_configuration
-        self._now = now
+        self._timer = timer
+        self._now = timer.now
+        self._lease_due = Event()
         self._metrics = metrics
         self._term = 0
         #: Set while the lease is held, as of the last check; no rounds are run otherwise.
@@ -143,6 +149,14 @@
             and self._lease.written_age_s(read_clock()) > STORE_UNAVAILABLE_AFTER_S
         )
 
+    @property
+    def wants_promises(self) -> bool:
+        """:return: whether the lease is held and its renewal in the store is overdue, so that it
+        has to be proved by the promises of peers
+        """
+        age_s = self._lease.written_age_s(read_clock())
+        return bool(self.held_fence) and age_s > RENEWAL_OVERDUE_S
+
     @property
     def may_have_written(self) -> bool:
         """:return: whether this gateway holds the lease, or may have taken it"""
@@ -181,8 +195,10 @@
         await self._lease_manager.release()
 
     async def _maintain_lease(self) -> None:
+        self._timer.subscribe("lease", LEASE_TICK_INTERVAL_S, lambda _: self._lease_due.set())
         while True:
-            await sleep(LEASE_TICK_INTERVAL_S)
+            await self._lease_due.wait()
+            self._lease_due = Event()
             held = self._lease.fence_at(read_clock()) is not None
             if held or self._is_candidate():
                 self._lease.may_take = self._lease_promises.may_take(read_clock())
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -53,8 +53,10 @@
 _LOGGER = logging.getLogger(__name__)
 #: Minimum interval between messages to the planner when requests start to wait.
 DEMAND_INTERVAL_S = 0.025
-#: Interval between updates of the endpoint table with the loads that peers have reported.
-PEER_UPDATE_INTERVAL_S = 0.05
+#: Interval between checks which peers no longer send messages.
+PEER_UPDATE_INTERVAL_S = 0.1
+#: Interval between requests for the promises that prove a lease while the store does not answer.
+PROMISE_INTERVAL_S = 0.4
 #: Interval between clean-ups of idle connections and expired entries.
 CLEANUP_INTERVAL_S = 0.25
 #: Interval between checks whether the settings have changed.
@@ -231,6 +233,7 @@
         self._tasks.start_soon(self._planner_runner.run)
         self._tasks.start_soon(self._notify_demand)
         self._timer.subscribe("peers", PEER_UPDATE_INTERVAL_S, self._update_peers)
+        self._timer.subscribe("promises", PROMISE_INTERVAL_S, self._request_promises)
         self._timer.subscribe("tidy", CLEANUP_INTERVAL_S, self._clean_up)
         self._timer.subscribe("settings", SETTINGS_POLL_INTERVAL_S, self._settings_reloader.check)
         _LOGGER.warning("started as %s", settings.host)
@@ -289,7 +292,7 @@
             self._list_stopping,
             self._is_candidate,
             lambda: self._request_handler.configuration,
-            self._timer.now,
+            self._timer,
             self._metrics,
             self._peer_gossip.send_state_soon,
         )
@@ -364,6 +367,7 @@
             unreadable_kinds=tuple(
                 each.kind for each in self._peer_gossip.watchers if each.is_store_unreachable
             ),
+            wants_promise=self._planner_runner.wants_promises,
         )
         if state.fence:
             self._endpoint_table.apply_placements(state, now_s)
@@ -371,15 +375,20 @@
         return state
 
     def _on_peer_state(self, state: GatewayState) -> None:
-        now_s = self._timer.now()
+        self._endpoint_table.apply_peer_state(state)
         if state.fence:
-            self._endpoint_table.apply_placements(state, now_s)
+            self._endpoint_table.apply_placements(state, self._timer.now())
         is_rival = self._planner_runner.may_have_written
         self._lease_promises.receive(state, self._incarnation, is_rival, read_clock())
+        if state.wants_promise:
+            self._peer_gossip.send_state_to((state.host,))
+
+    def _request_promises(self, now_s: float) -> None:
+        if self._planner_runner.wants_promises:
+            self._peer_gossip.send_state_to(self._list_members())
 
     def _update_peers(self, now_s: float) -> None:
-        """Apply the peers' latest states; one update covers many messages."""
-        live = self._peer_table.live(now_s)
-        self._peer_log.update(each.host for each in live)
-        self._endpoint_table.apply_peer_states(live, now_s)
-        self._queue.poll(now_s)
+        """Forget what peers have reported that no longer send messages."""
+        hosts = {each.host for each in self._peer_table.live(now_s)}
+        self._peer_log.update(hosts)
+        self._endpoint_table.retain_peers(hosts)
--- a/packages/kingcupdyke-measure/kingcupdyke_measure/simulator.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/simulator.py
@@ -143,7 +143,8 @@
             for gateway in self._gateways:
                 gateway.endpoint_table.apply_placements(states[0], now_s)
                 peers = [each for each in states if each.host != gateway.name]
-                gateway.endpoint_table.apply_peer_states(peers, now_s)
+                for peer in peers:
+                    gateway.endpoint_table.apply_peer_state(peer)
                 gateway.queue.poll(now_s)
 
     async def _update_entries(self) -> None:
--- a/packages/kingcupdyke/features/steps/dispatcher_steps.py
+++ b/packages/kingcupdyke/features/steps/dispatcher_steps.py
@@ -88,12 +88,12 @@
     def do_peer(self, endpoint, requests):
         self.loads[endpoint] = EndpointLoad(endpoint, int(requests), 0)
         state = GatewayState("p", "i", 1, False, 1, tuple(self.loads.values()), (), (), 0, None, ())
-        self.endpoint_table.apply_peer_states([state], self.now_s)
+        self.endpoint_table.apply_peer_state(state)
 
     def do_demand(self, model, waiting):
         demand = Demand(model, "", int(waiting), 0.0)
         state = GatewayState("p", "i", 1, False, 1, (), (demand,), (), 0, None, ())
-        self.endpoint_table.apply_peer_states([state], self.now_s)
+        self.endpoint_table.apply_peer_state(state)
 
     def do_remove(self, endpoint):
         self.endpoint_table.remove(endpoint, self.now_s, False)
--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpointstate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpointstate.py
@@ -10,6 +10,7 @@
 
 from kingcupdyke.forwarding.endpoint import EndpointEntry
 from kingcupdyke.forwarding.metadata import PromptPart
+from kingcupdyke.forwarding.peerreports import EndpointReports
 
 __all__ = ["DEFAULT_TOKENS_PER_S", "EndpointState"]
 
@@ -40,10 +41,7 @@
         #: Time of the last byte from it, and time since which it has had requests in flight.
         self.last_byte_s = -inf
         self.in_flight_since_s = inf
-        self.peer_requests = 0
-        self.peer_tokens = 0
-        #: Number of peers that cannot reach it.
-        self.unreachable_peers = 0
+        self.peer_reports = EndpointReports(0, 0, 0)
         self.backoff_until_s = 0.0
         self.consecutive_failures = 0
         #: Moving average of the share of requests that failed.
@@ -57,7 +55,7 @@
     @property
     def requests(self) -> int:
         """:return: requests in flight from all gateways"""
-        return len(self.tokens_by_attempt) + self.peer_requests
+        return len(self.tokens_by_attempt) + self.peer_reports.requests
 
     @property
     def local_unread_tokens(self) -> int:
@@ -67,7 +65,7 @@
     @property
     def unread_tokens(self) -> int:
         """:return: unread prompt tokens of all gateways' requests"""
-        return self.local_unread_tokens + self.peer_tokens
+        return self.local_unread_tokens + self.peer_reports.prompt_tokens
 
     def update_speed(self, tokens: int, seconds: float) -> None:
         """Update the estimated reading speed when the first event of a stream has come.
--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
@@ -5,13 +5,14 @@
 The endpoints that a gateway knows, and which of them may be used.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Set
 from math import inf
 
 from kingcupdyke.forwarding.endpoint import EndpointEntry, Replica
 from kingcupdyke.forwarding.endpointstate import EndpointState
 from kingcupdyke.forwarding.leavingmessage import LeavingReport
 from kingcupdyke.forwarding.leavingtable import LeavingProcess, LeavingTable
+from kingcupdyke.forwarding.peerreports import PeerReports
 from kingcupdyke.forwarding.peerstate import GatewayState
 
 __all__ = ["EndpointTable"]
@@ -41,8 +42,7 @@
         self.state_by_id: dict[str, EndpointState] = {}
         #: Processes of endpoints that have said that they are leaving.
         self.leaving_table = LeavingTable()
-        #: Number of requests that wait at peers, by model.
-        self.peer_waiting_by_model: dict[str, int] = {}
+        self._peer_reports = PeerReports()
         #: Time since which this gateway knows the list of endpoints.
         self.listed_since_s = inf
         #: Time at which each software version of a service was last listed.
@@ -79,6 +79,7 @@
         state = self.state_by_id.get(entry.endpoint)
         if state is None:
             self.state_by_id[entry.endpoint] = EndpointState(entry)
+            self._update_reports((entry.endpoint,))
             return
         if entry.started_ms < state.entry.started_ms:
             return
@@ -174,25 +175,24 @@
             if now_s - listed_s > VERSION_MEMORY_S:
                 del self._listed_s_by_version[key]
 
-    def apply_peer_states(self, peers: list[GatewayState], now_s: float) -> None:
-        """Replace the loads, demands and unreachable endpoints by those that live peers report."""
-        for state in self.state_by_id.values():
-            state.peer_requests = 0
-            state.peer_tokens = 0
-            state.unreachable_peers = 0
-        self.peer_waiting_by_model.clear()
-        for peer in peers:
-            for demand in peer.demands:
-                waiting = self.peer_waiting_by_model.get(demand.model, 0)
-                self.peer_waiting_by_model[demand.model] = waiting + demand.waiting
-            for endpoint in peer.unreachable:
-                if endpoint in self.state_by_id:
-                    self.state_by_id[endpoint].unreachable_peers += 1
-            for load in peer.loads:
-                state = self.state_by_id.get(load.endpoint)
-                if state is not None:
-                    state.peer_requests += load.requests
-                    state.peer_tokens += load.prompt_tokens
+    @property
+    def peer_waiting_by_model(self) -> Mapping[str, int]:
+        """:return: number of requests that wait at peers, by model"""
+        return self._peer_reports.waiting_by_model
+
+    def apply_peer_state(self, state: GatewayState) -> None:
+        """Replace the loads, demands and unreachable endpoints that a peer has reported."""
+        self._update_reports(self._peer_reports.apply(state))
+
+    def retain_peers(self, hosts: Set[str]) -> None:
+        """Forget what all other peers have reported."""
+        self._update_reports(self._peer_reports.retain(hosts))
+
+    def _update_reports(self, endpoints: Iterable[str]) -> None:
+        for endpoint in endpoints:
+            state = self.state_by_id.get(endpoint)
+            if state is not None:
+                state.peer_reports = self._peer_reports.get(endpoint)
 
     def apply_placements(self, planner: GatewayState, now_s: float) -> None:
         """Store the planner's placements; those with a lower fencing number are ignored."""
--- a/packages/kingcupdyke/kingcupdyke/forwarding/planner.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/planner.py
@@ -65,7 +65,7 @@
             engine.observe_entry(state.entry)
             is_reachable_here = state.is_reachable(now_s)
             engine.is_reachable = (
-                is_reachable_here and state.unreachable_peers < MIN_UNREACHABLE_PEERS
+                is_reachable_here and state.peer_reports.unreachable_peers < MIN_UNREACHABLE_PEERS
             )
         for endpoint in self.engine_by_id.keys() - self._endpoint_table.state_by_id.keys():
             del self.engine_by_id[endpoint]
