--- a/packages/kingcupdyke-daemon/features/link.feature
+++ b/packages/kingcupdyke-daemon/features/link.feature
@@ -14,7 +14,7 @@
       | 5     |
       | 6     |
 
-  Scenario Outline: A call over a connection that is reset while it is being established fails as one that was not sent
+  Scenario Outline: An attempt whose connection is reset while it is being established ends with a failure
     When link: an attempt's connection is reset <steps> steps of the event loop after the sidecar's host has accepted it
     Then link: the attempt ends with a failure
 
