Continue streams only at a proved software version

Streams were continued at the version that a gateway inferred from what its own process had listed, so that after the end of all gateways during a release, answers joined the output of two versions. The versions used for resumable streams are now kept in a register in the store, origins are recorded for continuations too and name the process of the endpoint, and a version is inferred only from a read of the register that leaves no other one. The check on found origins now disregards their age, which is a new field, and the step on the only listed version asks the function that replaces find_only_version.

--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -49,8 +49,10 @@
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
+from kingcupdyke_daemon.forwarder.versionregistrar import VersionRegistrar
 from kingcupdyke_daemon.logs import LineSampler
 from kingcupdyke_daemon.timer import LoopTimer
+from kingcupdyke_wire.memorystore import MemoryStoreClient
 
 __all__ = [
     "ROUTES",
@@ -151,6 +153,8 @@
         self.address = ("127.0.0.1", 1)
         #: Number of its starts; each one is listed as a later start.
         self.starts = 1
+        #: Whether it breaks off the streams that it keeps open.
+        self.is_broken = False
 
     async def run(self, on_start):
         """Listen and serve.
@@ -326,6 +330,22 @@
         last_id = int(find(self.requests[-1][0], "last-event-id") or 0)
         return await self.do_events(stream, attempt_id, first=last_id + 1)
 
+    async def do_open(self, stream, attempt_id):
+        """Send two events and keep the stream open until it is broken off."""
+        return await self.do_step(stream, attempt_id, count=2)
+
+    async def do_step(self, stream, attempt_id, count=1):
+        """Send the next event and keep the stream open until it is broken off."""
+        last_id = int(find(self.requests[-1][0], "last-event-id") or 0)
+        events = ",".join(str(last_id + each) for each in range(1, count + 1))
+        head = f"HTTP/1.1 200 X\r\nx-id: {attempt_id}\r\nx-mark: m\r\n"
+        data = self.write_events(events)
+        await stream.send(f"{head}transfer-encoding: chunked\r\n\r\n{len(data):x}\r\n".encode())
+        await stream.send(data + b"\r\n")
+        while not self.is_broken:
+            await sleep(0.01)
+        return False
+
 
 def find(head, name):
     """:return: the value of a header field, or the empty string"""
@@ -460,10 +480,20 @@
             timer,
             self.metrics,
             LineSampler(timer.now),
-            OriginDirectory("n1", timer, lambda: "north", dict, lambda host, message: None),
+            OriginDirectory(
+                "n1",
+                timer,
+                lambda: "north",
+                dict,
+                lambda host, message: None,
+                self.endpoint_table.starts,
+            ),
             self.crashes,
             self.endpoint_limits,
             self.leaving,
+            VersionRegistrar(
+                self.dispatcher.version_register, MemoryStoreClient(), timer, tasks, queue.poll
+            ),
         )
         self.endpoint_table.listed_since_s = -inf
         self.handler = ForwardingHandler(deps)
--- a/packages/kingcupdyke-daemon/features/steps/origins_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/origins_steps.py
@@ -12,6 +12,7 @@
 from behave import given, then, when
 from process_steps import find_port
 
+from kingcupdyke.forwarding.endpointstarts import EndpointStarts
 from kingcupdyke.forwarding.peerstate import GatewayState, PeerTable
 from kingcupdyke.forwarding.pinneddemand import PinnedDemand, PinnedDemandMessage
 from kingcupdyke.forwarding.streamorigin import OriginMessage, StreamOrigin
@@ -49,7 +50,8 @@
         def send(peer, message):
             self.tasks.start_soon(self.deliver, peer, message)
 
-        return OriginDirectory(host, LoopTimer(self.tasks), lambda: host[0], list_peers, send)
+        timer = LoopTimer(self.tasks)
+        return OriginDirectory(host, timer, lambda: host[0], list_peers, send, EndpointStarts())
 
     async def deliver(self, host, data):
         await sleep(MESSAGE_S)
@@ -158,7 +160,7 @@
     if found == "no":
         assert context.origin is None, context.origin
     else:
-        assert context.origin._replace(valid_s=5.0) == ORIGIN, context.origin
+        assert context.origin._replace(valid_s=5.0, age_s=0.0) == ORIGIN, context.origin
 
 
 @then("origins: that takes at most {limit:g} s")
--- a/packages/kingcupdyke-daemon/features/steps/process_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/process_steps.py
@@ -53,7 +53,7 @@
 
     def decode_configuration(self, value):
         fields = json.loads(value)
-        return Ok(make_configuration(fields["version"], 2.0))
+        return Ok(make_configuration(fields["version"], fields.get("timeout", 2.0)))
 
     def decode_endpoint(self, endpoint, value):
         try:
@@ -150,9 +150,9 @@
         """End the gateway without notice."""
         self._running.cancel()
 
-    async def configure(self, version):
+    async def configure(self, version, timeout_s=2.0):
         current = (await self.writer.get("configurations", "only")).ok
-        value = json.dumps({"version": version}).encode()
+        value = json.dumps({"version": version, "timeout": timeout_s}).encode()
         known = current.version if current else 0
         await self.writer.put("configurations", "only", value, known)
 
@@ -174,10 +174,11 @@
         known = current.version if current else 0
         await self.writer.put("endpoints", name, json.dumps(fields).encode(), known)
 
-    async def ask(self, line="GET /safe/1", port=None, request=None):
+    async def ask(self, line="GET /safe/1", port=None, request=None, on_data=lambda data: None):
         """:return: the answer until its connection ended, or no bytes if there was no connection
 
         :param request: bytes to send instead of the line's request
+        :param on_data: called with each part of the answer as it comes
         """
         address = (LOOPBACK, port or self.settings.front.port)
         try:
@@ -190,6 +191,7 @@
             with suppress(BrokenResourceError):
                 async for data in stream:
                     found += data
+                    on_data(data)
         return found
 
     async def is_ready(self):
--- /dev/null
+++ b/packages/kingcupdyke-daemon/features/steps/versions_steps.py
@@ -0,0 +1,140 @@
+"""
+versions_steps
+~~~~~~~~~~~~~~
+
+Steps for streams at endpoints of several software versions, at complete gateways.
+"""
+
+import re
+
+from anyio import create_task_group, run, sleep
+from behave import then, when
+from forwarder_steps import describe, write_request
+from process_steps import Site
+
+EVENT = re.compile(rb"id: (\d+)\ndata: (\w+)\n\n")
+
+
+class VersionsScript:
+    """Gateways, endpoints and one client, whose stream's events name the version that wrote them.
+
+    :param tasks: task group of the endpoints, the gateways and the client's requests
+    """
+
+    def __init__(self, tasks):
+        self.tasks = tasks
+        #: Configures, and holds the endpoints; it is not started.
+        self.keeper = Site(tasks)
+        self.sites = []
+        #: Answers that the client got, in order of its attempts.
+        self.answers = []
+
+    async def run(self, events):
+        await self.keeper.configure(1)
+        for event in events.split(";"):
+            word, *rest = event.split()
+            await getattr(self, f"do_{word}")(*rest)
+
+    async def do_add(self, name, version):
+        await self.keeper.add(name, f"@{version} open rest")
+        self.keeper.endpoints[name].name = version
+        await sleep(0.1)
+
+    async def do_secret(self, name, version):
+        """Let an endpoint start again with other software; its entry does not say so yet."""
+        endpoint = self.keeper.endpoints[name]
+        endpoint.name = endpoint.software_version = version
+        endpoint.starts += 1
+
+    async def do_list(self, name):
+        await self.keeper.list(name, False)
+
+    async def do_remove(self, name):
+        current = (await self.keeper.writer.get("endpoints", name)).ok
+        await self.keeper.writer.delete("endpoints", name, current.version)
+
+    async def do_steps(self):
+        """Let endpoints send one event of the next stream and keep it open."""
+        self.set_scripts("step", "rest")
+
+    async def do_rests(self):
+        """Let endpoints complete the next streams."""
+        self.set_scripts("rest")
+
+    def set_scripts(self, *words):
+        for endpoint in self.keeper.endpoints.values():
+            endpoint.script = list(words)
+
+    async def do_break(self, name):
+        self.keeper.endpoints[name].is_broken = True
+
+    async def do_timeout(self, seconds):
+        await self.keeper.configure(2, float(seconds))
+
+    async def do_wait(self, seconds):
+        await sleep(float(seconds))
+
+    async def do_start(self, count):
+        for number in range(int(count)):
+            store = type(self.keeper.writer)(self.keeper.store)
+            self.sites.append(Site(self.tasks, f"entry-n{number}", store))
+            self.tasks.start_soon(self.sites[-1].start)
+        await sleep(0.8)
+
+    async def do_kill(self, number=None):
+        killed = self.sites if number is None else [self.sites[int(number)]]
+        for site in killed:
+            site.kill()
+        self.sites = [each for each in self.sites if each not in killed]
+        await sleep(0.1)
+
+    async def do_begin(self):
+        await self.ask(0, "")
+
+    async def do_resume(self, attempt_id):
+        last_id = EVENT.findall(b"".join(self.answers))[-1][0].decode()
+        resumes = "" if attempt_id == "none" else f"x-resumes: {attempt_id}\r\n"
+        await self.ask(0, f"last-event-id: {last_id}\r\n{resumes}")
+
+    async def do_other(self):
+        """Let another client use the endpoint that is idle, and leave."""
+        request = write_request("GET /resume/2", "other")
+        self.tasks.start_soon(lambda: self.sites[0].ask(request=request))
+        await sleep(0.2)
+
+    async def ask(self, number, fields):
+        """Send the client's next attempt, and record what comes as its answer."""
+        index = len(self.answers)
+        self.answers.append(b"")
+        request = write_request("GET /resume/1", f"r{index + 1}")
+        request = request.replace(b"connection:", fields.encode() + b"connection:")
+
+        def record(data):
+            self.answers[index] += data
+
+        site = self.sites[number]
+        self.tasks.start_soon(lambda: site.ask(request=request, on_data=record))
+        await sleep(0.3)
+
+
+@when('versions: "{events}" happens')
+def run_events(context, events):
+    async def job():
+        async with create_task_group() as tasks:
+            script = context.script = VersionsScript(tasks)
+            await script.run(events)
+            tasks.cancel_scope.cancel()
+
+    run(job)
+
+
+@then(
+    'versions: the client got events "{ids}", all of one version, and its last answer was "{last}"'
+)
+def check_events(context, ids, last):
+    answers = context.script.answers
+    found = [EVENT.findall(each) for each in answers]
+    versions = {version for each in found for _, version in each}
+    assert len(versions) == 1, found
+    assert b",".join(number for each in found for number, _ in each).decode() == ids, found
+    assert describe(answers[-1]).split()[0] == last, answers[-1]
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/catalogue.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/catalogue.py
@@ -7,6 +7,7 @@
 
 import logging
 from collections.abc import Callable
+from math import inf
 
 from kingcupdyke.forwarding.configuration import Configuration
 from kingcupdyke.forwarding.endpointtable import EndpointTable
@@ -66,6 +67,7 @@
             self._remove_endpoint,
             get_endpoint_interval_s,
         )
+        self.endpoints.on_gap = endpoint_table.note_gap
 
     @property
     def is_loaded(self) -> bool:
@@ -120,7 +122,9 @@
             return
         known = self._endpoint_table.state_by_id.get(found.name)
         was_leaving = None if known is None else known.entry.is_leaving
-        self._endpoint_table.put(entry.ok)
+        # A copy of a peer may be old.
+        heard_s = -inf if self.endpoints.is_store_unreachable else self._timer.now()
+        self._endpoint_table.put(entry.ok, heard_s)
         is_leaving = self._endpoint_table.state_by_id[found.name].entry.is_leaving
         if was_leaving != is_leaving:
             state = "leaving" if is_leaving else "ready"
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -91,6 +91,7 @@
             first_by_s=request.arrived_s + route.first_patience_s,
             deadline_s=self._deadline_s,
             fingerprint=make_fingerprint(request, metadata),
+            is_resumable=route.is_resumable,
         )
         self._request_log = RequestLog(
             deps, self._item, route.name, version, ages, metadata.resumes
@@ -114,9 +115,7 @@
         self._watch: CrashWatch | None = None
         is_stream = route.kind is RouteKind.STREAMING
         self._answer = AnswerRelay(reply, is_stream, route.is_resumable, self._pin_version)
-        self._continuation = StreamContinuation(
-            deps.origins, deps.endpoint_table, deps.timer, route, metadata, request.headers
-        )
+        self._continuation = StreamContinuation(deps, route, metadata, request.headers)
 
     @property
     def _is_retryable(self) -> bool:
@@ -166,6 +165,7 @@
             self._queued_s += self._deps.timer.now() - since_s
             if isinstance(decision, Refuse):
                 self._request_log.log_rejection(decision)
+                self._continuation.note_refused(decision.reason)
                 await self._give_up(decision.reason, decision.retry_after_s)
                 return
             state = self._deps.endpoint_table.state_by_id.get(decision.endpoint)
@@ -185,6 +185,11 @@
             if outcome is not RetryOutcome.RETRIED:
                 await self._give_up(self._reason)
                 return
+            if self._continuation.has_begun:
+                proof = await self._continuation.prove()
+                if proof.is_error():
+                    await self._give_up(proof.error.reason)
+                    return
 
     def _decide_retry(self, result: AttemptResult) -> RetryOutcome:
         if result is AttemptResult.NOT_SENT:
@@ -229,6 +234,9 @@
             if not deps.endpoint_table.may_send(state):
                 self._reason = f"endpoint {endpoint} is leaving"
                 return AttemptResult.NOT_SENT
+            if not self._continuation.may_send(state.entry, self._sent_to[-1].software_version):
+                self._reason = f"endpoint {endpoint} runs other software by now"
+                return AttemptResult.NOT_SENT
             async with create_task_group() as tasks:
                 try:
                     result, is_reusable = await self._forward(
@@ -259,6 +267,7 @@
         self._reason = f"endpoint {endpoint}: {error.reason}"
         self._deps.endpoint_table.note_failure(endpoint, self._deps.timer.now(), True)
         if error.progress is Progress.NOT_SENT:
+            self._deps.endpoint_table.starts.note_refused(endpoint, self._deps.timer.now())
             return AttemptResult.NOT_SENT
         return AttemptResult.BROKEN if self._reply.has_begun else AttemptResult.UNKNOWN
 
@@ -370,8 +379,7 @@
         if not self._route.is_resumable:
             return
         version = self._sent_to[-1].software_version
-        if self._item.software_version is None:
-            self._continuation.record_origin(self._item.service, version)
+        version = self._continuation.begin(self._item.service, version)
         self._item = self._item._replace(software_version=version)
 
     def _record_activity(self, endpoint: str) -> None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
@@ -66,6 +66,7 @@
         self._retries = create_counter(f"{METRIC_PREFIX}repeats")
         self._orders = create_counter(f"{METRIC_PREFIX}orders")
         self._answers = create_counter(f"{METRIC_PREFIX}answers")
+        self._continuations = create_counter(f"{METRIC_PREFIX}stream_continuations")
         self._total = create_histogram(f"{METRIC_PREFIX}request_seconds")
         self._first = create_histogram(f"{METRIC_PREFIX}first_part_seconds")
         self._queued = create_histogram(f"{METRIC_PREFIX}queue_wait_seconds")
@@ -105,6 +106,14 @@
             labels = {"route": route, "framing": framing, "partial": str(is_partial).lower()}
             self._answers.add(1, labels)
 
+    def count_continuation(self, outcome: str, reason: str) -> None:
+        """Count a stream that is to continue after it broke off.
+
+        :param outcome: ``continued`` or ``rejected``
+        :param reason: why it is rejected, or what proves its software version
+        """
+        self._continuations.add(1, {"outcome": outcome, "reason": reason})
+
     def add_gauge(self, name: str, read: GaugeReader, label: str = "") -> None:
         """Add a gauge that is read whenever the metrics are rendered.
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/origindirectory.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/origindirectory.py
@@ -11,6 +11,7 @@
 
 from anyio import Event, move_on_after
 
+from kingcupdyke.forwarding.endpointstarts import EndpointStarts
 from kingcupdyke.forwarding.streamorigin import (
     OriginMessage,
     StreamOrigin,
@@ -44,6 +45,7 @@
     :param get_region: returns the region of this host
     :param list_peers: returns the regions of the live peers by host
     :param send: sends a message to a peer; it may be lost
+    :param starts: the processes of endpoints
     """
 
     def __init__(
@@ -53,12 +55,14 @@
         get_region: Callable[[], str],
         list_peers: Callable[[], Mapping[str, str]],
         send: Callable[[str, bytes], None],
+        starts: EndpointStarts,
     ) -> None:
         self._host = host
         self._timer = timer
         self._get_region = get_region
         self._list_peers = list_peers
         self._send = send
+        self._starts = starts
         self._table = StreamOriginTable()
         self._lookups_by_attempt: dict[str, list[_Lookup]] = defaultdict(list)
         timer.subscribe("origins", CLEANUP_INTERVAL_S, self._table.drop_expired)
@@ -72,7 +76,7 @@
 
     async def find(self, attempt_id: str) -> StreamOrigin | None:
         """:return: the origin of an attempt's stream, or None if no gateway that answers has it"""
-        origin = self._table.get(attempt_id, self._timer.now())
+        origin = self._get(attempt_id, self._timer.now())
         peers = self._choose_holders(attempt_id)
         if origin is not None or not peers:
             return origin
@@ -86,7 +90,7 @@
                 await lookup.ended.wait()
         finally:
             self._forget(attempt_id, lookup)
-        origin = self._table.get(attempt_id, self._timer.now())
+        origin = self._get(attempt_id, self._timer.now())
         if origin is None:
             silent = ", ".join(sorted(lookup.unanswered))
             _LOGGER.info("unknown origin of stream %s; no answer of: %s", attempt_id, silent)
@@ -109,11 +113,25 @@
             self._answer(message.sender, message.asked, now_s)
 
     def _answer(self, peer: str, asked: tuple[str, ...], now_s: float) -> None:
-        found = {each: self._table.get(each, now_s) for each in asked}
+        found = {each: self._get(each, now_s) for each in asked}
         origins = tuple(each for each in found.values() if each is not None)
         unknown = tuple(name for name, origin in found.items() if origin is None)
         self._send(peer, OriginMessage(self._host, origins=origins, unknown=unknown).encode())
 
+    def _get(self, attempt_id: str, now_s: float) -> StreamOrigin | None:
+        """:return: a known origin, unless another process may have begun the stream"""
+        origin = self._table.get(attempt_id, now_s)
+        if origin is None or not origin.endpoint:
+            return origin
+        began_s = now_s - origin.age_s
+        if self._starts.was_running(origin.endpoint, origin.started_ms, began_s):
+            return origin
+        _LOGGER.info(
+            "origin of stream %s dropped: %s has started again", attempt_id, origin.endpoint
+        )
+        self._table.drop(attempt_id)
+        return None
+
     def _choose_holders(self, attempt_id: str) -> list[str]:
         return choose_holders(attempt_id, self._get_region(), self._list_peers())
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peerexchanges.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peerexchanges.py
@@ -61,6 +61,7 @@
             lambda: get_gossip().region,
             lambda: get_gossip().list_live_regions(),
             post,
+            endpoint_table.starts,
         )
         self.pinned_demands = PinnedDemands(host, dispatcher, peers, timer, post)
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -18,7 +18,6 @@
 from kingcupdyke.forwarding.retrybudget import SharedRetryBudget
 from kingcupdyke.forwarding.storechanges import StoreChanges
 from kingcupdyke.forwarding.watchinterval import choose_watch_interval
-from kingcupdyke.lease import LeaseMachine
 from kingcupdyke_daemon.forwarder.catalogue import Catalogue
 from kingcupdyke_daemon.forwarder.clientserver import ClientServer
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
@@ -29,12 +28,8 @@
 from kingcupdyke_daemon.forwarder.peergossip import PEERS_KIND, PeerGossip
 from kingcupdyke_daemon.forwarder.peerlog import PeerLog
 from kingcupdyke_daemon.forwarder.plannedstop import SEND_GRACE_FRACTION, PlannedStop
-from kingcupdyke_daemon.forwarder.plannerrunner import (
-    LEASE_NAME,
-    RENEWAL_INTERVAL_S,
-    PlannerRunner,
-    read_clock,
-)
+from kingcupdyke_daemon.forwarder.plannerlease import LEASE_MARGIN_S, make_planner_lease
+from kingcupdyke_daemon.forwarder.plannerrunner import PlannerRunner, read_clock
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
 from kingcupdyke_daemon.forwarder.readyhandler import ReadyHandler
@@ -43,6 +38,7 @@
 from kingcupdyke_daemon.forwarder.stategauges import StateGauges
 from kingcupdyke_daemon.forwarder.storereaders import StoreReaders
 from kingcupdyke_daemon.forwarder.storewatcher import StoreWatcher
+from kingcupdyke_daemon.forwarder.versionregistrar import VersionRegistrar
 from kingcupdyke_daemon.logs import LineSampler
 from kingcupdyke_daemon.process import make_incarnation
 from kingcupdyke_daemon.timer import LoopTimer
@@ -63,12 +59,6 @@
 SETTINGS_POLL_INTERVAL_S = 1.0
 #: Number of gateways that contend for the planner's lease.
 MAX_CANDIDATES = 2
-#: How much longer a lease lasts than the minimum time between the orders of two planners. Must
-#: exceed the time after a proof of the lease during which orders are sent.
-LEASE_MARGIN_S = 1.2
-#: Time after its last renewal for which the lease may be kept by promises of peers. A gateway that
-#: the holder did not list as a member waits this much longer before it takes the lease.
-MAX_UNRENEWED_LEASE_S = 40.0
 
 
 class Forwarder:
@@ -116,6 +106,14 @@
             tasks,
             lambda: self._peer_gossip,
         )
+        self._versions = VersionRegistrar(
+            self._dispatcher.version_register,
+            store,
+            self._timer,
+            tasks,
+            self._queue.poll,
+            lambda: bool(self._planner_runner.held_fence),
+        )
         self._request_handler = ForwardingHandler(
             ForwarderDependencies(
                 dialect,
@@ -131,6 +129,7 @@
                 self._exchanges.crashes,
                 self._exchanges.limits,
                 self._exchanges.leaving,
+                self._versions,
             ),
             lambda: self._catalogue.get_ages(),
         )
@@ -168,6 +167,7 @@
             self._on_catalogue_change,
             self._get_watch_interval_s,
         )
+        self._catalogue.configurations.on_recovery = self._versions.recheck
         self._gateway_watcher = StoreWatcher(
             store,
             PEERS_KIND,
@@ -267,16 +267,7 @@
 
     def _make_planner_runner(self, store: StoreClient) -> PlannerRunner:
         settings = self._settings
-        lease = LeaseMachine(
-            LEASE_NAME,
-            f"{settings.host}/{self._incarnation}",
-            settings.lease_s + LEASE_MARGIN_S,
-            RENEWAL_INTERVAL_S,
-            outlives_outage=False,
-            earlier_owner_prefix=f"{settings.host}/",
-            host=settings.host,
-            outlives_s=MAX_UNRENEWED_LEASE_S,
-        )
+        lease = make_planner_lease(settings.host, self._incarnation, settings.lease_s)
         return PlannerRunner(
             settings.host,
             lease,
@@ -323,6 +314,7 @@
     def _apply_configuration(self, configuration: Configuration) -> None:
         self._request_handler.configuration = configuration
         self._dispatcher.configure(configuration.services_by_name)
+        self._versions.configure(configuration)
 
     def _on_catalogue_change(self, now_s: float) -> None:
         self._queue.poll(now_s)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/storewatcher.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/storewatcher.py
@@ -73,6 +73,10 @@
         self.last_answer_s = 0.0
         #: Called with the changes that a call has returned.
         self.on_read: Callable[[StoreChanges], None] = lambda changes: None
+        #: Called when changes may have been missed, until the whole list is read again.
+        self.on_gap: Callable[[], None] = lambda: None
+        #: Called when the store answers again.
+        self.on_recovery: Callable[[], None] = lambda: None
         self._is_following = False
         self._has_gap = False
         self._heard = Event()
@@ -85,6 +89,7 @@
             if failure is None:
                 retry_delay_s = INITIAL_RETRY_DELAY_S
                 continue
+            self.on_gap()
             now_s = self._timer.now()
             if self._failed_since_s is None:
                 self._failed_since_s = now_s
@@ -146,6 +151,7 @@
         """Apply a peer's copy of the store's objects, while the store is unreachable from here."""
         if not self.is_store_unreachable or relay.position < self._position:
             return
+        self.on_gap()
         self.last_answer_s = self._timer.now()
         self._position = relay.position
         listed = {each.name for each in relay.objects}
@@ -174,7 +180,8 @@
                 # Entries that expired during the outage may be listed again within about two
                 # seconds.
                 self._outage_recent_until_s = now_s + 2 * MIN_OUTAGE_S
-        self._failed_since_s = None
+            self._failed_since_s = None
+            self.on_recovery()
 
     async def _list_and_watch(self) -> Failure | None:
         """List once, then watch until a call fails.
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -10,6 +10,7 @@
 __all__ = [
     "DataAges",
     "CallRecord",
+    "ContinuationRecord",
     "CrashRecord",
     "CrashSignatureRecord",
     "EndpointRecord",
@@ -24,6 +25,7 @@
     "RequestCrashRecord",
     "RequestRecord",
     "SendRecord",
+    "VersionRegisterRecord",
     "WaitRecord",
 ]
 
@@ -265,3 +267,32 @@
     state: str
     #: Number of peers that are responsive now.
     peers: int
+
+
+class ContinuationRecord(NamedTuple):
+    """Fields of a stream that continues after it broke off, or can't."""
+
+    #: Client's attempt, and the attempt that it names as the beginning of the stream.
+    request: str
+    resumes: str
+    service: str
+    #: ``continued`` or ``rejected``.
+    outcome: str
+    #: Why it is rejected, or what proves the version: ``origin`` or ``register``.
+    reason: str
+    #: Version that began the stream, with endpoint and start of its process in Unix milliseconds;
+    #: empty and 0 if unknown.
+    software_version: str
+    endpoint: str
+    started_ms: int
+    #: Versions in the register, as last read.
+    registered: tuple[str, ...]
+
+
+class VersionRegisterRecord(NamedTuple):
+    """Fields of a register of software versions that this gateway has written."""
+
+    service: str
+    registered: tuple[str, ...]
+    #: Those that are about to be removed.
+    retiring: tuple[str, ...]
--- a/packages/kingcupdyke/features/steps/endpointtable_steps.py
+++ b/packages/kingcupdyke/features/steps/endpointtable_steps.py
@@ -135,7 +135,9 @@
 def check_version(context, version):
     script = context.script
     since_s = script.now_s - 4.0
-    found = script.endpoint_table.find_only_version("service", since_s, script.now_s)
+    versions = script.endpoint_table.list_versions("service", since_s, script.now_s)
+    is_known = len(versions) == 1 and script.endpoint_table.listed_since_s <= since_s
+    found = versions.pop() if is_known else None
     assert ("unknown" if found is None else found or "unnamed") == version, found
 
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -19,6 +19,7 @@
 from kingcupdyke.forwarding.peerstate import Demand, EndpointLoad
 from kingcupdyke.forwarding.pinneddemand import PinnedDemand
 from kingcupdyke.forwarding.requestcrashtable import RequestCrashTable
+from kingcupdyke.forwarding.versionregister import VersionRegister
 from kingcupdyke.forwarding.workitem import WorkItem
 
 __all__ = ["STOPPING_RETRY_S", "Dispatcher"]
@@ -71,6 +72,8 @@
         self.request_crash_table = RequestCrashTable()
         #: Limits that endpoints name, and the requests sent to them.
         self.limit_table = LimitTable()
+        #: Tells at which software versions resumable streams may begin.
+        self.version_register = VersionRegister(endpoint_table)
         self._service_by_name: dict[str, ServiceSpec] = {}
         #: Time by which requests must be sent, as the process stops soon after.
         self.send_by_s = inf
@@ -215,6 +218,9 @@
             ready = [each for each in ready if each.entry.software_version == item.software_version]
             if not ready:
                 return Refuse("no endpoint of the software that began the stream", RETRY_AFTER_S)
+            ready = self._endpoint_table.list_certain(ready)
+            if not ready:
+                return Refuse("the endpoints may run other software by now", RETRY_AFTER_S)
         states = [each for each in ready if each.entry.endpoint not in excluded]
         if not states:
             return Refuse("no further endpoint to try", RETRY_AFTER_S)
@@ -227,6 +233,24 @@
             if not holders:
                 return self._await_replica(item, engine_spec, states, now_s)
             states = holders
+        if not item.is_resumable:
+            return self._decide_among(item, states, engine_spec, now_s)
+        usable = self.version_register.select(item.service, states, now_s)
+        if not usable:
+            return Wait("the software version is not registered yet")
+        decision = self._decide_among(item, usable, engine_spec, now_s)
+        is_pending = self.version_register.is_pending(item.service, now_s)
+        if isinstance(decision, Refuse) and len(usable) < len(states) and is_pending:
+            return Wait("the software version is not registered yet")
+        return decision
+
+    def _decide_among(
+        self,
+        item: WorkItem,
+        states: list[EndpointState],
+        engine_spec: EngineSpec | None,
+        now_s: float,
+    ) -> Decision:
         reachable = [
             each
             for each in states
--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
@@ -9,6 +9,7 @@
 from math import inf
 
 from kingcupdyke.forwarding.endpoint import EndpointEntry, Replica
+from kingcupdyke.forwarding.endpointstarts import EndpointStarts
 from kingcupdyke.forwarding.endpointstate import EndpointState
 from kingcupdyke.forwarding.leavingmessage import LeavingReport
 from kingcupdyke.forwarding.leavingtable import LeavingProcess, LeavingTable
@@ -43,7 +44,9 @@
         #: Processes of endpoints that have said that they are leaving.
         self.leaving_table = LeavingTable()
         self._peer_reports = PeerReports()
-        #: Time since which this gateway knows the list of endpoints.
+        #: The processes of the endpoints.
+        self.starts = EndpointStarts()
+        #: Time since which this gateway has read all changes of the list of endpoints.
         self.listed_since_s = inf
         #: Time at which each software version of a service was last listed.
         self._listed_s_by_version: dict[tuple[str, str], float] = {}
@@ -59,18 +62,27 @@
 
         :param after_outage: whether the store was unavailable, so that entries may have lapsed
         """
-        self.listed_since_s = min(self.listed_since_s, now_s)
+        # Changes between the previous list and this one may be missing.
+        self.listed_since_s = now_s
         listed = {each.endpoint for each in entries}
         for entry in entries:
             self.put(entry)
         for endpoint in [each for each in self.state_by_id if each not in listed]:
             self.remove(endpoint, now_s, after_outage)
 
-    def put(self, entry: EndpointEntry) -> None:
+    def note_gap(self) -> None:
+        """Record that changes of the list may be missing until the next complete list."""
+        self.listed_since_s = inf
+
+    def put(self, entry: EndpointEntry, heard_s: float = -inf) -> None:
         """Add or update an entry; an older one only shows that the endpoint is listed.
 
         A process that has said that it is leaving stays so, whatever its entry says.
+
+        :param heard_s: time in seconds at which the entry was read as a change, or minus infinity
+            if it may have been written long before
         """
+        self.starts.note(entry, heard_s)
         process = LeavingProcess(entry.endpoint, entry.started_ms)
         if entry.is_leaving:
             self.note_leaving(process)
@@ -142,27 +154,30 @@
     def drop_expired(self, now_s: float) -> None:
         """Remove entries that were not listed again after an outage, and expired placements."""
         self._note_versions(now_s)
+        self.starts.drop_expired(now_s)
         entries = [state.entry for state in self.state_by_id.values()]
         listed = {LeavingProcess(each.endpoint, each.started_ms) for each in entries}
         self.leaving_table.drop_expired(listed, now_s)
         for endpoint, state in list(self.state_by_id.items()):
             if state.lapses_s is not None and now_s >= state.lapses_s:
+                self._former_versions.add((state.entry.service, state.entry.software_version))
                 del self.state_by_id[endpoint]
         for replica, (_, _, expires_s) in list(self._placement_by_replica.items()):
             if now_s >= expires_s:
                 del self._placement_by_replica[replica]
 
-    def find_only_version(self, service: str, since_s: float, now_s: float) -> str | None:
-        """:return: the one software version of a service's endpoints that have been listed since a
-        time, or None if there were several, or if this gateway does not know
-        """
+    def list_certain(self, states: Iterable[EndpointState]) -> list[EndpointState]:
+        """:return: the endpoints that run the process of their entry, as far as is known"""
+        return [each for each in states if not self.starts.may_have_restarted(each.entry.endpoint)]
+
+    def list_versions(self, service: str, since_s: float, now_s: float) -> set[str]:
+        """:return: software versions of a service's endpoints that were listed since a time"""
         self._note_versions(now_s)
-        versions = [
+        return {
             version
             for (name, version), listed_s in self._listed_s_by_version.items()
             if name == service and listed_s >= since_s
-        ]
-        return versions[0] if len(versions) == 1 and self.listed_since_s <= since_s else None
+        }
 
     def _note_versions(self, now_s: float) -> None:
         """Record when each software version was last listed, and forget those of long ago."""
--- a/packages/kingcupdyke/kingcupdyke/forwarding/streamorigin.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/streamorigin.py
@@ -39,6 +39,12 @@
     software_version: str
     #: Seconds for which the client may continue the stream.
     valid_s: float
+    #: Endpoint that began it, and Unix time of the start of its process in milliseconds; empty and
+    #: 0 if unknown. A version without a known process proves nothing.
+    endpoint: str = ""
+    started_ms: int = 0
+    #: Seconds since the stream began.
+    age_s: float = 0.0
 
 
 class OriginMessage(NamedTuple):
@@ -82,27 +88,42 @@
 
     def __init__(self, max_origins: int = MAX_ORIGINS) -> None:
         self._max_origins = max_origins
-        self._entry_by_attempt: OrderedDict[str, tuple[StreamOrigin, float]] = OrderedDict()
+        self._entry_by_attempt: OrderedDict[str, tuple[StreamOrigin, float, float]] = OrderedDict()
 
     def put(self, origin: StreamOrigin, now_s: float) -> None:
-        """Store an origin, unless another one is known for the attempt."""
-        if self.get(origin.attempt_id, now_s) is not None:
+        """Store an origin; one of the same version is only extended, another one kept."""
+        expires_s = now_s + origin.valid_s
+        known = self._entry_by_attempt.get(origin.attempt_id)
+        if known is not None and now_s < known[1]:
+            if known[0].software_version == origin.software_version:
+                expires_s = max(known[1], expires_s)
+                self._entry_by_attempt[origin.attempt_id] = (known[0], expires_s, known[2])
             return
-        self._entry_by_attempt[origin.attempt_id] = (origin, now_s + origin.valid_s)
+        entry = (origin, expires_s, now_s - origin.age_s)
+        self._entry_by_attempt[origin.attempt_id] = entry
         self._entry_by_attempt.move_to_end(origin.attempt_id)
         if len(self._entry_by_attempt) > self._max_origins:
             self._entry_by_attempt.popitem(last=False)
 
     def get(self, attempt_id: str, now_s: float) -> StreamOrigin | None:
-        """:return: the origin of an attempt's stream with the seconds that remain, or None"""
+        """:return: the origin of an attempt's stream with its age and the seconds that remain, or
+        None
+        """
         entry = self._entry_by_attempt.get(attempt_id)
         if entry is None or now_s >= entry[1]:
             return None
-        return entry[0]._replace(valid_s=round(entry[1] - now_s, 3))
+        origin, expires_s, began_s = entry
+        return origin._replace(
+            valid_s=round(expires_s - now_s, 3), age_s=round(max(0.0, now_s - began_s), 3)
+        )
+
+    def drop(self, attempt_id: str) -> None:
+        """Remove an origin that has proved uncertain."""
+        self._entry_by_attempt.pop(attempt_id, None)
 
     def drop_expired(self, now_s: float) -> None:
         """Remove the origins of streams that can't be continued any more."""
-        for attempt_id, (_, expires_s) in list(self._entry_by_attempt.items()):
+        for attempt_id, (_, expires_s, _) in list(self._entry_by_attempt.items()):
             if now_s >= expires_s:
                 del self._entry_by_attempt[attempt_id]
 
@@ -123,6 +144,20 @@
 
 
 def _decode_origin(
-    attempt_id: str, service: str, software_version: str, valid_s: float
+    attempt_id: str,
+    service: str,
+    software_version: str,
+    valid_s: float,
+    endpoint: str = "",
+    started_ms: int = 0,
+    age_s: float = 0.0,
 ) -> StreamOrigin:
-    return StreamOrigin(str(attempt_id), str(service), str(software_version), float(valid_s))
+    return StreamOrigin(
+        str(attempt_id),
+        str(service),
+        str(software_version),
+        float(valid_s),
+        str(endpoint),
+        int(started_ms),
+        float(age_s),
+    )
--- a/packages/kingcupdyke/kingcupdyke/forwarding/workitem.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/workitem.py
@@ -35,6 +35,8 @@
     software_version: str | None = None
     #: Identifies requests with the same method, path, caller and body; empty if unknown.
     fingerprint: str = ""
+    #: Whether its stream may be continued, so that the version which begins it must be registered.
+    is_resumable: bool = False
 
     @property
     def part_ids(self) -> tuple[str, ...]:
