--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/streamcontinuation.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/streamcontinuation.py
@@ -51,7 +51,7 @@
             bool(metadata.resumes) or any(name == LAST_EVENT_ID for name, _ in headers)
         )
         if route.is_resumable and metadata.caller_timeout_s is not None:
-            deps.versions.register.note_timeout(metadata.caller_timeout_s)
+            deps.versions.register.note_caller_timeout(metadata.caller_timeout_s)
         #: Entry of the endpoint as it was when the request was sent there.
         self._sent: EndpointEntry | None = None
         #: The origin once the first event was passed on, or found for a continued stream.
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/versionregistrar.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/versionregistrar.py
@@ -104,6 +104,7 @@
     def recheck(self) -> None:
         """Read all registers again, as the store may have lost its latest writes in an outage."""
         for service in list(self._object_version_by_service):
+            self.register.suspend(service)
             self._check(service)
 
     async def infer(self, service: str) -> Inference:
@@ -196,6 +197,7 @@
         answer = await self._store.get(REGISTER_KIND, service)
         if answer.is_error():
             self._unchecked.add(service)
+            self.register.resume(service)
             _LOGGER.warning(
                 "the software versions of %s can't be read: %s", service, answer.error.reason
             )
@@ -226,7 +228,8 @@
         if found is not None:
             decoded = SoftwareVersions.decode(found.value)
             if decoded.is_error():
-                _LOGGER.error("of %s: %s", service, decoded.error.reason)
+                self.register.resume(service)
+                _LOGGER.error("service %s: %s", service, decoded.error.reason)
                 return None
             versions = decoded.ok
         self._object_version_by_service[service] = 0 if found is None else found.version
--- a/packages/kingcupdyke/features/steps/streamorigin_steps.py
+++ b/packages/kingcupdyke/features/steps/streamorigin_steps.py
@@ -25,7 +25,7 @@
 
 @then("streamorigin: a full message is the same when decoded")
 def check_round_trip(context):
-    origin = StreamOrigin("r1", "s", "v1", 4.5)
+    origin = StreamOrigin("r1", "s", "v1", 4.5, "e1", 1000, 0.5)
     message = OriginMessage("h", (origin,), ("r2",), ("r3", "r4"))
     assert OriginMessage.decode(message.encode()).ok == message
 
--- a/packages/kingcupdyke/features/streamorigin.feature
+++ b/packages/kingcupdyke/features/streamorigin.feature
@@ -24,6 +24,7 @@
       | case | origins | at | known |
       | an origin is known until its stream can't be continued | 0 r1 v1 4, 0 r2 v2 9 | 5 | r2:v2 |
       | the version that began a stream is not replaced | 0 r1 v1 9, 1 r1 v2 9 | 2 | r1:v1 |
+      | an origin that is recorded again for a later attempt is known for longer | 0 r1 v1 4, 3 r1 v1 4 | 6 | r1:v1 |
       | an expired origin is replaced | 0 r1 v1 1, 2 r1 v2 9 | 3 | r1:v2 |
       | the oldest origin gives way to a new one | 0 r1 v1 9, 1 r2 v1 9, 2 r3 v1 9, 3 r4 v1 9 | 4 | r2:v1 r3:v1 r4:v1 |
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
@@ -16,7 +16,7 @@
 from kingcupdyke.forwarding.peerreports import PeerReports
 from kingcupdyke.forwarding.peerstate import GatewayState
 
-__all__ = ["EndpointTable"]
+__all__ = ["VERSION_MEMORY_S", "EndpointTable"]
 
 #: Seconds for which an entry is kept that is missing after an outage of the store, as it may have
 #: lapsed during the outage. A live endpoint is listed again within about two seconds.
--- a/packages/kingcupdyke/kingcupdyke/forwarding/versionregister.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/versionregister.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 from kingcupdyke.forwarding.endpointstate import EndpointState
-from kingcupdyke.forwarding.endpointtable import EndpointTable
+from kingcupdyke.forwarding.endpointtable import VERSION_MEMORY_S, EndpointTable
 from kingcupdyke.forwarding.softwareversions import SoftwareVersions
 
 __all__ = ["Inference", "VersionRegister"]
@@ -20,7 +20,7 @@
 #: Least value in seconds of the longest time that a stream can last.
 MIN_STREAM_LIMIT_S = 60.0
 #: Limit on caller timeouts that are taken into account, so that no caller can stop all inference.
-MAX_STREAM_LIMIT_S = 3500.0
+MAX_CALLER_TIMEOUT_S = 3500.0
 #: Seconds added to the longest time that a stream can last before a version is ruled out.
 STREAM_MARGIN_S = 5.0
 #: Seconds without an entry after which a version is removed from the register.
@@ -67,6 +67,8 @@
         self._first_read_s_by_service: dict[str, dict[str, float]] = {}
         #: Versions to be added with the time since when they are wanted, by service.
         self._wanted_by_service: dict[str, dict[str, float]] = {}
+        #: Services whose registers have to be checked before streams begin.
+        self._suspended: set[str] = set()
         #: Time of the announcement of a removal by this gateway, by service and version.
         self._retired_s: dict[tuple[str, str], float] = {}
 
@@ -76,9 +78,20 @@
         return self.stream_limit_s + STREAM_MARGIN_S
 
     def note_timeout(self, timeout_s: float) -> None:
-        """Take the timeout of a route or caller into account."""
-        if timeout_s > self.stream_limit_s:
-            self.stream_limit_s = min(timeout_s, MAX_STREAM_LIMIT_S)
+        """Take the timeout of a route into account."""
+        self.stream_limit_s = max(self.stream_limit_s, timeout_s)
+
+    def note_caller_timeout(self, timeout_s: float) -> None:
+        """Take the timeout of a caller into account."""
+        self.note_timeout(min(timeout_s, MAX_CALLER_TIMEOUT_S))
+
+    def suspend(self, service: str) -> None:
+        """Let requests wait until a service's register has been checked after an outage."""
+        self._suspended.add(service)
+
+    def resume(self, service: str) -> None:
+        """Rely on what is known of a register, as the store is unavailable again."""
+        self._suspended.discard(service)
 
     def select(
         self, service: str, states: list[EndpointState], now_s: float
@@ -87,6 +100,8 @@
 
         :return: those endpoints at which a resumable stream may begin now
         """
+        if service in self._suspended:
+            return []
         usable = self._usable_by_service.get(service, {})
         selected = [each for each in states if each.entry.software_version in usable]
         if len(selected) < len(states):
@@ -95,10 +110,6 @@
                     self._want(service, each.entry.software_version, now_s)
         return selected
 
-    def is_usable(self, service: str, software_version: str) -> bool:
-        """:return: whether a resumable stream may begin at a version"""
-        return software_version in self._usable_by_service.get(service, ())
-
     def is_pending(self, service: str, now_s: float) -> bool:
         """:return: whether a version is being added since less than PENDING_S"""
         wanted = self._wanted_by_service.get(service)
@@ -118,6 +129,7 @@
 
     def apply(self, service: str, versions: SoftwareVersions, now_s: float) -> None:
         """Replace what is known of a service's register by what was read or written."""
+        self._suspended.discard(service)
         self._read_by_service[service] = versions
         first = self._first_read_s_by_service.get(service, {})
         self._first_read_s_by_service[service] = {
@@ -141,7 +153,7 @@
         names = tuple(sorted(registered))
         since_s = now_s - self.memory_s
         recent = self._endpoint_table.list_versions(service, since_s, now_s)
-        is_complete = self._endpoint_table.listed_since_s <= since_s
+        is_complete = self._has_listed_since(since_s, now_s)
         first = self._first_read_s_by_service.get(service, {})
         possible = {
             each
@@ -174,7 +186,7 @@
     def list_prunable(self, service: str, now_s: float) -> frozenset[str]:
         """:return: registered versions that were not listed for so long that they can be removed"""
         since_s = now_s - max(PRUNE_AFTER_S, self.memory_s)
-        if self._endpoint_table.listed_since_s > since_s:
+        if not self._has_listed_since(since_s, now_s):
             return frozenset()
         recent = self._endpoint_table.list_versions(service, since_s, now_s)
         first = self._first_read_s_by_service.get(service, {})
@@ -206,6 +218,11 @@
             for each in self.list_prunable(service, now_s)
         )
 
+    def _has_listed_since(self, since_s: float, now_s: float) -> bool:
+        """:return: whether the list has been read without a gap, and is remembered, since a time"""
+        is_remembered = now_s - since_s < VERSION_MEMORY_S
+        return is_remembered and self._endpoint_table.listed_since_s <= since_s
+
     def _forget_announcements(self, service: str, kept: Iterable[str]) -> None:
         for key in [each for each in self._retired_s if each[0] == service]:
             if key[1] not in kept:
