--- a/packages/kingcupdyke-daemon/features/steps/versions_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/versions_steps.py
@@ -10,11 +10,33 @@
 from anyio import create_task_group, run, sleep
 from behave import then, when
 from forwarder_steps import describe, write_request
-from process_steps import Site
+from process_steps import Site, capture
 
+from kingcupdyke_wire.memorystore import MemoryStoreClient
+from kingcupdyke_wire.store import Conflict
+
+REGISTER_KIND = "kingcupdyke-software-versions"
 EVENT = re.compile(rb"id: (\d+)\ndata: (\w+)\n\n")
 
 
+class RegisterCountingStore(MemoryStoreClient):
+    """Counts the reads of the register, and the writes that took effect."""
+
+    def __init__(self, other):
+        super().__init__(other)
+        self.reads = self.writes = 0
+
+    async def get(self, kind, name):
+        self.reads += kind == REGISTER_KIND
+        return await super().get(kind, name)
+
+    async def put(self, kind, name, value, if_version):
+        answer = await super().put(kind, name, value, if_version)
+        is_written = answer.is_ok() and not isinstance(answer.ok, Conflict)
+        self.writes += kind == REGISTER_KIND and is_written
+        return answer
+
+
 class VersionsScript:
     """Gateways, endpoints and one client, whose stream's events name the version that wrote them.
 
@@ -26,8 +48,11 @@
         #: Configures, and holds the endpoints; it is not started.
         self.keeper = Site(tasks)
         self.sites = []
+        #: Gateway of the client's last attempt.
+        self.used = None
         #: Answers that the client got, in order of its attempts.
         self.answers = []
+        self.metrics = ""
 
     async def run(self, events):
         await self.keeper.configure(1)
@@ -76,25 +101,30 @@
 
     async def do_start(self, count):
         for number in range(int(count)):
-            store = type(self.keeper.writer)(self.keeper.store)
+            store = MemoryStoreClient(self.keeper.store)
             self.sites.append(Site(self.tasks, f"entry-n{number}", store))
             self.tasks.start_soon(self.sites[-1].start)
         await sleep(0.8)
 
-    async def do_kill(self, number=None):
-        killed = self.sites if number is None else [self.sites[int(number)]]
+    async def do_kill(self, which="all"):
+        """Kill all gateways, or the one of the client's last attempt."""
+        killed = self.sites if which == "all" else [self.used]
         for site in killed:
             site.kill()
         self.sites = [each for each in self.sites if each not in killed]
         await sleep(0.1)
 
+    async def do_metrics(self):
+        site = self.sites[0]
+        self.metrics = (await site.ask("GET /metrics", site.settings.metrics.port)).decode()
+
     async def do_begin(self):
-        await self.ask(0, "")
+        await self.ask("")
 
     async def do_resume(self, attempt_id):
         last_id = EVENT.findall(b"".join(self.answers))[-1][0].decode()
         resumes = "" if attempt_id == "none" else f"x-resumes: {attempt_id}\r\n"
-        await self.ask(0, f"last-event-id: {last_id}\r\n{resumes}")
+        await self.ask(f"last-event-id: {last_id}\r\n{resumes}")
 
     async def do_other(self):
         """Let another client use the endpoint that is idle, and leave."""
@@ -102,9 +132,10 @@
         self.tasks.start_soon(lambda: self.sites[0].ask(request=request))
         await sleep(0.2)
 
-    async def ask(self, number, fields):
-        """Send the client's next attempt, and record what comes as its answer."""
+    async def ask(self, fields):
+        """Send the client's next attempt to the next gateway, and record what comes as answer."""
         index = len(self.answers)
+        site = self.used = self.sites[index % len(self.sites)]
         self.answers.append(b"")
         request = write_request("GET /resume/1", f"r{index + 1}")
         request = request.replace(b"connection:", fields.encode() + b"connection:")
@@ -112,7 +143,6 @@
         def record(data):
             self.answers[index] += data
 
-        site = self.sites[number]
         self.tasks.start_soon(lambda: site.ask(request=request, on_data=record))
         await sleep(0.3)
 
@@ -125,7 +155,7 @@
             await script.run(events)
             tasks.cancel_scope.cancel()
 
-    run(job)
+    capture(context, job)
 
 
 @then(
@@ -138,3 +168,60 @@
     assert len(versions) == 1, found
     assert b",".join(number for each in found for number, _ in each).decode() == ids, found
     assert describe(answers[-1]).split()[0] == last, answers[-1]
+
+
+@when("versions: {count:d} gateways start together, get a request each, are killed and start again")
+def start_together(context, count):
+    async def job():
+        async with create_task_group() as tasks:
+            script = VersionsScript(tasks)
+            stores, context.answers = [], []
+            await script.keeper.configure(1)
+            await script.keeper.add("a", "@v1 rest")
+            for _ in range(2):
+                sites = []
+                for number in range(count):
+                    stores.append(RegisterCountingStore(script.keeper.store))
+                    sites.append(Site(tasks, f"entry-n{number}", stores[-1]))
+                for site in sites:
+                    tasks.start_soon(site.start)
+                await sleep(0.3)
+
+                async def ask(site):
+                    context.answers.append(describe(await site.ask("GET /resume/1")))
+
+                async with create_task_group() as requests:
+                    for site in sites:
+                        requests.start_soon(ask, site)
+                for site in sites:
+                    site.kill()
+            context.reads = [each.reads for each in stores]
+            context.writes = sum(each.writes for each in stores)
+            tasks.cancel_scope.cancel()
+
+    run(job)
+
+
+@then("versions: all requests were answered")
+def check_answered(context):
+    assert set(context.answers) == {"200 events 1,2,3,4"}, context.answers
+
+
+@then("versions: the register was written once, and read once by each process")
+def check_cost(context):
+    assert context.writes == 1, context.writes
+    assert set(context.reads) == {1}, context.reads
+
+
+@then('versions: the metrics count it as rejected because "{reason}"')
+def check_metrics(context, reason):
+    line = f'stream_continuations_total{{outcome="rejected",reason="{reason}"}} 1.0'
+    assert line in context.script.metrics, context.script.metrics
+
+
+@then('versions: the log names attempt "{attempt_id}", registered "{versions}" and that reason')
+def check_log(context, attempt_id, versions):
+    rejected = [each for each in context.log_fields if each.get("outcome") == "rejected"]
+    (found,) = [each for each in rejected if each["resumes"] == attempt_id]
+    assert " ".join(found["registered"]) == versions, found
+    assert "several software versions" in found["reason"], found
--- a/packages/kingcupdyke-daemon/features/versions.feature
+++ b/packages/kingcupdyke-daemon/features/versions.feature
@@ -19,13 +19,25 @@
 
     Examples: while gateways live
       | case | events | ids | last |
-      | a second resumption that names the first one | add a v1; start 4; begin; add b v2; other; kill 0; steps; resume r1; kill 0; resume r2 | 1,2,3,4 | 200 |
-      | a second resumption after the route's timeout | add a v1; start 4; begin; add b v2; other; kill 0; wait 1.2; steps; resume r1; kill 0; wait 1.2; resume r1 | 1,2,3,4 | 200 |
+      | a second resumption that names the first one | add a v1; start 4; begin; add b v2; other; kill own; steps; resume r1; kill own; resume r2 | 1,2,3,4 | 200 |
+      | a second resumption after the route's timeout | add a v1; start 4; begin; add b v2; other; kill own; wait 1.2; steps; resume r1; kill own; wait 1.2; resume r1 | 1,2,3,4 | 200 |
       | the route's timeout was shortened | add a v1; start 1; begin; add b v2; other; remove a; timeout 0.3; wait 0.6; resume none | 1,2 | 503 |
-      | an ordinary release | add a v1; start 4; begin; add b v2; add c v1; rests; kill 0; remove a; resume r1 | 1,2,3,4 | 200 |
-      | an endpoint had started again with newer software when its stream began | add a v1; start 4; secret a v2; begin; add c v1; rests; list a; wait 0.2; kill 0; resume r1 | 1,2 | 503 |
+      | an ordinary release | add a v1; start 4; begin; add b v2; add c v1; rests; kill own; remove a; resume r1 | 1,2,3,4 | 200 |
+      | an endpoint had started again with newer software when its stream began | add a v1; start 4; secret a v2; begin; add c v1; rests; list a; wait 0.2; kill own; resume r1 | 1,2 | 503 |
 
     Examples: within one answer
       | case | events | ids | last |
       | an endpoint had started again with newer software when its stream began | add a v1; start 1; secret a v2; begin; add c v1; rests; list a; wait 0.2; break a; wait 0.3 | 1,2 | cut |
       | an ordinary release | add a v1; start 1; begin; add b v2; add c v1; rests; wait 0.2; break a; wait 0.3 | 1,2,3,4 | 200 |
+
+  # Guards against requests that fail while a version is being registered, and against calls to the
+  # store that a deployment with one version does not need.
+  Scenario: Gateways that start together register the version once, and only read it later
+    When versions: 3 gateways start together, get a request each, are killed and start again
+    Then versions: all requests were answered
+    And versions: the register was written once, and read once by each process
+
+  Scenario: A stream that can't be continued is logged and counted with its cause
+    When versions: "add a v1; start 1; begin; add b v2; other; break a; remove a; wait 0.2; resume r9; metrics" happens
+    Then versions: the metrics count it as rejected because "several software versions may have begun the stream"
+    And versions: the log names attempt "r9", registered "v1 v2" and that reason
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/versionregistrar.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/versionregistrar.py
@@ -81,6 +81,8 @@
         self._updated: set[str] = set()
         #: Services whose registers have to be read again, such as after an outage of the store.
         self._unchecked: set[str] = set()
+        #: Services whose last call failed.
+        self._failed: set[str] = set()
         #: The next read that requests wait for, by service, and services that are being read.
         self._next_read_by_service: dict[str, _Read] = {}
         self._being_read: set[str] = set()
@@ -198,9 +200,7 @@
         if answer.is_error():
             self._unchecked.add(service)
             self.register.resume(service)
-            _LOGGER.warning(
-                "the software versions of %s can't be read: %s", service, answer.error.reason
-            )
+            self._log_failure(service, answer.error.reason)
             return None
         return self._apply(service, answer.ok)
 
@@ -210,9 +210,7 @@
         answer = await self._store.put(REGISTER_KIND, service, versions.encode(), if_version)
         if answer.is_error():
             self._unchecked.add(service)
-            _LOGGER.warning(
-                "the software versions of %s can't be written: %s", service, answer.error.reason
-            )
+            self._log_failure(service, answer.error.reason)
             return False
         if isinstance(answer.ok, Conflict):
             return self._apply(service, answer.ok.current) is not None
@@ -229,9 +227,18 @@
             decoded = SoftwareVersions.decode(found.value)
             if decoded.is_error():
                 self.register.resume(service)
-                _LOGGER.error("service %s: %s", service, decoded.error.reason)
+                self._log_failure(service, decoded.error.reason)
                 return None
             versions = decoded.ok
+        if service in self._failed:
+            self._failed.discard(service)
+            _LOGGER.warning("the software versions of %s are known again", service)
         self._object_version_by_service[service] = 0 if found is None else found.version
         self.register.apply(service, versions, self._timer.now())
         return versions
+
+    def _log_failure(self, service: str, reason: str) -> None:
+        """Log the first failure of a call."""
+        if service not in self._failed:
+            self._failed.add(service)
+            _LOGGER.warning("the software versions of %s are out of reach: %s", service, reason)
--- a/packages/kingcupdyke/features/dispatcher.feature
+++ b/packages/kingcupdyke/features/dispatcher.feature
@@ -25,6 +25,13 @@
       | unless there is no other endpoint | e1 | fail e1; submit r1 | r1:e1 |
       | a stream continues at the software version that began it | e1 e2 | version e2 v2; submit r1 software_version=v2; submit r2 software_version=v2 | r1:e2 r2:e2 |
       | a stream is rejected if no endpoint has the version that began it | e1 e2 | version e2 v2; submit r1 software_version=v3 | r1:reject |
+      | a stream does not continue where a connection was refused, as the endpoint may have started again | e1 e2 | version e2 v2; refuse e2; submit r1 software_version=v2 | r1:reject |
+      | nor after a heartbeat that may have been written before | e1 e2 | version e2 v2; refuse e2; wait 2.9; beat e2 5; submit r1 software_version=v2 | r1:reject |
+      | it does after a later heartbeat of the same process | e1 e2 | version e2 v2; refuse e2; wait 3.1; beat e2 5; submit r1 software_version=v2 | r1:e2 |
+      | a resumable stream waits until a version is registered | e1 e2 | begin_resumable r1; wait 0.1; poll | r1:wait |
+      | it begins once that is so | e1 | version e1 v1; begin_resumable r1; registered v1; poll | r1:e1 |
+      | it begins at a registered version only | e1 e2 | version e1 v1; version e2 v2; registered v2; begin_resumable r1; begin_resumable r2 | r1:e2 r2:e2 |
+      | it waits for capacity at a version that is being registered | e1 e2 | version e1 v1; version e2 v2; registered v1; peer e1 4; slow 100; begin_resumable r1; registered v1,v2; poll | r1:e2 |
       | a prompt that crashes endpoints is rejected immediately, and others are sent | e1 | crash x; submit r1 parts=x:9; submit r2 parts=y:9 | r1:reject r2:e1 |
       | so is one that waits already | e1 | peer e1 4; submit r1 parts=x:9; submit r2 parts=y:9; crash x; poll | r1:reject r2:wait |
       | an endpoint whose limit is reached gets no requests | e1 e2 | limit e1 0.25; submit r1; submit r2; submit r3 | r1:e1 r2:e2 r3:e2 |
--- a/packages/kingcupdyke/features/steps/dispatcher_steps.py
+++ b/packages/kingcupdyke/features/steps/dispatcher_steps.py
@@ -17,6 +17,7 @@
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.metadata import PromptPart
 from kingcupdyke.forwarding.peerstate import Demand, EndpointLoad, GatewayState, Placement
+from kingcupdyke.forwarding.softwareversions import SoftwareVersions
 
 REGIONS = {"n1": "north", "s1": "south"}
 
@@ -105,6 +106,21 @@
         entry = self.endpoint_table.state_by_id[endpoint].entry
         self.endpoint_table.put(entry._replace(software_version=software_version))
 
+    def do_refuse(self, endpoint):
+        self.endpoint_table.starts.note_refused(endpoint, self.now_s)
+
+    def do_beat(self, endpoint, heartbeat):
+        entry = self.endpoint_table.state_by_id[endpoint].entry
+        self.endpoint_table.put(entry._replace(heartbeat=int(heartbeat)), self.now_s)
+
+    def do_registered(self, versions):
+        registered = SoftwareVersions(frozenset(versions.split(",")))
+        self.dispatcher.version_register.apply("service", registered, self.now_s)
+
+    def do_begin_resumable(self, attempt_id):
+        item = self.items[attempt_id] = make_item(attempt_id, is_resumable=True)
+        self.decisions[attempt_id] = self.dispatcher.submit(item, frozenset(), self.now_s)
+
     def do_withdraw(self, attempt_id):
         self.dispatcher.withdraw(attempt_id)
 
