Ask twice as many peers for an origin as store it

After two gateways had ended within a second, a client's second resumption was rejected although a live peer held the origin: the peers that were asked were those that had just ended and were not yet known to be gone. Twice as many peers are now asked as store an origin.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/origindirectory.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/origindirectory.py
@@ -13,6 +13,7 @@
 
 from kingcupdyke.forwarding.endpointstarts import EndpointStarts
 from kingcupdyke.forwarding.streamorigin import (
+    ASKED_FACTOR,
     OriginMessage,
     StreamOrigin,
     StreamOriginTable,
@@ -77,7 +78,7 @@
     async def find(self, attempt_id: str) -> StreamOrigin | None:
         """:return: the origin of an attempt's stream, or None if no gateway that answers has it"""
         origin = self._get(attempt_id, self._timer.now())
-        peers = self._choose_holders(attempt_id)
+        peers = self._choose_holders(attempt_id, ASKED_FACTOR)
         if origin is not None or not peers:
             return origin
         lookup = _Lookup(set(peers))
@@ -132,8 +133,8 @@
         self._table.drop(attempt_id)
         return None
 
-    def _choose_holders(self, attempt_id: str) -> list[str]:
-        return choose_holders(attempt_id, self._get_region(), self._list_peers())
+    def _choose_holders(self, attempt_id: str, factor: int = 1) -> list[str]:
+        return choose_holders(attempt_id, self._get_region(), self._list_peers(), factor)
 
     def _forget(self, attempt_id: str, lookup: _Lookup) -> None:
         lookups = self._lookups_by_attempt[attempt_id]
--- a/packages/kingcupdyke/kingcupdyke/forwarding/streamorigin.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/streamorigin.py
@@ -21,11 +21,14 @@
 from kingcupdyke.forwarding.peerstate import pack_message, unpack_message
 from kingcupdyke.util import rank_rendezvous
 
-__all__ = ["OriginMessage", "StreamOrigin", "StreamOriginTable", "choose_holders"]
+__all__ = ["ASKED_FACTOR", "OriginMessage", "StreamOrigin", "StreamOriginTable", "choose_holders"]
 
 #: Number of peers in the gateway's region, and in other regions, that store an origin.
 LOCAL_HOLDERS = 2
 REMOTE_HOLDERS = 1
+#: How many times as many peers are asked for an origin as store it, as some of those that store it
+#: may have ended without the others knowing yet.
+ASKED_FACTOR = 2
 #: Limit of origins that a gateway stores; beyond it the oldest are dropped.
 MAX_ORIGINS = 100_000
 
@@ -128,19 +131,22 @@
                 del self._entry_by_attempt[attempt_id]
 
 
-def choose_holders(attempt_id: str, region: str, region_by_host: Mapping[str, str]) -> list[str]:
+def choose_holders(
+    attempt_id: str, region: str, region_by_host: Mapping[str, str], factor: int = 1
+) -> list[str]:
     """Choose the peers that store the origin of an attempt's stream.
 
     Gateways of all regions that know the same peers choose at least one peer in common.
 
     :param region: region of the gateway that stores or asks
     :param region_by_host: regions of its peers
+    :param factor: multiple of the number of peers that store the origin
     :return: hosts of peers
     """
     ranked = rank_rendezvous(attempt_id, region_by_host)
     local = [each for each in ranked if region_by_host[each] == region]
     remote = [each for each in ranked if region_by_host[each] != region]
-    return local[:LOCAL_HOLDERS] + remote[:REMOTE_HOLDERS]
+    return local[: factor * LOCAL_HOLDERS] + remote[: factor * REMOTE_HOLDERS]
 
 
 def _decode_origin(
