--- a/packages/kingcupdyke/features/versionregister.feature
+++ b/packages/kingcupdyke/features/versionregister.feature
@@ -40,6 +40,7 @@
       | at both, once both are registered | list v1,v2; read v1; begin; read v1,v2; begin | v1 v2 | |
       | not at one that is about to be removed | list v1,v2; read v1,v2-; begin | v1 | v2 |
       | not at one that the store has lost in an outage | list v1,v2; read v1,v2; begin; read v1; begin | v1 | v2 |
+      | one that the store has lost is added again without a request | list v1,v2; read v1,v2; read v1 | | v2 |
       | at none, until the register was checked after an outage | list v1; read v1; suspend; begin | | |
       | as before, if the store is unavailable again | list v1; read v1; suspend; resume; begin | v1 | |
       | not at one that was not listed for a while, as it may have been removed | list v1,v2; read v1,v2; list_change v2; wait 66; forget; list v1,v2; begin | v1 | v2 |
@@ -55,6 +56,7 @@
       | not before ten minutes | list v1,v2; read v1,v2; list_change v2; wait 599; prune | v1,v2 |
       | first it is announced | list v1,v2; read v1,v2; list_change v2; wait 601; prune | v1,v2- |
       | not soon after that | list v1,v2; read v1,v2; list_change v2; wait 601; prune; wait 29; prune | v1,v2- |
+      | not at once by another gateway than the one that announced it | list v1,v2; read v1,v2; list_change v2; wait 601; write v1,v2-; prune | v1,v2- |
       | then it is removed | list v1,v2; read v1,v2; list_change v2; wait 601; prune; wait 31; prune | v1 |
       | not if it is listed again meanwhile | list v1,v2; read v1,v2; list_change v2; wait 601; prune; put v2; wait 31; prune | v1,v2- |
       | not if another gateway has added it again | list v1,v2; read v1,v2; list_change v2; wait 601; prune; wait 31; write v1,v2; prune | v1,v2- |
