Require a caller's key on routes that are not public

A configuration with tenants lets only requests with the key of a caller through: others get 401, or 503 while the configuration is missing or not confirmed. The key is dropped before the request is sent, is not part of the fingerprint, and is replaced by its hash in the copy of the configuration that gateways relay to peers. Errors of the HTTP parser and of decoding no longer quote the data. The features decode, forwarder, repeatedcrashes, walks, storewatcher, wiring and store pass.

--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -72,8 +72,8 @@
 
 
 class PlainDialect(Dialect):
-    """Headers x-id, x-limit-s, x-parts, x-mark, x-not-run, x-endpoint, x-limit and x-leaving;
-    decodes no objects.
+    """Headers x-id, x-limit-s, x-parts, x-caller (for Authorization), x-tenant, x-rank, x-mark,
+    x-not-run, x-endpoint, x-limit and x-leaving; decodes no objects.
     """
 
     def read_request(self, headers):
@@ -89,12 +89,16 @@
             0,
             tuple(PromptPart(each, 1) for each in values.get(b"x-parts", b"").decode().split()),
             values.get(b"x-resumes", b"").decode(),
-            values.get(b"x-caller", b"").decode(),
+            "\n".join(value.decode("latin-1") for name, value in headers if name == b"x-caller"),
         )
 
     def write_request(self, headers, metadata):
-        dropped = (b"connection", b"content-length", b"transfer-encoding", b"x-endpoint")
+        dropped = {b"connection", b"content-length", b"transfer-encoding", b"x-endpoint"}
+        dropped |= {b"x-tenant", b"x-caller"} if metadata.has_callers else {b"x-tenant"}
         kept = [each for each in headers if each[0] not in dropped]
+        kept.append((b"x-rank", str(metadata.priority).encode()))
+        if metadata.caller:
+            kept.append((b"x-tenant", metadata.caller.encode()))
         return [*kept, (b"x-endpoint", metadata.endpoint.encode())]
 
     def read_answer(self, headers):
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/catalogue.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/catalogue.py
@@ -11,6 +11,7 @@
 from kingcupdyke.forwarding.configuration import Configuration
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.timer import TimerService
+from kingcupdyke_daemon.forwarder.callerlog import log_callers
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.storewatcher import StoreWatcher
 from kingcupdyke_daemon.logs import log_record
@@ -48,7 +49,7 @@
         self._timer = timer
         self._on_configuration = on_configuration
         self._on_change = on_change
-        self._version: int | None = None
+        self._configuration: Configuration | None = None
         self.configurations = StoreWatcher(
             store,
             dialect.configuration_kind,
@@ -56,6 +57,7 @@
             self._apply_configurations,
             self._apply_configuration,
             lambda name, after_outage: None,
+            redact=dialect.redact_configuration,
         )
         self.endpoints = StoreWatcher(
             store,
@@ -70,12 +72,12 @@
     @property
     def is_loaded(self) -> bool:
         """:return: whether a configuration and the list of endpoints have been read"""
-        return self._version is not None and self.endpoints.is_listed
+        return self._configuration is not None and self.endpoints.is_listed
 
     @property
     def version(self) -> int:
         """:return: version of the configuration in force, or 0"""
-        return self._version or 0
+        return 0 if self._configuration is None else self._configuration.version
 
     def get_ages(self) -> DataAges:
         """:return: milliseconds since the store last confirmed configuration and endpoints"""
@@ -97,10 +99,12 @@
             _LOGGER.error("the configuration can't be decoded: %s", decoded.error.reason)
             return
         configuration = decoded.ok
-        if self._version is not None and configuration.version <= self._version:
+        before = self._configuration
+        if before is not None and configuration.version <= before.version:
             return
-        self._version = configuration.version
+        self._configuration = configuration
         _LOGGER.warning("configuration %d is in force", configuration.version)
+        log_callers(before, configuration)
         self._on_configuration(configuration)
         self._on_change(self._timer.now())
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import re
 from collections.abc import Callable
 
 from anyio import (
@@ -61,6 +62,8 @@
 MAX_HELD_BODY_BYTES = 64 * 1024 * 1024
 #: Timeout for writing the rejection of a request that does not reach the handler.
 REJECTION_TIMEOUT_S = 1.0
+#: Line of a request in an error of h11, which quotes it as bytes.
+QUOTED_LINE = re.compile(r":? (bytearray\()?b['\"].*", re.DOTALL)
 
 #: Raised by a socket whose client has disconnected.
 DISCONNECT_ERRORS = (BrokenResourceError, ClosedResourceError, EndOfStream, OSError)
@@ -238,7 +241,7 @@
         except DISCONNECT_ERRORS:
             tasks.cancel_scope.cancel()
         except RemoteProtocolError as error:
-            _LOGGER.debug("a pipelined request is malformed: %r", error)
+            _LOGGER.debug("a pipelined request is malformed: %s", _describe(error))
 
     async def _read_request(self) -> ClientRequest | None:
         """:return: the next request, or None if the client disconnected or sent none in time"""
@@ -310,7 +313,7 @@
                     await self._receive()
             return event
         except RemoteProtocolError as error:
-            raise _RejectedRequest(error.error_status_hint, str(error)) from error
+            raise _RejectedRequest(error.error_status_hint, _describe(error)) from None
 
     async def _receive(self) -> None:
         try:
@@ -340,6 +343,11 @@
             _LOGGER.debug("the rejection could not be written: %r", problem)
 
 
+def _describe(error: RemoteProtocolError) -> str:
+    """:return: the error without the line that it quotes, which may contain a caller's key"""
+    return QUOTED_LINE.sub("", str(error))
+
+
 def _check_head(head: Request, limits: ClientLimits) -> None:
     """:raises _RejectedRequest: when the framing is ambiguous or the body is too large"""
     names = [name for name, _ in head.headers]
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/dialect.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/dialect.py
@@ -65,6 +65,10 @@
     def decode_configuration(self, value: bytes) -> Result[Configuration, Failure]:
         """:return: the configuration, or a failure where the value can't be decoded"""
 
+    def redact_configuration(self, value: bytes) -> bytes:
+        """:return: a configuration object that can be decoded but contains no key of a caller"""
+        return value
+
     @abstractmethod
     def decode_endpoint(self, endpoint: str, value: bytes) -> Result[EndpointEntry, Failure]:
         """:return: an endpoint's entry, or a failure where the value can't be decoded"""
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/fingerprint.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/fingerprint.py
@@ -16,11 +16,20 @@
 FINGERPRINT_BYTES = 12
 
 
-def make_fingerprint(request: ClientRequest, metadata: RequestMetadata) -> str:
-    """:return: a hash of a request's method, host, path, caller, model, prompt and body"""
+def make_fingerprint(
+    request: ClientRequest, metadata: RequestMetadata, caller: str, has_callers: bool
+) -> str:
+    """:return: a hash of a request's method, host, path, caller, model, prompt and body
+
+    :param caller: name of the caller, or empty if it is not known
+    :param has_callers: whether callers are configured
+    """
+    # Fingerprints are logged and sent to peers. A caller's key is no part of them, as someone who
+    # knows the rest of a request could test guesses of the key.
+    identity = caller if has_callers else metadata.authorization
     digest = blake2b(digest_size=FINGERPRINT_BYTES)
     part_ids = (each.part_id for each in metadata.parts)
-    texts = (request.host, request.path, metadata.caller, metadata.model, *part_ids)
+    texts = (request.host, request.path, identity, metadata.model, *part_ids)
     for part in (request.method, *(each.encode() for each in texts)):
         # The length keeps the parts apart.
         digest.update(b"%d:%s" % (len(part), part))
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -7,16 +7,15 @@
 
 from collections.abc import AsyncIterator
 from functools import partial
-from uuid import uuid4
 
 from anyio import CancelScope, create_task_group, get_cancelled_exc_class, move_on_after
 from h11 import Response
 
-from kingcupdyke.forwarding.configuration import Route, RouteKind
+from kingcupdyke.forwarding.callertable import Caller
+from kingcupdyke.forwarding.configuration import Configuration, Route, RouteKind
 from kingcupdyke.forwarding.decision import Refuse, Wait
 from kingcupdyke.forwarding.endpoint import EndpointEntry, Replica
 from kingcupdyke.forwarding.metadata import AnswerMetadata, ForwardMetadata, RequestMetadata
-from kingcupdyke.forwarding.workitem import WorkItem
 from kingcupdyke_daemon.forwarder.answerobserver import AnswerObserver
 from kingcupdyke_daemon.forwarder.answerrelay import AnswerRelay, strip_headers
 from kingcupdyke_daemon.forwarder.attemptresult import AttemptResult
@@ -26,11 +25,11 @@
 from kingcupdyke_daemon.forwarder.dialect import LAST_EVENT_ID
 from kingcupdyke_daemon.forwarder.exchange import Exchange
 from kingcupdyke_daemon.forwarder.finalanswer import FinalAnswer, KeptAnswer
-from kingcupdyke_daemon.forwarder.fingerprint import make_fingerprint
 from kingcupdyke_daemon.forwarder.metrics import RequestTimes
 from kingcupdyke_daemon.forwarder.reply import ClientDisconnectedError, ClientRequest, Reply
 from kingcupdyke_daemon.forwarder.requestlog import RequestLog, RetryOutcome, SentTo
 from kingcupdyke_daemon.forwarder.streamcontinuation import StreamContinuation
+from kingcupdyke_daemon.forwarder.workitems import make_work_item
 from kingcupdyke_daemon.records import DataAges
 
 __all__ = ["RETRY_AFTER_S", "ForwardedRequest"]
@@ -49,9 +48,10 @@
 
     :param deps: collaborators shared by all requests
     :param gateway_count: number of gateways that share the retry budget
-    :param version: version of the configuration in force
+    :param configuration: the configuration in force
     :param ages: ages of the data that decisions are based on
     :param route: route of the request
+    :param caller: who has sent the request, or None if that is not known
     :param metadata: metadata from the request's headers
     :param reply: writes the answer to the client
     """
@@ -60,9 +60,10 @@
         self,
         deps: ForwarderDependencies,
         gateway_count: int,
-        version: int,
+        configuration: Configuration,
         ages: DataAges,
         route: Route,
+        caller: Caller | None,
         request: ClientRequest,
         metadata: RequestMetadata,
         reply: Reply,
@@ -73,27 +74,11 @@
         self._request = request
         self._metadata = metadata
         self._reply = reply
-        timeout_s = (
-            route.timeout_s if metadata.caller_timeout_s is None else metadata.caller_timeout_s
-        )
-        self._deadline_s = request.arrived_s + min(timeout_s, route.timeout_s)
-        self._item = WorkItem(
-            attempt_id=metadata.attempt_id or uuid4().hex,
-            service=route.choose_service(metadata.attempt_id),
-            model=metadata.model,
-            adapter=metadata.adapter,
-            parts=metadata.parts,
-            prompt_tokens=metadata.prompt_tokens,
-            output_tokens=metadata.output_tokens,
-            priority=route.priority,
-            arrived_s=request.arrived_s,
-            objective_s=request.arrived_s + route.objective_s,
-            first_by_s=request.arrived_s + route.first_patience_s,
-            deadline_s=self._deadline_s,
-            fingerprint=make_fingerprint(request, metadata),
-        )
+        self._has_callers = configuration.callers is not None
+        self._item = make_work_item(request, metadata, route, caller, self._has_callers)
+        self._deadline_s = self._item.deadline_s
         self._request_log = RequestLog(
-            deps, self._item, route.name, version, ages, metadata.resumes
+            deps, self._item, route.name, configuration.version, ages, metadata.resumes
         )
         self._observer = AnswerObserver(deps, self._request_log)
         #: Cancels the attempts at the deadline, or when the process ends.
@@ -271,7 +256,10 @@
         deps = self._deps
         endpoint = entry.endpoint
         remaining_s = self._deadline_s - deps.timer.now()
-        metadata = ForwardMetadata(endpoint, remaining_s, self._route.priority)
+        item = self._item
+        metadata = ForwardMetadata(
+            endpoint, remaining_s, item.priority, item.caller, self._has_callers
+        )
         headers = deps.dialect.write_request(self._request.headers, metadata)
         if self._route.is_resumable and self._answer.last_event_id:
             headers = [each for each in headers if each[0] != LAST_EVENT_ID]
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/handler.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/handler.py
@@ -10,7 +10,8 @@
 
 from anyio import CancelScope
 
-from kingcupdyke.forwarding.configuration import Configuration
+from kingcupdyke.forwarding.callertable import Caller, CallerTable
+from kingcupdyke.forwarding.configuration import Configuration, Route
 from kingcupdyke.forwarding.dispatcher import STOPPING_RETRY_S
 from kingcupdyke.forwarding.metadata import RequestMetadata
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
@@ -23,7 +24,10 @@
 __all__ = ["ForwardingHandler"]
 
 _LOGGER = logging.getLogger(__name__)
+STATUS_UNAUTHORIZED = 401
 STATUS_NOT_FOUND = 404
+#: Header of a rejection that names the scheme of the expected credentials.
+CHALLENGE = (b"www-authenticate", b"Bearer")
 
 
 class ForwardingHandler(RequestHandler):
@@ -49,6 +53,7 @@
         #: Whether new requests are rejected because the process is about to end.
         self.is_rejecting = False
         self._scopes: set[CancelScope] = set()
+        deps.metrics.add_gauge("caller_keys", self._count_keys, "caller")
 
     async def handle(self, request: ClientRequest, reply: Reply) -> None:
         configuration = self.configuration
@@ -66,13 +71,17 @@
         if route is None:
             await self._reject(reply, metadata, "no route", None, STATUS_NOT_FOUND)
             return
-        version = configuration.version
+        caller = _find_caller(configuration, route, metadata)
+        if caller is None and _needs_key(configuration, route):
+            await self._reject_key(reply, metadata, configuration.callers)
+            return
         forwarded_request = ForwardedRequest(
             self._deps,
             self.gateway_count,
-            version,
+            configuration,
             self.get_ages(),
             route,
+            caller,
             request,
             metadata,
             reply,
@@ -90,6 +99,24 @@
         for scope in self._scopes:
             scope.cancel()
 
+    def _count_keys(self) -> dict[str, int]:
+        """:return: number of keys of each caller"""
+        if self.configuration is None or self.configuration.callers is None:
+            return {}
+        callers = self.configuration.callers.callers_by_name
+        return {name: len(each.key_hashes) for name, each in callers.items()}
+
+    async def _reject_key(
+        self, reply: Reply, metadata: RequestMetadata, callers: CallerTable
+    ) -> None:
+        """Reject a request without a known key."""
+        fault = callers.describe_fault(metadata.authorization)
+        if not self.is_configuration_fresh:
+            reason = f"{fault}, but the keys may have changed"
+            await self._reject(reply, metadata, reason, RETRY_AFTER_S)
+            return
+        await self._reject(reply, metadata, fault, None, STATUS_UNAUTHORIZED)
+
     async def _reject(
         self,
         reply: Reply,
@@ -103,7 +130,25 @@
         record = RefusalRecord(
             metadata.attempt_id, status, reason, version, ages.version_ms, ages.list_ms
         )
-        log_record(_LOGGER, "request refused", record)
-        self._deps.metrics.count_decision("", "refuse", reason)
         headers = self._deps.dialect.write_rejection(metadata.attempt_id, retry_after_s)
+        if status == STATUS_UNAUTHORIZED:
+            # Anyone can send requests without a known key: they must not crowd out other lines.
+            self._deps.sampler.log(_LOGGER, "request refused", record)
+            headers.append(CHALLENGE)
+        else:
+            log_record(_LOGGER, "request refused", record)
+        self._deps.metrics.count_decision("", "refuse", reason)
         await reply.reject(status, reason, headers)
+
+
+def _needs_key(configuration: Configuration, route: Route) -> bool:
+    return configuration.callers is not None and not route.is_public
+
+
+def _find_caller(
+    configuration: Configuration, route: Route, metadata: RequestMetadata
+) -> Caller | None:
+    """:return: the caller whose key the request carries, or None if it needs or has none"""
+    if not _needs_key(configuration, route):
+        return None
+    return configuration.callers.find(metadata.authorization)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
@@ -62,6 +62,7 @@
         create_counter = self._meter.create_counter
         create_histogram = self._meter.create_histogram
         self._requests = create_counter(f"{METRIC_PREFIX}requests")
+        self._caller_requests = create_counter(f"{METRIC_PREFIX}caller_requests")
         self._decisions = create_counter(f"{METRIC_PREFIX}decisions")
         self._retries = create_counter(f"{METRIC_PREFIX}repeats")
         self._orders = create_counter(f"{METRIC_PREFIX}orders")
@@ -95,6 +96,11 @@
         if times.first_s is not None:
             self._first.record(times.first_s, labels)
 
+    def count_caller_request(self, caller: str, outcome: str, status: int) -> None:
+        """Count a request of a caller by its outcome."""
+        labels = {"caller": caller, "outcome": outcome, "status": str(status)}
+        self._caller_requests.add(1, labels)
+
     def count_answer(self, route: str, framing: str, is_partial: bool) -> None:
         """Count the last answer of an endpoint to a request.
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
@@ -138,6 +138,8 @@
         :param limit_s: seconds from its arrival to its deadline
         """
         self._metrics.record_request(self._route, outcome, status, times)
+        if self._item.caller:
+            self._metrics.count_caller_request(self._item.caller, outcome, status)
         self._metrics.count_answer(self._route, end.framing, end.partial_bytes > 0)
         first_s = times.first_s
         record = RequestRecord(
@@ -165,6 +167,7 @@
             partial_bytes=end.partial_bytes,
             limit_per_s=-1.0 if self.limit_per_s is None else self.limit_per_s,
             leaving=tuple(self.leaving),
+            caller=self._item.caller,
         )
         if outcome == "answered" and status < STATUS_FAILURE:
             self._sampler.log(_LOGGER, "request ended", record)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/storewatcher.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/storewatcher.py
@@ -43,6 +43,7 @@
         is in progress or ended recently
     :param get_interval_s: returns the seconds from the start of a watch call to the start of the
         next one, at least
+    :param redact: removes secrets from a value that is kept and passed on to peers
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         on_change: Callable[[StoreObject], None],
         on_removal: Callable[[str, bool], None],
         get_interval_s: Callable[[], float] = lambda: 0.0,
+        redact: Callable[[bytes], bytes] = lambda value: value,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -62,6 +64,7 @@
         self._on_change = on_change
         self._on_removal = on_removal
         self._get_interval_s = get_interval_s
+        self._redact = redact
         self._rng = Random(kind)
         self._failed_since_s: float | None = None
         self._outage_recent_until_s = 0.0
@@ -158,9 +161,12 @@
         self.is_listed = True
 
     def _put(self, found: StoreObject) -> None:
-        self._object_by_name[found.name] = found
+        self._object_by_name[found.name] = self._strip(found)
         self._on_change(found)
 
+    def _strip(self, found: StoreObject) -> StoreObject:
+        return found._replace(value=self._redact(found.value))
+
     def _drop(self, name: str, after_outage: bool) -> None:
         self._object_by_name.pop(name, None)
         self._on_removal(name, after_outage)
@@ -187,7 +193,7 @@
             return listed.error
         self._record_answer()
         self._position, objects = listed.ok
-        self._object_by_name = {each.name: each for each in objects}
+        self._object_by_name = {each.name: self._strip(each) for each in objects}
         self._on_list(objects, self.had_recent_outage)
         self.is_listed = True
         while True:
@@ -204,7 +210,7 @@
                 value = None if event.current is None else event.current.value
                 self._apply(event.name, _get_version(event), value, self.had_recent_outage)
             self._position = max(self._position, position)
-            changes = tuple(_make_change(each) for each in events)
+            changes = tuple(self._make_change(each) for each in events)
             self.on_read(
                 StoreChanges(
                     "", self._kind, from_position, position, self.had_recent_outage, changes
@@ -231,11 +237,12 @@
         elif known is None or known.version < version:
             self._put(StoreObject(self._kind, name, version, value))
 
+    def _make_change(self, event: WatchEvent) -> StoreChange:
+        value = None
+        if event.current is not None:
+            value = self._redact(event.current.value).decode("utf-8", "replace")
+        return StoreChange(event.name, _get_version(event), value)
+
 
 def _get_version(event: WatchEvent) -> int:
     return event.position if event.current is None else event.current.version
-
-
-def _make_change(event: WatchEvent) -> StoreChange:
-    value = None if event.current is None else event.current.value.decode("utf-8", "replace")
-    return StoreChange(event.name, _get_version(event), value)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -70,7 +70,7 @@
 
 
 class RefusalRecord(NamedTuple):
-    """Fields of a request that is refused before a route is chosen."""
+    """Fields of a request that is refused before it is queued."""
 
     request: str
     status: int
@@ -164,6 +164,8 @@
     limit_per_s: float
     #: Endpoints that said in their answers that they are leaving, in order.
     leaving: tuple[str, ...]
+    #: Name of the caller, or empty if it is not known.
+    caller: str = ""
 
 
 class OrderRecord(NamedTuple):
@@ -186,6 +188,19 @@
     held: tuple[str, ...]
 
 
+class CallersRecord(NamedTuple):
+    """Fields of a configuration whose callers or keys differ from those before."""
+
+    version: int
+    #: Number of callers, or -1 if requests need no key, and total number of keys.
+    callers: int
+    keys: int
+    #: Names of callers that are new, that are gone, and that have another set of keys.
+    added: tuple[str, ...]
+    removed: tuple[str, ...]
+    with_other_keys: tuple[str, ...]
+
+
 class EndpointRecord(NamedTuple):
     """Fields of an endpoint whose changed entry alters what this gateway does."""
 
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/decode.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/decode.py
@@ -11,7 +11,7 @@
 
 from expression import Error, Ok, Result
 
-from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke.error import Failure, Outcome, Step, describe_error
 from kingcupdyke_wire.http import HttpAnswer
 
 __all__ = ["decode", "make_failure"]
@@ -39,7 +39,7 @@
     try:
         return Ok(read(json.loads(answer.body)))
     except (KeyError, TypeError, ValueError) as error:
-        reason = f"unexpected answer format: {error!r}"
+        reason = f"unexpected answer format: {describe_error(error)}"
         return Error(Failure(Outcome.UNKNOWN, step, peer, reason))
 
 
--- a/packages/kingcupdyke/kingcupdyke/error.py
+++ b/packages/kingcupdyke/kingcupdyke/error.py
@@ -8,7 +8,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-__all__ = ["Failure", "OptionError", "Outcome", "Step"]
+__all__ = ["Failure", "OptionError", "Outcome", "Step", "describe_error"]
 
 
 class Outcome(StrEnum):
@@ -63,3 +63,11 @@
         self.option = option
         self.value = value
         self.remedy = remedy
+
+
+def describe_error(error: Exception) -> str:
+    """:return: a description of an error in decoding, without the data that was decoded"""
+    if isinstance(error, UnicodeError):
+        # Its representation contains all of the data, which may hold secrets.
+        return f"{type(error).__name__}()"
+    return repr(error)
--- a/packages/kingcupdyke/kingcupdyke/forwarding/callertable.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/callertable.py
@@ -53,7 +53,8 @@
     def find(self, authorization: str) -> Caller | None:
         """:return: the caller whose key a request carries, or None if it has no known key
 
-        :param authorization: value of the Authorization header; empty if there is none
+        :param authorization: value of the Authorization header, or its values separated by line
+            feeds; empty if there is none
         """
         scheme, _, key = authorization.partition(" ")
         key = key.strip(" ")
@@ -63,6 +64,18 @@
         known_hash, caller = self._entry_by_hash.get(key_hash, (NO_HASH, None))
         return caller if compare_digest(key_hash, known_hash) else None
 
+    @staticmethod
+    def describe_fault(authorization: str) -> str:
+        """:return: why a request has no known key; the text does not contain the key"""
+        scheme, _, key = authorization.partition(" ")
+        if not authorization:
+            return "no API key"
+        if "\n" in authorization:
+            return "more than one Authorization header"
+        if scheme.lower() != SCHEME:
+            return "another authorization scheme than Bearer"
+        return "unknown API key" if is_valid_key(key.strip(" ")) else "malformed API key"
+
 
 def is_valid_key(key: str) -> bool:
     """:return: whether a text can be sent as a key"""
--- a/packages/kingcupdyke/kingcupdyke/forwarding/configuration.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/configuration.py
@@ -9,6 +9,7 @@
 from math import inf
 from typing import NamedTuple
 
+from kingcupdyke.forwarding.callertable import CallerTable
 from kingcupdyke.util import hash_score
 
 __all__ = [
@@ -69,6 +70,8 @@
     max_attempts: int
     #: Whether an interrupted stream may continue at another endpoint after its last event.
     is_resumable: bool
+    #: Whether its requests need no key of a caller.
+    is_public: bool = False
 
     @property
     def is_idempotent(self) -> bool:
@@ -170,6 +173,7 @@
     """One version of the configuration.
 
     :param version: number that only increases
+    :param callers: those who may use routes that are not public, or None if requests need no key
     """
 
     def __init__(
@@ -178,9 +182,11 @@
         routes: tuple[Route, ...],
         services: tuple[ServiceSpec, ...],
         limits: ClientLimits,
+        callers: CallerTable | None = None,
     ) -> None:
         self.version = version
         self.routes = routes
         self.table = RouteTable(routes)
         self.services_by_name = {each.name: each for each in services}
         self.limits = limits
+        self.callers = callers
--- a/packages/kingcupdyke/kingcupdyke/forwarding/metadata.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/metadata.py
@@ -32,8 +32,9 @@
     parts: tuple[PromptPart, ...]
     #: Id of the attempt that began the stream which this one continues; empty for a new request.
     resumes: str = ""
-    #: What identifies the caller beside the host that it calls; empty if nothing does.
-    caller: str = ""
+    #: Value of the Authorization header, or its values separated by line feeds; empty if there is
+    #: none. It contains the caller's key and must not be logged or sent to another process.
+    authorization: str = ""
 
 
 class ForwardMetadata(NamedTuple):
@@ -45,6 +46,10 @@
     remaining_s: float
     #: Rank from 0, the most urgent, to 9; None leaves it to the endpoint.
     priority: int | None
+    #: Name of the caller that has sent the request; empty if it is not known.
+    caller: str = ""
+    #: Whether callers are configured, so that the request's Authorization header has a key.
+    has_callers: bool = False
 
 
 class AnswerMetadata(NamedTuple):
--- a/packages/kingcupdyke/kingcupdyke/forwarding/workitem.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/workitem.py
@@ -35,6 +35,8 @@
     software_version: str | None = None
     #: Identifies requests with the same method, path, caller and body; empty if unknown.
     fingerprint: str = ""
+    #: Name of the caller, or empty if it is not known.
+    caller: str = ""
 
     @property
     def part_ids(self) -> tuple[str, ...]:
