Share the capacity fairly between callers

Waiting requests of one priority were ordered by their objectives only, so that a burst of one caller delayed all. They are now ordered by the decayed service that their callers received, in seconds of each caller's rate; one request in 40 is still served by its objective. The features fairorder, dispatcher, callertable and platform callers pass.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -322,7 +322,7 @@
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         self._request_handler.configuration = configuration
-        self._dispatcher.configure(configuration.services_by_name)
+        self._dispatcher.configure(configuration.services_by_name, configuration.callers)
 
     def _on_catalogue_change(self, now_s: float) -> None:
         self._queue.poll(now_s)
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from math import inf, isfinite
 
+from kingcupdyke.forwarding.callertable import CallerTable
 from kingcupdyke.forwarding.configuration import EngineSpec, ServiceSpec
 from kingcupdyke.forwarding.crashtable import CrashTable
 from kingcupdyke.forwarding.decayingrate import DecayingRate
@@ -15,6 +16,7 @@
 from kingcupdyke.forwarding.endpoint import Replica
 from kingcupdyke.forwarding.endpointstate import DEFAULT_TOKENS_PER_S, EndpointState
 from kingcupdyke.forwarding.endpointtable import EndpointTable
+from kingcupdyke.forwarding.fairorder import FairOrder
 from kingcupdyke.forwarding.limittable import LimitTable
 from kingcupdyke.forwarding.peerstate import Demand, EndpointLoad
 from kingcupdyke.forwarding.pinneddemand import PinnedDemand
@@ -52,7 +54,8 @@
 class Dispatcher:
     """Queues the requests of one gateway and chooses their endpoints, for all services.
 
-    Waiting requests are decided on in order of priority, then of objective. Requests in flight are
+    Waiting requests are decided on in order of priority, then of the service that their callers
+    received lately, then of objective. Requests in flight are
     counted over all gateways, so that no endpoint receives more than it works on concurrently.
 
     :param endpoint_table: the endpoints
@@ -74,13 +77,17 @@
         self._service_by_name: dict[str, ServiceSpec] = {}
         #: Time by which requests must be sent, as the process stops soon after.
         self.send_by_s = inf
+        self._order = FairOrder()
         self._waiting_by_id: dict[str, tuple[WorkItem, frozenset[str]]] = {}
         self._demand_rate_by_model: dict[tuple[str, str], DecayingRate] = {}
         self._mean_duration_s_by_service: dict[str, float] = {}
 
-    def configure(self, service_by_name: dict[str, ServiceSpec]) -> None:
-        """Replace the services by those of a new configuration."""
+    def configure(
+        self, service_by_name: dict[str, ServiceSpec], callers: CallerTable | None = None
+    ) -> None:
+        """Replace the services and the callers by those of a new configuration."""
         self._service_by_name = service_by_name
+        self._order.configure(callers)
 
     @property
     def waiting(self) -> int:
@@ -99,6 +106,7 @@
             self._record_sent(item, decision.endpoint, now_s)
         elif isinstance(decision, Wait):
             self._waiting_by_id[item.attempt_id] = (item, excluded)
+            self._order.note_change()
         return decision
 
     @property
@@ -110,12 +118,13 @@
     def poll(self, now_s: float) -> dict[str, Send | Refuse]:
         """:return: decisions on requests that need not wait any longer, by attempt id"""
         decisions: dict[str, Send | Refuse] = {}
-        waiting = sorted(self._waiting_by_id.values(), key=lambda each: _rank(each[0], now_s))
-        for item, excluded in waiting:
-            decision = self._decide(item, excluded, now_s)
+        waiting = (item for item, _ in self._waiting_by_id.values())
+        for item in self._order.sort(waiting, now_s):
+            decision = self._decide(item, self._waiting_by_id[item.attempt_id][1], now_s)
             if isinstance(decision, Wait):
                 continue
             del self._waiting_by_id[item.attempt_id]
+            self._order.note_decided(item)
             decisions[item.attempt_id] = decision
             if isinstance(decision, Send):
                 self._record_sent(item, decision.endpoint, now_s)
@@ -124,6 +133,7 @@
     def withdraw(self, attempt_id: str) -> None:
         """Remove a waiting request."""
         self._waiting_by_id.pop(attempt_id, None)
+        self._order.note_change()
 
     def began(self, attempt_id: str, endpoint: str, seconds: float, tokens: int) -> None:
         """Record that the first event of a stream has come.
@@ -195,6 +205,7 @@
         cached = state.count_cached_tokens(item.model, item.parts)
         state.note_sent(item.attempt_id, max(1, item.prompt_tokens - cached), now_s)
         self.limit_table.note_sent(state.entry, now_s)
+        self._order.note_sent(item, now_s)
         state.add_prefixes(item.model, item.parts)
 
     def _decide(self, item: WorkItem, excluded: frozenset[str], now_s: float) -> Decision:
@@ -326,15 +337,8 @@
 
     def _list_ahead(self, item: WorkItem, now_s: float) -> list[WorkItem]:
         """:return: requests that wait here for the same model and are served before this one"""
-        rank = _rank(item, now_s)
-        return [
-            other
-            for other, _ in self._waiting_by_id.values()
-            if other.service == item.service
-            and other.model == item.model
-            and other.attempt_id != item.attempt_id
-            and _rank(other, now_s) < rank
-        ]
+        waiting = (other for other, _ in self._waiting_by_id.values())
+        return self._order.list_ahead(item, waiting, now_s)
 
     def _await_permission(
         self, item: WorkItem, states: list[EndpointState], now_s: float
@@ -365,9 +369,3 @@
         if now_s + wait_s > self._latest_send_s(item):
             return Refuse("the queue is longer than the deadline", max(0.1, wait_s))
         return Wait("all endpoints are full")
-
-
-def _rank(item: WorkItem, now_s: float) -> tuple[int, bool, float, float, str]:
-    """:return: the sort key of waiting requests; the lowest is served first"""
-    is_late = now_s > item.objective_s
-    return item.priority, is_late, item.objective_s, item.arrived_s, item.attempt_id
--- a/packages/kingcupdyke/kingcupdyke/forwarding/quotaspec.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/quotaspec.py
@@ -34,8 +34,14 @@
 
     def measure(self, metadata: RequestMetadata) -> float:
         """:return: the cost of a request, in units of ``unit``"""
+        return self.measure_tokens(metadata.prompt_tokens + metadata.output_tokens)
+
+    def measure_tokens(self, tokens: int) -> float:
+        """:return: the cost of a request, in units of ``unit``
+
+        :param tokens: prompt tokens and maximum number of answer tokens; 0 if it states none
+        """
         if self.unit is QuotaUnit.REQUESTS:
             return 1.0
         # A request that states no tokens, or zero, would otherwise pass the quota for nothing.
-        tokens = metadata.prompt_tokens + metadata.output_tokens
         return float(tokens or self.plain_tokens)
