--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -313,7 +313,7 @@
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         self._request_handler.configuration = configuration
-        self._dispatcher.configure(configuration.services_by_name)
+        self._dispatcher.configure(configuration.services_by_name, configuration.callers)
         self._versions.configure(configuration)
 
     def _on_catalogue_change(self, now_s: float) -> None:
--- a/packages/kingcupdyke/kingcupdyke/forwarding/workitem.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/workitem.py
@@ -37,6 +37,8 @@
     fingerprint: str = ""
     #: Whether its stream may be continued, so that the version which begins it must be registered.
     is_resumable: bool = False
+    #: Name of the caller, or empty if it is not known.
+    caller: str = ""
 
     @property
     def part_ids(self) -> tuple[str, ...]:
