--- a/packages/kingcupdyke/features/quota_simulation.py
+++ b/packages/kingcupdyke/features/quota_simulation.py
@@ -15,7 +15,8 @@
 
 __all__ = ["QuotaSimulation"]
 
-TICK_S = 0.025
+TICK_S = 0.05
+POLL_S = 0.01
 LIST_INTERVAL_S = 0.25
 WINDOW_S = 8.0
 REGIONS = 3
@@ -165,11 +166,17 @@
             end(ticket)
             return
 
+        def poll():
+            if ticket.outcome is None:
+                core.poll(caller, gateway.now())
+                self.at(POLL_S, lambda: gateway.run(poll))
+
         def give_up():
             if ticket.outcome is None:
                 core.give_up(caller, ticket)
                 end(ticket)
 
+        poll()
         self.at(GRANT_TIMEOUT_S, lambda: gateway.run(give_up))
 
     def end(self, caller, ticket):
--- a/packages/kingcupdyke/kingcupdyke/forwarding/quotabucket.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/quotabucket.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Sequence
+from itertools import compress
 from typing import NamedTuple
 
 from kingcupdyke.forwarding.quotalimits import RESERVE_SHARE, QuotaLimits
@@ -80,7 +81,7 @@
                 self.add(account.granted)
         self.add(ask.returned)
         accepted = self._take_needs(ask.needs)
-        needed = sum(need for need, is_accepted in zip(ask.needs, accepted) if is_accepted)
+        needed = sum(compress(ask.needs, accepted))
         # A gateway that still waits for tokens comes before stocks for later requests.
         advance = 0.0 if not all(accepted) else self._take_advance(ask, now_s)
         self._account_by_host[ask.sender] = _Account(
--- a/packages/kingcupdyke/kingcupdyke/forwarding/quotagateway.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/quotagateway.py
@@ -177,6 +177,12 @@
             self._ask(caller, state, now_s)
         return ticket
 
+    def poll(self, caller: str, now_s: float) -> None:
+        """Ask again for the waiting requests of a caller if this is due."""
+        state = self._state_by_caller.get(caller)
+        if state is not None:
+            self._ask(caller, state, now_s)
+
     def give_up(self, caller: str, ticket: QuotaTicket) -> Denied:
         """End the wait of a request; what is granted later goes to the stock.
 
@@ -258,7 +264,9 @@
         if owner is None or (now_s < state.next_ask_s and not is_own):
             return
         if state.asked is not None:
-            if now_s < state.asked.sent_s + ASK_TIMEOUT_S:
+            # An ask that is replaced while it is in flight is void at the owner, too.
+            is_replaceable = not state.asked.tickets and bool(state.waiting)
+            if now_s < state.asked.sent_s + ASK_TIMEOUT_S and not is_replaceable:
                 return
             self._drop_ask(state)
         advance = self._choose_advance(state, is_own, now_s)
