Charge requests to their callers' quotas at the gateway

A request of a caller with a quota is charged before it is first submitted, waits at most 0.15 s for its owner, and gets 429 beyond the quota or 503 if the owner does not answer; what has not run is refunded.

--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -36,6 +36,8 @@
 from kingcupdyke.forwarding.leavingmessage import LeavingMessage
 from kingcupdyke.forwarding.limitmessage import LimitMessage
 from kingcupdyke.forwarding.metadata import AnswerMetadata, PromptPart, RequestMetadata
+from kingcupdyke.forwarding.quotalimits import QuotaLimits
+from kingcupdyke.forwarding.quotamessage import QuotaAsk, QuotaClaim, QuotaGrant, QuotaVote
 from kingcupdyke.forwarding.retrybudget import SharedRetryBudget
 from kingcupdyke_daemon.forwarder.clientserver import ClientServer
 from kingcupdyke_daemon.forwarder.crashdirectory import CrashDirectory
@@ -48,6 +50,7 @@
 from kingcupdyke_daemon.forwarder.origindirectory import OriginDirectory
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
+from kingcupdyke_daemon.forwarder.quotadirectory import QuotaDirectory, QuotaMembers
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
 from kingcupdyke_daemon.logs import LineSampler
 from kingcupdyke_daemon.timer import LoopTimer
@@ -72,8 +75,8 @@
 
 
 class PlainDialect(Dialect):
-    """Headers x-id, x-limit-s, x-parts, x-caller (for Authorization), x-tenant, x-rank, x-mark,
-    x-not-run, x-endpoint, x-limit and x-leaving; decodes no objects.
+    """Headers x-id, x-limit-s, x-parts, x-caller (for Authorization), x-tenant, x-rank, x-tokens,
+    x-mark, x-not-run, x-endpoint, x-limit and x-leaving; decodes no objects.
     """
 
     def read_request(self, headers):
@@ -85,7 +88,7 @@
             timeout_s,
             "",
             "",
-            0,
+            int(values.get(b"x-tokens", b"0")),
             0,
             tuple(PromptPart(each, 1) for each in values.get(b"x-parts", b"").decode().split()),
             values.get(b"x-resumes", b"").decode(),
@@ -454,6 +457,14 @@
             lambda: self.network.list_peers(host),
             self.network.send,
         )
+        self.quotas = QuotaDirectory(
+            host,
+            str(id(self)),
+            QuotaLimits(),
+            timer,
+            lambda: QuotaMembers(self.network.rig_by_host, self.network.rig_by_host),
+            self.network.send,
+        )
         deps = ForwarderDependencies(
             PlainDialect(),
             self.dispatcher,
@@ -468,6 +479,7 @@
             self.crashes,
             self.endpoint_limits,
             self.leaving,
+            self.quotas,
         )
         self.endpoint_table.listed_since_s = -inf
         self.handler = ForwardingHandler(deps)
@@ -496,6 +508,10 @@
             CrashMessage: self.crashes.receive,
             LimitMessage: self.endpoint_limits.receive,
             LeavingMessage: self.leaving.receive,
+            QuotaAsk: self.quotas.receive,
+            QuotaClaim: self.quotas.receive,
+            QuotaGrant: self.quotas.receive,
+            QuotaVote: self.quotas.receive,
         }
         for kind, receive in handlers.items():
             message = kind.decode(data)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/dependencies.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/dependencies.py
@@ -19,6 +19,7 @@
 from kingcupdyke_daemon.forwarder.origindirectory import OriginDirectory
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
+from kingcupdyke_daemon.forwarder.quotadirectory import QuotaDirectory
 from kingcupdyke_daemon.logs import LineSampler
 
 __all__ = ["ForwarderDependencies"]
@@ -40,3 +41,4 @@
     crashes: CrashDirectory
     limits: LimitDirectory
     leaving: LeavingDirectory
+    quotas: QuotaDirectory
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/finalanswer.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/finalanswer.py
@@ -10,8 +10,9 @@
 from kingcupdyke_daemon.forwarder.dialect import Dialect, Headers
 from kingcupdyke_daemon.forwarder.reply import Reply
 
-__all__ = ["STATUS_UNAVAILABLE", "FinalAnswer", "KeptAnswer"]
+__all__ = ["STATUS_TOO_MANY", "STATUS_UNAVAILABLE", "FinalAnswer", "KeptAnswer"]
 
+STATUS_TOO_MANY = 429
 STATUS_UNAVAILABLE = 503
 STATUS_BAD_GATEWAY = 502
 STATUS_TIMEOUT = 504
@@ -39,6 +40,8 @@
         self._attempt_id = attempt_id
         #: The last failed answer of an endpoint, or None.
         self.kept: KeptAnswer | None = None
+        #: Status of a rejection that has certainly not run.
+        self.rejection_status = STATUS_UNAVAILABLE
 
     async def send(
         self, reason: str, retry_after_s: float, may_have_run: bool, is_late: bool
@@ -59,7 +62,7 @@
             status = STATUS_TIMEOUT if is_late else STATUS_BAD_GATEWAY
             headers = self._dialect.write_rejection(self._attempt_id, None)
         else:
-            status = STATUS_UNAVAILABLE
+            status = self.rejection_status
             headers = self._dialect.write_rejection(self._attempt_id, retry_after_s)
         await self._reply.reject(status, reason, headers)
         return status
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -24,8 +24,9 @@
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.dialect import LAST_EVENT_ID
 from kingcupdyke_daemon.forwarder.exchange import Exchange
-from kingcupdyke_daemon.forwarder.finalanswer import FinalAnswer, KeptAnswer
+from kingcupdyke_daemon.forwarder.finalanswer import STATUS_TOO_MANY, FinalAnswer, KeptAnswer
 from kingcupdyke_daemon.forwarder.metrics import RequestTimes
+from kingcupdyke_daemon.forwarder.quotacharge import QuotaCharge, describe_denial
 from kingcupdyke_daemon.forwarder.reply import ClientDisconnectedError, ClientRequest, Reply
 from kingcupdyke_daemon.forwarder.requestlog import RequestLog, RetryOutcome, SentTo
 from kingcupdyke_daemon.forwarder.streamcontinuation import StreamContinuation
@@ -89,6 +90,7 @@
         self._attempts_run = 0
         #: Whether the request was sent to an endpoint whose attempt has not ended.
         self._is_in_flight = False
+        self._charge = QuotaCharge(deps.quotas, deps.metrics, caller, metadata)
         self._final_answer = FinalAnswer(reply, deps.dialect, metadata.attempt_id)
         self._reason = ""
         self._sent_to: list[SentTo] = []
@@ -107,6 +109,10 @@
     def _is_retryable(self) -> bool:
         return self._route.is_idempotent or self._route.is_resumable
 
+    @property
+    def _may_have_run(self) -> bool:
+        return bool(self._attempts_run) or self._is_in_flight
+
     async def run(self) -> None:
         """Try endpoints until one answers; ``scope`` cancels this at the deadline."""
         self._deps.budget.count_request(self._item.service, self._deps.timer.now())
@@ -116,6 +122,8 @@
             if not self.scope.cancel_called:
                 self._log_end("left")
             raise
+        finally:
+            self._charge.settle(self._may_have_run)
 
     async def finish(self) -> None:
         """Send a final answer if none was sent, and log how the request ended."""
@@ -142,6 +150,14 @@
             self._item = self._item._replace(
                 service=origin.ok.service, software_version=origin.ok.software_version
             )
+        denied = await self._charge.acquire()
+        if denied is not None:
+            if denied.is_known:
+                self._final_answer.rejection_status = STATUS_TOO_MANY
+            rejection = Refuse(describe_denial(denied), denied.retry_after_s)
+            self._request_log.log_rejection(rejection)
+            await self._give_up(*rejection)
+            return
         while True:
             since_s = self._deps.timer.now()
             decision = self._deps.queue.submit(self._item, frozenset(self._excluded))
@@ -188,11 +204,12 @@
         """Send the final answer of a request that no endpoint has answered."""
         self._is_given_up = True
         self._reason = reason
-        may_have_run = bool(self._attempts_run) or self._is_in_flight
         is_late = self._deps.timer.now() >= self._deadline_s
         # The request's deadline must not cut off the final answer.
         with move_on_after(FINAL_ANSWER_TIMEOUT_S, shield=True):
-            status = await self._final_answer.send(reason, retry_after_s, may_have_run, is_late)
+            status = await self._final_answer.send(
+                reason, retry_after_s, self._may_have_run, is_late
+            )
             self._status = self._status if status is None else status
 
     async def _try_endpoint(self, endpoint: str) -> AttemptResult:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
@@ -67,6 +67,7 @@
         self._retries = create_counter(f"{METRIC_PREFIX}repeats")
         self._orders = create_counter(f"{METRIC_PREFIX}orders")
         self._answers = create_counter(f"{METRIC_PREFIX}answers")
+        self._quota_denials = create_counter(f"{METRIC_PREFIX}quota_denied")
         self._total = create_histogram(f"{METRIC_PREFIX}request_seconds")
         self._first = create_histogram(f"{METRIC_PREFIX}first_part_seconds")
         self._queued = create_histogram(f"{METRIC_PREFIX}queue_wait_seconds")
@@ -101,6 +102,14 @@
         labels = {"caller": caller, "outcome": outcome, "status": str(status)}
         self._caller_requests.add(1, labels)
 
+    def count_quota_denial(self, caller: str, is_known: bool) -> None:
+        """Count a request that the quota of its caller denied.
+
+        :param is_known: whether it was beyond the quota; if not, the owner did not answer
+        """
+        reason = "beyond" if is_known else "unanswered"
+        self._quota_denials.add(1, {"caller": caller, "reason": reason})
+
     def count_answer(self, route: str, framing: str, is_partial: bool) -> None:
         """Count the last answer of an endpoint to a request.
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peerexchanges.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peerexchanges.py
@@ -16,6 +16,8 @@
 from kingcupdyke.forwarding.limitmessage import LimitMessage
 from kingcupdyke.forwarding.peerstate import PeerTable
 from kingcupdyke.forwarding.pinneddemand import PinnedDemandMessage
+from kingcupdyke.forwarding.quotalimits import QuotaLimits
+from kingcupdyke.forwarding.quotamessage import QuotaAsk, QuotaClaim, QuotaGrant, QuotaVote
 from kingcupdyke.forwarding.streamorigin import OriginMessage
 from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.forwarder.crashdirectory import CrashDirectory
@@ -24,6 +26,7 @@
 from kingcupdyke_daemon.forwarder.origindirectory import OriginDirectory
 from kingcupdyke_daemon.forwarder.peergossip import PeerGossip, PeerMessage
 from kingcupdyke_daemon.forwarder.pinneddemands import PinnedDemands
+from kingcupdyke_daemon.forwarder.quotadirectory import QuotaDirectory, QuotaMembers
 
 __all__ = ["PeerExchanges"]
 
@@ -38,6 +41,7 @@
     :param peers: the peers' states
     :param timer: the timer service
     :param tasks: task group of the checks whether endpoints have crashed
+    :param quota_limits: permitted excess over the quotas of callers
     :param get_gossip: returns the sender and receiver of the messages
     """
 
@@ -50,6 +54,7 @@
         peers: PeerTable,
         timer: TimerService,
         tasks: TaskGroup,
+        quota_limits: QuotaLimits,
         get_gossip: Callable[[], PeerGossip],
     ) -> None:
         def post(peer: str, message: bytes) -> None:
@@ -88,6 +93,18 @@
             list_incarnations,
             post,
         )
+        #: Whether this gateway is stopping and gives its quotas to others.
+        self.is_stopping = False
+
+        def get_members() -> QuotaMembers:
+            gossip = get_gossip()
+            candidates = peers.list_hosts(False, timer.now())
+            candidates |= set() if self.is_stopping else {host}
+            return QuotaMembers(
+                gossip.list_hosts() | {host} if gossip.is_listed else (), candidates
+            )
+
+        self.quotas = QuotaDirectory(host, incarnation, quota_limits, timer, get_members, post)
 
     @property
     def handlers(self) -> Mapping[type[PeerMessage], Callable[[PeerMessage], None]]:
@@ -98,4 +115,8 @@
             CrashMessage: self.crashes.receive,
             LimitMessage: self.limits.receive,
             LeavingMessage: self.leaving.receive,
+            QuotaClaim: self.quotas.receive,
+            QuotaVote: self.quotas.receive,
+            QuotaAsk: self.quotas.receive,
+            QuotaGrant: self.quotas.receive,
         }
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peergossip.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peergossip.py
@@ -102,6 +102,11 @@
         """:return: number of gateways that the store lists, this one included"""
         return len(self._address_by_host.keys() | {self._host})
 
+    @property
+    def is_listed(self) -> bool:
+        """:return: whether the store's list of gateways is known"""
+        return any(each.kind == PEERS_KIND and each.is_listed for each in self.watchers)
+
     def list_hosts(self) -> set[str]:
         """:return: hosts of the other gateways that the store lists"""
         return set(self._address_by_host)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -114,6 +114,7 @@
             self._peer_table,
             self._timer,
             tasks,
+            settings.quota_limits,
             lambda: self._peer_gossip,
         )
         self._request_handler = ForwardingHandler(
@@ -131,6 +132,7 @@
                 self._exchanges.crashes,
                 self._exchanges.limits,
                 self._exchanges.leaving,
+                self._exchanges.quotas,
             ),
             lambda: self._catalogue.get_ages(),
         )
@@ -198,6 +200,7 @@
             self._planner_runner,
             self._timer,
         ).add_to(self._metrics)
+        self._metrics.add_gauge("quota_used", self._exchanges.quotas.list_used, "caller")
         self._metrics.add_gauge("ready", lambda: {"": int(self._ready.is_ready)})
 
     async def run(self, stop: Event) -> None:
@@ -244,7 +247,7 @@
     async def _stop(self, client_listener: SocketListener) -> None:
         _LOGGER.warning("stopping")
         started_s = self._timer.now()
-        self._is_stopping = True
+        self._is_stopping = self._exchanges.is_stopping = True
         self._dispatcher.send_by_s = started_s + self._settings.grace_s * SEND_GRACE_FRACTION
         self._ready.is_ready = False
         self._peer_gossip.send_state_soon()
@@ -322,6 +325,7 @@
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         self._request_handler.configuration = configuration
+        self._exchanges.quotas.configure(configuration.callers)
         self._dispatcher.configure(configuration.services_by_name)
 
     def _on_catalogue_change(self, now_s: float) -> None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/settings.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/settings.py
@@ -10,6 +10,8 @@
 
 from expression import Result
 
+from kingcupdyke.forwarding.quotalimits import QuotaLimits
+
 __all__ = ["ForwarderSettings", "SettingsSource", "SocketAddress"]
 
 
@@ -48,6 +50,8 @@
     apply_s: float
     #: Listen address for metrics, or None to serve none.
     metrics: SocketAddress | None = None
+    #: Permitted excess of all gateways together over a caller's quota.
+    quota_limits: QuotaLimits = QuotaLimits()
 
 
 class SettingsSource(ABC):
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/settingsreloader.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/settingsreloader.py
@@ -24,6 +24,7 @@
     "metrics",
     "store_url",
     "lease_s",
+    "quota_limits",
 )
 
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -18,6 +18,8 @@
     "LimitRecord",
     "OrderRecord",
     "PeerRecord",
+    "QuotaDeniedRecord",
+    "QuotaOwnerRecord",
     "RefusalRecord",
     "RejectionRecord",
     "RetryRecord",
@@ -272,6 +274,27 @@
     peer: str
 
 
+class QuotaOwnerRecord(NamedTuple):
+    """Fields of a caller whose quota this gateway begins or ceases to own."""
+
+    caller: str
+    #: ``owner`` or ``not owner``.
+    state: str
+
+
+class QuotaDeniedRecord(NamedTuple):
+    """Fields of the first request of a caller that its quota has denied for some seconds."""
+
+    caller: str
+    #: In the unit of the quota.
+    cost: float
+    retry_after_s: float
+    #: False if the owner has not answered.
+    is_known: bool
+    #: Gateway that owns the quota, or empty if none is known.
+    owner: str
+
+
 class PeerRecord(NamedTuple):
     """Fields of a peer gateway that became responsive or unresponsive."""
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/quotaelection.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/quotaelection.py
@@ -18,9 +18,9 @@
 __all__ = ["QuotaElection"]
 
 #: Interval between the claims of an owner.
-CLAIM_INTERVAL_S = 0.5
+CLAIM_INTERVAL_S = 0.3
 #: Time for which an owner counts a vote, from the time at which it sent the claim.
-VOTE_VALID_S = 1.6
+VOTE_VALID_S = 1.0
 #: Number of gateways up to which these times apply; with more they grow in proportion.
 GATEWAYS_AT_FULL_RATE = 128
 #: Limit of the validity that a claim may state.
--- a/packages/kingcupdyke/kingcupdyke/forwarding/quotagateway.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/quotagateway.py
@@ -29,6 +29,9 @@
 ASK_TIMEOUT_S = 0.07
 #: Minimum interval between asks for a stock after one that got nothing.
 ADVANCE_RETRY_S = 0.2
+#: Fraction of a stock that is used up when more is asked for; the rest lasts until the answer, also
+#: if the first ask is lost.
+LOW_FRACTION = 0.25
 #: Limit of waiting requests in one ask, so that it fits in a datagram.
 MAX_NEEDS = 200
 #: Retry-After if the owner of the quota has not answered.
@@ -73,6 +76,7 @@
 
     number: int
     tickets: tuple[QuotaTicket, ...]
+    advance: float
     sent_s: float
 
 
@@ -86,7 +90,6 @@
         self.share = 0.0
         self.waiting: deque[QuotaTicket] = deque()
         self.asked: _Asked | None = None
-        self.number = 0
         self.received_number = 0
         #: Amount to return to the owner.
         self.returned = 0.0
@@ -119,6 +122,8 @@
         self._send = send
         self._state_by_caller: dict[str, _CallerState] = {}
         self._gateway_count = 0
+        #: Number of the last ask.
+        self._number = 0
         self._is_stopping = False
         self.election = QuotaElection(host, incarnation, send, now_s)
 
@@ -274,14 +279,14 @@
             return
         count = min(MAX_NEEDS, len(state.waiting))
         tickets = tuple(state.waiting.popleft() for _ in range(count))
-        state.number += 1
-        state.asked = _Asked(state.number, tickets, now_s)
+        self._number += 1
+        state.asked = _Asked(self._number, tickets, advance, now_s)
         state.next_ask_s = now_s + ASK_INTERVAL_S
         ask = QuotaAsk(
             caller,
             self._host,
             self._incarnation,
-            state.number,
+            self._number,
             state.received_number,
             tuple(each.cost for each in tickets),
             round(advance, 3),
@@ -309,7 +314,7 @@
         if is_own or now_s < state.next_advance_s:
             return 0.0
         advance = state.stock.get_advance(now_s)
-        is_low = advance > state.stock.amount + state.stock.reserve
+        is_low = advance > LOW_FRACTION * (state.stock.amount + advance)
         return advance if is_low or state.waiting else 0.0
 
     def _apply_grant(self, grant: QuotaGrant, now_s: float) -> None:
@@ -318,12 +323,12 @@
             return
         if grant.number != state.asked.number:
             return
-        tickets, state.asked = state.asked.tickets, None
+        asked, state.asked = state.asked, None
         state.received_number = grant.number
         state.stock.put(grant.advance)
-        if not grant.advance:
+        if asked.advance and not grant.advance:
             state.next_advance_s = now_s + ADVANCE_RETRY_S
-        for ticket, is_accepted in zip(tickets, grant.accepted, strict=False):
+        for ticket, is_accepted in zip(asked.tickets, grant.accepted, strict=False):
             if is_accepted and ticket.outcome is None:
                 state.stock.note_spent(ticket.cost, now_s)
                 state.used.add(ticket.cost, now_s)
--- a/packages/kingcupdyke/kingcupdyke/forwarding/quotamessage.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/quotamessage.py
@@ -27,7 +27,7 @@
     caller: str
     sender: str
     incarnation: str
-    #: Number of the ask within the incarnation and for the caller.
+    #: Number of the ask within the incarnation; it only rises.
     number: int
     #: Number of the last ask whose grant was received.
     received_number: int
