Add the feature of quotas in virtual time

The bound on the use over all gateways has to hold while gateways are cut off, frozen, killed, restarted and added.

--- a/packages/kingcupdyke/features/quota_simulation.py
+++ b/packages/kingcupdyke/features/quota_simulation.py
@@ -32,6 +32,7 @@
         #: Time for which the clock did not run.
         self.stopped_s = 0.0
         self.frozen_since_s = None
+        self.is_stopping = False
         self.queue = []
         self.start()
 
@@ -85,16 +86,21 @@
         #: Group of each gateway; those of different groups do not hear each other.
         self.group = Counter()
         self._silent_since = {}
+        #: Time and number of the last change to what gateways hear.
+        self._fault_s, self._faults = self.now_s, 0
+        self._live_by_key = {}
         self.served = {caller: [] for caller in spec_by_caller}
         self.outcomes = {caller: Counter() for caller in spec_by_caller}
+        #: Retry-After of the last denial.
+        self.retry_s = {}
         self.messages = self.bytes = 0
-        self._last_tick_s = {}
         for _ in range(gateways):
             self.add()
 
     def add(self):
         host = f"g{len(self.gateways)}"
         gateway = self.gateways[host] = SimulatedGateway(self, host)
+        self.note_fault()
         self.at(self.random.random() * TICK_S, lambda: self.tick(gateway))
 
     def at(self, delay_s, action):
@@ -112,12 +118,18 @@
         if gateway.is_alive and gateway.frozen_since_s is None:
             if self.now_s >= gateway.next_list_s:
                 gateway.next_list_s = self.now_s + LIST_INTERVAL_S
-                gateway.core.set_gateways(self.gateways, self.list_live(gateway))
+                live = self.list_live(gateway)
+                stopping = {host for host in live if self.gateways[host].is_stopping}
+                gateway.core.set_gateways(self.gateways, live - stopping)
             gateway.core.update(gateway.now())
 
     def list_live(self, gateway):
         """:return: the gateways that one hears; it notices late that one is silent"""
         late_s = max(1.5, 0.3 * len(self.gateways) / 8)
+        is_late = self.now_s - self._fault_s > late_s + LIST_INTERVAL_S
+        key = (self.group[gateway.host], self._faults)
+        if is_late and key in self._live_by_key:
+            return self._live_by_key[key]
         live = set()
         for host, each in self.gateways.items():
             pair = (gateway.host, host)
@@ -127,8 +139,14 @@
                 live.add(host)
             elif self.now_s - self._silent_since.setdefault(pair, self.now_s) < late_s:
                 live.add(host)
+        if is_late:
+            self._live_by_key[key] = live
         return live
 
+    def note_fault(self):
+        self._fault_s = self.now_s
+        self._faults += 1
+
     def send(self, sender, host, message):
         data = message.encode()
         self.messages += 1
@@ -186,6 +204,7 @@
             self.outcomes[caller]["served"] += 1
         else:
             assert isinstance(outcome, Denied) and outcome.retry_after_s > 0, outcome
+            self.retry_s[caller] = outcome.retry_after_s
             self.outcomes[caller]["denied" if outcome.is_known else "unknown"] += 1
 
     def load(self, caller, factor, seconds, choose_host, is_even=False):
@@ -211,6 +230,12 @@
     def choose_any(self):
         return self.random.choice([h for h, each in self.gateways.items() if each.is_alive])
 
+    def configure(self, spec_by_caller):
+        """Put other quotas in force at all gateways."""
+        self.spec_by_caller = spec_by_caller
+        for each in self.gateways.values():
+            each.run(lambda each=each: each.core.configure(spec_by_caller, each.now()))
+
     def find_owner(self, caller):
         for host, each in self.gateways.items():
             if each.is_alive and each.core.election.get_share(caller, each.now()):
@@ -220,16 +245,20 @@
     def freeze(self, host, seconds):
         gateway = self.gateways[host]
         gateway.frozen_since_s = self.now_s
-        self.at(seconds, gateway.thaw)
+        self._begin_fault(seconds, gateway.thaw)
 
     def kill(self, host, seconds):
         gateway = self.gateways[host]
         gateway.is_alive = False
-        self.at(seconds, gateway.start)
+        self._begin_fault(seconds, gateway.start)
 
     def cut(self, hosts, seconds):
         self.group.update(dict.fromkeys(hosts, 1))
-        self.at(seconds, self.group.clear)
+        self._begin_fault(seconds, self.group.clear)
+
+    def _begin_fault(self, seconds, end):
+        self.note_fault()
+        self.at(seconds, lambda: (end(), self.note_fault()))
 
     def measure_use(self, caller, since_s=0.0):
         """:return: greatest use in any window, as a multiple of the quota, and of the bound"""
