--- a/packages/kingcupdyke/features/quota_simulation.py
+++ b/packages/kingcupdyke/features/quota_simulation.py
@@ -17,7 +17,6 @@
 
 TICK_S = 0.05
 POLL_S = 0.01
-LIST_INTERVAL_S = 0.25
 WINDOW_S = 8.0
 REGIONS = 3
 LOSS = 0.005
@@ -117,7 +116,7 @@
         self.at(TICK_S, lambda: self.tick(gateway))
         if gateway.is_alive and gateway.frozen_since_s is None:
             if self.now_s >= gateway.next_list_s:
-                gateway.next_list_s = self.now_s + LIST_INTERVAL_S
+                gateway.next_list_s = self.now_s + self.list_interval_s
                 live = self.list_live(gateway)
                 stopping = {host for host in live if self.gateways[host].is_stopping}
                 gateway.core.set_gateways(self.gateways, live - stopping)
@@ -126,7 +125,7 @@
     def list_live(self, gateway):
         """:return: the gateways that one hears; it notices late that one is silent"""
         late_s = max(1.5, 0.3 * len(self.gateways) / 8)
-        is_late = self.now_s - self._fault_s > late_s + LIST_INTERVAL_S
+        is_late = self.now_s - self._fault_s > late_s + self.list_interval_s
         key = (self.group[gateway.host], self._faults)
         if is_late and key in self._live_by_key:
             return self._live_by_key[key]
@@ -143,6 +142,10 @@
             self._live_by_key[key] = live
         return live
 
+    @property
+    def list_interval_s(self):
+        return max(0.25, len(self.gateways) / 300)
+
     def note_fault(self):
         self._fault_s = self.now_s
         self._faults += 1
--- a/packages/kingcupdyke/kingcupdyke/forwarding/quotaelection.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/quotaelection.py
@@ -77,6 +77,8 @@
         self._retry_s_by_caller: dict[str, float] = {}
         self._handed_over: dict[str, tuple[float, float]] = {}
         self._next_claim_s = -inf
+        #: The candidate that ranks first, by caller and candidates.
+        self._first_by_key: dict[tuple[str, frozenset[str]], str] = {}
 
     @property
     def slowdown(self) -> float:
@@ -227,8 +229,14 @@
         if hold is not None and now_s - hold.until_s < SILENT_OWNER_S * self.slowdown:
             # It has not renewed its claim, although the list of live gateways may still have it.
             candidates = candidates - {hold.host}
-        ranked = rank_rendezvous(caller, candidates)
-        return bool(ranked) and ranked[0] == self._host
+        key = (caller, candidates)
+        if key not in self._first_by_key:
+            # The set of candidates rarely changes, and ranking a thousand gateways takes 2 ms.
+            if len(self._first_by_key) > len(self._callers):
+                self._first_by_key.clear()
+            ranked = rank_rendezvous(caller, candidates)
+            self._first_by_key[key] = ranked[0] if ranked else ""
+        return self._first_by_key[key] == self._host
 
     def _begin(self, caller: str, now_s: float) -> None:
         term = self._term_by_caller.get(caller, 0) + 1
