Show the guards of the quota's bucket one by one

Without the limit of stocks, the refund of lost grants or the empty start, the bound on the use was still kept in the simulation, so each has a scenario of its own now.

--- a/packages/kingcupdyke/features/quotas.feature
+++ b/packages/kingcupdyke/features/quotas.feature
@@ -50,6 +50,21 @@
     When quotas: a gateway is cut off, and requests of 200 tokens come there at 7 times the rate
     Then quotas: it has served between 0.5 and 1.0 times its part of the reserve
 
+  Scenario: Gateways that ask in advance do not take what others need
+    Given quotas: a full bucket of "big 160000 160000 tokens"
+    When quotas: 30 gateways each ask it for 48000 tokens in advance
+    Then quotas: they have got 72000 tokens, and a request of 7000 tokens is granted
+
+  Scenario: A grant that was lost is not charged
+    Given quotas: a full bucket of "small 4200 4200 tokens"
+    When quotas: a gateway asks 5 times for 7000 tokens, and no grant arrives
+    Then quotas: the bucket lacks 7000 tokens
+
+  Scenario: A new owner starts with an empty bucket
+    Given quotas: 4 gateways and the callers "small 4200 4200 tokens"
+    When quotas: the owner is killed with a full bucket
+    Then quotas: the next owner's bucket holds at most what has accrued since
+
   Scenario: Refunds make no second burst
     Given quotas: 1 gateways and the callers "small 4200 4200 tokens"
     When quotas: 100 requests of 2400 tokens are refunded at once
--- a/packages/kingcupdyke/features/steps/quotas_steps.py
+++ b/packages/kingcupdyke/features/steps/quotas_steps.py
@@ -15,6 +15,8 @@
 from kingcupdyke.forwarding.limitmessage import LimitMessage
 from kingcupdyke.forwarding.peerstate import GatewayState
 from kingcupdyke.forwarding.pinneddemand import PinnedDemandMessage
+from kingcupdyke.forwarding.quotabucket import QuotaBucket
+from kingcupdyke.forwarding.quotalimits import QuotaLimits
 from kingcupdyke.forwarding.quotamessage import QuotaAsk, QuotaClaim, QuotaGrant, QuotaVote
 from kingcupdyke.forwarding.quotaspec import QuotaSpec, QuotaUnit
 from kingcupdyke.forwarding.storechanges import StoreChanges
@@ -217,6 +219,58 @@
     assert least * reserve <= used <= most * reserve, (used, reserve)
 
 
+@given('quotas: a full bucket of "{caller}"')
+def give_bucket(context, caller):
+    _, spec = read_spec(caller)
+    context.bucket = QuotaBucket(spec, QuotaLimits(), 0.0)
+    context.bucket.refill(1.0, 100.0)
+    context.full = context.bucket.level
+
+
+def ask(context, host, number, needs, advance):
+    message = QuotaAsk("c", host, "i", number, 0, needs, advance, 0.0, 0.0)
+    return context.bucket.answer(message, 100.0)
+
+
+@when("quotas: {count:d} gateways each ask it for {amount:d} tokens in advance")
+def ask_advance(context, count, amount):
+    context.got = sum(ask(context, f"g{n}", 1, (), float(amount)).advance for n in range(count))
+
+
+@then("quotas: they have got {amount:d} tokens, and a request of {cost:d} tokens is granted")
+def check_advance(context, amount, cost):
+    assert context.got == amount, context.got
+    assert ask(context, "other", 1, (float(cost),), 0.0).accepted == (True,)
+
+
+@when("quotas: a gateway asks {count:d} times for {cost:d} tokens, and no grant arrives")
+def ask_again(context, count, cost):
+    for number in range(1, count + 1):
+        assert ask(context, "g0", number, (float(cost),), 0.0).accepted == (True,), number
+
+
+@then("quotas: the bucket lacks {cost:d} tokens")
+def check_level(context, cost):
+    assert context.full - context.bucket.level == cost, context.bucket.level
+
+
+@when("quotas: the owner is killed with a full bucket")
+def kill_owner(context):
+    context.simulation.kill(context.simulation.find_owner("small"), 60.0)
+    context.killed_s = context.simulation.now_s
+
+
+@then("quotas: the next owner's bucket holds at most what has accrued since")
+def check_next_owner(context):
+    simulation = context.simulation
+    while simulation.find_owner("small") is None:
+        simulation.run(0.05)
+    simulation.run(0.2)
+    owner = simulation.gateways[simulation.find_owner("small")]
+    level = owner.core._state_by_caller["small"].bucket.level
+    assert level <= 4200 * 0.3, (level, simulation.now_s - context.killed_s)
+
+
 @when("quotas: {count:d} requests of {cost:d} tokens are refunded at once")
 def refund_many(context, count, cost):
     simulation = context.simulation
