Read the answers to slow clients ahead within a memory budget

The gateway wrote each part of an answer before it read the next, so that a client that read slowly stopped the endpoint's stream, and an endpoint that cuts off unread streams ended it. A write that has not finished after 50 ms now lets the rest of the answer be read into a buffer, which counts, like request bodies, toward a quarter of `limits.memory_mb`. An answer whose client takes no byte for 8 s is aborted by a reset. The endpoint is released when its answer is read, not when the client has it, and counts as unresponsive only while an answer of its is being read.

A trial on this machine shows that the kernel applies TCP_USER_TIMEOUT (1.5 s) to a closed window: a client that did not read lost its connection after 1.8 s. Connections of clients therefore have 10 s while an answer is sent, and 20 s while it is read ahead.

--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -37,6 +37,7 @@
 from kingcupdyke.forwarding.limitmessage import LimitMessage
 from kingcupdyke.forwarding.metadata import AnswerMetadata, PromptPart, RequestMetadata
 from kingcupdyke.forwarding.retrybudget import SharedRetryBudget
+from kingcupdyke_daemon.forwarder.answerbuffer import AnswerMemory
 from kingcupdyke_daemon.forwarder.clientserver import ClientServer
 from kingcupdyke_daemon.forwarder.crashdirectory import CrashDirectory
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
@@ -469,7 +470,8 @@
         self.handler = ForwardingHandler(deps)
         self.limits = ClientLimits(2000, 10_000, 0.3, 0.6)
         self.handler.configuration = make_configuration(1, 1.0, self.limits)
-        self.server = ClientServer(self.handler, lambda: self.limits, timer.now)
+        self.memory = AnswerMemory(None, self.metrics)
+        self.server = ClientServer(self.handler, lambda: self.limits, timer.now, self.memory)
         self.endpoints = endpoints
         self.address = SocketAddress("127.0.0.1", 0)
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerrelay.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerrelay.py
@@ -81,7 +81,7 @@
         return AnswerEnd(self._framing, self._events.count, self._events.partial_bytes)
 
     async def relay(self, head: Response, parts: AsyncIterator[bytes]) -> None:
-        """Pass an answer on to its end.
+        """Pass an answer on up to its end, which :meth:`end` marks.
 
         :param parts: its body as it arrives
         :raises TransferError: when a stream ends before it is complete, or an event is too long
@@ -95,6 +95,9 @@
         else:
             async for data in parts:
                 await self._reply.write(data)
+
+    async def end(self) -> None:
+        """Mark the end of the answer, and wait until all of it is written to the client."""
         await self._reply.end()
 
     async def _relay_events(self, parts: AsyncIterator[bytes]) -> None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
@@ -7,9 +7,9 @@
 
 import logging
 from collections.abc import Callable
+from socket import IPPROTO_TCP, TCP_NOTSENT_LOWAT
 
 from anyio import (
-    BrokenResourceError,
     ClosedResourceError,
     EndOfStream,
     aclose_forcefully,
@@ -38,7 +38,12 @@
 )
 
 from kingcupdyke.forwarding.configuration import ClientLimits
-from kingcupdyke_daemon.forwarder.connection import KEEPALIVE_OPTIONS
+from kingcupdyke_daemon.forwarder.answerbuffer import (
+    DISCONNECT_ERRORS,
+    AnswerBuffer,
+    AnswerMemory,
+)
+from kingcupdyke_daemon.forwarder.connection import KEEPALIVE_OPTIONS, UNACKNOWLEDGED_TIMEOUT_S
 from kingcupdyke_daemon.forwarder.dialect import Headers
 from kingcupdyke_daemon.forwarder.reply import (
     ClientDisconnectedError,
@@ -47,7 +52,7 @@
     RequestHandler,
 )
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
-from kingcupdyke_wire.sockets import reset
+from kingcupdyke_wire.sockets import reset, set_unacknowledged_timeout
 
 __all__ = ["ClientServer"]
 
@@ -57,26 +62,31 @@
 #: Bytes of pipelined requests that are read while a request is being answered. Once this limit is
 #: reached, a disconnect of the client is noticed only when the answer is written.
 MAX_PIPELINED_BYTES = 65_536
-#: Limit on the bytes of request bodies that are held in memory, over all connections.
-MAX_HELD_BODY_BYTES = 64 * 1024 * 1024
+#: Bytes that the kernel accepts beyond those that the client can receive now. It bounds the memory
+#: that the kernel uses for slow clients, which the memory budget does not count.
+MAX_KERNEL_UNSENT_BYTES = 65_536
+#: TCP user timeout while an answer is sent. The kernel applies it to a closed window too, so that a
+#: shorter one ends the connections of slow clients.
+ANSWER_UNACKNOWLEDGED_TIMEOUT_S = 10.0
+#: Retry-After of a request whose body does not fit into the memory budget.
+NO_MEMORY_RETRY_S = 0.5
 #: Timeout for writing the rejection of a request that does not reach the handler.
 REJECTION_TIMEOUT_S = 1.0
 
-#: Raised by a socket whose client has disconnected.
-DISCONNECT_ERRORS = (BrokenResourceError, ClosedResourceError, EndOfStream, OSError)
-
 
 class _RejectedRequest(Exception):
     """A request that is rejected before it reaches the handler.
 
     :param status: HTTP status of the rejection
     :param reason: error message of the rejection
+    :param headers: headers of the rejection
     """
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(self, status: int, reason: str, headers: Headers = ()) -> None:
         super().__init__(reason)
         self.status = status
         self.reason = reason
+        self.headers = headers
 
 
 class ClientServer:
@@ -85,6 +95,7 @@
     :param handler: answers the requests
     :param get_limits: returns the limits in force
     :param now: returns the time in seconds
+    :param memory: bounds the bytes held for slow clients and of request bodies
     """
 
     def __init__(
@@ -92,14 +103,14 @@
         handler: RequestHandler,
         get_limits: Callable[[], ClientLimits],
         now: Callable[[], float],
+        memory: AnswerMemory,
     ) -> None:
         self.handler = handler
         self.get_limits = get_limits
         self.now = now
+        self.memory = memory
         #: Whether answers carry ``Connection: close``.
         self.is_stopping = False
-        #: Bytes of the bodies of requests in progress, over all connections.
-        self.held_body_bytes = 0
         #: Number of requests in progress: the head was read, the answer is not finished.
         self.in_progress = 0
         self._idle: set[_ClientConnection] = set()
@@ -156,9 +167,12 @@
         self._status = 0
         #: Whether a request has reached the handler and its answer is not complete.
         self._is_answering = False
+        #: Writes the answer to the request in progress.
+        self._buffer: AnswerBuffer | None = None
         raw = stream.extra(SocketAttribute.raw_socket)
         for option in KEEPALIVE_OPTIONS:
             raw.setsockopt(*option)
+        raw.setsockopt(IPPROTO_TCP, TCP_NOTSENT_LOWAT, MAX_KERNEL_UNSENT_BYTES)
 
     async def serve(self) -> None:
         """Serve requests until the connection is closed."""
@@ -188,6 +202,7 @@
             headers = [*headers, (b"connection", b"close")]
         self.has_begun = True
         self._status = status
+        set_unacknowledged_timeout(self._stream, ANSWER_UNACKNOWLEDGED_TIMEOUT_S)
         await self._send(Response(status_code=status, headers=headers, reason=b""))
 
     async def write(self, data: bytes) -> None:
@@ -195,6 +210,9 @@
 
     async def end(self) -> None:
         await self._send(EndOfMessage())
+        if self._buffer is not None:
+            await self._buffer.drain()
+        set_unacknowledged_timeout(self._stream, UNACKNOWLEDGED_TIMEOUT_S)
         self.is_complete = True
         self._is_answering = False
 
@@ -202,20 +220,22 @@
         data = self._http.send(event)
         if not data:
             return
+        write = self._stream.send if self._buffer is None else self._buffer.write
         try:
-            await self._stream.send(data)
+            await write(data)
         except DISCONNECT_ERRORS as error:
             raise ClientDisconnectedError(repr(error)) from error
 
     async def _handle(self, request: ClientRequest) -> None:
         self.has_begun = False
         self.is_complete = False
+        self.attempt_id = ""
         self._is_answering = True
         server = self._server
         server.in_progress += 1
-        server.held_body_bytes += len(request.body)
         try:
             async with create_task_group() as tasks:
+                self._buffer = AnswerBuffer(self, self._stream, tasks, server.memory)
                 tasks.start_soon(self._watch_for_disconnect, tasks)
                 try:
                     await server.handler.handle(request, self)
@@ -226,7 +246,9 @@
                 tasks.cancel_scope.cancel()
         finally:
             server.in_progress -= 1
-            server.held_body_bytes -= len(request.body)
+            self._buffer.close()
+            self._buffer = None
+            server.memory.budget.release_body(len(request.body))
 
     async def _watch_for_disconnect(self, tasks: object) -> None:
         """Cancel the request when the client disconnects."""
@@ -251,7 +273,7 @@
         try:
             arrived_s = self._server.now()
             _check_head(head, limits)
-            body = await self._read_body(limits)
+            body = await self._read_body(head, limits)
         finally:
             self._server.in_progress -= 1
         return ClientRequest(head.method, head.target, list(head.headers), body, arrived_s)
@@ -271,26 +293,49 @@
             return None
         return event
 
-    async def _read_body(self, limits: ClientLimits) -> bytes:
+    async def _read_body(self, head: Request, limits: ClientLimits) -> bytes:
+        """:return: the body, which counts toward the memory budget until the request has ended"""
+        budget = self._server.memory.budget
+        # A declared length is taken at once: a body that was begun is not rejected for memory.
+        taken = _find_length(head)
+        if not budget.take_body(taken):
+            raise self._make_memory_rejection(head)
         parts: list[bytes] = []
         size = 0
-        if self._http.they_are_waiting_for_100_continue:
-            await self._send(InformationalResponse(status_code=100, headers=[]))
-        while True:
-            try:
-                event = await self._next_event(limits.idle_timeout_s, limits.idle_timeout_s)
-            except TimeoutError:
-                raise _RejectedRequest(408, "timeout while reading the request body") from None
-            if isinstance(event, EndOfMessage):
-                return b"".join(parts)
-            if not isinstance(event, Data):
-                raise _RejectedRequest(400, "the request body ended early")
-            size += len(event.data)
-            if size > limits.max_body_bytes:
-                raise _RejectedRequest(413, "the request body is too large")
-            if size + self._server.held_body_bytes > MAX_HELD_BODY_BYTES:
-                raise _RejectedRequest(503, "the gateway holds too many request bodies")
-            parts.append(bytes(event.data))
+        is_read = False
+        try:
+            if self._http.they_are_waiting_for_100_continue:
+                await self._send(InformationalResponse(status_code=100, headers=[]))
+            while (data := await self._read_body_part(limits)) is not None:
+                size += len(data)
+                if size > limits.max_body_bytes:
+                    raise _RejectedRequest(413, "the request body is too large")
+                if size > taken:
+                    if not budget.take_body(size - taken):
+                        raise self._make_memory_rejection(head)
+                    taken = size
+                parts.append(data)
+            is_read = True
+        finally:
+            if not is_read:
+                budget.release_body(taken)
+        return b"".join(parts)
+
+    async def _read_body_part(self, limits: ClientLimits) -> bytes | None:
+        """:return: the next part of the body, or None at its end"""
+        try:
+            event = await self._next_event(limits.idle_timeout_s, limits.idle_timeout_s)
+        except TimeoutError:
+            raise _RejectedRequest(408, "timeout while reading the request body") from None
+        if isinstance(event, EndOfMessage):
+            return None
+        if not isinstance(event, Data):
+            raise _RejectedRequest(400, "the request body ended early")
+        return bytes(event.data)
+
+    def _make_memory_rejection(self, head: Request) -> _RejectedRequest:
+        headers = self._server.handler.write_rejection(list(head.headers), NO_MEMORY_RETRY_S)
+        return _RejectedRequest(503, "the gateway holds too many bytes of requests", headers)
 
     async def _next_event(self, first_timeout_s: float, rest_timeout_s: float) -> object:
         """Read until the next HTTP event is complete.
@@ -325,7 +370,8 @@
             return
         try:
             with fail_after(REJECTION_TIMEOUT_S):
-                await self.reject(error.status, error.reason, [(b"connection", b"close")])
+                headers = [*error.headers, (b"connection", b"close")]
+                await self.reject(error.status, error.reason, headers)
                 await self._stream.send_eof()
                 # Closing a socket with unread bytes sends a reset, which can discard the rejection
                 # before the client has read it.
@@ -345,6 +391,10 @@
     names = [name for name, _ in head.headers]
     if b"content-length" in names and b"transfer-encoding" in names:
         raise _RejectedRequest(400, "both content-length and transfer-encoding are given")
-    for name, value in head.headers:
-        if name == b"content-length" and int(value) > limits.max_body_bytes:
-            raise _RejectedRequest(413, "the request body is too large")
+    if _find_length(head) > limits.max_body_bytes:
+        raise _RejectedRequest(413, "the request body is too large")
+
+
+def _find_length(head: Request) -> int:
+    """:return: the declared length of the body, or 0 if none is declared"""
+    return next((int(value) for name, value in head.headers if name == b"content-length"), 0)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
@@ -43,6 +43,7 @@
     "KEEPALIVE_OPTIONS",
     "TRANSFER_ERRORS",
     "EndpointConnection",
+    "UNACKNOWLEDGED_TIMEOUT_S",
     "Progress",
     "TransferError",
 ]
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -92,6 +92,7 @@
             deadline_s=self._deadline_s,
             fingerprint=make_fingerprint(request, metadata),
         )
+        reply.attempt_id = self._item.attempt_id
         self._request_log = RequestLog(
             deps, self._item, route.name, version, ages, metadata.resumes
         )
@@ -174,6 +175,8 @@
             self._sent_to.append(SentTo(decision.endpoint, software_version))
             result = await self._try_endpoint(decision.endpoint)
             if result is AttemptResult.DELIVERED:
+                # The endpoint is free, even if a slow client has not read all of its answer.
+                await self._answer.end()
                 return
             if result is not AttemptResult.BROKEN or not self._route.is_resumable:
                 self._excluded.add(decision.endpoint)
@@ -357,13 +360,14 @@
         """Yield the body of an answer, and record the endpoint's activity."""
         has_first = False
         async for data in exchange.read_body():
-            self._record_activity(endpoint)
+            self._record_activity(endpoint, False)
             self._watch.note_data()
             if not has_first:
                 has_first = True
                 self._first_s = self._first_s or self._deps.timer.now()
                 self._record_first_event(endpoint, sent_s)
             yield data
+            self._record_activity(endpoint)
 
     def _pin_version(self) -> None:
         """Keep the stream at the software version whose first event is passed on now."""
@@ -374,10 +378,10 @@
             self._continuation.record_origin(self._item.service, version)
         self._item = self._item._replace(software_version=version)
 
-    def _record_activity(self, endpoint: str) -> None:
+    def _record_activity(self, endpoint: str, is_reading: bool = True) -> None:
         state = self._deps.endpoint_table.state_by_id.get(endpoint)
         if state is not None:
-            state.last_byte_s = self._deps.timer.now()
+            state.note_active(self._item.attempt_id, is_reading, self._deps.timer.now())
 
     def _record_first_event(self, endpoint: str, sent_s: float) -> None:
         deps = self._deps
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/handler.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/handler.py
@@ -14,6 +14,7 @@
 from kingcupdyke.forwarding.dispatcher import STOPPING_RETRY_S
 from kingcupdyke.forwarding.metadata import RequestMetadata
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
+from kingcupdyke_daemon.forwarder.dialect import Headers
 from kingcupdyke_daemon.forwarder.finalanswer import STATUS_UNAVAILABLE
 from kingcupdyke_daemon.forwarder.forwardedrequest import RETRY_AFTER_S, ForwardedRequest
 from kingcupdyke_daemon.forwarder.reply import ClientRequest, Reply, RequestHandler
@@ -85,6 +86,10 @@
                 self._scopes.discard(forwarded_request.scope)
         await forwarded_request.finish()
 
+    def write_rejection(self, headers: Headers, retry_after_s: float) -> Headers:
+        dialect = self._deps.dialect
+        return dialect.write_rejection(dialect.read_request(headers).attempt_id, retry_after_s)
+
     def cancel_all(self) -> None:
         """Cancel all requests in progress; each sends its final answer."""
         for scope in self._scopes:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
@@ -66,6 +66,7 @@
         self._retries = create_counter(f"{METRIC_PREFIX}repeats")
         self._orders = create_counter(f"{METRIC_PREFIX}orders")
         self._answers = create_counter(f"{METRIC_PREFIX}answers")
+        self._aborted = create_counter(f"{METRIC_PREFIX}aborted_answers")
         self._total = create_histogram(f"{METRIC_PREFIX}request_seconds")
         self._first = create_histogram(f"{METRIC_PREFIX}first_part_seconds")
         self._queued = create_histogram(f"{METRIC_PREFIX}queue_wait_seconds")
@@ -86,6 +87,10 @@
         """Count an order to an engine by its outcome."""
         self._orders.add(1, {"kind": kind, "outcome": outcome})
 
+    def count_aborted_answer(self) -> None:
+        """Count an answer that is aborted since its client takes no byte."""
+        self._aborted.add(1)
+
     def record_request(self, route: str, outcome: str, status: int, times: RequestTimes) -> None:
         """Record the outcome and the durations of a request."""
         labels = {"route": route}
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -19,6 +19,7 @@
 from kingcupdyke.forwarding.storechanges import StoreChanges
 from kingcupdyke.forwarding.watchinterval import choose_watch_interval
 from kingcupdyke.lease import LeaseMachine
+from kingcupdyke_daemon.forwarder.answerbuffer import AnswerMemory
 from kingcupdyke_daemon.forwarder.catalogue import Catalogue
 from kingcupdyke_daemon.forwarder.clientserver import ClientServer
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
@@ -135,10 +136,13 @@
             lambda: self._catalogue.get_ages(),
         )
         self._ready = ReadyHandler()
-        self._client_server = ClientServer(self._request_handler, self._get_limits, self._timer.now)
-        self._ready_server = ClientServer(self._ready, ClientLimits, self._timer.now)
+        self._memory = AnswerMemory(settings.memory_bytes, self._metrics)
+        self._client_server = ClientServer(
+            self._request_handler, self._get_limits, self._timer.now, self._memory
+        )
+        self._ready_server = ClientServer(self._ready, ClientLimits, self._timer.now, self._memory)
         self._metrics_server = ClientServer(
-            MetricsHandler(self._metrics), ClientLimits, self._timer.now
+            MetricsHandler(self._metrics), ClientLimits, self._timer.now, self._memory
         )
         self._peer_log = PeerLog()
         self._peer_gossip = PeerGossip(
@@ -261,6 +265,7 @@
     def _apply_settings(self, settings: ForwarderSettings) -> None:
         self._dispatcher.region_by_data_centre = settings.region_by_data_centre
         self._peer_gossip.region_by_data_centre = settings.region_by_data_centre
+        self._memory.configure(settings.memory_bytes)
         self._retry_budget.configure(
             settings.repeat_share, settings.repeat_allowance, settings.repeat_window_s
         )
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/reply.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/reply.py
@@ -51,6 +51,8 @@
     has_begun = False
     #: Whether the answer was sent to its end.
     is_complete = False
+    #: Id of the client's attempt for log lines, or empty if it is not known.
+    attempt_id = ""
 
     @abstractmethod
     async def begin(self, status: int, headers: Headers) -> None:
@@ -58,11 +60,14 @@
 
     @abstractmethod
     async def write(self, data: bytes) -> None:
-        """Send a part of the body; return when the client's connection accepts more."""
+        """Send a part of the body, or hold it for a slow client.
+
+        :return: when the next part may be read
+        """
 
     @abstractmethod
     async def end(self) -> None:
-        """Mark the end of the answer."""
+        """Mark the end of the answer, and wait until all of it is written."""
 
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer."""
@@ -84,3 +89,10 @@
     @abstractmethod
     async def handle(self, request: ClientRequest, reply: Reply) -> None:
         """Answer a request; if this returns before :meth:`Reply.end`, the connection is reset."""
+
+    def write_rejection(self, headers: Headers, retry_after_s: float) -> Headers:
+        """:return: headers of the rejection of a request that does not reach the handler
+
+        :param headers: headers of the request
+        """
+        return [(b"retry-after", f"{retry_after_s:.3f}".encode())]
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/settings.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/settings.py
@@ -48,6 +48,8 @@
     apply_s: float
     #: Listen address for metrics, or None to serve none.
     metrics: SocketAddress | None = None
+    #: Memory limit of the process, or None if it is not known.
+    memory_bytes: int | None = None
 
 
 class SettingsSource(ABC):
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 __all__ = [
+    "AnswerMemoryRecord",
     "DataAges",
     "CallRecord",
     "CrashRecord",
@@ -257,6 +258,18 @@
     peer: str
 
 
+class AnswerMemoryRecord(NamedTuple):
+    """Fields of an answer to a slow client that is stopped or aborted."""
+
+    request: str
+    #: Bytes of the answer that the gateway holds.
+    held_bytes: int
+    #: Bytes of all answers and of all request bodies that it holds, and its budget for both.
+    answer_bytes: int
+    body_bytes: int
+    budget_bytes: int
+
+
 class PeerRecord(NamedTuple):
     """Fields of a peer gateway that became responsive or unresponsive."""
 
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/sockets.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/sockets.py
@@ -2,22 +2,43 @@
 kingcupdyke_wire.sockets
 ~~~~~~~~~~~~~~~~~~~~~~~~
 
-Resets of open connections.
+State and options of open connections that the sockets of anyio do not offer.
 """
 
 import logging
-from socket import SO_LINGER, SOL_SOCKET
-from struct import pack
+from fcntl import ioctl
+from socket import IPPROTO_TCP, SO_LINGER, SOL_SOCKET, TCP_USER_TIMEOUT
+from struct import calcsize, pack, unpack
+from termios import TIOCOUTQ
 
 from anyio.abc import SocketAttribute, SocketStream
 
-__all__ = ["reset"]
+__all__ = ["count_unsent", "reset", "set_unacknowledged_timeout"]
 
 _LOGGER = logging.getLogger(__name__)
 #: Linger for 0 s: closing the socket discards unsent data and resets the connection.
 _NO_LINGER = pack("ii", 1, 0)
 
 
+def count_unsent(stream: SocketStream) -> int:
+    """:return: bytes written to a connection that its peer has not acknowledged
+
+    :raises OSError: when the connection is closed
+    """
+    raw = stream.extra(SocketAttribute.raw_socket)
+    (in_kernel,) = unpack("i", ioctl(raw.fileno(), TIOCOUTQ, bytes(calcsize("i"))))
+    return stream._transport.get_write_buffer_size() + in_kernel
+
+
+def set_unacknowledged_timeout(stream: SocketStream, seconds: float) -> None:
+    """Set the time after which a connection is closed while sent bytes stay unacknowledged."""
+    raw = stream.extra(SocketAttribute.raw_socket)
+    try:
+        raw.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, round(seconds * 1000))
+    except OSError as error:
+        _LOGGER.debug("the connection was closed: %r", error)
+
+
 def reset(stream: SocketStream) -> None:
     """Reset a connection, so that its peer sees that data is missing."""
     raw = stream.extra(SocketAttribute.raw_socket)
--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpointstate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpointstate.py
@@ -38,6 +38,8 @@
         self.entry = entry
         #: Unread prompt tokens of this gateway's requests in flight, by attempt id.
         self.tokens_by_attempt: dict[str, int] = {}
+        #: Attempts in flight whose answers this gateway does not read now.
+        self._unread_attempts: set[str] = set()
         #: Time of the last byte from it, and time since which it has had requests in flight.
         self.last_byte_s = -inf
         self.in_flight_since_s = inf
@@ -87,9 +89,25 @@
         return self.consecutive_failures < UNREACHABLE_FAILURES and not self.is_unresponsive(now_s)
 
     def is_unresponsive(self, now_s: float) -> bool:
-        """:return: whether it has requests in flight and has sent nothing for UNRESPONSIVE_S"""
+        """:return: whether it has requests in flight that this gateway reads the answers of, and
+        has sent nothing for UNRESPONSIVE_S
+        """
+        if len(self._unread_attempts) == len(self.tokens_by_attempt):
+            return False
         return now_s - max(self.last_byte_s, self.in_flight_since_s) > UNRESPONSIVE_S
 
+    def note_active(self, attempt_id: str, is_reading: bool, now_s: float) -> None:
+        """Record a sign of life of the endpoint.
+
+        :param is_reading: whether this gateway reads the answer to the attempt from now on; it does
+            not while it passes a part on or waits for a slow client
+        """
+        self.last_byte_s = now_s
+        if is_reading:
+            self._unread_attempts.discard(attempt_id)
+        elif attempt_id in self.tokens_by_attempt:
+            self._unread_attempts.add(attempt_id)
+
     def note_sent(self, attempt_id: str, tokens: int, now_s: float) -> None:
         """Record that a request is sent to the endpoint."""
         if not self.tokens_by_attempt:
@@ -99,6 +117,7 @@
     def note_ended(self, attempt_id: str) -> None:
         """Record that a request is no longer in flight at the endpoint."""
         self.tokens_by_attempt.pop(attempt_id, None)
+        self._unread_attempts.discard(attempt_id)
         if not self.tokens_by_attempt:
             self.in_flight_since_s = inf
 
