--- a/packages/kingcupdyke-daemon/features/slowclients.feature
+++ b/packages/kingcupdyke-daemon/features/slowclients.feature
@@ -5,7 +5,7 @@
     Given slowclients: an endpoint that cuts off an answer of 1000000 bytes that is unread for 0.5 s
     When slowclients: a client of "<line>" reads nothing for 3 s
     Then slowclients: the client gets the whole answer
-    And slowclients: the endpoint has sent the whole answer, and is free, before the client has read it
+    And slowclients: the endpoint has sent the whole answer, and is free, before the client reads
     And slowclients: the request ended after the client read again
     And slowclients: nothing is held
 
@@ -33,11 +33,23 @@
     And slowclients: each other stream was complete within 0.5 s
 
   # Guards against the abort of a client that reads, but slowly.
-  Scenario: A client that reads a little every 3 s is not reset
+  Scenario Outline: A client that reads <size> bytes every <pause> s is not reset
     Given slowclients: an endpoint that cuts off an answer of 400000 bytes that is unread for 0.5 s
-    When slowclients: a client of "GET /stream/1" reads a little every 3 s for 10 s
+    When slowclients: a client of "GET /stream/1" reads <size> bytes every <pause> s for 12 s
     Then slowclients: the client gets the whole answer
 
+    Examples:
+      | size | pause |
+      | 2000 | 0.3 |
+      | 60000 | 3 |
+
+  # Guards against a kernel that ends the connection of a client that pauses, before a write is slow.
+  Scenario: A client that pauses during a slow stream gets the whole answer
+    Given slowclients: an endpoint that sends 80000 bytes within 4 s
+    When slowclients: a client of "GET /stream/1" reads nothing for 3 s
+    Then slowclients: the client gets the whole answer
+    And slowclients: no answer was read ahead
+
   # Guards against work at the endpoint for a client that is gone.
   Scenario Outline: After a client has left, its request at the endpoint ends: <case>
     Given slowclients: an endpoint that sends without end
--- a/packages/kingcupdyke-daemon/features/steps/slowclients_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/slowclients_steps.py
@@ -36,11 +36,13 @@
     :param size: bytes of an answer, or None for an answer without end
     :param patience_s: time after which it cuts off an answer that is not read, or None
     :param cut_at: bytes after which it breaks off, or None
+    :param interval_s: time between parts of 10 events
     """
 
-    def __init__(self, name, size, patience_s=None, cut_at=None):
+    def __init__(self, name, size, patience_s=None, cut_at=None, interval_s=0.0):
         super().__init__(name, "pour")
         self.size, self.patience_s, self.cut_at = size, patience_s, cut_at
+        self.interval_s = interval_s
         self.sent_s = None
         self.is_cut = False
 
@@ -65,8 +67,7 @@
                 framed = data if "GET /safe/" in request else b"%x\r\n%s\r\n" % (len(data), data)
                 with fail_after(self.patience_s):
                     await stream.send(framed)
-                if size is None:
-                    await sleep(0.01)
+                await sleep(self.interval_s)
             if "GET /safe/" not in request:
                 await stream.send(b"0\r\n\r\n")
         except TimeoutError:
@@ -147,10 +148,10 @@
             ]
 
 
-async def connect_slowly(rig, data):
+async def connect_slowly(rig, data, buffer_bytes=SOCKET_BYTES):
     """:return: a connection with a small receive buffer on which the bytes have been sent"""
     raw = socket.socket()
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BYTES)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
     raw.connect(tuple(rig.address))
     raw.setblocking(False)
     stream = await SocketStream.from_socket(raw)
@@ -181,7 +182,13 @@
 
 @given("slowclients: an endpoint that sends without end")
 def give_endless(context):
-    context.endpoints = [PouringEndpoint("e1", None)]
+    context.endpoints = [PouringEndpoint("e1", None, interval_s=0.01)]
+
+
+@given("slowclients: an endpoint that sends {size:d} bytes within {length_s:g} s")
+def give_slow(context, size, length_s):
+    interval_s = 10 * EVENT_BYTES * length_s / size
+    context.endpoints = [PouringEndpoint("e1", size, interval_s=interval_s)]
 
 
 @given(
@@ -200,7 +207,9 @@
 def pause_client(context, line, pause_s):
     async def job():
         async with open_slow_rig(context) as rig:
-            stream = await connect_slowly(rig, write_request(line))
+            is_slow = bool(context.endpoints[0].interval_s)
+            buffer_bytes = 2 * EVENT_BYTES if is_slow else SOCKET_BYTES
+            stream = await connect_slowly(rig, write_request(line), buffer_bytes)
             await sleep(pause_s)
             context.loads = rig.dispatcher.list_loads()
             context.read_again_s = current_time()
@@ -225,9 +234,7 @@
     assert describe(context.raw) != "cut"
 
 
-@then(
-    "slowclients: the endpoint has sent the whole answer, and is free, before the client has read it"
-)
+@then("slowclients: the endpoint has sent the whole answer, and is free, before the client reads")
 def check_sent(context):
     assert context.endpoints[0].sent_s < context.read_again_s
     assert context.loads == (), "the endpoint counts as busy with an answer that it has sent"
@@ -311,16 +318,18 @@
         assert ids == [1, 2, 3, 4], ids
 
 
-@when('slowclients: a client of "{line}" reads a little every {pause_s:g} s for {length_s:g} s')
-def read_little(context, line, pause_s, length_s):
+@when(
+    'slowclients: a client of "{line}" reads {size:d} bytes every {pause_s:g} s for {length_s:g} s'
+)
+def read_little(context, line, size, pause_s, length_s):
     async def job():
         async with open_slow_rig(context) as rig:
-            stream = await connect_slowly(rig, write_request(line))
+            stream = await connect_slowly(rig, write_request(line), 2 * size)
             context.raw = b""
             started_s = current_time()
             while current_time() - started_s < length_s:
                 await sleep(pause_s)
-                context.raw += await stream.receive()
+                context.raw += await stream.receive(size)
             context.raw += await rig.read_all(stream, 8.0)
 
     run(job)
