Log and measure the longest pause of a stream

`request ended` has the new field `longest_pause_ms` and the metrics the histogram `kingcupdyke_longest_pause_seconds` by route: the longest time that the gateway waited for the next piece of a stream after its first event. The wait for another endpoint that continues the stream counts; the time for which a slow client stops the stream does not.

--- a/packages/kingcupdyke-daemon/features/steps/walks_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/walks_steps.py
@@ -157,7 +157,7 @@
 
 def make_end_record(status):
     """:return: the record that is logged at the end of a request"""
-    end = (status, "answered", "", 0, 1, 1, 9, "length", 0, 0, -1.0, ())
+    end = (status, "answered", "", 0, 1, 1, 9, "length", 0, 0, -1.0, (), -1)
     return RequestRecord("r", "route", 1, 0, 0, "", "", (), "", "", (), (), *end)
 
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerrelay.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerrelay.py
@@ -76,6 +76,11 @@
         """:return: id of the last complete event, or empty"""
         return self._events.last_id
 
+    @property
+    def has_event(self) -> bool:
+        """:return: whether a complete event was read"""
+        return self._events.count > 0
+
     def describe_end(self) -> AnswerEnd:
         """:return: how the last answer ended"""
         return AnswerEnd(self._framing, self._events.count, self._events.partial_bytes)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -28,6 +28,7 @@
 from kingcupdyke_daemon.forwarder.finalanswer import FinalAnswer, KeptAnswer
 from kingcupdyke_daemon.forwarder.fingerprint import make_fingerprint
 from kingcupdyke_daemon.forwarder.metrics import RequestTimes
+from kingcupdyke_daemon.forwarder.pausemeter import PauseMeter
 from kingcupdyke_daemon.forwarder.reply import ClientDisconnectedError, ClientRequest, Reply
 from kingcupdyke_daemon.forwarder.requestlog import RequestLog, RetryOutcome, SentTo
 from kingcupdyke_daemon.forwarder.streamcontinuation import StreamContinuation
@@ -110,6 +111,7 @@
         self._sent_to: list[SentTo] = []
         self._queued_s = 0.0
         self._first_s: float | None = None
+        self._pauses = PauseMeter()
         self._status = 0
         self._unread_tokens = 0
         self._watch: CrashWatch | None = None
@@ -142,7 +144,8 @@
     def _log_end(self, outcome: str) -> None:
         arrived_s = self._request.arrived_s
         first_s = None if self._first_s is None else self._first_s - arrived_s
-        times = RequestTimes(self._deps.timer.now() - arrived_s, first_s, self._queued_s)
+        total_s = self._deps.timer.now() - arrived_s
+        times = RequestTimes(total_s, first_s, self._queued_s, self._pauses.longest_s)
         limit_s = self._deadline_s - arrived_s
         end = self._answer.describe_end()
         self._request_log.log_end(
@@ -360,6 +363,7 @@
         """Yield the body of an answer, and record the endpoint's activity."""
         has_first = False
         async for data in exchange.read_body():
+            self._pauses.note_read(self._deps.timer.now())
             self._record_activity(endpoint, False)
             self._watch.note_data()
             if not has_first:
@@ -367,6 +371,7 @@
                 self._first_s = self._first_s or self._deps.timer.now()
                 self._record_first_event(endpoint, sent_s)
             yield data
+            self._pauses.note_passed_on(self._answer.has_event, self._deps.timer.now())
             self._record_activity(endpoint)
 
     def _pin_version(self) -> None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
@@ -38,6 +38,8 @@
     first_s: float | None
     #: Total time in the queue, over all attempts.
     queued_s: float
+    #: Longest pause between two pieces of a stream after its first event, or None without one.
+    longest_pause_s: float | None
 
 
 class ForwarderMetrics:
@@ -69,6 +71,7 @@
         self._aborted = create_counter(f"{METRIC_PREFIX}aborted_answers")
         self._total = create_histogram(f"{METRIC_PREFIX}request_seconds")
         self._first = create_histogram(f"{METRIC_PREFIX}first_part_seconds")
+        self._longest_pause = create_histogram(f"{METRIC_PREFIX}longest_pause_seconds")
         self._queued = create_histogram(f"{METRIC_PREFIX}queue_wait_seconds")
 
     def count_decision(self, route: str, decision: str, reason: str = "") -> None:
@@ -99,6 +102,8 @@
         self._queued.record(times.queued_s, labels)
         if times.first_s is not None:
             self._first.record(times.first_s, labels)
+        if times.longest_pause_s is not None:
+            self._longest_pause.record(times.longest_pause_s, labels)
 
     def count_answer(self, route: str, framing: str, is_partial: bool) -> None:
         """Count the last answer of an endpoint to a request.
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
@@ -140,6 +140,7 @@
         self._metrics.record_request(self._route, outcome, status, times)
         self._metrics.count_answer(self._route, end.framing, end.partial_bytes > 0)
         first_s = times.first_s
+        pause_s = times.longest_pause_s
         record = RequestRecord(
             request=self._item.attempt_id,
             route=self._route,
@@ -165,6 +166,7 @@
             partial_bytes=end.partial_bytes,
             limit_per_s=-1.0 if self.limit_per_s is None else self.limit_per_s,
             leaving=tuple(self.leaving),
+            longest_pause_ms=-1 if pause_s is None else round(pause_s * 1000),
         )
         if outcome == "answered" and status < STATUS_FAILURE:
             self._sampler.log(_LOGGER, "request ended", record)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -165,6 +165,8 @@
     limit_per_s: float
     #: Endpoints that said in their answers that they are leaving, in order.
     leaving: tuple[str, ...]
+    #: Longest milliseconds between two pieces of a stream after its first event, or -1 without one.
+    longest_pause_ms: int
 
 
 class OrderRecord(NamedTuple):
