--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -26,6 +26,7 @@
 from kingcupdyke_daemon.forwarder.exchange import Exchange
 from kingcupdyke_daemon.forwarder.finalanswer import STATUS_TOO_MANY, FinalAnswer, KeptAnswer
 from kingcupdyke_daemon.forwarder.metrics import RequestTimes
+from kingcupdyke_daemon.forwarder.pausemeter import PauseMeter
 from kingcupdyke_daemon.forwarder.quotacharge import QuotaCharge, describe_denial
 from kingcupdyke_daemon.forwarder.reply import ClientDisconnectedError, ClientRequest, Reply
 from kingcupdyke_daemon.forwarder.requestlog import RequestLog, RetryOutcome, SentTo
@@ -78,6 +79,7 @@
         self._has_callers = configuration.callers is not None
         self._item = make_work_item(request, metadata, route, caller, self._has_callers)
         self._deadline_s = self._item.deadline_s
+        reply.attempt_id = self._item.attempt_id
         self._request_log = RequestLog(
             deps, self._item, route.name, configuration.version, ages, metadata.resumes
         )
@@ -96,6 +98,7 @@
         self._sent_to: list[SentTo] = []
         self._queued_s = 0.0
         self._first_s: float | None = None
+        self._pauses = PauseMeter()
         self._status = 0
         self._unread_tokens = 0
         self._watch: CrashWatch | None = None
@@ -132,7 +135,8 @@
     def _log_end(self, outcome: str) -> None:
         arrived_s = self._request.arrived_s
         first_s = None if self._first_s is None else self._first_s - arrived_s
-        times = RequestTimes(self._deps.timer.now() - arrived_s, first_s, self._queued_s)
+        total_s = self._deps.timer.now() - arrived_s
+        times = RequestTimes(total_s, first_s, self._queued_s, self._pauses.longest_s)
         limit_s = self._deadline_s - arrived_s
         end = self._answer.describe_end()
         self._request_log.log_end(
@@ -174,6 +178,8 @@
             self._sent_to.append(SentTo(decision.endpoint, software_version))
             result = await self._try_endpoint(decision.endpoint)
             if result is AttemptResult.DELIVERED:
+                # The endpoint is free, even if a slow client has not read all of its answer.
+                await self._answer.end()
                 return
             if result is not AttemptResult.BROKEN or not self._route.is_resumable:
                 self._excluded.add(decision.endpoint)
@@ -370,13 +376,16 @@
         """Yield the body of an answer, and record the endpoint's activity."""
         has_first = False
         async for data in exchange.read_body():
-            self._record_activity(endpoint)
+            self._pauses.note_read(self._deps.timer.now())
+            self._record_activity(endpoint, False)
             self._watch.note_data()
             if not has_first:
                 has_first = True
                 self._first_s = self._first_s or self._deps.timer.now()
                 self._record_first_event(endpoint, sent_s)
             yield data
+            self._pauses.note_passed_on(self._answer.has_event, self._deps.timer.now())
+            self._record_activity(endpoint)
 
     def _pin_version(self) -> None:
         """Keep the stream at the software version whose first event is passed on now."""
@@ -386,10 +395,10 @@
         version = self._continuation.begin(self._item.service, version)
         self._item = self._item._replace(software_version=version)
 
-    def _record_activity(self, endpoint: str) -> None:
+    def _record_activity(self, endpoint: str, is_reading: bool = True) -> None:
         state = self._deps.endpoint_table.state_by_id.get(endpoint)
         if state is not None:
-            state.last_byte_s = self._deps.timer.now()
+            state.note_active(self._item.attempt_id, is_reading, self._deps.timer.now())
 
     def _record_first_event(self, endpoint: str, sent_s: float) -> None:
         deps = self._deps
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
@@ -38,6 +38,8 @@
     first_s: float | None
     #: Total time in the queue, over all attempts.
     queued_s: float
+    #: Longest pause between two pieces of a stream after its first event, or None without one.
+    longest_pause_s: float | None
 
 
 class ForwarderMetrics:
@@ -69,8 +71,10 @@
         self._answers = create_counter(f"{METRIC_PREFIX}answers")
         self._continuations = create_counter(f"{METRIC_PREFIX}stream_continuations")
         self._quota_denials = create_counter(f"{METRIC_PREFIX}quota_denied")
+        self._aborted = create_counter(f"{METRIC_PREFIX}aborted_answers")
         self._total = create_histogram(f"{METRIC_PREFIX}request_seconds")
         self._first = create_histogram(f"{METRIC_PREFIX}first_part_seconds")
+        self._longest_pause = create_histogram(f"{METRIC_PREFIX}longest_pause_seconds")
         self._queued = create_histogram(f"{METRIC_PREFIX}queue_wait_seconds")
 
     def count_decision(self, route: str, decision: str, reason: str = "") -> None:
@@ -89,6 +93,10 @@
         """Count an order to an engine by its outcome."""
         self._orders.add(1, {"kind": kind, "outcome": outcome})
 
+    def count_aborted_answer(self) -> None:
+        """Count an answer that is aborted since its client takes no byte."""
+        self._aborted.add(1)
+
     def record_request(self, route: str, outcome: str, status: int, times: RequestTimes) -> None:
         """Record the outcome and the durations of a request."""
         labels = {"route": route}
@@ -97,6 +105,8 @@
         self._queued.record(times.queued_s, labels)
         if times.first_s is not None:
             self._first.record(times.first_s, labels)
+        if times.longest_pause_s is not None:
+            self._longest_pause.record(times.longest_pause_s, labels)
 
     def count_caller_request(self, caller: str, outcome: str, status: int) -> None:
         """Count a request of a caller by its outcome."""
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
@@ -142,6 +142,7 @@
             self._metrics.count_caller_request(self._item.caller, outcome, status)
         self._metrics.count_answer(self._route, end.framing, end.partial_bytes > 0)
         first_s = times.first_s
+        pause_s = times.longest_pause_s
         record = RequestRecord(
             request=self._item.attempt_id,
             route=self._route,
@@ -168,6 +169,7 @@
             limit_per_s=-1.0 if self.limit_per_s is None else self.limit_per_s,
             leaving=tuple(self.leaving),
             caller=self._item.caller,
+            longest_pause_ms=-1 if pause_s is None else round(pause_s * 1000),
         )
         if outcome == "answered" and status < STATUS_FAILURE:
             self._sampler.log(_LOGGER, "request ended", record)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/settings.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/settings.py
@@ -52,6 +52,8 @@
     metrics: SocketAddress | None = None
     #: Permitted excess of all gateways together over a caller's quota.
     quota_limits: QuotaLimits = QuotaLimits()
+    #: Memory limit of the process, or None if it is not known.
+    memory_bytes: int | None = None
 
 
 class SettingsSource(ABC):
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 __all__ = [
+    "AnswerMemoryRecord",
     "DataAges",
     "CallRecord",
     "ContinuationRecord",
@@ -168,6 +169,8 @@
     limit_per_s: float
     #: Endpoints that said in their answers that they are leaving, in order.
     leaving: tuple[str, ...]
+    #: Longest milliseconds between two pieces of a stream after its first event, or -1 without one.
+    longest_pause_ms: int
     #: Name of the caller, or empty if it is not known.
     caller: str = ""
 
@@ -297,6 +300,18 @@
     owner: str
 
 
+class AnswerMemoryRecord(NamedTuple):
+    """Fields of an answer to a slow client that is stopped or aborted."""
+
+    request: str
+    #: Bytes of the answer that the gateway holds.
+    held_bytes: int
+    #: Bytes of all answers and of all request bodies that it holds, and its budget for both.
+    answer_bytes: int
+    body_bytes: int
+    budget_bytes: int
+
+
 class PeerRecord(NamedTuple):
     """Fields of a peer gateway that became responsive or unresponsive."""
 
