Check the version again just before a stream is sent

An endpoint's entry can change between the dispatcher's choice and the send, so that a stream could begin at a version that is not registered, or continue at another one. The entry is now compared with the version needed at the send; no test of its own covers this window.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/streamcontinuation.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/streamcontinuation.py
@@ -85,10 +85,16 @@
         """Check an endpoint's entry just before the request is sent, and remember it.
 
         :param software_version: version in the entry when the endpoint was chosen
-        :return: whether the entry still names the version on which the choice was based
+        :return: whether the entry still names that version, and the stream may begin or continue
+            there
         """
         self._sent = entry
-        return not self._route.is_resumable or entry.software_version == software_version
+        if not self._route.is_resumable:
+            return True
+        needed = software_version if self._origin is None else self._origin.software_version
+        return entry.software_version == needed and self._deps.versions.register.is_usable(
+            entry.service, needed
+        )
 
     def begin(self, service: str, software_version: str) -> str:
         """Record that the first event of the request's answer is passed on now.
--- a/packages/kingcupdyke/kingcupdyke/forwarding/versionregister.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/versionregister.py
@@ -110,6 +110,10 @@
                     self._want(service, each.entry.software_version, now_s)
         return selected
 
+    def is_usable(self, service: str, software_version: str) -> bool:
+        """:return: whether a version is registered and is not about to be removed"""
+        return software_version in self._usable_by_service.get(service, ())
+
     def is_pending(self, service: str, now_s: float) -> bool:
         """:return: whether a version is being added since less than PENDING_S"""
         wanted = self._wanted_by_service.get(service)
