--- a/packages/kingcupdyke/kingcupdyke/forwarding/fairorder.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/fairorder.py
@@ -98,14 +98,12 @@
         if self._ranked_s == now_s and item in line:
             return line[: line.index(item)]
         others = [each for each in waiting if each.attempt_id != item.attempt_id]
-        rank_by_id = self._rank_all([*others, item], now_s)
+        same = [each for each in others if (each.service, each.model) == (item.service, item.model)]
+        # Without callers, requests for other models don't matter.
+        ranked = same if self._callers is None else others
+        rank_by_id = self._rank_all([*ranked, item], now_s)
         rank = rank_by_id[item.attempt_id]
-        return [
-            each
-            for each in others
-            if (each.service, each.model) == (item.service, item.model)
-            and rank_by_id[each.attempt_id] < rank
-        ]
+        return [each for each in same if rank_by_id[each.attempt_id] < rank]
 
     def note_change(self) -> None:
         """Record that a request has begun to wait, so that the order may be another."""
