Limit the requests in flight at endpoints that start or recover

An endpoint that has just started, or that answers again, looks idle to all gateways at once, and all choose it. A window over all gateways now limits the requests in flight there. It grows with successes, is halved by failures and slow responses, and ends when it exceeds the load of the others.

--- a/packages/kingcupdyke-daemon/features/steps/walks_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/walks_steps.py
@@ -13,7 +13,7 @@
 from threading import Event
 from time import monotonic
 
-from anyio import run, sleep
+from anyio import current_time, run, sleep
 from behave import then, when
 from forwarder_rig import open_rig
 from forwarder_steps import write_request
@@ -46,7 +46,7 @@
 def reject_under_load(context):
     async def job():
         async with open_rig(["hang"]) as rig:
-            rig.dispatcher.ended("x", "e1", "service", 30.0)
+            rig.dispatcher.ended("x", "e1", "service", 30.0, current_time(), True)
             busy = [await rig.send(write_request("GET /safe/1", f"b{n}")) for n in range(4)]
             await sleep(0.1)
             await rig.ask(write_request("GET /safe/1", REQUEST))
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -222,6 +222,7 @@
         connection: EndpointConnection | None = None
         is_reusable = False
         disconnect: ClientDisconnectedError | None = None
+        result: AttemptResult | None = None
         try:
             connection = await deps.pool.acquire(
                 endpoint, state.entry.address, not self._is_retryable
@@ -248,9 +249,13 @@
             with CancelScope(shield=True):
                 if connection is not None and not is_reusable:
                     await connection.aclose()
-            seconds = deps.timer.now() - sent_s
-            deps.dispatcher.ended(self._item.attempt_id, endpoint, self._item.service, seconds)
-            deps.queue.poll(deps.timer.now())
+            now_s = deps.timer.now()
+            is_answered = result is AttemptResult.DELIVERED
+            service = self._item.service
+            deps.dispatcher.ended(
+                self._item.attempt_id, endpoint, service, now_s - sent_s, now_s, is_answered
+            )
+            deps.queue.poll(now_s)
         if is_reusable:
             deps.pool.release(endpoint, connection)
         return result
@@ -320,6 +325,7 @@
         self._reason = f"endpoint {endpoint}: status {head.status_code}, not run"
         is_reusable = await exchange.read_short_body() is not None
         now_s = self._deps.timer.now()
+        self._deps.endpoint_table.note_rejection(endpoint, now_s)
         is_other = answer.endpoint and answer.endpoint != endpoint
         if head.status_code == STATUS_MISDIRECTED and not is_other and self._item.model:
             replica = Replica(endpoint, self._item.model, self._item.adapter)
@@ -385,6 +391,8 @@
             return
         # The client has received the first event: from now on only the deadline applies.
         self._item = self._item._replace(first_by_s=self._deadline_s)
-        seconds = deps.timer.now() - sent_s
-        deps.dispatcher.began(self._item.attempt_id, endpoint, seconds, self._unread_tokens)
-        deps.queue.poll(deps.timer.now())
+        now_s = deps.timer.now()
+        deps.dispatcher.began(
+            self._item.attempt_id, endpoint, now_s - sent_s, self._unread_tokens, now_s
+        )
+        deps.queue.poll(now_s)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peerexchanges.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peerexchanges.py
@@ -14,6 +14,7 @@
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.leavingmessage import LeavingMessage
 from kingcupdyke.forwarding.limitmessage import LimitMessage
+from kingcupdyke.forwarding.pacemessage import PaceMessage
 from kingcupdyke.forwarding.peerstate import PeerTable
 from kingcupdyke.forwarding.pinneddemand import PinnedDemandMessage
 from kingcupdyke.forwarding.streamorigin import OriginMessage
@@ -22,6 +23,7 @@
 from kingcupdyke_daemon.forwarder.leavingdirectory import LeavingDirectory
 from kingcupdyke_daemon.forwarder.limitdirectory import LimitDirectory
 from kingcupdyke_daemon.forwarder.origindirectory import OriginDirectory
+from kingcupdyke_daemon.forwarder.pacedirectory import PaceDirectory
 from kingcupdyke_daemon.forwarder.peergossip import PeerGossip, PeerMessage
 from kingcupdyke_daemon.forwarder.pinneddemands import PinnedDemands
 
@@ -77,6 +79,15 @@
             lambda: get_gossip().gateway_count,
             post,
         )
+        self.pace = PaceDirectory(
+            host,
+            incarnation,
+            endpoint_table.pace_table,
+            timer,
+            list_incarnations,
+            lambda: get_gossip().gateway_count,
+            post,
+        )
         self.leaving = LeavingDirectory(host, endpoint_table, timer, list_incarnations, post)
         self.crashes = CrashDirectory(
             host,
@@ -98,4 +109,5 @@
             CrashMessage: self.crashes.receive,
             LimitMessage: self.limits.receive,
             LeavingMessage: self.leaving.receive,
+            PaceMessage: self.pace.receive,
         }
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/stategauges.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/stategauges.py
@@ -49,6 +49,11 @@
         metrics.add_gauge(
             "endpoint_limit", lambda: dict(self.dispatcher.limit_table.list_limited()), "endpoint"
         )
+        metrics.add_gauge(
+            "endpoint_window",
+            lambda: dict(self.endpoint_table.pace_table.list_windows()),
+            "endpoint",
+        )
         metrics.add_gauge("log_lines_dropped", lambda: {"": count_dropped()})
 
     def _list_ages(self) -> dict[str, float]:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -17,6 +17,7 @@
     "LeavingRecord",
     "LimitRecord",
     "OrderRecord",
+    "PaceRecord",
     "PeerRecord",
     "RefusalRecord",
     "RejectionRecord",
@@ -257,6 +258,23 @@
     peer: str
 
 
+class PaceRecord(NamedTuple):
+    """Fields of the begin or end of the window of an endpoint that starts or recovers."""
+
+    endpoint: str
+    #: ``listed``, ``cold`` or ``unreachable``.
+    reason: str
+    #: Requests in flight that all gateways together may have there.
+    window: float
+    #: Successes and reductions of the window since the begin, as known to this gateway.
+    successes: int
+    failures: int
+    #: Window at which it ends: the load of the established endpoints; -1 if unknown.
+    end_window: float
+    #: Milliseconds since the begin.
+    total_ms: int
+
+
 class PeerRecord(NamedTuple):
     """Fields of a peer gateway that became responsive or unresponsive."""
 
--- a/packages/kingcupdyke-measure/kingcupdyke_measure/simulator.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/simulator.py
@@ -16,6 +16,7 @@
 from kingcupdyke.forwarding.endpoint import Replica
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.enginestate import EngineState
+from kingcupdyke.forwarding.pacemessage import PaceMessage
 from kingcupdyke.forwarding.peerstate import GatewayState
 from kingcupdyke.forwarding.planner import PlacementPlanner
 from kingcupdyke.forwarding.planround import TimedOrder
@@ -146,6 +147,16 @@
                 for peer in peers:
                     gateway.endpoint_table.apply_peer_state(peer)
                 gateway.queue.poll(now_s)
+            self._exchange_pace(now_s)
+
+    def _exchange_pace(self, now_s: float) -> None:
+        tables = {each.name: each.endpoint_table.pace_table for each in self._gateways}
+        for name, table in tables.items():
+            table.set_gateways(name, tables.keys() - {name}, len(tables))
+            table.update(now_s)
+            message = PaceMessage(name, "", table.make_reports(now_s))
+            for peer in tables.keys() - {name}:
+                tables[peer].merge(message, now_s)
 
     async def _update_entries(self) -> None:
         crash_seen_s_by_engine: dict[str, float] = {}
@@ -265,14 +276,18 @@
                 return decision
             engine = self._engine_by_name[decision.endpoint]
             sent_s = current_time()
+            is_answered = False
             try:
                 run = await self._submit(item, engine)
                 if run is not None:
                     await self._await_answer(request, gateway, item, engine, run, sent_s)
+                    is_answered = True
                     return None
             finally:
                 seconds = current_time() - sent_s
-                gateway.dispatcher.ended(attempt_id, engine.name, SERVICE, seconds)
+                gateway.dispatcher.ended(
+                    attempt_id, engine.name, SERVICE, seconds, current_time(), is_answered
+                )
                 engine.cancel(attempt_id)
             gateway.endpoint_table.deny_replica(
                 Replica(engine.name, item.model, item.adapter), current_time()
@@ -306,7 +321,9 @@
         if run.tokens:
             request.first_token_s = current_time() - request.started_s
             seconds = current_time() - sent_s
-            gateway.dispatcher.began(item.attempt_id, engine.name, seconds, unread_tokens_before)
+            gateway.dispatcher.began(
+                item.attempt_id, engine.name, seconds, unread_tokens_before, current_time()
+            )
         await run.wait_end()
         if run.cancelled:
             request.record_outcome(RequestOutcome.FAILED, "the engine crashed")
--- a/packages/kingcupdyke/features/steps/dispatcher_steps.py
+++ b/packages/kingcupdyke/features/steps/dispatcher_steps.py
@@ -83,7 +83,7 @@
         self.now_s += float(seconds)
 
     def do_slow(self, seconds):
-        self.dispatcher.ended("x", "e1", "service", float(seconds))
+        self.dispatcher.ended("x", "e1", "service", float(seconds), self.now_s, True)
 
     def do_peer(self, endpoint, requests):
         self.loads[endpoint] = EndpointLoad(endpoint, int(requests), 0)
@@ -121,7 +121,7 @@
 
     def do_begin(self, attempt_id):
         endpoint = self.decisions[attempt_id].endpoint
-        self.dispatcher.began(attempt_id, endpoint, 0.1, 2000)
+        self.dispatcher.began(attempt_id, endpoint, 0.1, 2000, self.now_s)
 
 
 def describe(decision):
@@ -185,7 +185,7 @@
             script.decisions[name] = script.dispatcher.submit(item, frozenset(), script.now_s)
         for end_s, name in [each for each in ends if each[0] <= script.now_s]:
             ends.remove((end_s, name))
-            script.dispatcher.ended(name, "e1", "service", work)
+            script.dispatcher.ended(name, "e1", "service", work, script.now_s, True)
         script.do_poll()
         for name, decision in script.decisions.items():
             if isinstance(decision, Send) and name not in context.starts:
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -5,17 +5,18 @@
 Decides for each request whether it is sent to an endpoint, waits, or is rejected.
 """
 
-from collections import Counter
+from collections.abc import Iterator
 from math import inf, isfinite
 
 from kingcupdyke.forwarding.configuration import EngineSpec, ServiceSpec
 from kingcupdyke.forwarding.crashtable import CrashTable
-from kingcupdyke.forwarding.decayingrate import DecayingRate
 from kingcupdyke.forwarding.decision import Decision, Refuse, Send, Wait
-from kingcupdyke.forwarding.endpoint import Replica
+from kingcupdyke.forwarding.demandtracker import DemandTracker, count_pinned
 from kingcupdyke.forwarding.endpointstate import DEFAULT_TOKENS_PER_S, EndpointState
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.limittable import LimitTable
+from kingcupdyke.forwarding.modelwait import estimate_load_s, has_replica
+from kingcupdyke.forwarding.pacechoice import MAX_PACE_WAIT_S, choose_paced
 from kingcupdyke.forwarding.peerstate import Demand, EndpointLoad
 from kingcupdyke.forwarding.pinneddemand import PinnedDemand
 from kingcupdyke.forwarding.requestcrashtable import RequestCrashTable
@@ -64,6 +65,7 @@
         self, endpoint_table: EndpointTable, data_centre: str, region_by_data_centre: dict[str, str]
     ) -> None:
         self._endpoint_table = endpoint_table
+        self._pace_table = endpoint_table.pace_table
         self._data_centre = data_centre
         self.region_by_data_centre = region_by_data_centre
         #: Tell which prompts, and which requests, crash endpoints.
@@ -75,7 +77,7 @@
         #: Time by which requests must be sent, as the process stops soon after.
         self.send_by_s = inf
         self._waiting_by_id: dict[str, tuple[WorkItem, frozenset[str]]] = {}
-        self._demand_rate_by_model: dict[tuple[str, str], DecayingRate] = {}
+        self._demands = DemandTracker()
         self._mean_duration_s_by_service: dict[str, float] = {}
 
     def configure(self, service_by_name: dict[str, ServiceSpec]) -> None:
@@ -93,7 +95,7 @@
         :param excluded: endpoints to which it must not be sent again
         :return: the decision; :meth:`poll` decides on a waiting request later
         """
-        self._get_demand_rate(item).add(max(1, item.prompt_tokens), now_s)
+        self._demands.add(item, now_s)
         decision = self._decide(item, excluded, now_s)
         if isinstance(decision, Send):
             self._record_sent(item, decision.endpoint, now_s)
@@ -125,7 +127,9 @@
         """Remove a waiting request."""
         self._waiting_by_id.pop(attempt_id, None)
 
-    def began(self, attempt_id: str, endpoint: str, seconds: float, tokens: int) -> None:
+    def began(
+        self, attempt_id: str, endpoint: str, seconds: float, tokens: int, now_s: float
+    ) -> None:
         """Record that the first event of a stream has come.
 
         :param seconds: seconds since the request was sent
@@ -135,6 +139,8 @@
         if state is not None and attempt_id in state.tokens_by_attempt:
             state.tokens_by_attempt[attempt_id] = 0
             state.update_speed(tokens, seconds)
+            if state.pace is not None and self._is_engine(state.entry.service):
+                self._pace_table.note_first_event(state, tokens, seconds, now_s)
 
     def cancel(self, attempt_id: str, endpoint: str) -> None:
         """Record that a request is no longer in flight at an endpoint."""
@@ -142,17 +148,36 @@
         if state is not None:
             state.note_ended(attempt_id)
 
-    def ended(self, attempt_id: str, endpoint: str, service: str, seconds: float) -> None:
+    def ended(
+        self,
+        attempt_id: str,
+        endpoint: str,
+        service: str,
+        seconds: float,
+        now_s: float,
+        is_answered: bool,
+    ) -> None:
         """Record that a request has ended at its endpoint.
 
         :param seconds: seconds since it was sent
+        :param is_answered: whether the endpoint has answered it completely
         """
+        state = self._endpoint_table.state_by_id.get(endpoint)
+        if state is not None:
+            tokens = state.tokens_by_attempt.get(attempt_id, 0)
+            # A begun stream of a model engine has shown the speed by its first event.
+            if tokens or not self._is_engine(service):
+                self._pace_table.note_end(state, tokens, is_answered, seconds, now_s)
         self.cancel(attempt_id, endpoint)
         average_s = self._mean_duration_s_by_service.get(service, seconds)
         self._mean_duration_s_by_service[service] = average_s + DURATION_WEIGHT * (
             seconds - average_s
         )
 
+    def _is_engine(self, service: str) -> bool:
+        spec = self._service_by_name.get(service)
+        return spec is not None and spec.engine is not None
+
     def list_loads(self) -> tuple[EndpointLoad, ...]:
         """:return: this gateway's requests in flight and unread tokens at each endpoint"""
         return tuple(
@@ -165,35 +190,21 @@
 
     def list_demands(self, now_s: float) -> tuple[Demand, ...]:
         """:return: this gateway's demand for each model and adapter, other than pinned demand"""
-        waiting: dict[tuple[str, str], int] = {}
-        for item, _ in self._waiting_by_id.values():
-            if item.model and item.software_version is None:
-                key = (item.model, item.adapter)
-                waiting[key] = waiting.get(key, 0) + 1
-        demands = []
-        for (model, adapter), demand_rate in self._demand_rate_by_model.items():
-            rate = demand_rate.read(now_s)
-            count = waiting.get((model, adapter), 0)
-            if model and (rate >= 1.0 or count):
-                demands.append(Demand(model, adapter, count, round(rate, 1)))
-        return tuple(demands)
+        return self._demands.list_demands(self._list_waiting(), now_s)
 
     def list_pinned_demands(self) -> tuple[PinnedDemand, ...]:
         """:return: this gateway's waiting streams that must continue at one software version"""
-        waiting = Counter(
-            (item.service, item.model, item.adapter, item.software_version)
-            for item, _ in self._waiting_by_id.values()
-            if item.model and item.software_version is not None
-        )
-        return tuple(PinnedDemand(*key, count) for key, count in waiting.items())
+        return count_pinned(self._list_waiting())
 
-    def _get_demand_rate(self, item: WorkItem) -> DecayingRate:
-        return self._demand_rate_by_model.setdefault((item.model, item.adapter), DecayingRate())
+    def _list_waiting(self) -> Iterator[WorkItem]:
+        return (item for item, _ in self._waiting_by_id.values())
 
     def _record_sent(self, item: WorkItem, endpoint: str, now_s: float) -> None:
         state = self._endpoint_table.state_by_id[endpoint]
         cached = state.count_cached_tokens(item.model, item.parts)
         state.note_sent(item.attempt_id, max(1, item.prompt_tokens - cached), now_s)
+        if state.pace is not None:
+            self._pace_table.note_sent(state)
         self.limit_table.note_sent(state.entry, now_s)
         state.add_prefixes(item.model, item.parts)
 
@@ -223,7 +234,9 @@
         if engine_spec is not None and item.model:
             if item.model not in engine_spec.models_by_name:
                 return Refuse("the service has no such model", RETRY_AFTER_S)
-            holders = [each for each in states if self._has_replica(each, item, now_s)]
+            holders = [
+                each for each in states if has_replica(self._endpoint_table, each, item, now_s)
+            ]
             if not holders:
                 return self._await_replica(item, engine_spec, states, now_s)
             states = holders
@@ -238,10 +251,34 @@
         if not permitted:
             return self._await_permission(item, reachable, now_s)
         available = [each for each in permitted if self._has_capacity(each, engine_spec)]
+        if any(each.pace is not None for each in available):
+            return self._choose_paced(item, available, permitted, now_s)
         if available:
             return self._choose(item, available, now_s)
         return self._await_capacity(item, permitted, now_s)
 
+    def _choose_paced(
+        self,
+        item: WorkItem,
+        available: list[EndpointState],
+        permitted: list[EndpointState],
+        now_s: float,
+    ) -> Decision:
+        """Choose from endpoints of which some start or recover."""
+        wait_until_s = item.arrived_s + MAX_PACE_WAIT_S
+        may_wait = now_s < wait_until_s < self._latest_send_s(item) - MAX_PACE_WAIT_S
+        return choose_paced(
+            self._pace_table,
+            available,
+            lambda states: self._choose(item, states, now_s),
+            (
+                (lambda: self._await_capacity(item, permitted, now_s))
+                if may_wait and any(each.pace is None for each in permitted)
+                else None
+            ),
+            now_s,
+        )
+
     def _choose(self, item: WorkItem, states: list[EndpointState], now_s: float) -> Send | Refuse:
         """Choose the cheapest endpoint; reject if it cannot begin the answer in time."""
         costs = [(self._cost_s(each, item, now_s), each) for each in states]
@@ -263,14 +300,6 @@
         """:return: the time by which a request must have been sent, else it is rejected"""
         return min(item.deadline_s, item.first_by_s, self.send_by_s)
 
-    def _has_replica(self, state: EndpointState, item: WorkItem, now_s: float) -> bool:
-        endpoint = state.entry.endpoint
-        if not self._endpoint_table.has_replica(Replica(endpoint, item.model), now_s):
-            return False
-        if not item.adapter:
-            return True
-        return self._endpoint_table.has_replica(Replica(endpoint, item.model, item.adapter), now_s)
-
     @staticmethod
     def _has_capacity(state: EndpointState, engine_spec: EngineSpec | None) -> bool:
         if state.requests >= max(1, state.entry.slots):
@@ -283,7 +312,9 @@
         if not item.model:
             mean_s = self._mean_duration_s_by_service.get(item.service, INITIAL_DURATION_S)
             cost_s = mean_s * state.requests / max(1, state.entry.slots)
-        return cost_s + self._distance_s(state) + FAILURE_COST_S * state.failure_share
+        # The window of an endpoint that recovers takes the place of the cost of its failures.
+        failure_share = state.failure_share if state.pace is None else 0.0
+        return cost_s + self._distance_s(state) + FAILURE_COST_S * failure_share
 
     def _distance_s(self, state: EndpointState) -> float:
         other = state.entry.data_centre
@@ -301,7 +332,7 @@
         table = self._endpoint_table
         wait_s = table.estimate_ready_in_s(item.model, item.adapter, now_s, item.software_version)
         if wait_s is None:
-            wait_s = ORDER_DELAY_S + self._load_s(item, engine_spec, states, now_s)
+            wait_s = ORDER_DELAY_S + estimate_load_s(table, item, engine_spec, states, now_s)
         peers_tokens = table.peer_waiting_by_model.get(item.model, 0) * item.prompt_tokens
         tokens_before = sum(each.prompt_tokens for each in self._list_ahead(item, now_s))
         wait_s += (tokens_before + peers_tokens) / self.tokens_per_s
@@ -310,20 +341,6 @@
             return Refuse("the model is not ready in time", max(0.1, wait_s))
         return Wait("no replica of the model yet")
 
-    def _load_s(
-        self, item: WorkItem, engine_spec: EngineSpec, states: list[EndpointState], now_s: float
-    ) -> float:
-        spec = engine_spec.models_by_name[item.model]
-        shortest_s = spec.load_s
-        for state in states:
-            if self._endpoint_table.has_replica(Replica(state.entry.endpoint, item.model), now_s):
-                return 0.0
-            if item.model in state.entry.in_memory:
-                shortest_s = min(shortest_s, spec.memory_load_s)
-            elif item.model in state.entry.on_disk:
-                shortest_s = min(shortest_s, spec.disk_load_s)
-        return shortest_s
-
     def _list_ahead(self, item: WorkItem, now_s: float) -> list[WorkItem]:
         """:return: requests that wait here for the same model and are served before this one"""
         rank = _rank(item, now_s)
--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpoint.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpoint.py
@@ -50,6 +50,8 @@
     on_disk: frozenset[str]
     #: Version of the software that it runs, not of weights.
     software_version: str = ""
+    #: Seconds for which it says that it stays slow; 0 if it is not slow.
+    cold_left_s: float = 0.0
 
     def differs(self, other: "EndpointEntry") -> bool:
         """:return: whether another entry has other models, or other copies of their weights"""
--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpointstate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpointstate.py
@@ -10,9 +10,15 @@
 
 from kingcupdyke.forwarding.endpoint import EndpointEntry
 from kingcupdyke.forwarding.metadata import PromptPart
+from kingcupdyke.forwarding.pacewindow import PaceWindow
 from kingcupdyke.forwarding.peerreports import EndpointReports
 
-__all__ = ["DEFAULT_TOKENS_PER_S", "EndpointState"]
+__all__ = [
+    "DEFAULT_TOKENS_PER_S",
+    "FIXED_FIRST_EVENT_S",
+    "UNREACHABLE_FAILURES",
+    "EndpointState",
+]
 
 #: Seconds without a byte at which an endpoint with requests in flight counts as unresponsive.
 UNRESPONSIVE_S = 1.3
@@ -48,6 +54,12 @@
         self.failure_share = 0.0
         #: Moving average of the prompt tokens a second that it reads.
         self.tokens_per_s = DEFAULT_TOKENS_PER_S
+        self.has_speed_sample = False
+        #: Moving average of the seconds that its whole responses take, or None before the first.
+        self.mean_duration_s: float | None = None
+        #: Its window if it starts or recovers, else None, and number of windows of its process.
+        self.pace: PaceWindow | None = None
+        self.pace_episode = 0
         #: Time at which the entry is removed as it is no longer listed, or None while it is listed.
         self.lapses_s: float | None = None
         self._prefixes: OrderedDict[tuple[str, ...], None] = OrderedDict()
@@ -80,8 +92,14 @@
             max(tokens / reading_s, DEFAULT_TOKENS_PER_S / SPEED_RANGE),
             DEFAULT_TOKENS_PER_S * SPEED_RANGE,
         )
+        self.has_speed_sample = True
         self.tokens_per_s += SPEED_WEIGHT * (sample - self.tokens_per_s)
 
+    def update_duration(self, seconds: float) -> None:
+        """Update the average duration of whole responses."""
+        mean_s = seconds if self.mean_duration_s is None else self.mean_duration_s
+        self.mean_duration_s = mean_s + SPEED_WEIGHT * (seconds - mean_s)
+
     def is_reachable(self, now_s: float) -> bool:
         """:return: whether this gateway can connect to it and it is not unresponsive"""
         return self.consecutive_failures < UNREACHABLE_FAILURES and not self.is_unresponsive(now_s)
--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
@@ -9,9 +9,11 @@
 from math import inf
 
 from kingcupdyke.forwarding.endpoint import EndpointEntry, Replica
-from kingcupdyke.forwarding.endpointstate import EndpointState
+from kingcupdyke.forwarding.endpointstate import UNREACHABLE_FAILURES, EndpointState
 from kingcupdyke.forwarding.leavingmessage import LeavingReport
 from kingcupdyke.forwarding.leavingtable import LeavingProcess, LeavingTable
+from kingcupdyke.forwarding.pacemessage import PaceReason
+from kingcupdyke.forwarding.pacetable import PaceTable
 from kingcupdyke.forwarding.peerreports import PeerReports
 from kingcupdyke.forwarding.peerstate import GatewayState
 
@@ -42,6 +44,8 @@
         self.state_by_id: dict[str, EndpointState] = {}
         #: Processes of endpoints that have said that they are leaving.
         self.leaving_table = LeavingTable()
+        #: Endpoints that start or recover.
+        self.pace_table = PaceTable(self.state_by_id)
         self._peer_reports = PeerReports()
         #: Time since which this gateway knows the list of endpoints.
         self.listed_since_s = inf
@@ -59,10 +63,11 @@
 
         :param after_outage: whether the store was unavailable, so that entries may have lapsed
         """
-        self.listed_since_s = min(self.listed_since_s, now_s)
         listed = {each.endpoint for each in entries}
         for entry in entries:
             self.put(entry)
+        # Set last, as the endpoints of the first list count as established.
+        self.listed_since_s = min(self.listed_since_s, now_s)
         for endpoint in [each for each in self.state_by_id if each not in listed]:
             self.remove(endpoint, now_s, after_outage)
 
@@ -78,8 +83,11 @@
             entry = entry._replace(is_leaving=True)
         state = self.state_by_id.get(entry.endpoint)
         if state is None:
-            self.state_by_id[entry.endpoint] = EndpointState(entry)
+            state = self.state_by_id[entry.endpoint] = EndpointState(entry)
             self._update_reports((entry.endpoint,))
+            if self.listed_since_s < inf:
+                self.pace_table.begin(state, PaceReason.LISTED)
+            self.pace_table.note_entry(state)
             return
         if entry.started_ms < state.entry.started_ms:
             return
@@ -93,7 +101,13 @@
             state.clear_prefixes()
             state.consecutive_failures = 0
             state.backoff_until_s = 0.0
+            state.failure_share = 0.0
+            state.entry = entry
+            self.pace_table.restart(state)
+        is_new_entry = entry.heartbeat != state.entry.heartbeat or not is_same_start
         state.entry = entry
+        if is_new_entry:
+            self.pace_table.note_entry(state)
 
     def note_leaving(self, process: LeavingProcess) -> bool:
         """Record that a process has said that it is leaving.
@@ -284,6 +298,16 @@
                 INITIAL_BACKOFF_S * 2**state.consecutive_failures, MAX_BACKOFF_S
             )
             state.consecutive_failures = min(state.consecutive_failures + 1, 8)
+            if state.consecutive_failures >= UNREACHABLE_FAILURES:
+                self.pace_table.note_unreachable(state, now_s)
+        if state.pace is not None:
+            self.pace_table.note_failure(state, now_s)
+
+    def note_rejection(self, endpoint: str, now_s: float) -> None:
+        """Record that an endpoint has rejected a request that it has not run."""
+        state = self.state_by_id.get(endpoint)
+        if state is not None and state.pace is not None:
+            self.pace_table.note_failure(state, now_s)
 
     def note_success(self, endpoint: str) -> None:
         """Record that an endpoint has answered a request, which ends a backoff."""
