Keep the expected speed of an engine while it recovers, and spread what exceeds all windows

In the simulation of 300 gateways, a whole service that restarts got up to 22 times the load that one endpoint can take, as requests beyond the windows followed loads that are seconds old. These requests are now spread by the hash of the attempt.

--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -138,8 +138,10 @@
         state = self._endpoint_table.state_by_id.get(endpoint)
         if state is not None and attempt_id in state.tokens_by_attempt:
             state.tokens_by_attempt[attempt_id] = 0
-            state.update_speed(tokens, seconds)
-            if state.pace is not None and self._is_engine(state.entry.service):
+            if state.pace is None:
+                state.update_speed(tokens, seconds)
+            elif self._is_engine(state.entry.service):
+                # Its speed while it recovers would keep requests away when it is fast again.
                 self._pace_table.note_first_event(state, tokens, seconds, now_s)
 
     def cancel(self, attempt_id: str, endpoint: str) -> None:
@@ -252,7 +254,14 @@
             return self._await_permission(item, reachable, now_s)
         available = [each for each in permitted if self._has_capacity(each, engine_spec)]
         if any(each.pace is not None for each in available):
-            return self._choose_paced(item, available, permitted, now_s)
+            resting = [
+                each
+                for each in states
+                if each not in reachable and not each.is_unresponsive(now_s)
+                and not self.limit_table.find_delay(each.entry, now_s)
+                and self._has_capacity(each, engine_spec)
+            ]
+            return self._choose_paced(item, available, resting, permitted, now_s)
         if available:
             return self._choose(item, available, now_s)
         return self._await_capacity(item, permitted, now_s)
@@ -261,6 +270,7 @@
         self,
         item: WorkItem,
         available: list[EndpointState],
+        resting: list[EndpointState],
         permitted: list[EndpointState],
         now_s: float,
     ) -> Decision:
@@ -269,7 +279,9 @@
         may_wait = now_s < wait_until_s < self._latest_send_s(item) - MAX_PACE_WAIT_S
         return choose_paced(
             self._pace_table,
+            item.attempt_id,
             available,
+            resting,
             lambda states: self._choose(item, states, now_s),
             (
                 (lambda: self._await_capacity(item, permitted, now_s))
--- a/packages/kingcupdyke/kingcupdyke/forwarding/pacechoice.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/pacechoice.py
@@ -10,6 +10,7 @@
 from kingcupdyke.forwarding.decision import Decision, Send, Wait
 from kingcupdyke.forwarding.endpointstate import EndpointState
 from kingcupdyke.forwarding.pacetable import PaceTable
+from kingcupdyke.util import hash_score
 
 __all__ = ["MAX_PACE_WAIT_S", "choose_paced"]
 
@@ -19,14 +20,19 @@
 
 def choose_paced(
     table: PaceTable,
+    key: str,
     available: list[EndpointState],
+    resting: list[EndpointState],
     choose: Callable[[list[EndpointState]], Decision],
     wait: Callable[[], Decision] | None,
     now_s: float,
 ) -> Decision:
     """Choose an endpoint for one request; the request does not fail because of a window.
 
+    :param key: identifies the request
     :param available: endpoints with capacity
+    :param resting: endpoints with capacity that are not tried now as connections to them failed;
+        used when no other has room, as they may be back too
     :param choose: chooses the best of some endpoints, or rejects if none serves in time
     :param wait: waits for established endpoints that are full, or rejects; None if there are none
         or if the request cannot wait any longer
@@ -36,8 +42,11 @@
         decision = wait()
         if isinstance(decision, Wait):
             return decision
-    for states in (selected, table.list_widest(available, now_s)):
-        decision = choose(states) if states else None
+    if selected:
+        decision = choose(selected)
         if isinstance(decision, Send):
             return decision
-    return choose(available)
+    # Loads that gateways report are too old to spread what exceeds the windows.
+    widest = table.list_widest(available + resting, now_s)
+    decision = choose([max(widest, key=lambda each: hash_score(key, each.entry.endpoint))])
+    return decision if isinstance(decision, Send) else choose(available)
--- a/packages/kingcupdyke/kingcupdyke/forwarding/pacecomparison.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/pacecomparison.py
@@ -36,8 +36,11 @@
     window.end_window = median(each.requests for each in others)
     if window.expected_tokens_per_s is None:
         speeds = [each.tokens_per_s for each in others if each.has_speed_sample]
-        own = state.tokens_per_s if state.has_speed_sample else None
-        window.expected_tokens_per_s = own or _median(speeds)
+        if speeds and not state.has_speed_sample:
+            # With the default speed, an endpoint of a fast service would never be tried.
+            state.tokens_per_s = median(speeds)
+        if speeds or state.has_speed_sample:
+            window.expected_tokens_per_s = state.tokens_per_s
     if window.expected_duration_s is None:
         durations = [each.mean_duration_s for each in others if each.mean_duration_s]
         window.expected_duration_s = state.mean_duration_s or _median(durations)
--- a/packages/kingcupdyke/kingcupdyke/forwarding/pacemessage.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/pacemessage.py
@@ -44,7 +44,8 @@
     is_down: bool
     #: Whether the window has ended at the sender.
     is_ended: bool
-    #: Seconds since the window could first be used.
+    #: Seconds since the window could first be used or, for an endpoint that does not answer, since
+    #: it began.
     age_s: float
 
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/pacetable.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/pacetable.py
@@ -11,7 +11,7 @@
 """
 
 from collections.abc import Collection, Iterator, Mapping
-from math import ceil, inf
+from math import ceil
 from typing import NamedTuple
 
 from kingcupdyke.forwarding.endpointstate import UNREACHABLE_FAILURES, EndpointState
@@ -19,14 +19,12 @@
 from kingcupdyke.forwarding.pacemessage import PaceMessage, PaceReason, PaceReport
 from kingcupdyke.forwarding.pacewindow import INITIAL_WINDOW, PaceSender, PaceWindow
 from kingcupdyke.forwarding.peerschedule import PeerSchedule, PeerScope
-from kingcupdyke.util import hash_score
+from kingcupdyke.util import hash_score, rank_rendezvous
 
 __all__ = ["PaceEvent", "PaceTable"]
 
 #: Number of gateways that must report that an endpoint was unreachable before others join them.
 MIN_WITNESSES = 2
-#: Seconds since the last byte from an endpoint within which it is not unreachable from here.
-HEARD_S = 1.0
 #: Seconds after which a gateway tries an unreachable endpoint that most of its peers can reach.
 OWN_PROBE_S = 5.0
 #: Seconds after its latest news for which a window is reported to peers.
@@ -58,7 +56,7 @@
         self._state_by_id = state_by_id
         self._recovering: dict[str, EndpointState] = {}
         self._host = ""
-        self._hosts: tuple[str, ...] = ("",)
+        self._hosts: set[str] = {""}
         self._gateway_count = 1
         self._hosts_version = 0
         #: Hosts that report an endpoint as unreachable, by endpoint, start and episode.
@@ -78,7 +76,7 @@
         :param peers: hosts of the live peers
         :param gateway_count: number of all gateways; those that are not live keep their share
         """
-        hosts = (host, *sorted(peers))
+        hosts = {host, *peers}
         if hosts != self._hosts:
             self._hosts = hosts
             self._hosts_version += 1
@@ -191,7 +189,7 @@
                 del self._recovering[endpoint]
                 continue
             window = state.pace
-            window.begin(window.begun_s if window.begun_s < inf else now_s)
+            window.begin(now_s)
             if window.cold_left_s:
                 window.cold_until_s = now_s + window.cold_left_s
                 window.cold_left_s = 0.0
@@ -222,6 +220,7 @@
             if state.pace is None or report.episode != state.pace_episode:
                 continue
             was_down = state.pace.is_down
+            state.pace.begin(now_s)
             state.pace.merge(sender, report, now_s)
             if was_down and not state.pace.is_down:
                 self._note_reached(state)
@@ -248,6 +247,7 @@
             is_witness = window.reason is PaceReason.UNREACHABLE and not window.is_adopted
             if not (window.own_successes or window.own_failures or is_witness):
                 continue
+            since_s = min(now_s, window.begun_s if window.is_down else window.usable_s)
             reports.append(
                 PaceReport(
                     endpoint,
@@ -259,7 +259,7 @@
                     round(window.window, 2),
                     window.is_down,
                     window.released_until_s is not None,
-                    round(max(0.0, now_s - window.usable_s), 3) if window.usable_s < inf else 0.0,
+                    round(now_s - since_s, 3),
                 )
             )
         return tuple(reports)
@@ -271,8 +271,7 @@
             window = state.pace
             if window is None:
                 continue
-            key = _make_key(endpoint, window.get_epoch(now_s))
-            ranked = sorted(self._hosts, key=lambda host: hash_score(key, host), reverse=True)
+            ranked = self._rank(endpoint, window, now_s)
             hosts.update(ranked[: ceil(window.window / 2)])
         return hosts
 
@@ -316,15 +315,18 @@
         in_flight = len(state.tokens_by_attempt)
         if window.is_down and self._may_probe(state, now_s):
             return 1 - in_flight
-        epoch = window.get_epoch(now_s)
-        if window.position_key != (epoch, self._hosts_version):
-            window.position_key = (epoch, self._hosts_version)
-            key = _make_key(state.entry.endpoint, epoch)
-            own = hash_score(key, self._host)
-            window.position = sum(hash_score(key, each) > own for each in self._hosts)
-        part = window.get_part(window.position, len(self._hosts), self._gateway_count)
+        position = self._rank(state.entry.endpoint, window, now_s).index(self._host)
+        part = window.get_part(position, len(self._hosts), self._gateway_count)
         return part - in_flight
 
+    def _rank(self, endpoint: str, window: PaceWindow, now_s: float) -> list[str]:
+        """:return: the gateways in the order in which they send to an endpoint"""
+        key = (window.get_epoch(now_s), self._hosts_version)
+        if window.ranked_key != key:
+            window.ranked_key = key
+            window.ranked = rank_rendezvous(f"{endpoint}/{key[0]}", self._hosts)
+        return window.ranked
+
     def _may_probe(self, state: EndpointState, now_s: float) -> bool:
         """:return: whether only this gateway and few others cannot reach an endpoint"""
         is_local = 2 * state.peer_reports.unreachable_peers < len(self._hosts) - 1
@@ -342,7 +344,7 @@
             witnesses = self._witnesses.setdefault(key, set())
             witnesses.add(sender.host)
             needed = min(MIN_WITNESSES, len(self._hosts) - 1)
-            if len(witnesses) < needed or now_s - state.last_byte_s < HEARD_S:
+            if len(witnesses) < needed or state.last_byte_s > now_s - report.age_s:
                 return
         state.pace_episode = report.episode
         if state.pace is None:
@@ -382,7 +384,3 @@
                 seconds,
             )
         )
-
-
-def _make_key(endpoint: str, epoch: int) -> str:
-    return f"{endpoint}/{epoch}"
--- a/packages/kingcupdyke/kingcupdyke/forwarding/pacewindow.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/pacewindow.py
@@ -78,9 +78,9 @@
         #: Time until which the endpoint gets only its fair share, or None while the window holds.
         self.released_until_s: float | None = None
         self.credit = credit
-        #: Position of this gateway among the senders, valid for one key.
-        self.position_key: tuple[int, int] | None = None
-        self.position = 0
+        #: The gateways in the order in which they send, valid for one key.
+        self.ranked_key: tuple[int, int] | None = None
+        self.ranked: list[str] = []
         self._mean_duration_s: float | None = None
         self._mean_slowness: float | None = None
 
@@ -95,9 +95,9 @@
         return self.own_failures + sum(each for _, each in self.counts_by_sender.values())
 
     def begin(self, now_s: float) -> None:
-        """Begin the times of the window."""
-        self.begun_s = min(self.begun_s, now_s)
-        self.news_s = now_s
+        """Begin the times of the window, unless they have begun."""
+        if self.begun_s == inf:
+            self.begun_s = self.news_s = now_s
 
     def get_epoch(self, now_s: float) -> int:
         """:return: number of times that the senders have been replaced for lack of news"""
