--- a/packages/kingcupdyke-daemon/features/pace_fleet.py
+++ b/packages/kingcupdyke-daemon/features/pace_fleet.py
@@ -29,7 +29,7 @@
 BEFORE_S = 6.0
 REQUESTS_PER_S = {"plain": 400, "engine": 80}
 PROMPT_TOKENS = 1000
-TOKENS_PER_S = 100_000
+TOKENS_PER_S = 20_000
 WARM_UP_S = 5.0
 POLL_S = 0.025
 MODEL = LoadedModel("m1", 1, frozenset())
@@ -231,7 +231,7 @@
         self.names = [f"e{number}" for number in range(1, ENDPOINTS + 1)]
         self.load_by_endpoint = dict.fromkeys(self.names, 0)
         self.unread_by_endpoint = dict.fromkeys(self.names, 0)
-        self.read_until_s = dict.fromkeys(self.names, 0.0)
+        self.read_until_s = dict.fromkeys(self.names, -inf)
         #: Arrivals of callers, those served in time, and sends to returning endpoints.
         self.arrived_s, self.served_s, self.sent_s = [], [], []
         self.encoded = self.decoded = None
@@ -390,7 +390,11 @@
         """:return: requests that all gateways have or may have at an endpoint now"""
         total = 0
         for each in self.gateways.values():
-            state = each.table.state_by_id[endpoint]
+            state = each.table.state_by_id.get(endpoint)
+            if state is None:
+                continue
+            if state.pace is None:
+                return inf
             total += len(state.tokens_by_attempt)
             total += each.table.pace_table.has_room(state, self.now_s)
         return total
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -257,7 +257,8 @@
             resting = [
                 each
                 for each in states
-                if each not in reachable and not each.is_unresponsive(now_s)
+                if each not in reachable
+                and not each.is_unresponsive(now_s)
                 and not self.limit_table.find_delay(each.entry, now_s)
                 and self._has_capacity(each, engine_spec)
             ]
--- a/packages/kingcupdyke/kingcupdyke/forwarding/pacewindow.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/pacewindow.py
@@ -144,9 +144,13 @@
     def note_bad(self, now_s: float) -> bool:
         """Record a failure or a slow response.
 
+        While an endpoint says that it is slow, these reduce its window but do not prolong it.
+
         :return: whether it reduces the window, which happens at most once in a round trip
         """
-        self.news_s = self.bad_s = now_s
+        self.news_s = now_s
+        if now_s >= self.cold_until_s:
+            self.bad_s = now_s
         if self.released_until_s is not None:
             self.released_until_s = None
             self.window = min(self.window, max(INITIAL_WINDOW, self.end_window))
