Prefer an endpoint that is owed its fair share, and count ages of failures in pace messages

With 300 gateways a cold engine got half its share after its window had ended, as reported loads are seconds old, and late news of failures while it was cold prolonged the window.

--- a/packages/kingcupdyke-daemon/features/steps/pace_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/pace_steps.py
@@ -14,7 +14,7 @@
 from kingcupdyke.forwarding.pacemessage import PaceMessage, PaceReason, PaceReport
 
 END_S = 14.5
-REPORT = PaceReport("e1", 7, 2, PaceReason.COLD, 5, 1, 4.5, False, True, 0.25)
+REPORT = PaceReport("e1", 7, 2, PaceReason.COLD, 5, 1, 4.5, False, True, 0.25, None)
 
 
 @when('pace: {gateways:d} gateways send to an endpoint that "{behaviour}"')
--- a/packages/kingcupdyke/kingcupdyke/forwarding/pacechoice.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/pacechoice.py
@@ -16,6 +16,9 @@
 
 #: Longest wait in seconds for full endpoints while others that start or recover have no room.
 MAX_PACE_WAIT_S = 0.2
+#: Cost in seconds above that of the best endpoint at which one that is owed requests goes first. It
+#: exceeds the differences between reported loads, but not the distance to another region.
+MAX_OWED_COST_S = 0.05
 
 
 def choose_paced(
@@ -45,8 +48,23 @@
     if selected:
         decision = choose(selected)
         if isinstance(decision, Send):
-            return decision
+            return _prefer_owed(selected, choose, decision)
     # Loads that gateways report are too old to spread what exceeds the windows.
     widest = table.list_widest(available + resting, now_s)
     decision = choose([max(widest, key=lambda each: hash_score(key, each.entry.endpoint))])
     return decision if isinstance(decision, Send) else choose(available)
+
+
+def _prefer_owed(
+    selected: list[EndpointState],
+    choose: Callable[[list[EndpointState]], Decision],
+    best: Send,
+) -> Send:
+    """:return: the choice of an endpoint that has not had its fair share, unless that costs much"""
+    owed = [each for each in selected if each.pace is not None and each.pace.is_released]
+    if not owed:
+        return best
+    decision = choose(owed)
+    if isinstance(decision, Send) and decision.cost_s <= best.cost_s + MAX_OWED_COST_S:
+        return decision
+    return best
--- a/packages/kingcupdyke/kingcupdyke/forwarding/pacemessage.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/pacemessage.py
@@ -47,6 +47,8 @@
     #: Seconds since the window could first be used or, for an endpoint that does not answer, since
     #: it began.
     age_s: float
+    #: Seconds since the last failure or slow response that prolongs it, or None.
+    quiet_s: float | None
 
 
 class PaceMessage(NamedTuple):
@@ -84,6 +86,7 @@
     is_down: bool,
     is_ended: bool,
     age_s: float,
+    quiet_s: float | None,
 ) -> PaceReport:
     report = PaceReport(
         str(endpoint),
@@ -96,6 +99,7 @@
         bool(is_down),
         bool(is_ended),
         float(age_s),
+        None if quiet_s is None else max(0.0, float(quiet_s)),
     )
     if not (isfinite(report.window) and isfinite(report.age_s) and report.window >= 1.0):
         raise ValueError(f"invalid report: {report!r}")
--- a/packages/kingcupdyke/kingcupdyke/forwarding/pacetable.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/pacetable.py
@@ -11,7 +11,7 @@
 """
 
 from collections.abc import Collection, Iterator, Mapping
-from math import ceil
+from math import ceil, inf
 from typing import NamedTuple
 
 from kingcupdyke.forwarding.endpointstate import UNREACHABLE_FAILURES, EndpointState
@@ -260,6 +260,7 @@
                     window.is_down,
                     window.released_until_s is not None,
                     round(now_s - since_s, 3),
+                    None if window.bad_s == -inf else round(now_s - window.bad_s, 3),
                 )
             )
         return tuple(reports)
--- a/packages/kingcupdyke/kingcupdyke/forwarding/pacewindow.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/pacewindow.py
@@ -94,6 +94,11 @@
         """:return: reductions since the begin at all gateways"""
         return self.own_failures + sum(each for _, each in self.counts_by_sender.values())
 
+    @property
+    def is_released(self) -> bool:
+        """:return: whether the window has ended, so that the endpoint gets its fair share"""
+        return self.released_until_s is not None
+
     def begin(self, now_s: float) -> None:
         """Begin the times of the window, unless they have begun."""
         if self.begun_s == inf:
@@ -148,9 +153,12 @@
 
         :return: whether it reduces the window, which happens at most once in a round trip
         """
-        self.news_s = now_s
         if now_s >= self.cold_until_s:
             self.bad_s = now_s
+        return self._reduce(now_s)
+
+    def _reduce(self, now_s: float) -> bool:
+        self.news_s = now_s
         if self.released_until_s is not None:
             self.released_until_s = None
             self.window = min(self.window, max(INITIAL_WINDOW, self.end_window))
@@ -175,8 +183,10 @@
             # The adopted window contains these.
             self.successes_since_cut += successes
             return
+        if report.quiet_s is not None:
+            self.bad_s = max(self.bad_s, now_s - report.quiet_s)
         if failures > old_failures:
-            self.note_bad(now_s)
+            self._reduce(now_s)
         if successes > old_successes:
             self.note_good(successes - old_successes, now_s)
 
@@ -186,7 +196,10 @@
             return False
         if self.window > self.end_window and self.successes_since_cut >= INITIAL_WINDOW:
             return True
-        return now_s >= max(self.usable_s, self.bad_s) + MAX_QUIET_S
+        # Without a success or a stated time, it may have had no model to serve requests with.
+        is_stated = self.cold_until_s > -inf and self.successes_since_cut
+        begin_s = self.begun_s if is_stated else self.usable_s
+        return now_s >= max(begin_s, self.bad_s) + MAX_QUIET_S
 
     def earn(self, amount: float) -> None:
         """Add what the endpoint is owed of the request that is decided on, while released."""
