--- a/packages/kingcupdyke-daemon/features/pace.feature
+++ b/packages/kingcupdyke-daemon/features/pace.feature
@@ -19,6 +19,9 @@
       | 4 | alternates between up and down |
       | 30 | alternates between up and down |
       | 300 | alternates between up and down |
+      | 4 | is unreachable for a second |
+      | 30 | is unreachable for a second |
+      | 300 | is unreachable for a second |
       | 4 | collapses at half of its slots |
       | 30 | collapses at half of its slots |
       | 300 | collapses at half of its slots |
@@ -29,6 +32,9 @@
       | 30 | is a cold engine |
       | 300 | is a cold engine |
 
+  Scenario: A window grows by half with a window's worth of successes, and is halved once in a round trip
+    Then pace: a window is 4, 6 after 4 successes, 3 after 2 failures, and at least 1 after 9 more
+
   Scenario: A gateway that has just started treats the endpoints of its first list as established
     Then pace: of a first list only an endpoint that says that it is slow has a window
 
--- a/packages/kingcupdyke-daemon/features/pace_fleet.py
+++ b/packages/kingcupdyke-daemon/features/pace_fleet.py
@@ -110,6 +110,16 @@
         return SLOTS
 
 
+class Unreachable(Alternates):
+    fast_s = 0.0
+
+    def is_up(self, now_s):
+        return now_s < -1.0 or now_s >= 0.0
+
+    def get_down_s(self, now_s):
+        return -1.0 if now_s < -1.0 else inf
+
+
 class Collapses(Behaviour):
     fast_s = 0.0
 
@@ -152,6 +162,7 @@
     "starts slow and gets fast": Behaviour,
     "stays slow": StaysSlow,
     "alternates between up and down": Alternates,
+    "is unreachable for a second": Unreachable,
     "collapses at half of its slots": Collapses,
     "is a whole service that restarts": WholeService,
     "is a cold engine": ColdEngine,
--- a/packages/kingcupdyke-daemon/features/steps/pace_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/pace_steps.py
@@ -12,6 +12,7 @@
 
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.pacemessage import PaceMessage, PaceReason, PaceReport
+from kingcupdyke.forwarding.pacewindow import PaceWindow
 
 END_S = 14.5
 REPORT = PaceReport("e1", 7, 2, PaceReason.COLD, 5, 1, 4.5, False, True, 0.25, None)
@@ -63,6 +64,24 @@
     assert min(context.permitted) >= 1, context.permitted
 
 
+@then(
+    "pace: a window is {first:g}, {grown:g} after {successes:d} successes, {halved:g} after 2 "
+    "failures, and at least {least:g} after {failures:d} more"
+)
+def check_window(context, first, grown, successes, halved, least, failures):
+    window = PaceWindow(PaceReason.LISTED, 0.0)
+    found = [window.window]
+    for _ in range(successes):
+        window.note_good(1, 1.0)
+    found.append(window.window)
+    window.note_bad(2.0)
+    window.note_bad(2.01)
+    found.append(window.window)
+    for number in range(failures):
+        window.note_bad(3.0 + number)
+    assert [*found, window.window] == [first, grown, halved, least], found
+
+
 @then("pace: of a first list only an endpoint that says that it is slow has a window")
 def check_first_list(context):
     table = EndpointTable()
