--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
@@ -10,9 +10,11 @@
 
 from kingcupdyke.forwarding.endpoint import EndpointEntry, Replica
 from kingcupdyke.forwarding.endpointstarts import EndpointStarts
-from kingcupdyke.forwarding.endpointstate import EndpointState
+from kingcupdyke.forwarding.endpointstate import UNREACHABLE_FAILURES, EndpointState
 from kingcupdyke.forwarding.leavingmessage import LeavingReport
 from kingcupdyke.forwarding.leavingtable import LeavingProcess, LeavingTable
+from kingcupdyke.forwarding.pacemessage import PaceReason
+from kingcupdyke.forwarding.pacetable import PaceTable
 from kingcupdyke.forwarding.peerreports import PeerReports
 from kingcupdyke.forwarding.peerstate import GatewayState
 
@@ -43,9 +45,13 @@
         self.state_by_id: dict[str, EndpointState] = {}
         #: Processes of endpoints that have said that they are leaving.
         self.leaving_table = LeavingTable()
+        #: Endpoints that start or recover.
+        self.pace_table = PaceTable(self.state_by_id)
         self._peer_reports = PeerReports()
         #: The processes of the endpoints.
         self.starts = EndpointStarts()
+        #: Whether a complete list was read; the endpoints of the first one count as established.
+        self._has_list = False
         #: Time since which this gateway has read all changes of the list of endpoints.
         self.listed_since_s = inf
         #: Time at which each software version of a service was last listed.
@@ -67,6 +73,7 @@
         listed = {each.endpoint for each in entries}
         for entry in entries:
             self.put(entry)
+        self._has_list = True
         for endpoint in [each for each in self.state_by_id if each not in listed]:
             self.remove(endpoint, now_s, after_outage)
 
@@ -90,8 +97,11 @@
             entry = entry._replace(is_leaving=True)
         state = self.state_by_id.get(entry.endpoint)
         if state is None:
-            self.state_by_id[entry.endpoint] = EndpointState(entry)
+            state = self.state_by_id[entry.endpoint] = EndpointState(entry)
             self._update_reports((entry.endpoint,))
+            if self._has_list:
+                self.pace_table.begin(state, PaceReason.LISTED)
+            self.pace_table.note_entry(state)
             return
         if entry.started_ms < state.entry.started_ms:
             return
@@ -105,7 +115,13 @@
             state.clear_prefixes()
             state.consecutive_failures = 0
             state.backoff_until_s = 0.0
+            state.failure_share = 0.0
+            state.entry = entry
+            self.pace_table.restart(state)
+        is_new_entry = entry.heartbeat != state.entry.heartbeat or not is_same_start
         state.entry = entry
+        if is_new_entry:
+            self.pace_table.note_entry(state)
 
     def note_leaving(self, process: LeavingProcess) -> bool:
         """Record that a process has said that it is leaving.
@@ -299,6 +315,16 @@
                 INITIAL_BACKOFF_S * 2**state.consecutive_failures, MAX_BACKOFF_S
             )
             state.consecutive_failures = min(state.consecutive_failures + 1, 8)
+            if state.consecutive_failures >= UNREACHABLE_FAILURES:
+                self.pace_table.note_unreachable(state, now_s)
+        if state.pace is not None:
+            self.pace_table.note_failure(state, now_s)
+
+    def note_rejection(self, endpoint: str, now_s: float) -> None:
+        """Record that an endpoint has rejected a request that it has not run."""
+        state = self.state_by_id.get(endpoint)
+        if state is not None and state.pace is not None:
+            self.pace_table.note_failure(state, now_s)
 
     def note_success(self, endpoint: str) -> None:
         """Record that an endpoint has answered a request, which ends a backoff."""
