--- a/packages/kingcupdyke-daemon/features/pace.feature
+++ b/packages/kingcupdyke-daemon/features/pace.feature
@@ -32,6 +32,11 @@
       | 30 | is a cold engine |
       | 300 | is a cold engine |
 
+  Scenario: At 300 gateways, a whole service that restarts, with seed 2
+    When pace: with seed 2, 300 gateways send to an endpoint that "is a whole service that restarts"
+    Then pace: at least 95 in 100 callers of the first 10 s are served in time
+    And pace: the endpoint never has more than 2 times the load that it can take
+
   Scenario: A window grows by half with a window's worth of successes, and is halved once in a round trip
     Then pace: a window is 4, 6 after 4 successes, 3 after 2 failures, and at least 1 after 9 more
 
--- a/packages/kingcupdyke-daemon/features/steps/pace_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/pace_steps.py
@@ -33,6 +33,12 @@
         print(mode, *(round(each, 3) for each in figures))
 
 
+@when('pace: with seed {seed:d}, {gateways:d} gateways send to an endpoint that "{behaviour}"')
+def run_fleet(context, seed, gateways, behaviour):
+    context.fleets = {"pace": Fleet(gateways, behaviour, "pace", seed)}
+    context.fleets["pace"].run(END_S)
+
+
 @then("pace: at least {share:d} in 100 callers of the first 10 s are served in time")
 def check_served(context, share):
     assert context.fleets["pace"].get_served_share() >= share / 100
