--- a/packages/kingcupdyke-wire/kingcupdyke_wire/sockets.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/sockets.py
@@ -24,8 +24,10 @@
 def count_unsent(stream: SocketStream) -> int:
     """:return: bytes written to a connection that its peer has not acknowledged
 
-    :raises OSError: when the connection is closed
+    :raises BrokenResourceError: when the connection is closed
     """
+    if stream._transport.is_closing():
+        raise BrokenResourceError
     raw = stream.extra(SocketAttribute.raw_socket)
     (in_kernel,) = unpack("i", ioctl(raw.fileno(), TIOCOUTQ, bytes(calcsize("i"))))
     return stream._transport.get_write_buffer_size() + in_kernel
--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpointstarts.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpointstarts.py
@@ -52,9 +52,8 @@
         known = self._start_by_endpoint.get(endpoint)
         if known is not None and started_ms < known.started_ms:
             return
-        self._noted_s_by_endpoint[endpoint] = max(
-            heard_s, self._noted_s_by_endpoint.get(endpoint, -inf)
-        )
+        # The time of an entry that may be old is set at the next clean-up.
+        self._noted_s_by_endpoint[endpoint] = heard_s
         if known is not None and started_ms == known.started_ms:
             if heartbeat <= known.heartbeat:
                 return
--- a/packages/kingcupdyke/kingcupdyke/forwarding/fairorder.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/fairorder.py
@@ -32,8 +32,8 @@
 Rank = tuple[int, bool, float, float, float, str]
 
 
-class _Service(NamedTuple):
-    """What a caller has received from a service."""
+class _ReceivedWork(NamedTuple):
+    """What a caller has received from the endpoints of a service."""
 
     #: Virtual time: seconds that the caller needs at its rate to use as much.
     virtual_s: float
@@ -57,7 +57,7 @@
     def __init__(self) -> None:
         self._callers: CallerTable | None = None
         self._default_spec = EQUAL_WEIGHT
-        self._service_by_key: dict[tuple[str, str], _Service] = {}
+        self._received_by_key: dict[tuple[str, str], _ReceivedWork] = {}
         #: Order of the waiting requests by service and model, and the time at which it was made.
         self._line_by_model: dict[tuple[str, str], list[WorkItem]] = {}
         self._ranked_s: float | None = None
@@ -70,8 +70,8 @@
         """Replace the callers by those of a new configuration."""
         self._callers = callers
         names = set() if callers is None else callers.callers_by_name.keys() | {""}
-        self._service_by_key = {
-            key: each for key, each in self._service_by_key.items() if key[1] in names
+        self._received_by_key = {
+            key: each for key, each in self._received_by_key.items() if key[1] in names
         }
         self._default_spec = _choose_default(callers)
         self._ranked_s = None
@@ -123,7 +123,7 @@
         if item.attempt_id in self._exempt_ids:
             return
         received_s = self._read_virtual(item, now_s) + self._measure_s(item)
-        self._service_by_key[item.service, item.caller] = _Service(received_s, now_s)
+        self._received_by_key[item.service, item.caller] = _ReceivedWork(received_s, now_s)
 
     def _rank_all(self, items: list[WorkItem], now_s: float) -> dict[str, Rank]:
         if self._callers is None:
@@ -150,7 +150,7 @@
         return ranks
 
     def _read_virtual(self, item: WorkItem, now_s: float) -> float:
-        service = self._service_by_key.get((item.service, item.caller))
+        service = self._received_by_key.get((item.service, item.caller))
         return 0.0 if service is None else service.read(now_s)
 
     def _measure_s(self, item: WorkItem) -> float:
--- a/packages/kingcupdyke/kingcupdyke/forwarding/pacemessage.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/pacemessage.py
@@ -8,12 +8,11 @@
 from enum import StrEnum
 from math import isfinite
 from typing import NamedTuple
-from zlib import error as zlib_error
 
 from expression import Error, Ok, Result
 
 from kingcupdyke.error import Failure, Outcome, Step
-from kingcupdyke.forwarding.peerstate import pack_message, unpack_message
+from kingcupdyke.forwarding.peerstate import MESSAGE_ERRORS, pack_message, unpack_message
 
 __all__ = ["PaceMessage", "PaceReason", "PaceReport"]
 
@@ -70,7 +69,7 @@
             fields = unpack_message(value)["pace"]
             reports = tuple(_decode_report(*each) for each in fields["reports"])
             return Ok(cls(str(fields["sender"]), str(fields["incarnation"]), reports))
-        except (ValueError, TypeError, KeyError, OverflowError, zlib_error) as error:
+        except MESSAGE_ERRORS as error:
             reason = f"invalid pace message: {error!r}"
             return Error(Failure(Outcome.FAILED, Step.PARSE, "", reason))
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/pacetable.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/pacetable.py
@@ -66,8 +66,8 @@
 
     @property
     def is_active(self) -> bool:
-        """:return: whether any endpoint starts or recovers"""
-        return bool(self._recovering)
+        """:return: whether any endpoint starts or recovers, or peers report one that may"""
+        return bool(self._recovering or self._witnesses)
 
     def set_gateways(self, host: str, peers: Collection[str], gateway_count: int) -> None:
         """Set the gateways that share the windows.
@@ -202,11 +202,12 @@
                 del self._recovering[endpoint]
         if not self._witnesses:
             return
-        listed = {
-            (each.entry.endpoint, each.entry.started_ms) for each in self._state_by_id.values()
-        }
-        for key in [each for each in self._witnesses if each[:2] not in listed]:
-            del self._witnesses[key]
+        for key in list(self._witnesses):
+            endpoint, started_ms, episode = key
+            state = self._state_by_id.get(endpoint)
+            is_current = state is not None and state.entry.started_ms == started_ms
+            if not is_current or episode <= state.pace_episode:
+                del self._witnesses[key]
 
     def merge(self, message: PaceMessage, now_s: float) -> None:
         """Add what a peer knows."""
--- a/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
@@ -19,6 +19,7 @@
     "Demand",
     "EndpointLoad",
     "GatewayState",
+    "MESSAGE_ERRORS",
     "PeerTable",
     "Placement",
     "LeasePromise",
@@ -30,6 +31,16 @@
 RAW_DEFLATE = -15
 #: Limit of a message's size in bytes after decompression.
 MAX_MESSAGE_BYTES = 1_000_000
+#: Raised when a message is decoded that is not valid.
+MESSAGE_ERRORS = (
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+    zlib_error,
+)
 #: Limit of the interval that a peer may state.
 MAX_INTERVAL_S = 60.0
 #: Time without a message after which a peer's state is ignored: this number of the intervals that
@@ -135,7 +146,7 @@
                     interval_s=float(fields.interval_s),
                 )
             )
-        except (ValueError, TypeError, zlib_error) as error:
+        except MESSAGE_ERRORS as error:
             reason = f"invalid gateway state message: {error!r}"
             return Error(Failure(Outcome.FAILED, Step.PARSE, "", reason))
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/quotabucket.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/quotabucket.py
@@ -9,7 +9,7 @@
 from itertools import compress
 from typing import NamedTuple
 
-from kingcupdyke.forwarding.quotalimits import RESERVE_SHARE, QuotaLimits
+from kingcupdyke.forwarding.quotalimits import RESERVE_SHARE, UNUSED_S, QuotaLimits
 from kingcupdyke.forwarding.quotamessage import QuotaAsk, QuotaGrant
 from kingcupdyke.forwarding.quotaspec import QuotaSpec
 
@@ -100,9 +100,9 @@
         return tuple(accepted)
 
     def _take_advance(self, ask: QuotaAsk, now_s: float) -> float:
-        # A stock is dropped after 2 s; one that is older belongs to a gateway that is frozen or
-        # gone, and can be spent until a window and its own age have passed.
-        valid_s = self._limits.window_s + 2.0
+        # An older stock belongs to a gateway that is frozen or gone, and can be spent until a window
+        # and its own age have passed.
+        valid_s = self._limits.window_s + UNUSED_S
         for host, each in list(self._account_by_host.items()):
             if now_s - each.asked_s > valid_s:
                 del self._account_by_host[host]
--- a/packages/kingcupdyke/kingcupdyke/forwarding/quotaelection.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/quotaelection.py
@@ -280,4 +280,4 @@
                 for caller, heir in heir_by_caller.items()
                 if heir == host and caller in owned
             }
-            self._send(host, claim._replace(level_by_caller=levels))
+            self._send(host, claim._replace(level_by_caller=levels) if levels else claim)
--- a/packages/kingcupdyke/kingcupdyke/forwarding/quotagateway.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/quotagateway.py
@@ -130,16 +130,16 @@
     def configure(self, spec_by_caller: Mapping[str, QuotaSpec], now_s: float) -> None:
         """Set the quotas of a configuration version."""
         for caller in self._state_by_caller.keys() - spec_by_caller.keys():
-            state = self._state_by_caller.pop(caller)
-            for ticket in (*state.waiting, *(state.asked.tickets if state.asked else ())):
-                if ticket.outcome is None:
-                    ticket.end(Granted())
+            _end_tickets(self._state_by_caller.pop(caller))
         for caller, spec in spec_by_caller.items():
             state = self._state_by_caller.get(caller)
-            if state is not None and state.stock.spec.unit is not spec.unit:
-                state = None
-            if state is None:
+            if state is None or state.stock.spec.unit is not spec.unit:
+                earlier = state
                 state = self._state_by_caller[caller] = _CallerState(spec, self._limits, now_s)
+                if earlier is not None:
+                    # Amounts in another unit can't be compared with the new quota.
+                    _end_tickets(earlier)
+                    state.received_number = earlier.received_number
             state.stock.configure(spec, self._gateway_count)
             if state.bucket is not None:
                 state.bucket.configure(spec)
@@ -352,3 +352,10 @@
                 ticket.end(Granted())
             else:
                 state.waiting.append(ticket)
+
+
+def _end_tickets(state: _CallerState) -> None:
+    """Grant the requests that wait for a quota that has gone."""
+    for ticket in (*state.waiting, *(state.asked.tickets if state.asked else ())):
+        if ticket.outcome is None:
+            ticket.end(Granted())
--- a/packages/kingcupdyke/kingcupdyke/forwarding/quotalimits.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/quotalimits.py
@@ -9,10 +9,12 @@
 
 from kingcupdyke.forwarding.quotaspec import QuotaSpec, QuotaUnit
 
-__all__ = ["RESERVE_SHARE", "QuotaLimits"]
+__all__ = ["RESERVE_SHARE", "UNUSED_S", "QuotaLimits"]
 
 #: Share of rate and burst that gateways may use without an owner, over all of them.
 RESERVE_SHARE = 0.1
+#: Seconds after which a gateway's stock that has not been used is returned.
+UNUSED_S = 2.0
 
 
 class QuotaLimits(NamedTuple):
--- a/packages/kingcupdyke/kingcupdyke/forwarding/quotamessage.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/quotamessage.py
@@ -8,12 +8,11 @@
 from collections.abc import Callable, Mapping
 from math import isfinite
 from typing import NamedTuple, TypeVar
-from zlib import error as zlib_error
 
 from expression import Error, Ok, Result
 
 from kingcupdyke.error import Failure, Outcome, Step
-from kingcupdyke.forwarding.peerstate import pack_message, unpack_message
+from kingcupdyke.forwarding.peerstate import MESSAGE_ERRORS, pack_message, unpack_message
 
 __all__ = ["QuotaAsk", "QuotaClaim", "QuotaGrant", "QuotaMessage", "QuotaVote"]
 
@@ -126,15 +125,7 @@
 def _decode(value: bytes, name: str, make: Callable[..., Message]) -> Result[Message, Failure]:
     try:
         return Ok(make(*unpack_message(value)[name]))
-    except (
-        ValueError,
-        TypeError,
-        KeyError,
-        AttributeError,
-        OverflowError,
-        RecursionError,
-        zlib_error,
-    ) as error:
+    except MESSAGE_ERRORS as error:
         reason = f"invalid message {name}: {error!r}"
         return Error(Failure(Outcome.FAILED, Step.PARSE, "", reason))
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/quotastock.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/quotastock.py
@@ -7,15 +7,13 @@
 
 from collections import deque
 
-from kingcupdyke.forwarding.quotalimits import RESERVE_SHARE, QuotaLimits
+from kingcupdyke.forwarding.quotalimits import RESERVE_SHARE, UNUSED_S, QuotaLimits
 from kingcupdyke.forwarding.quotaspec import QuotaSpec
 
 __all__ = ["QuotaStock"]
 
 #: Time whose spending is asked for in advance.
 ADVANCE_S = 0.3
-#: Time after which a stock that has not been used is returned.
-UNUSED_S = 2.0
 
 
 class QuotaStock:
--- a/packages/kingcupdyke/kingcupdyke/forwarding/retrybudget.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/retrybudget.py
@@ -36,7 +36,7 @@
 
     def count_request(self, service: str, now_s: float) -> None:
         """Count a request of a client."""
-        self._requests_by_service.setdefault(service, deque()).append(now_s)
+        self._trim(self._requests_by_service, service, now_s).append(now_s)
 
     def take(self, service: str, gateways: int, now_s: float) -> bool:
         """Count a retry if the budget allows it.
--- a/packages/kingcupdyke/kingcupdyke/forwarding/streamorigin.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/streamorigin.py
@@ -13,12 +13,11 @@
 from collections import OrderedDict
 from collections.abc import Mapping
 from typing import NamedTuple
-from zlib import error as zlib_error
 
 from expression import Error, Ok, Result
 
 from kingcupdyke.error import Failure, Outcome, Step
-from kingcupdyke.forwarding.peerstate import pack_message, unpack_message
+from kingcupdyke.forwarding.peerstate import MESSAGE_ERRORS, pack_message, unpack_message
 from kingcupdyke.util import rank_rendezvous
 
 __all__ = ["ASKED_FACTOR", "OriginMessage", "StreamOrigin", "StreamOriginTable", "choose_holders"]
@@ -78,7 +77,7 @@
                     tuple(map(str, fields["unknown"])),
                 )
             )
-        except (ValueError, TypeError, KeyError, zlib_error) as error:
+        except MESSAGE_ERRORS as error:
             reason = f"invalid stream origin message: {error!r}"
             return Error(Failure(Outcome.FAILED, Step.PARSE, "", reason))
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/versionregister.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/versionregister.py
@@ -63,7 +63,7 @@
         self._read_by_service: dict[str, SoftwareVersions] = {}
         #: Usable versions with the time at which they were first read, by service.
         self._usable_by_service: dict[str, dict[str, float]] = {}
-        #: Times at which all registered versions were first read, by service.
+        #: Times at which all registered versions were last read or written, by service.
         self._first_read_s_by_service: dict[str, dict[str, float]] = {}
         #: Versions to be added with the time since when they are wanted, by service.
         self._wanted_by_service: dict[str, dict[str, float]] = {}
