--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -13,6 +13,7 @@
 from kingcupdyke.forwarding.crashtable import CrashTable
 from kingcupdyke.forwarding.decision import Decision, Refuse, Send, Wait
 from kingcupdyke.forwarding.demandtracker import DemandTracker, count_pinned
+from kingcupdyke.forwarding.endpointcosts import EndpointCosts, estimate_read_s
 from kingcupdyke.forwarding.endpointstate import DEFAULT_TOKENS_PER_S, EndpointState
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.fairorder import FairOrder
@@ -30,15 +31,8 @@
 #: Backlog of unread prompts, in seconds of reading, up to which an engine receives further
 #: requests. It keeps the engine busy, and an urgent request does not wait long behind others.
 MAX_BACKLOG_S = 0.35
-#: Seconds that each running request adds to the expected time to the first event.
-RUNNING_REQUEST_COST_S = 0.001
-#: Seconds added to the cost of an endpoint in another data centre, or in another region.
-OTHER_DATA_CENTRE_COST_S = 0.01
-OTHER_REGION_COST_S = 0.12
 #: Expected seconds from a request for a model to the planner's order to load it.
 ORDER_DELAY_S = 0.3
-#: Seconds added to the cost of an endpoint, multiplied by its share of failed requests.
-FAILURE_COST_S = 2.0
 #: Seconds after which a rejected caller is asked to retry if there is no better estimate.
 RETRY_AFTER_S = 0.5
 #: Seconds after which a caller is asked to retry at another gateway, as this one is stopping.
@@ -47,10 +41,6 @@
 MIN_REMAINING_S = 0.03
 #: Least limit of an endpoint, in requests a second, by which a wait is estimated.
 MIN_LIMIT_PER_S = 0.25
-#: Assumed duration in seconds of a plain service's requests until the first one has ended.
-INITIAL_DURATION_S = 0.05
-#: Weight of the newest request in a service's moving average of request durations.
-DURATION_WEIGHT = 0.1
 
 
 class Dispatcher:
@@ -70,8 +60,7 @@
     ) -> None:
         self._endpoint_table = endpoint_table
         self._pace_table = endpoint_table.pace_table
-        self._data_centre = data_centre
-        self.region_by_data_centre = region_by_data_centre
+        self._costs = EndpointCosts(data_centre, region_by_data_centre)
         #: Tell which prompts, and which requests, crash endpoints.
         self.crash_table = CrashTable()
         self.request_crash_table = RequestCrashTable()
@@ -85,7 +74,6 @@
         self._order = FairOrder()
         self._waiting_by_id: dict[str, tuple[WorkItem, frozenset[str]]] = {}
         self._demands = DemandTracker()
-        self._mean_duration_s_by_service: dict[str, float] = {}
 
     def configure(
         self, service_by_name: dict[str, ServiceSpec], callers: CallerTable | None = None
@@ -94,6 +82,15 @@
         self._service_by_name = service_by_name
         self._order.configure(callers)
 
+    @property
+    def region_by_data_centre(self) -> dict[str, str]:
+        """:return: the region of each data centre"""
+        return self._costs.region_by_data_centre
+
+    @region_by_data_centre.setter
+    def region_by_data_centre(self, region_by_data_centre: dict[str, str]) -> None:
+        self._costs.region_by_data_centre = region_by_data_centre
+
     @property
     def waiting(self) -> int:
         """:return: number of waiting requests"""
@@ -184,10 +181,7 @@
             if tokens or not self._is_engine(service):
                 self._pace_table.note_end(state, tokens, is_answered, seconds, now_s)
         self.cancel(attempt_id, endpoint)
-        average_s = self._mean_duration_s_by_service.get(service, seconds)
-        self._mean_duration_s_by_service[service] = average_s + DURATION_WEIGHT * (
-            seconds - average_s
-        )
+        self._costs.note_duration(service, seconds)
 
     def _is_engine(self, service: str) -> bool:
         spec = self._service_by_name.get(service)
@@ -329,21 +323,14 @@
 
     def _choose(self, item: WorkItem, states: list[EndpointState], now_s: float) -> Send | Refuse:
         """Choose the cheapest endpoint; reject if it cannot begin the answer in time."""
-        costs = [(self._cost_s(each, item, now_s), each) for each in states]
+        costs = [(self._costs.cost_s(each, item), each) for each in states]
         cost_s, best = min(costs, key=lambda each: each[0])
         if item.model:
-            first_event_s = self._prompt_read_s(best, item)
+            first_event_s = estimate_read_s(best, item)
             if now_s + first_event_s > min(item.deadline_s, item.first_by_s):
                 return Refuse("the answer can't begin in time", max(0.1, first_event_s))
         return Send(best.entry.endpoint, len(costs), cost_s)
 
-    @staticmethod
-    def _prompt_read_s(state: EndpointState, item: WorkItem) -> float:
-        """:return: expected seconds until an engine has read a prompt and all unread ones before"""
-        cached = state.count_cached_tokens(item.model, item.parts)
-        tokens = state.unread_tokens + max(0, item.prompt_tokens - cached)
-        return tokens / state.tokens_per_s
-
     def _latest_send_s(self, item: WorkItem) -> float:
         """:return: the time by which a request must have been sent, else it is rejected"""
         return min(item.deadline_s, item.first_by_s, self.send_by_s)
@@ -354,25 +341,6 @@
             return False
         return engine_spec is None or state.unread_tokens <= MAX_BACKLOG_S * state.tokens_per_s
 
-    def _cost_s(self, state: EndpointState, item: WorkItem, now_s: float) -> float:
-        """:return: expected seconds to the first event, plus the costs of distance and failures"""
-        cost_s = self._prompt_read_s(state, item) + state.requests * RUNNING_REQUEST_COST_S
-        if not item.model:
-            mean_s = self._mean_duration_s_by_service.get(item.service, INITIAL_DURATION_S)
-            cost_s = mean_s * state.requests / max(1, state.entry.slots)
-        # The window of an endpoint that recovers takes the place of the cost of its failures.
-        failure_share = state.failure_share if state.pace is None else 0.0
-        return cost_s + self._distance_s(state) + FAILURE_COST_S * failure_share
-
-    def _distance_s(self, state: EndpointState) -> float:
-        other = state.entry.data_centre
-        if other == self._data_centre:
-            return 0.0
-        regions = self.region_by_data_centre
-        if regions.get(other) == regions.get(self._data_centre):
-            return OTHER_DATA_CENTRE_COST_S
-        return OTHER_REGION_COST_S
-
     def _await_replica(
         self, item: WorkItem, engine_spec: EngineSpec, states: list[EndpointState], now_s: float
     ) -> Decision:
@@ -411,15 +379,7 @@
         self, item: WorkItem, states: list[EndpointState], now_s: float
     ) -> Decision:
         """Wait for capacity, or reject if the requests before this one take too long."""
-        before = self._list_ahead(item, now_s)
-        if item.model:
-            tokens = sum(each.prompt_tokens for each in before) + item.prompt_tokens
-            tokens += sum(each.unread_tokens for each in states)
-            wait_s = tokens / sum(each.tokens_per_s for each in states)
-        else:
-            mean_s = self._mean_duration_s_by_service.get(item.service, INITIAL_DURATION_S)
-            slots = sum(max(1, each.entry.slots) for each in states)
-            wait_s = mean_s * (len(before) + 1) / slots
+        wait_s = self._costs.estimate_wait_s(item, self._list_ahead(item, now_s), states)
         if now_s + wait_s > self._latest_send_s(item):
             return Refuse("the queue is longer than the deadline", max(0.1, wait_s))
         return Wait("all endpoints are full")
