--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
@@ -6,7 +6,6 @@
 """
 
 import logging
-import re
 from collections.abc import Callable
 from socket import IPPROTO_TCP, TCP_NOTSENT_LOWAT
 
@@ -52,6 +51,12 @@
     Reply,
     RequestHandler,
 )
+from kingcupdyke_daemon.forwarder.requestcheck import (
+    RejectedRequest,
+    check_head,
+    describe_protocol_error,
+    find_length,
+)
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
 from kingcupdyke_wire.sockets import reset, set_unacknowledged_timeout
 
@@ -73,23 +78,6 @@
 NO_MEMORY_RETRY_S = 0.5
 #: Timeout for writing the rejection of a request that does not reach the handler.
 REJECTION_TIMEOUT_S = 1.0
-#: Line of a request in an error of h11, which quotes it as bytes.
-QUOTED_LINE = re.compile(r":? (bytearray\()?b['\"].*", re.DOTALL)
-
-
-class _RejectedRequest(Exception):
-    """A request that is rejected before it reaches the handler.
-
-    :param status: HTTP status of the rejection
-    :param reason: error message of the rejection
-    :param headers: headers of the rejection
-    """
-
-    def __init__(self, status: int, reason: str, headers: Headers = ()) -> None:
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-        self.headers = headers
 
 
 class ClientServer:
@@ -182,7 +170,7 @@
         while True:
             try:
                 request = await self._read_request()
-            except _RejectedRequest as error:
+            except RejectedRequest as error:
                 await self._send_rejection(error)
                 return
             if request is None:
@@ -263,7 +251,7 @@
         except DISCONNECT_ERRORS:
             tasks.cancel_scope.cancel()
         except RemoteProtocolError as error:
-            _LOGGER.debug("a pipelined request is malformed: %s", _describe(error))
+            _LOGGER.debug("a pipelined request is malformed: %s", describe_protocol_error(error))
 
     async def _read_request(self) -> ClientRequest | None:
         """:return: the next request, or None if the client disconnected or sent none in time"""
@@ -275,7 +263,7 @@
         self._server.in_progress += 1
         try:
             arrived_s = self._server.now()
-            _check_head(head, limits)
+            check_head(head, limits)
             body = await self._read_body(head, limits)
         finally:
             self._server.in_progress -= 1
@@ -300,7 +288,7 @@
         """:return: the body, which counts toward the memory budget until the request has ended"""
         budget = self._server.memory.budget
         # A declared length is taken at once: a body that was begun is not rejected for memory.
-        taken = _find_length(head)
+        taken = find_length(head)
         if not budget.take_body(taken):
             raise self._make_memory_rejection(head)
         parts: list[bytes] = []
@@ -312,7 +300,7 @@
             while (data := await self._read_body_part(limits)) is not None:
                 size += len(data)
                 if size > limits.max_body_bytes:
-                    raise _RejectedRequest(413, "the request body is too large")
+                    raise RejectedRequest(413, "the request body is too large")
                 if size > taken:
                     if not budget.take_body(size - taken):
                         raise self._make_memory_rejection(head)
@@ -329,16 +317,16 @@
         try:
             event = await self._next_event(limits.idle_timeout_s, limits.idle_timeout_s)
         except TimeoutError:
-            raise _RejectedRequest(408, "timeout while reading the request body") from None
+            raise RejectedRequest(408, "timeout while reading the request body") from None
         if isinstance(event, EndOfMessage):
             return None
         if not isinstance(event, Data):
-            raise _RejectedRequest(400, "the request body ended early")
+            raise RejectedRequest(400, "the request body ended early")
         return bytes(event.data)
 
-    def _make_memory_rejection(self, head: Request) -> _RejectedRequest:
+    def _make_memory_rejection(self, head: Request) -> RejectedRequest:
         headers = self._server.handler.write_rejection(list(head.headers), NO_MEMORY_RETRY_S)
-        return _RejectedRequest(503, "the gateway holds too many bytes of requests", headers)
+        return RejectedRequest(503, "the gateway holds too many bytes of requests", headers)
 
     async def _next_event(self, first_timeout_s: float, rest_timeout_s: float) -> object:
         """Read until the next HTTP event is complete.
@@ -358,7 +346,7 @@
                     await self._receive()
             return event
         except RemoteProtocolError as error:
-            raise _RejectedRequest(error.error_status_hint, _describe(error)) from None
+            raise RejectedRequest(error.error_status_hint, describe_protocol_error(error)) from None
 
     async def _receive(self) -> None:
         try:
@@ -367,7 +355,7 @@
             data = b""
         self._http.receive_data(data)
 
-    async def _send_rejection(self, error: _RejectedRequest) -> None:
+    async def _send_rejection(self, error: RejectedRequest) -> None:
         _LOGGER.info("rejected a request: %s %s", error.status, error.reason)
         if self._http.our_state not in (IDLE, SEND_RESPONSE):
             return
@@ -387,22 +375,3 @@
             *DISCONNECT_ERRORS,
         ) as problem:
             _LOGGER.debug("the rejection could not be written: %r", problem)
-
-
-def _describe(error: RemoteProtocolError) -> str:
-    """:return: the error without the line that it quotes, which may contain a caller's key"""
-    return QUOTED_LINE.sub("", str(error))
-
-
-def _check_head(head: Request, limits: ClientLimits) -> None:
-    """:raises _RejectedRequest: when the framing is ambiguous or the body is too large"""
-    names = [name for name, _ in head.headers]
-    if b"content-length" in names and b"transfer-encoding" in names:
-        raise _RejectedRequest(400, "both content-length and transfer-encoding are given")
-    if _find_length(head) > limits.max_body_bytes:
-        raise _RejectedRequest(413, "the request body is too large")
-
-
-def _find_length(head: Request) -> int:
-    """:return: the declared length of the body, or 0 if none is declared"""
-    return next((int(value) for name, value in head.headers if name == b"content-length"), 0)
