--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/attemptfailures.py
@@ -0,0 +1,99 @@
+"""
+kingcupdyke_daemon.forwarder.attemptfailures
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Handles the failed attempts of one client request: what the endpoint table learns of the endpoint,
+and what is kept for the final answer.
+"""
+
+from h11 import Response
+
+from kingcupdyke.forwarding.endpoint import Replica
+from kingcupdyke.forwarding.metadata import AnswerMetadata
+from kingcupdyke.forwarding.workitem import WorkItem
+from kingcupdyke_daemon.forwarder.answerrelay import strip_headers
+from kingcupdyke_daemon.forwarder.attemptresult import AttemptResult
+from kingcupdyke_daemon.forwarder.connection import Progress, TransferError
+from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
+from kingcupdyke_daemon.forwarder.exchange import Exchange
+from kingcupdyke_daemon.forwarder.finalanswer import FinalAnswer, KeptAnswer
+from kingcupdyke_daemon.forwarder.reply import Reply
+
+__all__ = ["STATUS_MISDIRECTED", "AttemptFailures"]
+
+STATUS_MISDIRECTED = 421
+
+
+class AttemptFailures:
+    """Failed attempts of one request.
+
+    :param deps: collaborators shared by all requests
+    :param reply: writes the answer to the client
+    :param final_answer: keeps a failed answer in case no other endpoint answers
+    """
+
+    def __init__(
+        self, deps: ForwarderDependencies, reply: Reply, final_answer: FinalAnswer
+    ) -> None:
+        self._deps = deps
+        self._reply = reply
+        self._final_answer = final_answer
+        #: Why the request was not answered by the latest attempt, or at all.
+        self.reason = ""
+
+    def note_transfer_error(self, endpoint: str, error: TransferError) -> AttemptResult:
+        """Record that the connection to the endpoint broke or could not be opened."""
+        self.reason = f"endpoint {endpoint}: {error.reason}"
+        self._deps.endpoint_table.note_failure(endpoint, self._deps.timer.now(), True)
+        if error.progress is Progress.NOT_SENT:
+            self._deps.endpoint_table.starts.note_refused(endpoint, self._deps.timer.now())
+            return AttemptResult.NOT_SENT
+        return AttemptResult.BROKEN if self._reply.has_begun else AttemptResult.UNKNOWN
+
+    def note_unstamped(self, endpoint: str, head: Response) -> AttemptResult:
+        """Record an answer that does not carry the server's stamp."""
+        self.reason = f"endpoint {endpoint}: status {head.status_code} without the server's stamp"
+        self._deps.endpoint_table.note_failure(endpoint, self._deps.timer.now(), False)
+        return AttemptResult.BROKEN if self._reply.has_begun else AttemptResult.UNKNOWN
+
+    async def handle_not_run(
+        self,
+        exchange: Exchange,
+        item: WorkItem,
+        endpoint: str,
+        head: Response,
+        answer: AnswerMetadata,
+    ) -> tuple[AttemptResult, bool]:
+        """Record that the endpoint has not run the request.
+
+        :return: how the attempt ended, and whether the connection can be reused
+        """
+        self.reason = f"endpoint {endpoint}: status {head.status_code}, not run"
+        is_reusable = await exchange.read_short_body() is not None
+        now_s = self._deps.timer.now()
+        self._deps.endpoint_table.note_rejection(endpoint, now_s)
+        is_other = answer.endpoint and answer.endpoint != endpoint
+        if head.status_code == STATUS_MISDIRECTED and not is_other and item.model:
+            replica = Replica(endpoint, item.model, item.adapter)
+            self._deps.endpoint_table.deny_replica(replica, now_s)
+        elif head.status_code == STATUS_MISDIRECTED:
+            self._deps.endpoint_table.note_failure(endpoint, now_s, True)
+        return AttemptResult.NOT_RUN, is_reusable
+
+    async def keep_answer(
+        self, exchange: Exchange, endpoint: str, head: Response
+    ) -> tuple[AttemptResult, bool]:
+        """Keep a failed answer, which is passed on only if no other endpoint answers.
+
+        :return: how the attempt ended, and whether the connection can be reused
+        """
+        self._deps.endpoint_table.note_failure(endpoint, self._deps.timer.now(), False)
+        self.reason = f"endpoint {endpoint}: status {head.status_code}"
+        body = await exchange.read_short_body()
+        if body is None:
+            return AttemptResult.FAILED, False
+        if self._reply.has_begun:
+            return AttemptResult.BROKEN, True
+        headers = [each for each in strip_headers(head) if each[0] != b"content-length"]
+        self._final_answer.kept = KeptAnswer(head.status_code, headers, body)
+        return AttemptResult.FAILED, True
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -14,17 +14,18 @@
 from kingcupdyke.forwarding.callertable import Caller
 from kingcupdyke.forwarding.configuration import Configuration, Route, RouteKind
 from kingcupdyke.forwarding.decision import Refuse, Wait
-from kingcupdyke.forwarding.endpoint import EndpointEntry, Replica
-from kingcupdyke.forwarding.metadata import AnswerMetadata, ForwardMetadata, RequestMetadata
+from kingcupdyke.forwarding.endpoint import EndpointEntry
+from kingcupdyke.forwarding.metadata import ForwardMetadata, RequestMetadata
 from kingcupdyke_daemon.forwarder.answerobserver import AnswerObserver
-from kingcupdyke_daemon.forwarder.answerrelay import AnswerRelay, strip_headers
+from kingcupdyke_daemon.forwarder.answerrelay import AnswerRelay
+from kingcupdyke_daemon.forwarder.attemptfailures import STATUS_MISDIRECTED, AttemptFailures
 from kingcupdyke_daemon.forwarder.attemptresult import AttemptResult
-from kingcupdyke_daemon.forwarder.connection import EndpointConnection, Progress, TransferError
+from kingcupdyke_daemon.forwarder.connection import EndpointConnection, TransferError
 from kingcupdyke_daemon.forwarder.crashwatch import CrashWatch
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.dialect import LAST_EVENT_ID
 from kingcupdyke_daemon.forwarder.exchange import Exchange
-from kingcupdyke_daemon.forwarder.finalanswer import STATUS_TOO_MANY, FinalAnswer, KeptAnswer
+from kingcupdyke_daemon.forwarder.finalanswer import STATUS_TOO_MANY, FinalAnswer
 from kingcupdyke_daemon.forwarder.metrics import RequestTimes
 from kingcupdyke_daemon.forwarder.pausemeter import PauseMeter
 from kingcupdyke_daemon.forwarder.quotacharge import QuotaCharge, describe_denial
@@ -40,7 +41,6 @@
 RETRY_AFTER_S = 0.5
 #: Timeout for writing a final answer that the gateway gives itself.
 FINAL_ANSWER_TIMEOUT_S = 1.0
-STATUS_MISDIRECTED = 421
 #: Lowest status that is treated as a failure of the endpoint.
 STATUS_FAILURE = 500
 
@@ -94,7 +94,7 @@
         self._is_in_flight = False
         self._charge = QuotaCharge(deps.quotas, deps.metrics, caller, metadata)
         self._final_answer = FinalAnswer(reply, deps.dialect, metadata.attempt_id)
-        self._reason = ""
+        self._failures = AttemptFailures(deps, reply, self._final_answer)
         self._sent_to: list[SentTo] = []
         self._queued_s = 0.0
         self._first_s: float | None = None
@@ -140,7 +140,7 @@
         limit_s = self._deadline_s - arrived_s
         end = self._answer.describe_end()
         self._request_log.log_end(
-            outcome, self._status, self._reason, tuple(self._sent_to), end, times, limit_s
+            outcome, self._status, self._failures.reason, tuple(self._sent_to), end, times, limit_s
         )
 
     async def _run_attempts(self) -> None:
@@ -187,9 +187,9 @@
             if result not in (AttemptResult.NOT_RUN, AttemptResult.NOT_SENT):
                 self._attempts_run += 1
             outcome = self._decide_retry(result)
-            self._request_log.log_failure(decision.endpoint, result, outcome, self._reason)
+            self._request_log.log_failure(decision.endpoint, result, outcome, self._failures.reason)
             if outcome is not RetryOutcome.RETRIED:
-                await self._give_up(self._reason)
+                await self._give_up(self._failures.reason)
                 return
             if self._continuation.has_begun:
                 proof = await self._continuation.prove()
@@ -213,7 +213,7 @@
     async def _give_up(self, reason: str, retry_after_s: float = RETRY_AFTER_S) -> None:
         """Send the final answer of a request that no endpoint has answered."""
         self._is_given_up = True
-        self._reason = reason
+        self._failures.reason = reason
         is_late = self._deps.timer.now() >= self._deadline_s
         # The request's deadline must not cut off the final answer.
         with move_on_after(FINAL_ANSWER_TIMEOUT_S, shield=True):
@@ -240,10 +240,10 @@
                 endpoint, state.entry.address, not self._is_retryable
             )
             if not deps.endpoint_table.may_send(state):
-                self._reason = f"endpoint {endpoint} is leaving"
+                self._failures.reason = f"endpoint {endpoint} is leaving"
                 return AttemptResult.NOT_SENT
             if not self._continuation.may_send(state.entry, self._sent_to[-1].software_version):
-                self._reason = f"endpoint {endpoint} runs other software by now"
+                self._failures.reason = f"endpoint {endpoint} runs other software by now"
                 return AttemptResult.NOT_SENT
             async with create_task_group() as tasks:
                 try:
@@ -252,14 +252,14 @@
                     )
                 except TransferError as error:
                     self._watch.note_lost()
-                    result = self._handle_transfer_error(endpoint, error)
+                    result = self._failures.note_transfer_error(endpoint, error)
                 except ClientDisconnectedError as error:
                     disconnect = error
                 tasks.cancel_scope.cancel()
             if disconnect is not None:
                 raise disconnect
         except TransferError as error:
-            result = self._handle_transfer_error(endpoint, error)
+            result = self._failures.note_transfer_error(endpoint, error)
         finally:
             with CancelScope(shield=True):
                 if connection is not None and not is_reusable:
@@ -275,14 +275,6 @@
             deps.pool.release(endpoint, connection)
         return result
 
-    def _handle_transfer_error(self, endpoint: str, error: TransferError) -> AttemptResult:
-        self._reason = f"endpoint {endpoint}: {error.reason}"
-        self._deps.endpoint_table.note_failure(endpoint, self._deps.timer.now(), True)
-        if error.progress is Progress.NOT_SENT:
-            self._deps.endpoint_table.starts.note_refused(endpoint, self._deps.timer.now())
-            return AttemptResult.NOT_SENT
-        return AttemptResult.BROKEN if self._reply.has_begun else AttemptResult.UNKNOWN
-
     async def _forward(
         self, tasks: object, connection: EndpointConnection, entry: EndpointEntry, sent_s: float
     ) -> tuple[AttemptResult, bool]:
@@ -314,60 +306,20 @@
         answer = deps.dialect.read_answer(list(head.headers))
         self._observer.note_own(entry, answer)
         if answer.is_not_run or head.status_code == STATUS_MISDIRECTED:
-            return await self._handle_not_run(exchange, endpoint, head, answer)
+            return await self._failures.handle_not_run(exchange, self._item, endpoint, head, answer)
         if not answer.is_stamped:
-            self._reason = (
-                f"endpoint {endpoint}: status {head.status_code} without the server's stamp"
-            )
-            deps.endpoint_table.note_failure(endpoint, deps.timer.now(), False)
-            return (
-                AttemptResult.UNKNOWN if not self._reply.has_begun else AttemptResult.BROKEN
-            ), False
+            return self._failures.note_unstamped(endpoint, head), False
         self._watch.note_head()
         if head.status_code >= STATUS_FAILURE:
-            return await self._keep_failure(exchange, endpoint, head)
+            return await self._failures.keep_answer(exchange, endpoint, head)
         if self._reply.has_begun and head.status_code != self._status:
-            self._reason = f"endpoint {endpoint}: status {head.status_code} on resuming"
+            self._failures.reason = f"endpoint {endpoint}: status {head.status_code} on resuming"
             return AttemptResult.BROKEN, False
         result = await self._relay(exchange, endpoint, head, sent_s)
         deps.endpoint_table.note_success(endpoint)
         self._watch.note_sound()
         return result, True
 
-    async def _handle_not_run(
-        self,
-        exchange: Exchange,
-        endpoint: str,
-        head: Response,
-        answer: AnswerMetadata,
-    ) -> tuple[AttemptResult, bool]:
-        self._reason = f"endpoint {endpoint}: status {head.status_code}, not run"
-        is_reusable = await exchange.read_short_body() is not None
-        now_s = self._deps.timer.now()
-        self._deps.endpoint_table.note_rejection(endpoint, now_s)
-        is_other = answer.endpoint and answer.endpoint != endpoint
-        if head.status_code == STATUS_MISDIRECTED and not is_other and self._item.model:
-            replica = Replica(endpoint, self._item.model, self._item.adapter)
-            self._deps.endpoint_table.deny_replica(replica, now_s)
-        elif head.status_code == STATUS_MISDIRECTED:
-            self._deps.endpoint_table.note_failure(endpoint, now_s, True)
-        return AttemptResult.NOT_RUN, is_reusable
-
-    async def _keep_failure(
-        self, exchange: Exchange, endpoint: str, head: Response
-    ) -> tuple[AttemptResult, bool]:
-        """Keep a failed answer, which is passed on only if no other endpoint answers."""
-        self._deps.endpoint_table.note_failure(endpoint, self._deps.timer.now(), False)
-        self._reason = f"endpoint {endpoint}: status {head.status_code}"
-        body = await exchange.read_short_body()
-        if body is None:
-            return AttemptResult.FAILED, False
-        if self._reply.has_begun:
-            return AttemptResult.BROKEN, True
-        headers = [each for each in strip_headers(head) if each[0] != b"content-length"]
-        self._final_answer.kept = KeptAnswer(head.status_code, headers, body)
-        return AttemptResult.FAILED, True
-
     async def _relay(
         self, exchange: Exchange, endpoint: str, head: Response, sent_s: float
     ) -> AttemptResult:
