--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -226,6 +226,8 @@
         deps = self._deps
         state = deps.endpoint_table.state_by_id.get(endpoint)
         if state is None or not deps.endpoint_table.may_send(state):
+            # The endpoint has left since it was chosen, which counted the request there.
+            deps.dispatcher.cancel(self._item.attempt_id, endpoint)
             return AttemptResult.NOT_SENT
         self._unread_tokens = state.unread_tokens
         self._watch = CrashWatch(deps.crashes, deps.timer, state.entry, self._item)
--- a/packages/kingcupdyke/kingcupdyke/forwarding/fairorder.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/fairorder.py
@@ -150,8 +150,8 @@
         return ranks
 
     def _read_virtual(self, item: WorkItem, now_s: float) -> float:
-        service = self._received_by_key.get((item.service, item.caller))
-        return 0.0 if service is None else service.read(now_s)
+        received = self._received_by_key.get((item.service, item.caller))
+        return 0.0 if received is None else received.read(now_s)
 
     def _measure_s(self, item: WorkItem) -> float:
         """:return: seconds of its caller's rate that a request uses"""
--- a/packages/kingcupdyke/kingcupdyke/forwarding/quotabucket.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/quotabucket.py
@@ -100,8 +100,8 @@
         return tuple(accepted)
 
     def _take_advance(self, ask: QuotaAsk, now_s: float) -> float:
-        # An older stock belongs to a gateway that is frozen or gone, and can be spent until a window
-        # and its own age have passed.
+        # An older stock belongs to a gateway that is frozen or gone, and can be spent until a
+        # window and its own age have passed.
         valid_s = self._limits.window_s + UNUSED_S
         for host, each in list(self._account_by_host.items()):
             if now_s - each.asked_s > valid_s:
--- a/packages/kingcupdyke/kingcupdyke/forwarding/versionregister.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/versionregister.py
@@ -61,9 +61,9 @@
         self.stream_limit_s = MIN_STREAM_LIMIT_S
         #: The register of each service as last read or written.
         self._read_by_service: dict[str, SoftwareVersions] = {}
-        #: Usable versions with the time at which they were first read, by service.
+        #: Usable versions with the time at which they were last read or written, by service.
         self._usable_by_service: dict[str, dict[str, float]] = {}
-        #: Times at which all registered versions were last read or written, by service.
+        #: Times at which all registered versions were first read, by service.
         self._first_read_s_by_service: dict[str, dict[str, float]] = {}
         #: Versions to be added with the time since when they are wanted, by service.
         self._wanted_by_service: dict[str, dict[str, float]] = {}
