Test that a request assigned to an endpoint that leaves does not stay counted there

The endpoint leaves between the decision and the send. The scenario is red without the call that takes the request out again, and green with it.

--- a/packages/kingcupdyke-daemon/features/forwarder.feature
+++ b/packages/kingcupdyke-daemon/features/forwarder.feature
@@ -68,6 +68,11 @@
     Then forwarder: the request never reaches the endpoint
     And forwarder: no request counts as in progress
 
+  Scenario: A request assigned to an endpoint that leaves before it is sent does not stay counted there
+    When forwarder: an endpoint leaves just after a waiting request was assigned to it
+    Then forwarder: the request never reaches the endpoint
+    And forwarder: no request counts as in progress
+
   Scenario Outline: Bad input: <case>
     When forwarder: the bytes "<bytes>" are sent
     Then forwarder: the answer is "<answer>"
--- a/packages/kingcupdyke-daemon/features/steps/forwarder_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/forwarder_steps.py
@@ -11,6 +11,8 @@
 from behave import given, then, when
 from forwarder_rig import make_configuration, open_rig
 
+from kingcupdyke.forwarding.leavingtable import LeavingProcess
+
 TAIL = "HTTP/1.1\r\nhost: a.example\r\nx-id: {id}\r\nconnection: close\r\n\r\n"
 EVENT_ID = re.compile(rb"id: (\d+)")
 
@@ -185,6 +187,30 @@
     run(job)
 
 
+@when("forwarder: an endpoint leaves just after a waiting request was assigned to it")
+def leave_after_decision(context):
+    async def job():
+        async with open_rig(["hang hang hang hang ok"]) as rig:
+            busy = [await rig.send(write_request("GET /safe/1", f"b{n}")) for n in range(4)]
+            await sleep(0.1)
+            late = await rig.send(write_request("GET /safe/1", "late"))
+            await sleep(0.05)
+            ((endpoint, state),) = rig.endpoint_table.state_by_id.items()
+            # Without a wait in between: the task of the request runs after both.
+            rig.dispatcher.cancel("b0", endpoint)
+            rig.handler._deps.queue.poll(rig.timer.now())
+            assert "late" in state.tokens_by_attempt
+            rig.endpoint_table.note_leaving(LeavingProcess(endpoint, state.entry.started_ms))
+            await sleep(0.1)
+            for each in (*busy, late):
+                await each.aclose()
+            await sleep(0.2)
+            context.endpoints = rig.endpoints
+            context.loads = rig.dispatcher.list_loads()
+
+    run(job)
+
+
 @then("forwarder: the request never reaches the endpoint")
 def check_never_sent(context):
     assert len(context.endpoints[0].requests) == 4, context.endpoints[0].requests
