Read how long endpoints want no further call, and log calls within that time

Nothing read the Retry-After of an endpoint's answer, so that no log line could tell the hypotheses of the incident apart. It is read now from all answers, to requests, orders and requests for reports: seconds, also with a fraction, and dates, which are compared to the answer's own Date header as clocks differ; of several values the longest, at most an hour. A line says that an endpoint requests backoff, and in the answer to which call; metrics count such answers and the calls sent before the end of that time. Nothing is decided by it yet.

--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -44,6 +44,7 @@
 from kingcupdyke_daemon.forwarder.crashdirectory import CrashDirectory
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.dialect import Dialect
+from kingcupdyke_daemon.forwarder.endpointbackoffs import EndpointBackoffs
 from kingcupdyke_daemon.forwarder.handler import ForwardingHandler
 from kingcupdyke_daemon.forwarder.leavingdirectory import LeavingDirectory
 from kingcupdyke_daemon.forwarder.limitdirectory import LimitDirectory
@@ -79,7 +80,7 @@
 
 class PlainDialect(Dialect):
     """Headers x-id, x-limit-s, x-parts, x-caller (for Authorization), x-tenant, x-rank, x-tokens,
-    x-mark, x-not-run, x-endpoint, x-limit and x-leaving; decodes no objects.
+    x-mark, x-not-run, x-endpoint, x-limit, x-leaving and retry-after; decodes no objects.
     """
 
     def read_request(self, headers):
@@ -117,6 +118,7 @@
             None,
             float(values[b"x-limit"]) if b"x-limit" in values else None,
             b"x-leaving" in values,
+            float(values[b"retry-after"]) if b"retry-after" in values else None,
         )
 
     def write_rejection(self, attempt_id, retry_after_s):
@@ -486,6 +488,7 @@
             lambda: QuotaMembers(self.network.rig_by_host, self.network.rig_by_host),
             self.network.send,
         )
+        self.backoffs = EndpointBackoffs(self.endpoint_table.backoff_table, timer, self.metrics)
         deps = ForwarderDependencies(
             PlainDialect(),
             self.dispatcher,
@@ -507,6 +510,7 @@
             self.crashes,
             self.endpoint_limits,
             self.leaving,
+            self.backoffs,
             VersionRegistrar(
                 self.dispatcher.version_register, MemoryStoreClient(), timer, tasks, queue.poll
             ),
--- a/packages/kingcupdyke-daemon/features/steps/planning_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/planning_steps.py
@@ -88,6 +88,7 @@
         peers,
         PinnedDemands(HOST, rig.dispatcher, peers, rig.timer, rig.network.send),
         rig.leaving,
+        rig.backoffs,
         LeasePromises(HOST, LEASE_S),
         lambda: (HOST,),
         set,
--- a/packages/kingcupdyke-daemon/features/steps/pool_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/pool_steps.py
@@ -79,7 +79,7 @@
 
 
 async def read_answer(exchange):
-    await exchange.read_head(lambda metadata: None)
+    await exchange.read_head(lambda status, metadata: None)
     return await exchange.read_short_body()
 
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerobserver.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerobserver.py
@@ -8,6 +8,7 @@
 from kingcupdyke.forwarding.endpoint import EndpointEntry
 from kingcupdyke.forwarding.metadata import AnswerMetadata
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
+from kingcupdyke_daemon.forwarder.endpointbackoffs import EndpointCall
 from kingcupdyke_daemon.forwarder.requestlog import RequestLog
 
 __all__ = ["AnswerObserver"]
@@ -24,8 +25,11 @@
         self._deps = deps
         self._request_log = request_log
 
-    def note_any(self, entry: EndpointEntry, answer: AnswerMetadata) -> None:
-        """Record what counts in an answer to whatever request: that the endpoint is leaving."""
+    def note_any(self, entry: EndpointEntry, status: int, answer: AnswerMetadata) -> None:
+        """Record what counts in an answer to whatever request: that the endpoint is leaving, or
+        requests backoff.
+        """
+        self._deps.backoffs.note_answer(entry.endpoint, EndpointCall.REQUEST, status, answer)
         if answer.is_leaving:
             self._request_log.leaving.append(answer.endpoint or entry.endpoint)
             self._deps.leaving.note_answer(entry, answer)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/dependencies.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/dependencies.py
@@ -13,6 +13,7 @@
 from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.forwarder.crashdirectory import CrashDirectory
 from kingcupdyke_daemon.forwarder.dialect import Dialect
+from kingcupdyke_daemon.forwarder.endpointbackoffs import EndpointBackoffs
 from kingcupdyke_daemon.forwarder.leavingdirectory import LeavingDirectory
 from kingcupdyke_daemon.forwarder.limitdirectory import LimitDirectory
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
@@ -42,5 +43,6 @@
     crashes: CrashDirectory
     limits: LimitDirectory
     leaving: LeavingDirectory
+    backoffs: EndpointBackoffs
     versions: VersionRegistrar
     quotas: QuotaDirectory
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
@@ -74,17 +74,17 @@
         self._progress = Progress.SENT
         tasks.start_soon(self._send_all, data)
 
-    async def read_head(self, on_answer: Callable[[AnswerMetadata], None]) -> Response:
+    async def read_head(self, on_answer: Callable[[int, AnswerMetadata], None]) -> Response:
         """Read the head of the answer, skipping answers to other attempts.
 
-        :param on_answer: called with the metadata of each answer, also to another attempt
+        :param on_answer: called with status and metadata of each answer, also to another attempt
         :raises TransferError: when the connection breaks or only carries other answers
         """
         for _ in range(MAX_STRAY_ANSWERS):
             response = await self._next_response()
             metadata = self._dialect.read_answer(list(response.headers))
             self._connection.keep_alive_s = metadata.keep_alive_s
-            on_answer(metadata)
+            on_answer(response.status_code, metadata)
             if not self._attempt_id or metadata.attempt_id in ("", self._attempt_id):
                 self._progress = Progress.ANSWERING
                 return response
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -24,6 +24,7 @@
 from kingcupdyke_daemon.forwarder.crashwatch import CrashWatch
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.dialect import LAST_EVENT_ID
+from kingcupdyke_daemon.forwarder.endpointbackoffs import EndpointCall
 from kingcupdyke_daemon.forwarder.exchange import Exchange
 from kingcupdyke_daemon.forwarder.finalanswer import STATUS_TOO_MANY, FinalAnswer
 from kingcupdyke_daemon.forwarder.metrics import RequestTimes
@@ -232,6 +233,7 @@
         self._unread_tokens = state.unread_tokens
         self._watch = CrashWatch(deps.crashes, deps.timer, state.entry, self._item)
         deps.limits.tell_sent(state.entry)
+        deps.backoffs.note_call(endpoint, EndpointCall.REQUEST)
         sent_s = deps.timer.now()
         connection: EndpointConnection | None = None
         is_reusable = False
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
@@ -68,6 +68,8 @@
         self._decisions = create_counter(f"{METRIC_PREFIX}decisions")
         self._retries = create_counter(f"{METRIC_PREFIX}repeats")
         self._orders = create_counter(f"{METRIC_PREFIX}orders")
+        self._backoffs = create_counter(f"{METRIC_PREFIX}endpoint_backoffs")
+        self._calls_in_backoff = create_counter(f"{METRIC_PREFIX}calls_in_backoff")
         self._answers = create_counter(f"{METRIC_PREFIX}answers")
         self._continuations = create_counter(f"{METRIC_PREFIX}stream_continuations")
         self._quota_denials = create_counter(f"{METRIC_PREFIX}quota_denied")
@@ -93,6 +95,14 @@
         """Count an order to an engine by its outcome."""
         self._orders.add(1, {"kind": kind, "outcome": outcome})
 
+    def count_backoff(self, call: str) -> None:
+        """Count an answer to a call in which an endpoint requests backoff."""
+        self._backoffs.add(1, {"call": call})
+
+    def count_call_in_backoff(self, call: str) -> None:
+        """Count a call to an endpoint before the end of the backoff that it has requested."""
+        self._calls_in_backoff.add(1, {"call": call})
+
     def count_aborted_answer(self) -> None:
         """Count an answer that is aborted since its client takes no byte."""
         self._aborted.add(1)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
@@ -25,6 +25,7 @@
 from kingcupdyke.lease import LeaseMachine
 from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.forwarder.dialect import Dialect
+from kingcupdyke_daemon.forwarder.endpointbackoffs import EndpointBackoffs, EndpointCall
 from kingcupdyke_daemon.forwarder.leavingdirectory import LeavingDirectory
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
 from kingcupdyke_daemon.forwarder.pinneddemands import PinnedDemands
@@ -74,6 +75,7 @@
     :param first_order_delay_s: seconds from taking a lease that another host released to the first
         order
     :param leaving: is told of engines that say that they are leaving
+    :param backoffs: is told of engines that request backoff
     :param lease_promises: promises of peers, which prove that the lease is still held while the
         store does not answer
     :param list_members: returns the hosts on whose promises the lease is to rely
@@ -95,6 +97,7 @@
         peers: PeerTable,
         pinned_demands: PinnedDemands,
         leaving: LeavingDirectory,
+        backoffs: EndpointBackoffs,
         lease_promises: LeasePromises,
         list_members: Callable[[], tuple[str, ...]],
         list_stopping: Callable[[], set[str]],
@@ -114,6 +117,7 @@
         self._peers = peers
         self._pinned_demands = pinned_demands
         self._leaving = leaving
+        self._backoffs = backoffs
         self._lease_promises = lease_promises
         self._list_members = list_members
         self._list_stopping = list_stopping
@@ -266,12 +270,13 @@
         headers = {"content-type": "application/json"}
         headers |= self._dialect.expect_endpoint(order.endpoint)
         http = self._get_http(engine)
+        self._backoffs.note_call(order.endpoint, EndpointCall.ORDER)
         answer = await http.request(
             "POST", self._dialect.order_path, headers, body, ORDER_TIMEOUT_S
         )
         reply, reason = OrderReply.UNKNOWN, ""
         if answer.is_ok():
-            self._note_leaving(engine.entry, answer.ok)
+            self._note_answer(engine.entry, EndpointCall.ORDER, answer.ok)
             reply = self._dialect.read_order_reply(answer.ok.status)
             reason = answer.ok.body[:MAX_LOGGED_BYTES].decode("utf-8", "replace")
         else:
@@ -299,6 +304,7 @@
         endpoint = engine.entry.endpoint
         headers = self._dialect.expect_endpoint(endpoint)
         path = self._dialect.report_path
+        self._backoffs.note_call(endpoint, EndpointCall.REPORT)
         answer = await self._get_http(engine).request(
             "GET", path, headers, timeout_s=REPORT_TIMEOUT_S
         )
@@ -307,7 +313,7 @@
             self._endpoint_table.note_failure(endpoint, self._now(), True)
             engine.report_failed(self._now())
             return
-        self._note_leaving(engine.entry, answer.ok)
+        self._note_answer(engine.entry, EndpointCall.REPORT, answer.ok)
         if answer.ok.status != 200:
             _LOGGER.info("no report from %s: status %d", endpoint, answer.ok.status)
             return
@@ -317,12 +323,14 @@
             return
         self._planner.observe_report(engine, report.ok, self._now())
 
-    def _note_leaving(self, entry: EndpointEntry, answer: HttpAnswer) -> None:
+    def _note_answer(self, entry: EndpointEntry, call: EndpointCall, answer: HttpAnswer) -> None:
         headers = [
             (name.encode("latin-1"), value.encode("latin-1"))
             for name, value in answer.headers.items()
         ]
-        self._leaving.note_answer(entry, self._dialect.read_answer(headers))
+        metadata = self._dialect.read_answer(headers)
+        self._leaving.note_answer(entry, metadata)
+        self._backoffs.note_answer(entry.endpoint, call, answer.status, metadata)
 
     def _get_http(self, engine: EngineState) -> HttpClient:
         key = (engine.entry.endpoint, engine.entry.address)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -23,6 +23,7 @@
 from kingcupdyke_daemon.forwarder.clientserver import ClientServer
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.dialect import Dialect
+from kingcupdyke_daemon.forwarder.endpointbackoffs import EndpointBackoffs
 from kingcupdyke_daemon.forwarder.handler import ForwardingHandler
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics, MetricsHandler
 from kingcupdyke_daemon.forwarder.peerexchanges import PeerExchanges
@@ -96,6 +97,9 @@
             settings.repeat_share, settings.repeat_allowance, settings.repeat_window_s
         )
         self._metrics = ForwarderMetrics(settings.host)
+        self._backoffs = EndpointBackoffs(
+            self._endpoint_table.backoff_table, self._timer, self._metrics
+        )
         self._peer_table = PeerTable()
         self._exchanges = PeerExchanges(
             settings.host,
@@ -131,6 +135,7 @@
                 self._exchanges.crashes,
                 self._exchanges.limits,
                 self._exchanges.leaving,
+                self._backoffs,
                 self._versions,
                 self._exchanges.quotas,
             ),
@@ -287,6 +292,7 @@
             self._peer_table,
             self._exchanges.pinned_demands,
             self._exchanges.leaving,
+            self._backoffs,
             self._lease_promises,
             self._list_members,
             self._list_stopping,
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/stategauges.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/stategauges.py
@@ -49,6 +49,11 @@
         metrics.add_gauge(
             "endpoint_limit", lambda: dict(self.dispatcher.limit_table.list_limited()), "endpoint"
         )
+        metrics.add_gauge(
+            "endpoint_backoff_seconds",
+            lambda: dict(self.endpoint_table.backoff_table.list_delays(self.timer.now())),
+            "endpoint",
+        )
         metrics.add_gauge(
             "endpoint_window",
             lambda: dict(self.endpoint_table.pace_table.list_windows()),
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -270,6 +270,16 @@
     peer: str
 
 
+class BackoffRecord(NamedTuple):
+    """Fields of an answer in which an endpoint requests backoff, longer than known before."""
+
+    endpoint: str
+    #: The call that was answered: ``request``, ``order`` or ``report``.
+    call: str
+    status: int
+    retry_after_s: float
+
+
 class LimitRecord(NamedTuple):
     """Fields of an endpoint whose limit has changed."""
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable, Mapping, Set
 from math import inf
 
+from kingcupdyke.forwarding.backofftable import BackoffTable
 from kingcupdyke.forwarding.endpoint import EndpointEntry, Replica
 from kingcupdyke.forwarding.endpointstarts import EndpointStarts
 from kingcupdyke.forwarding.endpointstate import UNREACHABLE_FAILURES, EndpointState
@@ -45,6 +46,8 @@
         self.state_by_id: dict[str, EndpointState] = {}
         #: Processes of endpoints that have said that they are leaving.
         self.leaving_table = LeavingTable()
+        #: Backoff that endpoints have requested from this gateway.
+        self.backoff_table = BackoffTable()
         #: Endpoints that start or recover.
         self.pace_table = PaceTable(self.state_by_id)
         self._peer_reports = PeerReports()
@@ -171,6 +174,7 @@
         """Remove entries that were not listed again after an outage, and expired placements."""
         self._note_versions(now_s)
         self.starts.drop_expired(now_s)
+        self.backoff_table.drop_expired(now_s)
         entries = [state.entry for state in self.state_by_id.values()]
         listed = {LeavingProcess(each.endpoint, each.started_ms) for each in entries}
         self.leaving_table.drop_expired(listed, now_s)
--- a/packages/kingcupdyke/kingcupdyke/forwarding/metadata.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/metadata.py
@@ -70,3 +70,5 @@
     limit_per_s: float | None = None
     #: Whether the endpoint states that it is leaving.
     is_leaving: bool = False
+    #: Seconds after which the endpoint wants the next call, or None if it named no valid time.
+    retry_after_s: float | None = None
