--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -58,6 +58,7 @@
 from kingcupdyke_daemon.logs import LineSampler
 from kingcupdyke_daemon.timer import LoopTimer
 from kingcupdyke_wire.memorystore import MemoryStoreClient
+from kingcupdyke_wire.retryafter import read_retry_after
 
 __all__ = [
     "ROUTES",
@@ -118,7 +119,7 @@
             None,
             float(values[b"x-limit"]) if b"x-limit" in values else None,
             b"x-leaving" in values,
-            float(values[b"retry-after"]) if b"retry-after" in values else None,
+            read_retry_after([values.get(b"retry-after", b"").decode()], "", 0.0),
         )
 
     def write_rejection(self, attempt_id, retry_after_s):
