Keep the backoff that endpoints request

Callers' requests were sent to endpoints that had asked the gateway, with Retry-After, to send nothing for some seconds; they came back rejected, and each cost the endpoint work. Class: what an endpoint asks for in an answer, and nobody keeps.

A table holds until when each endpoint wants no call from this gateway. It is filled from the answer to any call, also one to another attempt, one that is cut off after its head, and one that crosses the end of its request (the connection is read for 0.1 s more). The dispatcher sends nothing there until then, checks again when a connection is there, and lets a request wait if it can, also the one that was turned away; any other one is rejected at once with the time that remains, also when the retry budget permits no other try. The planner sends no order, repeats none and requests no report. Nothing but the time ends it: no success, no new entry, no shorter time.

Why this works: the decision is made in the one place through which all sends go, and the time is a fact of its own, not a field of a record that is replaced.

--- a/packages/kingcupdyke-daemon/features/backoff.feature
+++ b/packages/kingcupdyke-daemon/features/backoff.feature
@@ -69,6 +69,22 @@
     When backoff: it requests 3 s, and requests with a timeout of 1 s come
     Then backoff: they and the one that it has rejected are rejected at once, and told to return after the end
 
+  Scenario: A request that may not be tried again is told the time that remains
+    Given backoff: 1 gateways before an endpoint that will request backoff and no other
+    And backoff: the retry budget is exhausted
+    When backoff: it requests 3 s, and requests with a timeout of 5 s come
+    Then backoff: the one that it has rejected is rejected at once, and told to return after the end
+
+  Scenario Outline: It is kept if it is requested <milliseconds> ms after <case>
+    Given backoff: 1 gateways before an endpoint that will request backoff and no other
+    When backoff: it requests 1.5 s in an answer that comes <milliseconds> ms after "<case>"
+    Then backoff: the gateway knows it
+
+    Examples:
+      | case | milliseconds |
+      | the client has left | 30 |
+      | the deadline | 30 |
+
   Scenario: A stream that breaks off goes on there only after the end
     Given backoff: 1 gateways before an endpoint that will request backoff and no other
     When backoff: it requests 0.8 s, and breaks off a stream at once
--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -452,7 +452,7 @@
         self.crash_table = self.dispatcher.crash_table
         queue = WaitingQueue(self.dispatcher, timer)
         self.pool = ConnectionPool(timer, tasks)
-        budget = SharedRetryBudget(0.2, retry_allowance, 10.0)
+        self.retry_budget = SharedRetryBudget(0.2, retry_allowance, 10.0)
         self.metrics = ForwarderMetrics("test")
         self.crashes = CrashDirectory(
             host,
@@ -496,7 +496,7 @@
             self.endpoint_table,
             queue,
             self.pool,
-            budget,
+            self.retry_budget,
             timer,
             self.metrics,
             LineSampler(timer.now),
--- a/packages/kingcupdyke-daemon/features/steps/backoff_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/backoff_steps.py
@@ -93,6 +93,7 @@
         context.endpoints.append(BusyEndpoint("e2"))
     context.messages = "soon"
     context.answers = []
+    context.retry_share = 1.0
 
 
 @given('backoff: messages between the gateways are "{messages}"')
@@ -137,7 +138,10 @@
     for rig in fleet.rig_by_host.values():
         rig.endpoint_table.remove("e1", current_time(), False)
     await sleep(0.2)
-    fleet.list_endpoint(context.endpoints[0])
+    for rig in fleet.rig_by_host.values():
+        other = list_other_late(rig)
+        rig.list_endpoint(context.endpoints[0])
+        rig.endpoint_table.put(other)
 
 
 async def note_success(fleet, context):
@@ -333,8 +337,6 @@
 
 @when("backoff: it requests {seconds:g} s while a request to it waits for its connection")
 def request_meanwhile(context, seconds):
-    context.endpoints[0].seconds = seconds
-
     async def job():
         async with open_fleet(context) as fleet:
             rig = fleet.choose(0)
@@ -342,25 +344,21 @@
             acquire = rig.pool.acquire
 
             async def acquire_late(endpoint, address, needs_fresh):
-                connection = await acquire(endpoint, address, needs_fresh)
-                if endpoint == "e1" and len(context.answers) == 0:
-                    rig.pool.acquire = acquire
-                    await ask(context, rig, "g0-first")
-                return connection
+                if endpoint == "e1":
+                    rig.endpoint_table.backoff_table.note("e1", seconds, current_time())
+                    rig.endpoint_table.put(other)
+                return await acquire(endpoint, address, needs_fresh)
 
             rig.pool.acquire = acquire_late
-            async with create_task_group() as tasks:
-                tasks.start_soon(ask, context, rig, "g0-second")
-                await sleep(0.01)
-                rig.endpoint_table.put(other)
+            await ask(context, rig, "g0-first")
 
     run(job)
 
 
 @then("backoff: that request has gone to the other endpoint")
 def check_moved(context):
-    assert [each[2] for each in context.endpoints[0].received] == ["g0-first"]
-    assert {each[2] for each in context.answers} == {"200 e2"}, context.answers
+    assert not context.endpoints[0].received
+    assert [each[2] for each in context.answers] == ["200 e2"], context.answers
 
 
 @when("backoff: it requests {seconds:g} s, and requests with a timeout of {timeout_s:g} s come")
@@ -372,6 +370,7 @@
         async with open_fleet(context) as fleet:
             rig = fleet.choose(0)
             rig.handler.configuration = make_configuration(1, timeout_s, rig.limits)
+            rig.retry_budget.configure(context.retry_share, 100 * context.retry_share, 10.0)
             async with create_task_group() as tasks:
                 tasks.start_soon(ask, context, rig, "g0-first")
                 await sleep(0.1)
@@ -406,12 +405,71 @@
 )
 def check_rejected(context):
     assert len(context.answers) == 6
+    check_returns(context)
+    assert len(context.endpoints[0].received) == 1
+
+
+def check_returns(context):
+    """Check that all requests were rejected at once, and told to return after the end."""
     for answered_s, _, text, raw in context.answers:
         assert text == "503", text
         assert answered_s - context.began_s < 0.3, answered_s - context.began_s
         return_s = answered_s + float(RETRY_AFTER.search(raw).group(1))
         assert 0.0 <= return_s - context.end_s < 0.5, return_s - context.end_s
-    assert len(context.endpoints[0].received) == 1
+
+
+@given("backoff: the retry budget is exhausted")
+def exhaust_budget(context):
+    context.retry_share = 0.0
+
+
+@then("backoff: the one that it has rejected is rejected at once, and told to return after the end")
+def check_first_rejected(context):
+    context.answers = [each for each in context.answers if each[1] == "g0-first"]
+    check_returns(context)
+
+
+class LateEndpoint(BusyEndpoint):
+    """An endpoint that requests backoff some time after the client's attempt has ended."""
+
+    def __init__(self, name, seconds):
+        super().__init__(name, "late")
+        self.seconds = seconds
+        self.answers_at_s = 0.0
+
+    async def do_late(self, stream, attempt_id):
+        await sleep(self.answers_at_s - current_time())
+        return await self.do_busy(stream, attempt_id)
+
+
+@when(
+    "backoff: it requests {seconds:g} s in an answer that comes {milliseconds:d} ms after "
+    '"{case}"'
+)
+def answer_late(context, seconds, milliseconds, case):
+    endpoint = LateEndpoint("e1", seconds)
+    context.endpoints = [endpoint]
+
+    async def job():
+        async with open_fleet(context) as fleet:
+            rig = fleet.choose(0)
+            rig.handler.configuration = make_configuration(1, 0.5, rig.limits)
+            end_s = current_time() + (0.5 if case == "the deadline" else 0.2)
+            endpoint.answers_at_s = end_s + milliseconds / 1000
+            stream = await rig.send(write_request("GET /safe/1", "g0-first"))
+            await sleep(end_s - current_time())
+            if case == "the client has left":
+                await stream.aclose()
+            await sleep(milliseconds / 1000 + 0.1)
+            context.delay_s = rig.endpoint_table.backoff_table.find_delay("e1", current_time())
+            await stream.aclose()
+
+    run(job)
+
+
+@then("backoff: the gateway knows it")
+def check_known(context):
+    assert context.delay_s > 0.0
 
 
 @when("backoff: it requests {seconds:g} s, and breaks off a stream at once")
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -20,7 +20,11 @@
 from kingcupdyke_daemon.forwarder.answerrelay import AnswerRelay
 from kingcupdyke_daemon.forwarder.attemptfailures import STATUS_MISDIRECTED, AttemptFailures
 from kingcupdyke_daemon.forwarder.attemptresult import AttemptResult
-from kingcupdyke_daemon.forwarder.connection import EndpointConnection, TransferError
+from kingcupdyke_daemon.forwarder.connection import (
+    EndpointConnection,
+    Progress,
+    TransferError,
+)
 from kingcupdyke_daemon.forwarder.crashwatch import CrashWatch
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.dialect import LAST_EVENT_ID
@@ -102,6 +106,8 @@
         self._pauses = PauseMeter()
         self._status = 0
         self._unread_tokens = 0
+        #: Exchange of the current attempt, once it has begun.
+        self._exchange: Exchange | None = None
         self._watch: CrashWatch | None = None
         is_stream = route.kind is RouteKind.STREAMING
         self._answer = AnswerRelay(reply, is_stream, route.is_resumable, self._pin_version)
@@ -182,7 +188,7 @@
                 # The endpoint is free, even if a slow client has not read all of its answer.
                 await self._answer.end()
                 return
-            if result is not AttemptResult.BROKEN or not self._route.is_resumable:
+            if not self._may_return(decision.endpoint, result):
                 self._excluded.add(decision.endpoint)
             self._is_in_flight = False
             if result not in (AttemptResult.NOT_RUN, AttemptResult.NOT_SENT):
@@ -190,7 +196,8 @@
             outcome = self._decide_retry(result)
             self._request_log.log_failure(decision.endpoint, result, outcome, self._failures.reason)
             if outcome is not RetryOutcome.RETRIED:
-                await self._give_up(self._failures.reason)
+                backoff_s = self._deps.dispatcher.find_backoff_s(self._item, self._deps.timer.now())
+                await self._give_up(self._failures.reason, max(RETRY_AFTER_S, backoff_s))
                 return
             if self._continuation.has_begun:
                 proof = await self._continuation.prove()
@@ -198,6 +205,16 @@
                     await self._give_up(proof.error.reason)
                     return
 
+    def _may_return(self, endpoint: str, result: AttemptResult) -> bool:
+        """:return: whether the request may be sent to an endpoint again after an attempt there"""
+        if result is AttemptResult.BROKEN:
+            return self._route.is_resumable
+        if result not in (AttemptResult.NOT_RUN, AttemptResult.NOT_SENT):
+            return False
+        # The endpoint has said when it accepts the request.
+        backoff_table = self._deps.endpoint_table.backoff_table
+        return backoff_table.find_delay(endpoint, self._deps.timer.now()) > 0.0
+
     def _decide_retry(self, result: AttemptResult) -> RetryOutcome:
         if result is AttemptResult.NOT_SENT:
             return RetryOutcome.RETRIED
@@ -226,8 +243,8 @@
     async def _try_endpoint(self, endpoint: str) -> AttemptResult:
         deps = self._deps
         state = deps.endpoint_table.state_by_id.get(endpoint)
-        if state is None or not deps.endpoint_table.may_send(state):
-            # The endpoint has left since it was chosen, which counted the request there.
+        if state is None or not deps.endpoint_table.may_send(state, deps.timer.now()):
+            # The endpoint accepts nothing since it was chosen, which counted the request there.
             deps.dispatcher.cancel(self._item.attempt_id, endpoint)
             return AttemptResult.NOT_SENT
         self._unread_tokens = state.unread_tokens
@@ -243,8 +260,8 @@
             connection = await deps.pool.acquire(
                 endpoint, state.entry.address, not self._is_retryable
             )
-            if not deps.endpoint_table.may_send(state):
-                self._failures.reason = f"endpoint {endpoint} is leaving"
+            if not deps.endpoint_table.may_send(state, deps.timer.now()):
+                self._failures.reason = f"endpoint {endpoint} is leaving or has requested backoff"
                 return AttemptResult.NOT_SENT
             if not self._continuation.may_send(state.entry, self._sent_to[-1].software_version):
                 self._failures.reason = f"endpoint {endpoint} runs other software by now"
@@ -267,7 +284,7 @@
         finally:
             with CancelScope(shield=True):
                 if connection is not None and not is_reusable:
-                    await connection.aclose()
+                    await self._close(connection, state.entry, result is None)
             now_s = deps.timer.now()
             is_answered = result is AttemptResult.DELIVERED
             service = self._item.service
@@ -279,6 +296,19 @@
             deps.pool.release(endpoint, connection)
         return result
 
+    async def _close(
+        self, connection: EndpointConnection, entry: EndpointEntry, is_cancelled: bool
+    ) -> None:
+        """Close the connection of an attempt; the answer to one that was cancelled may be on its
+        way, and say something of the endpoint.
+        """
+        exchange, self._exchange = self._exchange, None
+        if not is_cancelled or exchange is None or exchange.progress is not Progress.SENT:
+            await connection.aclose()
+            return
+        read = partial(exchange.read_head, partial(self._observer.note_any, entry))
+        self._deps.pool.close_after(connection, read)
+
     async def _forward(
         self, tasks: object, connection: EndpointConnection, entry: EndpointEntry, sent_s: float
     ) -> tuple[AttemptResult, bool]:
@@ -304,6 +334,7 @@
         method, target = self._request.method, self._request.target
         self._is_in_flight = True
         exchange = Exchange(connection, deps.dialect, self._metadata.attempt_id)
+        self._exchange = exchange
         exchange.send(tasks, method, target, headers, body)
         head = await exchange.read_head(partial(self._observer.note_any, entry))
         self._record_activity(endpoint)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/pool.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/pool.py
@@ -5,15 +5,21 @@
 Pool of idle connections to endpoints.
 """
 
-from collections.abc import Iterable
+import logging
+from collections.abc import Awaitable, Callable, Iterable
 
+from anyio import CancelScope, move_on_after
 from anyio.abc import TaskGroup
 
 from kingcupdyke.timer import TimerService
-from kingcupdyke_daemon.forwarder.connection import EndpointConnection
+from kingcupdyke_daemon.forwarder.connection import EndpointConnection, TransferError
 
 __all__ = ["ConnectionPool"]
 
+_LOGGER = logging.getLogger(__name__)
+#: Time for which an answer is awaited that may cross the end of its request; longer than a round
+#: trip between regions.
+LATE_ANSWER_TIMEOUT_S = 0.1
 #: An idle connection is no longer used when less than this remains of the endpoint's keep-alive.
 IDLE_MARGIN_S = 0.4
 #: Seconds that an idle connection is kept if the endpoint does not announce its keep-alive.
@@ -67,6 +73,15 @@
         connection.idle_since_s = self._timer.now()
         idle.append(connection)
 
+    def close_after(
+        self, connection: EndpointConnection, read: Callable[[], Awaitable[object]]
+    ) -> None:
+        """Close the connection of a request that is no longer wanted, after a short wait.
+
+        :param read: reads an answer that has been sent by now, for what it says of the endpoint
+        """
+        self._tasks.start_soon(_read_and_close, connection, read)
+
     def close_expired(self) -> None:
         """Close the connections whose idle time has expired."""
         now_s = self._timer.now()
@@ -102,6 +117,19 @@
             self._tasks.start_soon(connection.aclose)
 
 
+async def _read_and_close(
+    connection: EndpointConnection, read: Callable[[], Awaitable[object]]
+) -> None:
+    try:
+        with move_on_after(LATE_ANSWER_TIMEOUT_S):
+            await read()
+    except TransferError as error:
+        _LOGGER.debug("no late answer: %s", error.reason)
+    finally:
+        with CancelScope(shield=True):
+            await connection.aclose()
+
+
 def _max_idle_s(connection: EndpointConnection, margin_s: float = IDLE_MARGIN_S) -> float:
     """:return: idle time in seconds up to which a connection may be used"""
     keep_alive_s = (
--- a/packages/kingcupdyke/features/dispatcher.feature
+++ b/packages/kingcupdyke/features/dispatcher.feature
@@ -39,6 +39,20 @@
       | a request that the limit does not permit in time is rejected immediately | e1 | limit e1 0.25; submit r1; submit r2 deadline_s=3 | r1:e1 r2:reject |
       | so is one behind others that wait for the limit | e1 | limit e1 1; submit r1; submit r2; submit r3; submit r4; submit r5; submit r6 | r1:e1 r2:wait r3:wait r4:wait r5:reject r6:reject |
       | a limit that has ended permits all requests | e1 | limit e1 0.25; submit r1; limit e1 none; submit r2 | r1:e1 r2:e1 |
+      | an endpoint that has requested backoff gets no requests | e1 e2 | backoff e1 2; submit r1; submit r2 | r1:e2 r2:e2 |
+      | after that time it gets them | e1 e2 | backoff e1 2; wait 2; submit r1 | r1:e1 |
+      | not before, if another answer of it is a success | e1 e2 | backoff e1 2; succeed e1; submit r1 | r1:e2 |
+      | a shorter time that it names later ends nothing | e1 e2 | backoff e1 2; backoff e1 1; wait 1.5; submit r1 | r1:e2 |
+      | nor does one of 0 | e1 e2 | backoff e1 2; backoff e1 0; submit r1 | r1:e2 |
+      | a longer one counts | e1 e2 | backoff e1 1; backoff e1 2; wait 1.5; submit r1 | r1:e2 |
+      | nor does an entry that comes again | e1 e2 | backoff e1 2; remove e1; list e1; submit r1 | r1:e2 |
+      | a request waits for the backoff of the only endpoint | e1 | backoff e1 2; submit r1; wait 1.9; poll; wait 0.1; poll | r1:e1 |
+      | one that can't wait that long is rejected immediately | e1 | backoff e1 2; submit r1 deadline_s=1.9 | r1:reject |
+      | so is one that waits already | e1 | peer e1 4; submit r1 deadline_s=2; backoff e1 3; poll | r1:reject |
+      | of several endpoints, the one that may be called first counts | e1 e2 | backoff e1 9; backoff e2 1; submit r1; wait 1; poll | r1:e2 |
+      | a request waits for full endpoints rather than for a long backoff | e1 e2 | backoff e1 9; peer e2 4; submit r1; peer e2 3; poll | r1:e2 |
+      | it waits for a short backoff rather than being rejected as the others are full for long | e1 e2 | slow 30; peer e2 4; backoff e1 1; submit r1; wait 1; poll | r1:e1 |
+      | requests beyond the slots wait on after the backoff | e1 | backoff e1 1; submit r1; submit r2; submit r3; submit r4; submit r5; wait 1; poll | r1:e1 r2:e1 r3:e1 r4:e1 r5:wait |
       | another region is used only if the local one is busier | e1 s1 | submit r1; submit r2; submit r3 | r1:e1 r2:e1 r3:e1 |
 
   Scenario Outline: Models: <case>
@@ -57,6 +71,9 @@
       | the planner's placement overrides the estimate | e1=m1 | place e1 m2 2; submit r1 model=m2 deadline_s=5 | r1:wait |
       | a request is rejected if the placement is too late | e1=m1/m2 | place e1 m2 7; submit r1 model=m2 deadline_s=5 | r1:reject |
       | a placement on a removed endpoint does not count | e1=m1 e2=m3 | place e2 m2 2; remove e2; submit r1 model=m2 deadline_s=5 | r1:reject |
+      | a request waits for the backoff of the only holder | e1=m1 e2=m2 | backoff e1 2; submit r1 model=m1; wait 2; poll | r1:e1 |
+      | it waits for a replica that is ready before | e1=m1 e2=m3 | place e2 m1 1; backoff e1 9; submit r1 model=m1 deadline_s=3; hold e2 m1; poll | r1:e2 |
+      | a replica at the holder itself is none | e1=m1 | place e1 m1 1; backoff e1 9; submit r1 model=m1 deadline_s=3 | r1:reject |
       | nor on a draining endpoint | e1=m1 e2=m3 | place e2 m2 2; drain e2; submit r1 model=m2 deadline_s=5 | r1:reject |
       | nor on an unreachable endpoint | e1=m1 e2=m3 | place e2 m2 2; fail e2; fail e2; submit r1 model=m2 deadline_s=5 | r1:reject |
       | a request that waits for the placement is rejected when the endpoint is removed | e1=m1 e2=m3 | place e2 m2 2; submit r1 model=m2 deadline_s=5; remove e2; poll | r1:reject |
--- a/packages/kingcupdyke/features/enginestate.feature
+++ b/packages/kingcupdyke/features/enginestate.feature
@@ -27,6 +27,9 @@
       | an order that is accepted when it is sent again is complete | report 0 m1+a1; load m2; unknown; resend; accepted; report 1 m1+a1,m2 | accepts | m1+a1 m2 | 1 |
       | after a rejection, a report is needed | report 0 m1+a1; load m2; refused | rejects | m1+a1 | 0 |
       | a restart discards everything | report 7 m1+a1; restart 1 -; report 0 - | accepts | - | 0 |
+      | an engine that has requested backoff accepts none | report 0 m1+a1; backoff | rejects | m1+a1 | 0 |
+      | nor is one sent again | report 0 m1+a1; load m2; unknown; backoff; resendnothing | rejects | m1+a1 | 0 |
+      | after its backoff it accepts orders | report 0 m1+a1; backoff; accept | accepts | m1+a1 | 0 |
       | an engine that has said in an answer that it leaves accepts none, with its entry as before | report 0 m1+a1; leave | rejects | m1+a1 | 0 |
       | a report of the process before a restart does not count | report 7 m1+a1; restart 1 -; former 7 m1+a1 | rejects | - | 0 |
       | a report of a later start is a restart | report 7 m1+a1; later 0 - | accepts | - | 0 |
--- a/packages/kingcupdyke/features/steps/dispatcher_steps.py
+++ b/packages/kingcupdyke/features/steps/dispatcher_steps.py
@@ -61,6 +61,12 @@
         limit_per_s = None if limit == "none" else float(limit)
         self.dispatcher.limit_table.note_answer(entry, limit_per_s, self.now_s)
 
+    def do_backoff(self, endpoint, seconds):
+        self.endpoint_table.backoff_table.note(endpoint, float(seconds), self.now_s)
+
+    def do_succeed(self, endpoint):
+        self.endpoint_table.note_success(endpoint)
+
     def do_submit(self, attempt_id, *fields):
         values = dict(each.split("=") for each in fields)
         excluded = frozenset(filter(None, [values.pop("excluded", "")]))
@@ -99,6 +105,9 @@
     def do_remove(self, endpoint):
         self.endpoint_table.remove(endpoint, self.now_s, False)
 
+    def do_list(self, endpoint):
+        self.add(endpoint)
+
     def do_drain(self, endpoint):
         self.endpoint_table.put(make_entry(endpoint, is_leaving=True))
 
--- a/packages/kingcupdyke/features/steps/enginestate_steps.py
+++ b/packages/kingcupdyke/features/steps/enginestate_steps.py
@@ -63,6 +63,15 @@
         entry = make_entry("e1", heartbeat=int(heartbeat), started_ms=2000, models=read_held(held))
         self.engine.observe_entry(entry)
 
+    def do_backoff(self):
+        self.engine.is_backing_off = True
+
+    def do_accept(self):
+        self.engine.is_backing_off = False
+
+    def do_resendnothing(self):
+        assert self.engine.get_order_to_resend(self.now_s + 60.0) is None
+
     def do_leave(self):
         self.engine.observe_entry(self.engine.entry._replace(is_leaving=True))
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/backofftable.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/backofftable.py
@@ -21,6 +21,11 @@
     def __init__(self) -> None:
         self._end_s_by_id: dict[str, float] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """:return: whether no endpoint has requested backoff lately"""
+        return not self._end_s_by_id
+
     def note(self, endpoint: str, seconds: float, now_s: float) -> bool:
         """Record that an endpoint has requested backoff; an earlier end changes nothing.
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -59,6 +59,7 @@
         self, endpoint_table: EndpointTable, data_centre: str, region_by_data_centre: dict[str, str]
     ) -> None:
         self._endpoint_table = endpoint_table
+        self._backoff_table = endpoint_table.backoff_table
         self._pace_table = endpoint_table.pace_table
         self._costs = EndpointCosts(data_centre, region_by_data_centre)
         #: Tell which prompts, and which requests, crash endpoints.
@@ -187,6 +188,17 @@
         spec = self._service_by_name.get(service)
         return spec is not None and spec.engine is not None
 
+    def find_backoff_s(self, item: WorkItem, now_s: float) -> float:
+        """:return: seconds until an endpoint that could serve a request accepts calls, as far as
+        endpoints have requested backoff; 0 if one accepts them now
+        """
+        states = self._endpoint_table.list_ready(item.service)
+        if item.model:
+            table = self._endpoint_table
+            states = [each for each in states if has_replica(table, each, item, now_s)]
+        find_delay = self._backoff_table.find_delay
+        return min((find_delay(each.entry.endpoint, now_s) for each in states), default=0.0)
+
     def list_loads(self) -> tuple[EndpointLoad, ...]:
         """:return: this gateway's requests in flight and unread tokens at each endpoint"""
         return tuple(
@@ -270,6 +282,37 @@
         states: list[EndpointState],
         engine_spec: EngineSpec | None,
         now_s: float,
+    ) -> Decision:
+        """Decide between endpoints of which some may have requested backoff."""
+        if self._backoff_table.is_empty:
+            return self._decide_among_open(item, states, engine_spec, now_s)
+        opened, closed = self._split_by_backoff(states, now_s)
+        if not opened:
+            return self._await_backoff(item, closed, now_s)
+        decision = self._decide_among_open(item, opened, engine_spec, now_s)
+        if not closed or not isinstance(decision, Refuse):
+            return decision
+        later = self._await_backoff(item, closed, now_s)
+        if isinstance(later, Refuse) and decision.retry_after_s <= later.retry_after_s:
+            return decision
+        return later
+
+    def _split_by_backoff(
+        self, states: list[EndpointState], now_s: float
+    ) -> tuple[list[EndpointState], list[EndpointState]]:
+        """:return: endpoints that accept calls now, and those that have requested backoff"""
+        opened, closed = [], []
+        for each in states:
+            is_closed = self._backoff_table.find_delay(each.entry.endpoint, now_s) > 0.0
+            (closed if is_closed else opened).append(each)
+        return opened, closed
+
+    def _decide_among_open(
+        self,
+        item: WorkItem,
+        states: list[EndpointState],
+        engine_spec: EngineSpec | None,
+        now_s: float,
     ) -> Decision:
         reachable = [
             each
@@ -375,6 +418,23 @@
             return Refuse("the endpoints accept no more requests", max(0.1, retry_after_s))
         return Wait("the endpoints accept no more requests yet")
 
+    def _await_backoff(self, item: WorkItem, states: list[EndpointState], now_s: float) -> Decision:
+        """Wait for the end of an endpoint's backoff, or reject if that takes too long."""
+        delay_s = min(self._backoff_table.find_delay(each.entry.endpoint, now_s) for each in states)
+        if item.model:
+            ready_s = self._endpoint_table.estimate_ready_in_s(
+                item.model, item.adapter, now_s, item.software_version
+            )
+            delay_s = delay_s if ready_s is None else min(delay_s, ready_s)
+        ahead = self._list_ahead(item, now_s)
+        free_slots = sum(max(0, each.entry.slots - each.requests) for each in states)
+        wait_s = delay_s
+        if item.model or len(ahead) >= free_slots:
+            wait_s += self._costs.estimate_wait_s(item, ahead, states)
+        if now_s + wait_s + MIN_REMAINING_S > self._latest_send_s(item):
+            return Refuse("the endpoints have requested backoff", max(0.1, wait_s))
+        return Wait("the endpoints have requested backoff")
+
     def _await_capacity(
         self, item: WorkItem, states: list[EndpointState], now_s: float
     ) -> Decision:
--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
@@ -154,10 +154,12 @@
         if state is not None and state.entry.started_ms == process.started_ms:
             state.entry = state.entry._replace(is_leaving=True)
 
-    def may_send(self, state: EndpointState) -> bool:
-        """:return: whether an endpoint is still listed and not leaving"""
-        is_listed = self.state_by_id.get(state.entry.endpoint) is state
-        return is_listed and not state.entry.is_leaving
+    def may_send(self, state: EndpointState, now_s: float) -> bool:
+        """:return: whether an endpoint is still listed, not leaving, and wants no backoff"""
+        endpoint = state.entry.endpoint
+        is_listed = self.state_by_id.get(endpoint) is state
+        is_available = is_listed and not state.entry.is_leaving
+        return is_available and not self.backoff_table.find_delay(endpoint, now_s)
 
     def remove(self, endpoint: str, now_s: float, after_outage: bool) -> None:
         """Remove an entry that is no longer listed, after an outage only LAPSED_ENTRY_S later."""
@@ -298,7 +300,7 @@
 
     def _is_usable(self, endpoint: str, now_s: float) -> bool:
         state = self.state_by_id.get(endpoint)
-        return state is not None and not state.entry.is_leaving and state.is_reachable(now_s)
+        return state is not None and self.may_send(state, now_s) and state.is_reachable(now_s)
 
     def deny_replica(self, replica: Replica, now_s: float) -> None:
         """Record that an endpoint has rejected a request as it does not hold the replica."""
--- a/packages/kingcupdyke/kingcupdyke/forwarding/enginestate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/enginestate.py
@@ -60,6 +60,8 @@
         self.entry = entry
         #: Whether this gateway can reach it.
         self.is_reachable = True
+        #: Whether it has requested backoff from this gateway until later.
+        self.is_backing_off = False
         #: Whether a report was received since the term began, the engine started, or an order was
         #: rejected.
         self.has_report = False
@@ -92,6 +94,8 @@
     @property
     def accepts_orders(self) -> bool:
         """:return: whether a new order may be sent"""
+        if self.is_backing_off:
+            return False
         is_idle = self.open_order is None and not self.is_call_in_flight and not self.is_busy
         return is_idle and self.has_report and not self.entry.is_leaving
 
@@ -177,7 +181,12 @@
         is_in_progress = is_open and now_s <= self.expected_end_s and not self._next_resend_s
         is_overdue = is_open and now_s > self.expected_end_s + REPORT_OVERDUE_S
         is_needed = self._needs_report or not self.has_report or is_overdue or is_in_progress
-        if not is_needed or self.is_call_in_flight or now_s < self._next_report_s:
+        if (
+            self.is_backing_off
+            or not is_needed
+            or self.is_call_in_flight
+            or now_s < self._next_report_s
+        ):
             return False
         is_answering = is_in_progress and not self._has_report_failed
         self._next_report_s = now_s + (POLL_INTERVAL_S if is_answering else REPORT_INTERVAL_S)
@@ -207,6 +216,8 @@
         is_resend_due = self._next_resend_s and now_s >= self._next_resend_s
         if self.open_order is None or self.is_call_in_flight or not is_resend_due:
             return None
+        if self.is_backing_off:
+            return None
         return self.open_order
 
     def answered(self, reply: OrderReply, now_s: float) -> None:
--- a/packages/kingcupdyke/kingcupdyke/forwarding/planner.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/planner.py
@@ -56,8 +56,12 @@
             if state.entry.service not in engine_spec_by_service:
                 continue
             engine = self.engine_by_id.get(endpoint)
-            if engine is None:
+            is_new = engine is None
+            if is_new:
                 engine = self.engine_by_id[endpoint] = EngineState(state.entry)
+            backoff_s = self._endpoint_table.backoff_table.find_delay(endpoint, now_s)
+            engine.is_backing_off = backoff_s > 0.0
+            if is_new:
                 changed.append(engine)
                 continue
             if engine.entry.differs(state.entry):
