Read the other objects where one of the store's is too deep or too large

Another writer's entry among those of the endpoints ended gateways, or the list was no longer followed. Cause: readers name the errors that they expect, and those of a decoder at its limits are not among them: RecursionError for a very deep value, OverflowError for a number of 400 digits. One of either in a list or a watch left the task that follows the list, and with it the process; a number of 5,000 digits failed the whole answer, again and again.

All readers of what other processes write take the same errors for unreadable data (DECODE_ERRORS).

--- a/packages/kingcupdyke-wire/kingcupdyke_wire/completeness.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/completeness.py
@@ -34,6 +34,7 @@
     """:return: whether the body is one JSON value"""
     try:
         json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
+        # What is too deep to be read can't be told from what has broken off.
         return False
     return True
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/decode.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/decode.py
@@ -5,14 +5,14 @@
 Decodes JSON answers of the platform and the engines into typed values.
 """
 
-import json
 from collections.abc import Callable
 from typing import Any, TypeVar
 
 from expression import Error, Ok, Result
 
-from kingcupdyke.error import Failure, Outcome, Step, describe_error
+from kingcupdyke.error import DECODE_ERRORS, Failure, Outcome, Step, describe_error
 from kingcupdyke_wire.http import HttpAnswer
+from kingcupdyke_wire.jsontext import load_json
 
 __all__ = ["decode", "make_failure"]
 
@@ -31,14 +31,14 @@
 ) -> Result[T, Failure]:
     """Decode the JSON body of a successful answer.
 
-    :param read: converts the JSON data; may raise KeyError, TypeError or ValueError
+    :param read: converts the JSON data; may raise one of DECODE_ERRORS
     :return: the value, or a failure for another status or an unexpected body
     """
     if answer.status != STATUS_OK:
         return Error(make_failure(answer, step, peer))
     try:
-        return Ok(read(json.loads(answer.body)))
-    except (KeyError, TypeError, ValueError) as error:
+        return Ok(read(load_json(answer.body.decode())))
+    except DECODE_ERRORS as error:
         reason = f"unexpected answer format: {describe_error(error)}"
         return Error(Failure(Outcome.UNKNOWN, step, peer, reason))
 
--- a/packages/kingcupdyke/kingcupdyke/changelog.py
+++ b/packages/kingcupdyke/kingcupdyke/changelog.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 
 from kingcupdyke.config import ConfigChange
+from kingcupdyke.error import DECODE_ERRORS
 from kingcupdyke.rulesnapshot import StoredRule
 
 __all__ = [
@@ -70,7 +71,7 @@
             puts=tuple(StoredRule(*rule) for rule in fields["puts"]),
             removes=tuple(fields["removes"]),
         )
-    except (KeyError, TypeError) as error:
+    except DECODE_ERRORS as error:
         raise ValueError(f"not a configuration change: {error}") from error
 
 
@@ -86,7 +87,7 @@
     fields = _unpack(value)
     try:
         return int(fields["version"]), tuple(StoredRule(*rule) for rule in fields["rules"])
-    except (KeyError, TypeError) as error:
+    except DECODE_ERRORS as error:
         raise ValueError(f"not a rule snapshot: {error}") from error
 
 
--- a/packages/kingcupdyke/kingcupdyke/error.py
+++ b/packages/kingcupdyke/kingcupdyke/error.py
@@ -8,7 +8,18 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-__all__ = ["Failure", "OptionError", "Outcome", "Step", "describe_error"]
+__all__ = ["DECODE_ERRORS", "Failure", "OptionError", "Outcome", "Step", "describe_error"]
+
+#: Raised when data is decoded that another process has written: its types, names and numbers may be
+#: others than expected, and it may be deeper than a decoder can go.
+DECODE_ERRORS = (
+    ValueError,
+    TypeError,
+    LookupError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 class Outcome(StrEnum):
--- a/packages/kingcupdyke/kingcupdyke/fence.py
+++ b/packages/kingcupdyke/kingcupdyke/fence.py
@@ -10,7 +10,7 @@
 
 from expression import Error, Ok, Result
 
-from kingcupdyke.error import Failure, OptionError, Outcome, Step
+from kingcupdyke.error import DECODE_ERRORS, Failure, OptionError, Outcome, Step
 from kingcupdyke.intent import MAX_VALUE_BYTES, Intent, decode_intents, encode_intents
 from kingcupdyke.inventory import EngineInventory, OrderState
 
@@ -56,7 +56,7 @@
             fields = json.loads(value)
             intents = decode_intents(json.dumps(fields.pop("intents")).encode())
             return cls(**fields, intents=intents)
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
+        except DECODE_ERRORS as error:
             raise OptionError("endpoint", value[:100], "give a JSON endpoint record") from error
 
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/softwareversions.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/softwareversions.py
@@ -11,7 +11,7 @@
 
 from expression import Error, Ok, Result
 
-from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke.error import DECODE_ERRORS, Failure, Outcome, Step
 
 __all__ = ["SoftwareVersions"]
 
@@ -57,6 +57,6 @@
             if not all(isinstance(each, str) for each in (*versions, *retiring)):
                 raise ValueError("a version is no text")
             return Ok(cls(frozenset(versions), frozenset(retiring) & frozenset(versions)))
-        except (ValueError, TypeError, KeyError) as error:
+        except DECODE_ERRORS as error:
             reason = f"invalid register of software versions: {error!r}"
             return Error(Failure(Outcome.FAILED, Step.PARSE, "", reason))
--- a/packages/kingcupdyke/kingcupdyke/intent.py
+++ b/packages/kingcupdyke/kingcupdyke/intent.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from kingcupdyke.error import OptionError
+from kingcupdyke.error import DECODE_ERRORS, OptionError
 
 __all__ = ["MAX_VALUE_BYTES", "Intent", "decode_intents", "encode_intents", "may_send"]
 
@@ -61,5 +61,5 @@
     """
     try:
         return tuple(Intent(**fields) for fields in json.loads(value))
-    except (ValueError, TypeError) as error:
+    except DECODE_ERRORS as error:
         raise OptionError("intents", value[:100], "give a JSON list of intents") from error
--- a/packages/kingcupdyke/kingcupdyke/keyrecord.py
+++ b/packages/kingcupdyke/kingcupdyke/keyrecord.py
@@ -15,6 +15,7 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
+from kingcupdyke.error import DECODE_ERRORS
 from kingcupdyke.util import hash_score
 
 __all__ = [
@@ -133,7 +134,7 @@
     try:
         records = [KeyRecord(*fields) for fields in json.loads(value)["records"]]
         records = [each._replace(answer=b64decode(each.answer, validate=True)) for each in records]
-    except (KeyError, TypeError) as error:
+    except DECODE_ERRORS as error:
         raise ValueError(f"malformed stored bucket: {error!r}") from error
     return KeyBucket({record_key(each.caller, each.key): each for each in records})
 
--- a/packages/kingcupdyke/kingcupdyke/residency.py
+++ b/packages/kingcupdyke/kingcupdyke/residency.py
@@ -11,7 +11,7 @@
 
 from expression import Error, Ok, Result
 
-from kingcupdyke.error import Failure, OptionError, Outcome, Step
+from kingcupdyke.error import DECODE_ERRORS, Failure, OptionError, Outcome, Step
 
 __all__ = [
     "Holder",
@@ -60,7 +60,7 @@
         fields = json.loads(value)
         holders = fields["holders_by_endpoint"].items()
         return ResidencyRecord(fields["model"], {name: Holder(**each) for name, each in holders})
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except DECODE_ERRORS as error:
         raise OptionError("residency", value[:100], "give a JSON residency record") from error
 
 
--- a/packages/kingcupdyke/kingcupdyke/rulesnapshot.py
+++ b/packages/kingcupdyke/kingcupdyke/rulesnapshot.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from kingcupdyke.error import DECODE_ERRORS
 from kingcupdyke.rule import (
     AdapterRule,
     CallerRule,
@@ -98,7 +99,7 @@
         fields = json.loads(stored.fields)
         known = {name: _freeze(fields[name]) for name in rule_class._fields if name in fields}
         return rule_class(**known)
-    except (TypeError, ValueError):
+    except DECODE_ERRORS:
         return None
 
 
