Go on with the exchange between gateways after a message or an entry that can't be read

All classes of messages take the same errors for an invalid message, numbers that are not finite are rejected, and what fails when it is applied is logged with its traceback. A gateway's entry needs an IP address and a port.

--- a/packages/kingcupdyke-daemon/features/steps/peers_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/peers_steps.py
@@ -6,8 +6,10 @@
 """
 
 import json
+import socket
 from random import Random
 from types import SimpleNamespace
+from zlib import compress
 
 from anyio import create_task_group, current_time, fail_after, run, sleep
 from behave import then, when
@@ -16,7 +18,8 @@
 from process_steps import capture, find_port
 
 from kingcupdyke.forwarding.enginestate import OrderReply
-from kingcupdyke.forwarding.peerstate import GatewayState, PeerTable
+from kingcupdyke.forwarding.peerreports import PeerReports
+from kingcupdyke.forwarding.peerstate import RAW_DEFLATE, GatewayState, PeerTable
 from kingcupdyke.forwarding.storerelay import RelayedObject, StoreRelay
 from kingcupdyke_daemon.forwarder.peergossip import PeerGossip
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
@@ -41,6 +44,8 @@
         self.timer = LoopTimer(tasks)
         self.address = SocketAddress("127.0.0.1", find_port())
         self.unreadable_kinds = ()
+        #: Called with each state.
+        self.apply = lambda state: None
         self.gossip = PeerGossip(
             host,
             self.address,
@@ -52,11 +57,15 @@
             lambda number: EMPTY._replace(
                 host=host, number=number, unreadable_kinds=self.unreadable_kinds
             ),
-            lambda state: self.received_s.append(current_time()),
+            self.on_state,
             {},
         )
         tasks.start_soon(self.gossip.run)
 
+    def on_state(self, state):
+        self.apply(state)
+        self.received_s.append(current_time())
+
     def list(self, host, address, data_centre):
         fields = address._asdict() | {"data_centre": data_centre}
         self.gossip.put_entry(StoreObject("gateways", host, 1, json.dumps(fields).encode()))
@@ -127,6 +136,63 @@
     assert context.gone == 0, context.gone
 
 
+NESTED = b"[" * 100_000 + b"]" * 100_000
+
+
+def make_datagram(text):
+    if text == "plain":
+        return b"plain"
+    data = {"nested": NESTED, "digits": b"9" * 5000}.get(text, text.encode())
+    return compress(data, wbits=RAW_DEFLATE)
+
+
+@when('peers: a gateway gets the datagram "{text}", and then a message of its peer')
+def send_datagram(context, text):
+    async def job():
+        async with create_task_group() as tasks:
+            sender, receiver = open_pair(tasks, 2)
+            with fail_after(MAX_UNHEARD_S):
+                while not receiver.received_s:
+                    await sleep(0.02)
+            receiver.apply = PeerReports().apply
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as out:
+                out.sendto(make_datagram(text), tuple(receiver.address))
+            await sleep(0.1)
+            receiver.received_s.clear()
+            sender.gossip.send_state_soon()
+            await sleep(0.2)
+            context.received = len(receiver.received_s)
+            tasks.cancel_scope.cancel()
+
+    run(job)
+
+
+@when('peers: the list of gateways has the entry "{text}", and a message is sent to all')
+def list_odd_entry(context, text):
+    async def job():
+        async with create_task_group() as tasks:
+            sender, receiver = open_pair(tasks, 2)
+            value = {"nested": NESTED, "nothing": b""}.get(text, text.encode())
+            entry = StoreObject("gateways", "odd", 1, value)
+            sender.gossip.replace_entries([entry], False)
+            sender.list(receiver.host, receiver.address, receiver.data_centre)
+            sender.gossip.put_entry(entry)
+            await sleep(0.2)
+            receiver.received_s.clear()
+            sender.gossip.send_state_soon()
+            await sleep(0.2)
+            context.received = len(receiver.received_s)
+            tasks.cancel_scope.cancel()
+
+    run(job)
+
+
+@then("peers: it has received that message")
+@then("peers: the other gateway has received it")
+def check_message(context):
+    assert context.received
+
+
 class AcceptingDialect(EngineDialect):
     def read_order_reply(self, status):
         return OrderReply.ACCEPTED
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peergossip.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peergossip.py
@@ -8,12 +8,13 @@
 import json
 import logging
 from collections.abc import Callable, Iterable, Mapping
+from ipaddress import ip_address
 from typing import Protocol
 
 from anyio import Event, create_task_group, move_on_after, sleep
 from expression import Result
 
-from kingcupdyke.error import Failure, OptionError
+from kingcupdyke.error import DECODE_ERRORS, Failure
 from kingcupdyke.forwarding.peerschedule import PeerSchedule, PeerScope
 from kingcupdyke.forwarding.peerstate import GatewayState, PeerTable
 from kingcupdyke.forwarding.storerelay import StoreRelay, list_relay_hosts
@@ -33,6 +34,8 @@
 RELAY_INTERVAL_S = 0.3
 #: Maximum size of a datagram.
 MAX_DATAGRAM_BYTES = 60_000
+#: Greatest UDP port.
+MAX_PORT = 65_535
 #: Delay before a failed registration in the store is retried.
 REGISTER_RETRY_DELAY_S = 0.5
 
@@ -123,10 +126,10 @@
             return
         try:
             fields = json.loads(entry.value)
-            address = SocketAddress(get_str_opt(fields, "address"), get_int_opt(fields, "port"))
+            address = _read_address(fields)
             data_centre = get_str_opt(fields, "data_centre")
-        except (ValueError, AttributeError, OptionError) as error:
-            _LOGGER.warning("the entry of gateway %s can't be decoded: %s", entry.name, error)
+        except DECODE_ERRORS as error:
+            _LOGGER.warning("the entry of gateway %s can't be decoded: %r", entry.name, error)
             return
         self._address_by_host[entry.name] = address
         self._data_centre_by_host[entry.name] = data_centre
@@ -211,11 +214,11 @@
     async def _receive(self, datagrams: DatagramSocket) -> None:
         while True:
             for data in await datagrams.receive():
-                state = GatewayState.decode(data)
-                if state.is_error():
-                    self._apply_other(data)
-                elif self._table.receive(state.ok, self._timer.now()):
-                    self._on_state(state.ok)
+                try:
+                    self._apply(data)
+                except DECODE_ERRORS:
+                    # Its fields have other types than those that its class checks.
+                    _LOGGER.warning("a peer's message can't be applied", exc_info=True)
 
     async def _send_posted(self, datagrams: DatagramSocket) -> None:
         while True:
@@ -227,6 +230,13 @@
                 if address is not None:
                     datagrams.send(message, address)
 
+    def _apply(self, data: bytes) -> None:
+        state = GatewayState.decode(data)
+        if state.is_error():
+            self._apply_other(data)
+        elif self._table.receive(state.ok, self._timer.now()):
+            self._on_state(state.ok)
+
     def _apply_other(self, data: bytes) -> None:
         """Apply a message that is not a gateway's state."""
         for kind, handle in self._handlers.items():
@@ -296,3 +306,13 @@
         elif not is_oversized:
             self._oversized_kinds.discard(kind)
         return is_oversized
+
+
+def _read_address(fields: dict) -> SocketAddress:
+    """:return: the UDP address in a gateway's entry
+    :raises ValueError: when it is none, or another of :data:`DECODE_ERRORS`
+    """
+    address, port = get_str_opt(fields, "address"), get_int_opt(fields, "port", least=1)
+    if port > MAX_PORT:
+        raise ValueError(f"port: more than {MAX_PORT}")
+    return SocketAddress(str(ip_address(address)), port)
--- a/packages/kingcupdyke/kingcupdyke/forwarding/crashreport.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/crashreport.py
@@ -6,12 +6,11 @@
 """
 
 from typing import NamedTuple
-from zlib import error as zlib_error
 
 from expression import Error, Ok, Result
 
 from kingcupdyke.error import Failure, Outcome, Step
-from kingcupdyke.forwarding.peerstate import pack_message, unpack_message
+from kingcupdyke.forwarding.peerstate import MESSAGE_ERRORS, pack_message, unpack_message
 
 __all__ = ["CrashMessage", "CrashReport", "RequestCrash", "SoundPart", "SoundRequest"]
 
@@ -89,7 +88,7 @@
                 for request, age_s in fields.get("sound_requests", ())
             )
             return Ok(cls(str(fields["sender"]), reports, sound, crashes, sound_requests))
-        except (ValueError, TypeError, KeyError, zlib_error) as error:
+        except MESSAGE_ERRORS as error:
             reason = f"invalid crash message: {error!r}"
             return Error(Failure(Outcome.FAILED, Step.PARSE, "", reason))
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/leavingmessage.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/leavingmessage.py
@@ -6,12 +6,11 @@
 """
 
 from typing import NamedTuple
-from zlib import error as zlib_error
 
 from expression import Error, Ok, Result
 
 from kingcupdyke.error import Failure, Outcome, Step
-from kingcupdyke.forwarding.peerstate import pack_message, unpack_message
+from kingcupdyke.forwarding.peerstate import MESSAGE_ERRORS, pack_message, unpack_message
 
 __all__ = ["LeavingMessage", "LeavingReport"]
 
@@ -44,7 +43,7 @@
             fields = unpack_message(value)["leaving"]
             reports = tuple(_decode_report(*each) for each in fields["reports"])
             return Ok(cls(str(fields["sender"]), reports))
-        except (ValueError, TypeError, KeyError, zlib_error) as error:
+        except MESSAGE_ERRORS as error:
             reason = f"invalid leaving message: {error!r}"
             return Error(Failure(Outcome.FAILED, Step.PARSE, "", reason))
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/limitmessage.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/limitmessage.py
@@ -6,12 +6,11 @@
 """
 
 from typing import NamedTuple
-from zlib import error as zlib_error
 
 from expression import Error, Ok, Result
 
 from kingcupdyke.error import Failure, Outcome, Step
-from kingcupdyke.forwarding.peerstate import pack_message, unpack_message
+from kingcupdyke.forwarding.peerstate import MESSAGE_ERRORS, pack_message, unpack_message
 
 __all__ = ["LimitMessage", "LimitReport", "LimitVersion"]
 
@@ -60,7 +59,7 @@
             reports = tuple(_decode_report(*each) for each in fields["reports"])
             sender, incarnation = str(fields["sender"]), str(fields["incarnation"])
             return Ok(cls(sender, incarnation, int(fields["number"]), reports))
-        except (ValueError, TypeError, KeyError, zlib_error) as error:
+        except MESSAGE_ERRORS as error:
             reason = f"invalid limit message: {error!r}"
             return Error(Failure(Outcome.FAILED, Step.PARSE, "", reason))
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
@@ -6,14 +6,14 @@
 """
 
 import json
-from math import inf
+from math import inf, isfinite
 from typing import NamedTuple
 from zlib import compress, decompressobj
 from zlib import error as zlib_error
 
 from expression import Error, Ok, Result
 
-from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke.error import DECODE_ERRORS, Failure, Outcome, Step
 
 __all__ = [
     "Demand",
@@ -32,15 +32,7 @@
 #: Limit of a message's size in bytes after decompression.
 MAX_MESSAGE_BYTES = 1_000_000
 #: Raised when a message is decoded that is not valid.
-MESSAGE_ERRORS = (
-    ValueError,
-    TypeError,
-    KeyError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-    zlib_error,
-)
+MESSAGE_ERRORS = (*DECODE_ERRORS, zlib_error)
 #: Limit of the interval that a peer may state.
 MAX_INTERVAL_S = 60.0
 #: Time without a message after which a peer's state is ignored: this number of the intervals that
@@ -159,13 +151,21 @@
 def unpack_message(value: bytes) -> object:
     """:return: the fields of a message
 
-    :raises ValueError: if the bytes are truncated, too long or no JSON
+    :raises ValueError: if the bytes are truncated, too long, no JSON, or have a number that is not
+        finite
     """
     inflater = decompressobj(RAW_DEFLATE)
     data = inflater.decompress(value, MAX_MESSAGE_BYTES)
     if not inflater.eof:
         raise ValueError("message is truncated or too long")
-    return json.loads(data)
+    return json.loads(data, parse_float=_parse_finite, parse_constant=_parse_finite)
+
+
+def _parse_finite(text: str) -> float:
+    number = float(text)
+    if not isfinite(number):
+        raise ValueError(f"not a finite number: {text}")
+    return number
 
 
 class PeerTable:
--- a/packages/kingcupdyke/kingcupdyke/forwarding/pinneddemand.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/pinneddemand.py
@@ -6,12 +6,11 @@
 """
 
 from typing import NamedTuple
-from zlib import error as zlib_error
 
 from expression import Error, Ok, Result
 
 from kingcupdyke.error import Failure, Outcome, Step
-from kingcupdyke.forwarding.peerstate import pack_message, unpack_message
+from kingcupdyke.forwarding.peerstate import MESSAGE_ERRORS, pack_message, unpack_message
 
 __all__ = ["PinnedDemand", "PinnedDemandMessage", "PinnedDemandTable"]
 
@@ -48,7 +47,7 @@
             fields = unpack_message(value)
             demands = tuple(_decode_demand(*each) for each in fields["demands"])
             return Ok(cls(str(fields["sender"]), demands))
-        except (ValueError, TypeError, KeyError, zlib_error) as error:
+        except MESSAGE_ERRORS as error:
             reason = f"invalid pinned demand message: {error!r}"
             return Error(Failure(Outcome.FAILED, Step.PARSE, "", reason))
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/storechanges.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/storechanges.py
@@ -7,12 +7,16 @@
 
 from collections.abc import Iterable
 from typing import NamedTuple
-from zlib import error as zlib_error
 
 from expression import Error, Ok, Result
 
 from kingcupdyke.error import Failure, Outcome, Step
-from kingcupdyke.forwarding.peerstate import GatewayState, pack_message, unpack_message
+from kingcupdyke.forwarding.peerstate import (
+    MESSAGE_ERRORS,
+    GatewayState,
+    pack_message,
+    unpack_message,
+)
 from kingcupdyke.util import rank_rendezvous
 
 __all__ = ["StoreChange", "StoreChanges", "choose_readers"]
@@ -69,7 +73,7 @@
                     changes,
                 )
             )
-        except (ValueError, TypeError, KeyError, OverflowError, zlib_error) as error:
+        except MESSAGE_ERRORS as error:
             reason = f"invalid message on the store's changes: {error!r}"
             return Error(Failure(Outcome.FAILED, Step.PARSE, "", reason))
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/storerelay.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/storerelay.py
@@ -10,12 +10,16 @@
 
 from collections.abc import Iterable
 from typing import NamedTuple
-from zlib import error as zlib_error
 
 from expression import Error, Ok, Result
 
 from kingcupdyke.error import Failure, Outcome, Step
-from kingcupdyke.forwarding.peerstate import GatewayState, pack_message, unpack_message
+from kingcupdyke.forwarding.peerstate import (
+    MESSAGE_ERRORS,
+    GatewayState,
+    pack_message,
+    unpack_message,
+)
 
 __all__ = ["RelayedObject", "StoreRelay", "list_relay_hosts"]
 
@@ -47,7 +51,7 @@
             fields = unpack_message(value)
             objects = tuple(RelayedObject(*each) for each in fields["objects"])
             return Ok(cls(str(fields["kind"]), int(fields["position"]), objects))
-        except (ValueError, TypeError, KeyError, zlib_error) as error:
+        except MESSAGE_ERRORS as error:
             reason = f"invalid store relay message: {error!r}"
             return Error(Failure(Outcome.FAILED, Step.PARSE, "", reason))
 
