Don't take a lease whose record can't be read, and go on

The same cause: a record of the planner's lease that another writer has left raised an error that ended the process that contends for the lease. It is logged now, and the lease is not taken while the record is there; its fields are checked when it is read, as a fence that is text failed later.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/leasemanager.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/leasemanager.py
@@ -5,14 +5,17 @@
 Execution of a lease's commands at the store.
 """
 
+import logging
 from collections.abc import Callable
 
-from kingcupdyke.error import Outcome
+from kingcupdyke.error import OptionError, Outcome
 from kingcupdyke.lease import LeaseCommand, LeaseMachine, LeaseRecord, ReadLease
 from kingcupdyke_wire.store import Conflict, StoreClient
 
 __all__ = ["LeaseManager"]
 
+_LOGGER = logging.getLogger(__name__)
+
 
 class LeaseManager:
     """Maintains one lease in the store.
@@ -68,7 +71,12 @@
             stored = stored.current
         elif not isinstance(command, ReadLease):
             return self._lease.lease_written(stored.version, now_s)
-        record = LeaseRecord.decode(stored.value) if stored else None
+        try:
+            record = LeaseRecord.decode(stored.value) if stored else None
+        except OptionError as error:
+            # Another writer's record may be of a holder, so that the lease is not taken.
+            _LOGGER.warning("the lease can't be read: %s", error)
+            return self._lease.store_failed(now_s, False)
         version = stored.version if stored else 0
         self.was_released = record is not None and not record.owner
         if is_conflict:
--- a/packages/kingcupdyke/features/lease.feature
+++ b/packages/kingcupdyke/features/lease.feature
@@ -52,6 +52,21 @@
   Scenario: A lease record is decoded as it was encoded
     Then lease: a record is the same after decoding, and "no JSON" and "[]" are rejected
 
+  Scenario Outline: A record of another writer is rejected: <fields>
+    Then lease: the record with <fields> is rejected
+
+    Examples:
+      | fields |
+      | "fence": "3" |
+      | "fence": -1 |
+      | "fence": 1e999 |
+      | "duration_s": NaN |
+      | "duration_s": null |
+      | "owner": null |
+      | "members": [1] |
+      | "members": 3 |
+      | "shoe_size": 42 |
+
   Scenario: Random ticks, pauses, lost answers and outages
     Then lease: no two processes hold the same number in any order of events
 
--- a/packages/kingcupdyke/features/steps/lease_steps.py
+++ b/packages/kingcupdyke/features/steps/lease_steps.py
@@ -5,6 +5,8 @@
 Steps for leases.
 """
 
+import json
+
 from behave import then, when
 from checks import find_wrong_option, run_machine
 from lease_rules import LeaseRules
@@ -37,6 +39,12 @@
         assert find_wrong_option(LeaseRecord.decode, value.encode()) == "lease", value
 
 
+@then("lease: the record with {fields} is rejected")
+def check_odd_record(context, fields):
+    record = json.loads(LeaseRecord("l", "p", 3, 10.0).encode()) | json.loads(f"{{{fields}}}")
+    assert find_wrong_option(LeaseRecord.decode, json.dumps(record).encode()) == "lease", fields
+
+
 @then("lease: no two processes hold the same number in any order of events")
 def check_machine(context):
     run_machine(LeaseRules)
--- a/packages/kingcupdyke/kingcupdyke/lease.py
+++ b/packages/kingcupdyke/kingcupdyke/lease.py
@@ -6,9 +6,10 @@
 """
 
 import json
+from math import inf
 from typing import NamedTuple
 
-from kingcupdyke.error import OptionError
+from kingcupdyke.error import DECODE_ERRORS, OptionError
 
 __all__ = ["LeaseCommand", "LeaseMachine", "LeaseRecord", "ReadLease", "WriteLease"]
 
@@ -43,11 +44,25 @@
         """
         try:
             record = cls(**json.loads(value))
+            _check_types(record)
             return record._replace(members=tuple(record.members))
-        except (ValueError, TypeError) as error:
+        except DECODE_ERRORS as error:
             raise OptionError("lease", value[:100], "give a JSON lease record") from error
 
 
+def _check_types(record: LeaseRecord) -> None:
+    """:raises ValueError: when a field has another type, or a number is negative or not finite"""
+    texts = (record.name, record.owner, *record.members)
+    if not all(isinstance(each, str) for each in texts):
+        raise ValueError("a name, an owner or a member is no text")
+    counts = (record.fence, record.writes)
+    if not all(isinstance(each, int) and each >= 0 for each in counts):
+        raise ValueError("a count is no whole number")
+    times_s = (record.duration_s, record.outlives_s)
+    if not all(isinstance(each, (int, float)) and 0 <= each < inf for each in times_s):
+        raise ValueError("a time is no number of seconds")
+
+
 class ReadLease(NamedTuple):
     """Read the lease's object."""
 
