Keep only the backoff that a 503 requests, not the time that a 429 names

A 429 is about the request that it rejects (RFC 6585), and what endpoints ask for by the users' pages is said with a 503. The scenario on 429 is now one of those in which nothing is requested; a gateway does not send that request there again, as before.

--- a/packages/kingcupdyke-daemon/features/backoff.feature
+++ b/packages/kingcupdyke-daemon/features/backoff.feature
@@ -28,7 +28,6 @@
     Examples:
       | case | answer |
       | an answer that has not run | busy |
-      | an answer that has not run, with status 429 | toomany |
       | a failure | failed |
       | an answer to another request, before its own | stray |
       | an answer that is cut off after its head | cutoff |
@@ -42,6 +41,7 @@
       | case | seconds | answer |
       | a time of 0 | 0 | busy |
       | a success | 2 | done |
+      | a status that limits the request, and not the endpoint's others | 2 | toomany |
 
   Scenario: An endpoint that requests backoff from one gateway is used by the others
     Given backoff: 3 gateways before an endpoint that will request backoff and one that does not
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/endpointbackoffs.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/endpointbackoffs.py
@@ -18,8 +18,9 @@
 __all__ = ["EndpointBackoffs", "EndpointCall"]
 
 _LOGGER = logging.getLogger(__name__)
-#: Statuses of answers whose Retry-After is a request for backoff.
-STATUSES_BACKOFF = (429, 503)
+#: Status of answers whose Retry-After is a request for backoff. That of a 429 is about the request
+#: that it rejects (RFC 6585, section 4): the endpoint accepts others.
+STATUS_UNAVAILABLE = 503
 
 
 class EndpointCall(StrEnum):
@@ -49,13 +50,13 @@
 
         :param endpoint: id of the endpoint that was called; the answer may name another one
         """
-        if status not in STATUSES_BACKOFF or answer.retry_after_s is None:
+        if status != STATUS_UNAVAILABLE or answer.retry_after_s is None:
             return
         endpoint = answer.endpoint or endpoint
         is_longer = self._table.note(endpoint, answer.retry_after_s, self._timer.now())
         self._metrics.count_backoff(call)
         if is_longer:
-            record = BackoffRecord(endpoint, call, status, answer.retry_after_s)
+            record = BackoffRecord(endpoint, call, answer.retry_after_s)
             log_record(_LOGGER, "endpoint requests backoff", record)
 
     def note_call(self, endpoint: str, call: EndpointCall) -> None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -276,7 +276,6 @@
     endpoint: str
     #: The call that was answered: ``request``, ``order`` or ``report``.
     call: str
-    status: int
     retry_after_s: float
 
 
