Don't take an earlier refusal, written again, for the answer to a later request

A faulty endpoint writes a refusal once more on a kept connection. Clients were told that their requests had not run although the endpoint was running them (REFUSED), and a request that must not be repeated ran again (TWICE). Cause: an answer that names no attempt was taken for the answer to whatever request was under way, and so was one that names the attempt of a second send: the refusal of the first one has the same id. A request without an id took any answer.

On a connection that has carried a request before, an answer that names no attempt belongs to no request now; it is skipped like one that names another. A connection whose endpoint names no attempts carries one request. An attempt is not sent on a connection on which it was rejected, and one without an id only on a new connection.

Open: the planner's calls have no ids, so that a second answer to an order can be taken for the next one's.

--- a/packages/kingcupdyke-daemon/features/steps/backoff_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/backoff_steps.py
@@ -343,11 +343,11 @@
             other = list_other_late(rig)
             acquire = rig.pool.acquire
 
-            async def acquire_late(endpoint, address, needs_fresh):
+            async def acquire_late(endpoint, address, *rest):
                 if endpoint == "e1":
                     rig.endpoint_table.backoff_table.note("e1", seconds, current_time())
                     rig.endpoint_table.put(other)
-                return await acquire(endpoint, address, needs_fresh)
+                return await acquire(endpoint, address, *rest)
 
             rig.pool.acquire = acquire_late
             await ask(context, rig, "g0-first")
--- a/packages/kingcupdyke-daemon/features/steps/leaving_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/leaving_steps.py
@@ -201,10 +201,10 @@
             acquire = rig.pool.acquire
             entry = make_entry("e1", context.endpoints[0].address)
 
-            async def acquire_late(endpoint, address, needs_fresh):
+            async def acquire_late(endpoint, address, *rest):
                 if endpoint == "e1":
                     rig.endpoint_table.put(entry._replace(is_leaving=True, heartbeat=2))
-                return await acquire(endpoint, address, needs_fresh)
+                return await acquire(endpoint, address, *rest)
 
             rig.pool.acquire = acquire_late
             # The other endpoint comes later, so that this one is chosen.
--- a/packages/kingcupdyke-daemon/features/steps/pool_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/pool_steps.py
@@ -57,7 +57,7 @@
         return connection, self.streams[-1]
 
     async def acquire(self, endpoint="e1"):
-        return await self.pool.acquire(endpoint, self.address, False)
+        return await self.pool.acquire(endpoint, self.address, False, "r1")
 
 
 @asynccontextmanager
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/attemptfailures.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/attemptfailures.py
@@ -15,13 +15,11 @@
 from kingcupdyke_daemon.forwarder.attemptresult import AttemptResult
 from kingcupdyke_daemon.forwarder.connection import Progress, TransferError
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
-from kingcupdyke_daemon.forwarder.exchange import Exchange
+from kingcupdyke_daemon.forwarder.exchange import STATUS_MISDIRECTED, Exchange
 from kingcupdyke_daemon.forwarder.finalanswer import FinalAnswer, KeptAnswer
 from kingcupdyke_daemon.forwarder.reply import Reply
 
-__all__ = ["STATUS_MISDIRECTED", "AttemptFailures"]
-
-STATUS_MISDIRECTED = 421
+__all__ = ["AttemptFailures"]
 
 
 class AttemptFailures:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
@@ -57,6 +57,8 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+#: Limit of the rejected attempts that are remembered of a connection in use.
+MAX_REJECTED_ATTEMPTS = 64
 #: Maximum number of bytes read from a socket in one call.
 READ_BYTES = 65_536
 #: Socket options that close a connection within seconds when its peer becomes unresponsive.
@@ -115,6 +117,12 @@
         #: Whether a request has begun, and the connection has not been prepared for the next one.
         self._is_in_use = False
         self._is_sent = False
+        self._has_served = False
+        #: Attempts that the endpoint has rejected here. It may write a rejection again, late.
+        self.rejected_attempts: set[str] = set()
+        #: Whether the endpoint's answers name no attempt, so that it can't be told to which request
+        #: a later one belongs.
+        self.is_unnamed = False
         #: Time at which the connection became idle, in seconds of the timer service.
         self.idle_since_s = 0.0
         #: Seconds after which the endpoint closes the idle connection, or None if not announced.
@@ -146,6 +154,11 @@
         poller.register(self._stream.extra(SocketAttribute.raw_socket).fileno(), POLLIN)
         return not poller.poll(0)
 
+    @property
+    def is_first_request(self) -> bool:
+        """:return: whether the current request is the first one, which all answers belong to"""
+        return not self._has_served
+
     def begin(self, request: Request, body: bytes) -> bytes:
         """Begin a request.
 
@@ -206,6 +219,9 @@
 
         :return: whether it can be reused
         """
+        self._has_served = True
+        if self.is_unnamed or len(self.rejected_attempts) > MAX_REJECTED_ATTEMPTS:
+            return False
         is_clean = self._is_sent and not self._http.trailing_data[0]
         if not is_clean or self._http.our_state is not DONE or self._http.their_state is not DONE:
             return False
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
@@ -21,9 +21,11 @@
 )
 from kingcupdyke_daemon.forwarder.dialect import Dialect, Headers
 
-__all__ = ["Exchange"]
+__all__ = ["STATUS_MISDIRECTED", "Exchange"]
 
 _LOGGER = logging.getLogger(__name__)
+#: Status of an answer that has not run the request, as it was meant for another endpoint.
+STATUS_MISDIRECTED = 421
 #: Number of answers read in search of the answer to the current request. A request fails if all of
 #: them are for other attempts.
 MAX_STRAY_ANSWERS = 3
@@ -75,7 +77,8 @@
         tasks.start_soon(self._send_all, data)
 
     async def read_head(self, on_answer: Callable[[int, AnswerMetadata], None]) -> Response:
-        """Read the head of the answer, skipping answers to other attempts.
+        """Read the head of the answer, skipping answers to other attempts, and those that name none
+        after an earlier request on the connection.
 
         :param on_answer: called with status and metadata of each answer, also to another attempt
         :raises TransferError: when the connection breaks or only carries other answers
@@ -85,12 +88,26 @@
             metadata = self._dialect.read_answer(list(response.headers))
             self._connection.keep_alive_s = metadata.keep_alive_s
             on_answer(response.status_code, metadata)
-            if not self._attempt_id or metadata.attempt_id in ("", self._attempt_id):
-                self._progress = Progress.ANSWERING
+            if self._is_own(metadata.attempt_id):
+                self._note_own(response.status_code, metadata)
                 return response
             await self._skip_answer()
         raise TransferError(self._progress, "received only answers to other attempts")
 
+    def _is_own(self, named: str) -> bool:
+        """:return: whether an answer belongs to this request, from the attempt that it names"""
+        if self._connection.is_first_request and not (named and self._attempt_id):
+            return True
+        return named == self._attempt_id
+
+    def _note_own(self, status: int, metadata: AnswerMetadata) -> None:
+        self._progress = Progress.ANSWERING
+        if not self._attempt_id:
+            return
+        self._connection.is_unnamed = not metadata.attempt_id
+        if metadata.is_not_run or status == STATUS_MISDIRECTED:
+            self._connection.rejected_attempts.add(self._attempt_id)
+
     async def read_body(self) -> AsyncIterator[bytes]:
         """Yield the body of the answer as it arrives.
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -18,7 +18,7 @@
 from kingcupdyke.forwarding.metadata import ForwardMetadata, RequestMetadata
 from kingcupdyke_daemon.forwarder.answerobserver import AnswerObserver
 from kingcupdyke_daemon.forwarder.answerrelay import AnswerRelay
-from kingcupdyke_daemon.forwarder.attemptfailures import STATUS_MISDIRECTED, AttemptFailures
+from kingcupdyke_daemon.forwarder.attemptfailures import AttemptFailures
 from kingcupdyke_daemon.forwarder.attemptresult import AttemptResult
 from kingcupdyke_daemon.forwarder.connection import (
     EndpointConnection,
@@ -29,7 +29,7 @@
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.dialect import LAST_EVENT_ID
 from kingcupdyke_daemon.forwarder.endpointbackoffs import EndpointCall
-from kingcupdyke_daemon.forwarder.exchange import Exchange
+from kingcupdyke_daemon.forwarder.exchange import STATUS_MISDIRECTED, Exchange
 from kingcupdyke_daemon.forwarder.finalanswer import STATUS_TOO_MANY, FinalAnswer
 from kingcupdyke_daemon.forwarder.metrics import RequestTimes
 from kingcupdyke_daemon.forwarder.pausemeter import PauseMeter
@@ -258,7 +258,10 @@
         result: AttemptResult | None = None
         try:
             connection = await deps.pool.acquire(
-                endpoint, state.entry.address, not self._is_retryable
+                endpoint,
+                state.entry.address,
+                not self._is_retryable,
+                self._metadata.attempt_id,
             )
             if not deps.endpoint_table.may_send(state, deps.timer.now()):
                 self._failures.reason = f"endpoint {endpoint} is leaving or has requested backoff"
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/pool.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/pool.py
@@ -52,16 +52,20 @@
         return sum(len(idle) for idle in self._idle_by_endpoint.values())
 
     async def acquire(
-        self, endpoint: str, address: tuple[str, int], needs_fresh: bool
+        self, endpoint: str, address: tuple[str, int], needs_fresh: bool, attempt_id: str
     ) -> EndpointConnection:
         """Return an idle connection, or open a new one; the caller owns it.
 
+        A connection on which the endpoint has rejected the same attempt is not used, nor is any for
+        an attempt without an id: an answer to an earlier request could be taken for its own.
+
         :param needs_fresh: whether the request must not be retried, so that a connection that the
             endpoint may be closing is not used
+        :param attempt_id: id of the client's attempt, or empty
         :raises TransferError: when the connection can't be established
         """
         margin_s = NON_RETRYABLE_MARGIN_S if needs_fresh else IDLE_MARGIN_S
-        connection = self._take(endpoint, margin_s)
+        connection = self._take(endpoint, margin_s, attempt_id) if attempt_id else None
         return connection or await EndpointConnection.open(address)
 
     def release(self, endpoint: str, connection: EndpointConnection) -> None:
@@ -100,12 +104,14 @@
         for idle in idle_by_endpoint.values():
             self._close(idle)
 
-    def _take(self, endpoint: str, margin_s: float) -> EndpointConnection | None:
+    def _take(self, endpoint: str, margin_s: float, attempt_id: str) -> EndpointConnection | None:
         """Take the first usable connection out of the pool, and those that are not usable."""
         now_s = self._timer.now()
         idle = self._idle_by_endpoint.get(endpoint, [])
-        while idle:
-            connection = idle.pop()
+        for connection in reversed(idle.copy()):
+            if attempt_id in connection.rejected_attempts:
+                continue
+            idle.remove(connection)
             idle_s = now_s - connection.idle_since_s
             if idle_s < _max_idle_s(connection, margin_s) and connection.is_reusable():
                 return connection
