Never put an error into a stream that has begun, nor end it as if it were complete

Cause: an answer to the attempt to resume was taken for the rest of the stream if only its status was the same: a 200 with JSON or text was passed on as it came, an empty one ended the stream. By the same way out of the first bytes, an answer that is no stream was answered once more from its beginning behind its first part, and so was a stream whose events have no ids.

What follows a begun stream must be a stream of events with the same status; any other answer counts as a failure of its endpoint, and the next one is tried. Only streams whose last event has an id are continued.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerrelay.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerrelay.py
@@ -70,6 +70,9 @@
         self._on_first_event = on_first_event
         self._events = EventBuffer()
         self._framing = ""
+        #: Status of the answer whose head was passed on, and whether it is a stream of events.
+        self._status = 0
+        self._is_events = False
 
     @property
     def last_event_id(self) -> bytes:
@@ -81,6 +84,18 @@
         """:return: whether a complete event was read"""
         return self._events.count > 0
 
+    @property
+    def can_be_continued(self) -> bool:
+        """:return: whether another endpoint can continue what was passed on: it is a stream, and
+        its last event has an id
+        """
+        has_position = not self.has_event or bool(self.last_event_id)
+        return self._is_resumable and self._is_events and has_position
+
+    def is_continuation(self, head: Response) -> bool:
+        """:return: whether an answer may follow what was passed on: a stream with its status"""
+        return head.status_code == self._status and self._is_event_stream(head)
+
     def describe_end(self) -> AnswerEnd:
         """:return: how the last answer ended"""
         return AnswerEnd(self._framing, self._events.count, self._events.partial_bytes)
@@ -93,9 +108,11 @@
         """
         self._framing = _find_framing(head)
         self._events.drop_partial()
+        is_events = self._is_event_stream(head)
         if not self._reply.has_begun:
+            self._status, self._is_events = head.status_code, is_events
             await self._reply.begin(head.status_code, strip_headers(head))
-        if self._is_event_stream(head):
+        if is_events:
             await self._relay_events(parts)
         else:
             async for data in parts:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/attemptfailures.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/attemptfailures.py
@@ -54,6 +54,12 @@
         self._deps.endpoint_table.note_failure(endpoint, self._deps.timer.now(), False)
         return AttemptResult.BROKEN if self._reply.has_begun else AttemptResult.UNKNOWN
 
+    def note_other_answer(self, endpoint: str, head: Response) -> AttemptResult:
+        """Record an answer that does not continue the stream that was begun."""
+        self.reason = f"endpoint {endpoint}: status {head.status_code}, which continues no stream"
+        self._deps.endpoint_table.note_failure(endpoint, self._deps.timer.now(), False)
+        return AttemptResult.FAILED
+
     async def handle_not_run(
         self,
         exchange: Exchange,
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -221,7 +221,7 @@
         if result is not AttemptResult.NOT_RUN:
             if not self._is_retryable or self._attempts_run >= self._route.max_attempts:
                 return RetryOutcome.NOT_RETRYABLE
-            if result is AttemptResult.BROKEN and not self._route.is_resumable:
+            if result is AttemptResult.BROKEN and not self._answer.can_be_continued:
                 return RetryOutcome.NOT_RETRYABLE
         now_s = self._deps.timer.now()
         is_granted = self._deps.budget.take(self._item.service, self._gateway_count, now_s)
@@ -350,9 +350,8 @@
         self._watch.note_head()
         if head.status_code >= STATUS_FAILURE:
             return await self._failures.keep_answer(exchange, endpoint, head)
-        if self._reply.has_begun and head.status_code != self._status:
-            self._failures.reason = f"endpoint {endpoint}: status {head.status_code} on resuming"
-            return AttemptResult.BROKEN, False
+        if self._reply.has_begun and not self._answer.is_continuation(head):
+            return self._failures.note_other_answer(endpoint, head), False
         result = await self._relay(exchange, endpoint, head, sent_s)
         deps.endpoint_table.note_success(endpoint)
         self._watch.note_sound()
