Move the waits out of the dispatcher, and the history of attempts out of the forwarded request

Nothing else changes; features on dispatching, forwarding, broken streams, backoff and crashes are green.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -19,6 +19,7 @@
 from kingcupdyke_daemon.forwarder.answerobserver import AnswerObserver
 from kingcupdyke_daemon.forwarder.answerrelay import AnswerRelay
 from kingcupdyke_daemon.forwarder.attemptfailures import AttemptFailures
+from kingcupdyke_daemon.forwarder.attempthistory import AttemptHistory
 from kingcupdyke_daemon.forwarder.attemptresult import AttemptResult
 from kingcupdyke_daemon.forwarder.connection import (
     EndpointConnection,
@@ -76,7 +77,6 @@
         reply: Reply,
     ) -> None:
         self._deps = deps
-        self._gateway_count = gateway_count
         self._route = route
         self._request = request
         self._metadata = metadata
@@ -92,9 +92,7 @@
         #: Cancels the attempts at the deadline, or when the process ends.
         self.scope = CancelScope(deadline=self._deadline_s)
         self._is_given_up = False
-        self._excluded: set[str] = set()
-        #: Number of earlier attempts in which the request ran or may have run.
-        self._attempts_run = 0
+        self._history = AttemptHistory(deps, route, gateway_count)
         #: Whether the request was sent to an endpoint whose attempt has not ended.
         self._is_in_flight = False
         self._charge = QuotaCharge(deps.quotas, deps.metrics, caller, metadata)
@@ -113,13 +111,9 @@
         self._answer = AnswerRelay(reply, is_stream, route.is_resumable, self._pin_version)
         self._continuation = StreamContinuation(deps, route, metadata, request.headers)
 
-    @property
-    def _is_retryable(self) -> bool:
-        return self._route.is_idempotent or self._route.is_resumable
-
     @property
     def _may_have_run(self) -> bool:
-        return bool(self._attempts_run) or self._is_in_flight
+        return self._history.has_run or self._is_in_flight
 
     async def run(self) -> None:
         """Try endpoints until one answers; ``scope`` cancels this at the deadline."""
@@ -169,7 +163,7 @@
             return
         while True:
             since_s = self._deps.timer.now()
-            decision = self._deps.queue.submit(self._item, frozenset(self._excluded))
+            decision = self._deps.queue.submit(self._item, self._history.excluded)
             if isinstance(decision, Wait):
                 self._request_log.log_wait(decision, self._deps.dispatcher.waiting)
                 decision = await self._deps.queue.wait(self._item.attempt_id)
@@ -188,12 +182,11 @@
                 # The endpoint is free, even if a slow client has not read all of its answer.
                 await self._answer.end()
                 return
-            if not self._may_return(decision.endpoint, result):
-                self._excluded.add(decision.endpoint)
             self._is_in_flight = False
-            if result not in (AttemptResult.NOT_RUN, AttemptResult.NOT_SENT):
-                self._attempts_run += 1
-            outcome = self._decide_retry(result)
+            self._history.note_end(decision.endpoint, result)
+            outcome = self._history.decide_retry(
+                self._item.service, result, self._answer.can_be_continued
+            )
             self._request_log.log_failure(decision.endpoint, result, outcome, self._failures.reason)
             if outcome is not RetryOutcome.RETRIED:
                 backoff_s = self._deps.dispatcher.find_backoff_s(self._item, self._deps.timer.now())
@@ -205,29 +198,6 @@
                     await self._give_up(proof.error.reason)
                     return
 
-    def _may_return(self, endpoint: str, result: AttemptResult) -> bool:
-        """:return: whether the request may be sent to an endpoint again after an attempt there"""
-        if result is AttemptResult.BROKEN:
-            return self._route.is_resumable
-        if result not in (AttemptResult.NOT_RUN, AttemptResult.NOT_SENT):
-            return False
-        # The endpoint has said when it accepts the request.
-        backoff_table = self._deps.endpoint_table.backoff_table
-        return backoff_table.find_delay(endpoint, self._deps.timer.now()) > 0.0
-
-    def _decide_retry(self, result: AttemptResult) -> RetryOutcome:
-        if result is AttemptResult.NOT_SENT:
-            return RetryOutcome.RETRIED
-        if result is not AttemptResult.NOT_RUN:
-            if not self._is_retryable or self._attempts_run >= self._route.max_attempts:
-                return RetryOutcome.NOT_RETRYABLE
-            if result is AttemptResult.BROKEN and not self._answer.can_be_continued:
-                return RetryOutcome.NOT_RETRYABLE
-        now_s = self._deps.timer.now()
-        is_granted = self._deps.budget.take(self._item.service, self._gateway_count, now_s)
-        self._deps.metrics.count_retry(self._item.service, is_granted)
-        return RetryOutcome.RETRIED if is_granted else RetryOutcome.NO_BUDGET
-
     async def _give_up(self, reason: str, retry_after_s: float = RETRY_AFTER_S) -> None:
         """Send the final answer of a request that no endpoint has answered."""
         self._is_given_up = True
@@ -260,7 +230,7 @@
             connection = await deps.pool.acquire(
                 endpoint,
                 state.entry.address,
-                not self._is_retryable,
+                not self._history.is_retryable,
                 self._metadata.attempt_id,
             )
             if not deps.endpoint_table.may_send(state, deps.timer.now()):
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterator
-from math import inf, isfinite
+from math import inf
 
 from kingcupdyke.forwarding.callertable import CallerTable
 from kingcupdyke.forwarding.configuration import EngineSpec, ServiceSpec
@@ -14,16 +14,22 @@
 from kingcupdyke.forwarding.decision import Decision, Refuse, Send, Wait
 from kingcupdyke.forwarding.demandtracker import DemandTracker, count_pinned
 from kingcupdyke.forwarding.endpointcosts import EndpointCosts, estimate_read_s
-from kingcupdyke.forwarding.endpointstate import DEFAULT_TOKENS_PER_S, EndpointState
+from kingcupdyke.forwarding.endpointstate import EndpointState
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.fairorder import FairOrder
 from kingcupdyke.forwarding.limittable import LimitTable
-from kingcupdyke.forwarding.modelwait import estimate_load_s, has_replica
+from kingcupdyke.forwarding.modelwait import has_replica
 from kingcupdyke.forwarding.pacechoice import MAX_PACE_WAIT_S, choose_paced
 from kingcupdyke.forwarding.peerstate import Demand, EndpointLoad
 from kingcupdyke.forwarding.pinneddemand import PinnedDemand
 from kingcupdyke.forwarding.requestcrashtable import RequestCrashTable
 from kingcupdyke.forwarding.versionregister import VersionRegister
+from kingcupdyke.forwarding.waitestimator import (
+    MIN_REMAINING_S,
+    RETRY_AFTER_S,
+    WaitEstimator,
+    WaitingRequest,
+)
 from kingcupdyke.forwarding.workitem import WorkItem
 
 __all__ = ["STOPPING_RETRY_S", "Dispatcher"]
@@ -31,16 +37,8 @@
 #: Backlog of unread prompts, in seconds of reading, up to which an engine receives further
 #: requests. It keeps the engine busy, and an urgent request does not wait long behind others.
 MAX_BACKLOG_S = 0.35
-#: Expected seconds from a request for a model to the planner's order to load it.
-ORDER_DELAY_S = 0.3
-#: Seconds after which a rejected caller is asked to retry if there is no better estimate.
-RETRY_AFTER_S = 0.5
 #: Seconds after which a caller is asked to retry at another gateway, as this one is stopping.
 STOPPING_RETRY_S = 0.01
-#: Minimum seconds until the deadline with which a request is still sent.
-MIN_REMAINING_S = 0.03
-#: Least limit of an endpoint, in requests a second, by which a wait is estimated.
-MIN_LIMIT_PER_S = 0.25
 
 
 class Dispatcher:
@@ -75,6 +73,7 @@
         self._order = FairOrder()
         self._waiting_by_id: dict[str, tuple[WorkItem, frozenset[str]]] = {}
         self._demands = DemandTracker()
+        self._waits = WaitEstimator(endpoint_table, self.limit_table, self._costs)
 
     def configure(
         self, service_by_name: dict[str, ServiceSpec], callers: CallerTable | None = None
@@ -115,8 +114,7 @@
     @property
     def tokens_per_s(self) -> float:
         """:return: average prompt tokens a second that an endpoint reads"""
-        rates = [each.tokens_per_s for each in self._endpoint_table.state_by_id.values()]
-        return sum(rates) / len(rates) if rates else DEFAULT_TOKENS_PER_S
+        return self._waits.tokens_per_s
 
     def poll(self, now_s: float) -> dict[str, Send | Refuse]:
         """:return: decisions on requests that need not wait any longer, by attempt id"""
@@ -263,7 +261,9 @@
                 each for each in states if has_replica(self._endpoint_table, each, item, now_s)
             ]
             if not holders:
-                return self._await_replica(item, engine_spec, states, now_s)
+                return self._waits.await_replica(
+                    self._make_waiting(item, now_s), engine_spec, states, now_s
+                )
             states = holders
         if not item.is_resumable:
             return self._decide_among(item, states, engine_spec, now_s)
@@ -288,11 +288,11 @@
             return self._decide_among_open(item, states, engine_spec, now_s)
         opened, closed = self._split_by_backoff(states, now_s)
         if not opened:
-            return self._await_backoff(item, closed, now_s)
+            return self._waits.await_backoff(self._make_waiting(item, now_s), closed, now_s)
         decision = self._decide_among_open(item, opened, engine_spec, now_s)
         if not closed or not isinstance(decision, Refuse):
             return decision
-        later = self._await_backoff(item, closed, now_s)
+        later = self._waits.await_backoff(self._make_waiting(item, now_s), closed, now_s)
         if isinstance(later, Refuse) and decision.retry_after_s <= later.retry_after_s:
             return decision
         return later
@@ -323,7 +323,7 @@
             each for each in reachable if not self.limit_table.find_delay(each.entry, now_s)
         ]
         if not permitted:
-            return self._await_permission(item, reachable, now_s)
+            return self._waits.await_permission(self._make_waiting(item, now_s), reachable, now_s)
         available = [each for each in permitted if self._has_capacity(each, engine_spec)]
         if any(each.pace is not None for each in available):
             resting = [
@@ -337,7 +337,7 @@
             return self._choose_paced(item, available, resting, permitted, now_s)
         if available:
             return self._choose(item, available, now_s)
-        return self._await_capacity(item, permitted, now_s)
+        return self._waits.await_capacity(self._make_waiting(item, now_s), permitted, now_s)
 
     def _choose_paced(
         self,
@@ -357,7 +357,11 @@
             resting,
             lambda states: self._choose(item, states, now_s),
             (
-                (lambda: self._await_capacity(item, permitted, now_s))
+                (
+                    lambda: self._waits.await_capacity(
+                        self._make_waiting(item, now_s), permitted, now_s
+                    )
+                )
                 if may_wait and any(each.pace is None for each in permitted)
                 else None
             ),
@@ -384,62 +388,8 @@
             return False
         return engine_spec is None or state.unread_tokens <= MAX_BACKLOG_S * state.tokens_per_s
 
-    def _await_replica(
-        self, item: WorkItem, engine_spec: EngineSpec, states: list[EndpointState], now_s: float
-    ) -> Decision:
-        """Wait for the planner to place the model, or reject if that would take too long."""
-        table = self._endpoint_table
-        wait_s = table.estimate_ready_in_s(item.model, item.adapter, now_s, item.software_version)
-        if wait_s is None:
-            wait_s = ORDER_DELAY_S + estimate_load_s(table, item, engine_spec, states, now_s)
-        peers_tokens = table.peer_waiting_by_model.get(item.model, 0) * item.prompt_tokens
-        tokens_before = sum(each.prompt_tokens for each in self._list_ahead(item, now_s))
-        wait_s += (tokens_before + peers_tokens) / self.tokens_per_s
-        left_s = self._latest_send_s(item) - now_s
-        if max(0.0, wait_s) + MIN_REMAINING_S > left_s:
-            return Refuse("the model is not ready in time", max(0.1, wait_s))
-        return Wait("no replica of the model yet")
-
-    def _list_ahead(self, item: WorkItem, now_s: float) -> list[WorkItem]:
-        """:return: requests that wait here for the same model and are served before this one"""
+    def _make_waiting(self, item: WorkItem, now_s: float) -> WaitingRequest:
+        """:return: a request with those that wait here for the same model and are served before"""
         waiting = (other for other, _ in self._waiting_by_id.values())
-        return self._order.list_ahead(item, waiting, now_s)
-
-    def _await_permission(
-        self, item: WorkItem, states: list[EndpointState], now_s: float
-    ) -> Decision:
-        """Wait until the limit of an endpoint permits it, or reject if that takes too long."""
-        table = self.limit_table
-        delay_s = min(table.find_delay(each.entry, now_s) for each in states)
-        rate = sum(table.get_limit(each.entry) or 0.0 for each in states)
-        wait_s = delay_s + len(self._list_ahead(item, now_s)) / max(rate, MIN_LIMIT_PER_S)
-        if now_s + wait_s + MIN_REMAINING_S > self._latest_send_s(item):
-            retry_after_s = wait_s if isfinite(wait_s) else RETRY_AFTER_S
-            return Refuse("the endpoints accept no more requests", max(0.1, retry_after_s))
-        return Wait("the endpoints accept no more requests yet")
-
-    def _await_backoff(self, item: WorkItem, states: list[EndpointState], now_s: float) -> Decision:
-        """Wait for the end of an endpoint's backoff, or reject if that takes too long."""
-        delay_s = min(self._backoff_table.find_delay(each.entry.endpoint, now_s) for each in states)
-        if item.model:
-            ready_s = self._endpoint_table.estimate_ready_in_s(
-                item.model, item.adapter, now_s, item.software_version
-            )
-            delay_s = delay_s if ready_s is None else min(delay_s, ready_s)
-        ahead = self._list_ahead(item, now_s)
-        free_slots = sum(max(0, each.entry.slots - each.requests) for each in states)
-        wait_s = delay_s
-        if item.model or len(ahead) >= free_slots:
-            wait_s += self._costs.estimate_wait_s(item, ahead, states)
-        if now_s + wait_s + MIN_REMAINING_S > self._latest_send_s(item):
-            return Refuse("the endpoints have requested backoff", max(0.1, wait_s))
-        return Wait("the endpoints have requested backoff")
-
-    def _await_capacity(
-        self, item: WorkItem, states: list[EndpointState], now_s: float
-    ) -> Decision:
-        """Wait for capacity, or reject if the requests before this one take too long."""
-        wait_s = self._costs.estimate_wait_s(item, self._list_ahead(item, now_s), states)
-        if now_s + wait_s > self._latest_send_s(item):
-            return Refuse("the queue is longer than the deadline", max(0.1, wait_s))
-        return Wait("all endpoints are full")
+        ahead = self._order.list_ahead(item, waiting, now_s)
+        return WaitingRequest(item, ahead, self._latest_send_s(item))
