Read the Retry-After of failures like that of endpoints

A Retry-After of nan, inf or a negative number in the answer of an engine or the store became the wait of a failure, and a date was not read. Found by looking for the readers of the header. Six of nine rows of http.feature were red.

--- a/packages/kingcupdyke-wire/features/http.feature
+++ b/packages/kingcupdyke-wire/features/http.feature
@@ -57,3 +57,18 @@
       | text/event-stream | data: 1\n\n     |
       | text/event-stream | data: 1\r\n\r\n |
       | text/plain        | some text       |
+
+  Scenario Outline: A failure says when a retry may succeed: <value>
+    Then http: an answer of 503 with the Retry-After "<value>" is a failure with <seconds>
+
+    Examples:
+      | value | seconds |
+      | 2 | 2.0 |
+      | 0.5 | 0.5 |
+      | nan | None |
+      | inf | None |
+      | -1 | None |
+      | soon | None |
+      | 1e400 | None |
+      | 99999999999999999999 | 3600.0 |
+      | Fri, 31 Dec 1999 23:59:59 GMT | 0.0 |
--- a/packages/kingcupdyke-wire/features/steps/http_steps.py
+++ b/packages/kingcupdyke-wire/features/steps/http_steps.py
@@ -12,7 +12,8 @@
 from kingcupdyke_standins.asgi import HttpRequest, Reply, StandinApp
 from kingcupdyke_standins.protocol import StandinProtocol
 from kingcupdyke_standins.server import open_standin
-from kingcupdyke_wire.http import ExchangeError, HttpClient
+from kingcupdyke_wire.decode import make_failure
+from kingcupdyke_wire.http import ExchangeError, HttpAnswer, HttpClient
 
 LATE_ANSWER_S = 0.1
 FIRST_PART = b"first half, "
@@ -171,3 +172,9 @@
 def check_stream(context, outcome, step):
     assert context.parts == [FIRST_PART], context.parts
     check_failure(context, context.result, outcome, step)
+
+
+@then('http: an answer of 503 with the Retry-After "{value}" is a failure with {seconds}')
+def check_retry_after(context, value, seconds):
+    answer = HttpAnswer(503, {"retry-after": value}, b"")
+    assert str(make_failure(answer, Step.RUN, "peer").retry_after_s) == seconds
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/decode.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/decode.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from time import time
 from typing import Any, TypeVar
 
 from expression import Error, Ok, Result
@@ -13,6 +14,7 @@
 from kingcupdyke.error import DECODE_ERRORS, Failure, Outcome, Step, describe_error
 from kingcupdyke_wire.http import HttpAnswer
 from kingcupdyke_wire.jsontext import load_json
+from kingcupdyke_wire.retryafter import read_retry_after
 
 __all__ = ["decode", "make_failure"]
 
@@ -52,7 +54,7 @@
 
 
 def _read_retry_after(answer: HttpAnswer) -> float | None:
-    try:
-        return float(answer.headers["retry-after"])
-    except (KeyError, ValueError):
+    value = answer.headers.get("retry-after")
+    if value is None:
         return None
+    return read_retry_after([value], answer.headers.get("date", ""), time())
