Let an answer request backoff only for an endpoint at its address

An answer that names another id closed the endpoint with that id at this gateway, wherever it is. It counts now for an endpoint that is listed at the address that has answered, and the call's own endpoint. A scenario shows it; without requested backoff, the time until a retry is not looked up.

--- a/packages/kingcupdyke-daemon/features/backoff.feature
+++ b/packages/kingcupdyke-daemon/features/backoff.feature
@@ -41,6 +41,7 @@
       | case | seconds | answer |
       | a time of 0 | 0 | busy |
       | a success | 2 | done |
+      | an answer that names an endpoint at another address | 2 | foreign |
       | a status that limits the request, and not the endpoint's others | 2 | toomany |
 
   Scenario: An endpoint that requests backoff from one gateway is used by the others
--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -489,7 +489,7 @@
             lambda: QuotaMembers(self.network.rig_by_host, self.network.rig_by_host),
             self.network.send,
         )
-        self.backoffs = EndpointBackoffs(self.endpoint_table.backoff_table, timer, self.metrics)
+        self.backoffs = EndpointBackoffs(self.endpoint_table, timer, self.metrics)
         deps = ForwarderDependencies(
             PlainDialect(),
             self.dispatcher,
--- a/packages/kingcupdyke-daemon/features/steps/backoff_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/backoff_steps.py
@@ -61,6 +61,9 @@
     async def do_toomany(self, stream, attempt_id):
         return await self.reject(stream, attempt_id, 429, "x-not-run: 1")
 
+    async def do_foreign(self, stream, attempt_id):
+        return await self.reject(stream, attempt_id, 503, "x-not-run: 1\r\nx-endpoint: e2")
+
     async def do_failed(self, stream, attempt_id):
         return await self.reject(stream, attempt_id, 503, "x-mark: m")
 
@@ -283,10 +286,12 @@
     async def job():
         async with open_fleet(context) as fleet:
             rig = await ask_first(context, fleet)
+            context.delays = dict(rig.endpoint_table.backoff_table.list_delays(current_time()))
             context.during = await ask_several(context, rig, 10)
 
     run(job)
     assert context.during > 0
+    assert not context.delays, context.delays
 
 
 @when("backoff: it requests {seconds:g} s from one gateway")
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerobserver.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerobserver.py
@@ -29,7 +29,7 @@
         """Record what counts in an answer to whatever request: that the endpoint is leaving, or
         requests backoff.
         """
-        self._deps.backoffs.note_answer(entry.endpoint, EndpointCall.REQUEST, status, answer)
+        self._deps.backoffs.note_answer(entry, EndpointCall.REQUEST, status, answer)
         if answer.is_leaving:
             self._request_log.leaving.append(answer.endpoint or entry.endpoint)
             self._deps.leaving.note_answer(entry, answer)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
@@ -330,7 +330,7 @@
         ]
         metadata = self._dialect.read_answer(headers)
         self._leaving.note_answer(entry, metadata)
-        self._backoffs.note_answer(entry.endpoint, call, answer.status, metadata)
+        self._backoffs.note_answer(entry, call, answer.status, metadata)
 
     def _get_http(self, engine: EngineState) -> HttpClient:
         key = (engine.entry.endpoint, engine.entry.address)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -97,9 +97,7 @@
             settings.repeat_share, settings.repeat_allowance, settings.repeat_window_s
         )
         self._metrics = ForwarderMetrics(settings.host)
-        self._backoffs = EndpointBackoffs(
-            self._endpoint_table.backoff_table, self._timer, self._metrics
-        )
+        self._backoffs = EndpointBackoffs(self._endpoint_table, self._timer, self._metrics)
         self._peer_table = PeerTable()
         self._exchanges = PeerExchanges(
             settings.host,
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -190,6 +190,8 @@
         """:return: seconds until an endpoint that could serve a request accepts calls, as far as
         endpoints have requested backoff; 0 if one accepts them now
         """
+        if self._backoff_table.is_empty:
+            return 0.0
         states = self._endpoint_table.list_ready(item.service)
         if item.model:
             table = self._endpoint_table
