Go on when a record of the product's store, or an entry of the host list, can't be read

The same cause in the product's own processes, found by reading: one odd entry failed the whole list of hosts, so that nobody followed it; an unreadable record of an endpoint or of a model's holders raised an error that left the sidecar's tasks, and the gateway's clean-up of holders.

A takeover waits while the endpoint's record can't be read, a sidecar does not take such a record for a successor's, an update of holders fails, and the clean-up goes on with the next record.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/cleaner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/cleaner.py
@@ -7,6 +7,7 @@
 
 import logging
 
+from kingcupdyke.error import OptionError
 from kingcupdyke.residency import (
     ResidencyRecord,
     decode_residency,
@@ -61,7 +62,11 @@
                 await self._clean_record(stored, now_s)
 
     async def _clean_record(self, stored: StoreObject, now_s: float) -> None:
-        record = decode_residency(stored.value)
+        try:
+            record = decode_residency(stored.value)
+        except OptionError as error:
+            _LOGGER.warning("holders unreadable: step=order model=%s: %s", stored.name, error)
+            return
         cleaned = self._drop_gone_holders(record, now_s)
         if cleaned == record:
             return
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/ownership.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/ownership.py
@@ -12,7 +12,7 @@
 from anyio import Lock, sleep
 from expression import Error, Ok, Result
 
-from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke.error import Failure, OptionError, Outcome, Step
 from kingcupdyke.fence import (
     EndpointGuard,
     EndpointRecord,
@@ -136,7 +136,9 @@
         return self.guard.superseded
 
     def _apply_stored(self, current: StoreObject | None) -> None:
-        record = EndpointRecord.decode(current.value) if current else None
+        record = _decode(current) if current else None
+        if current is not None and record is None:
+            return
         version = current.version if current else 0
         if self.guard.endpoint_conflict(record, version):
             _LOGGER.warning("superseded: step=order peer=%s", self.endpoint)
@@ -160,7 +162,10 @@
             return None
         if read.ok is None:
             return self._machine.endpoint_read(None, 0)
-        return self._machine.endpoint_read(EndpointRecord.decode(read.ok.value), read.ok.version)
+        record = _decode(read.ok)
+        if record is None:
+            return None
+        return self._machine.endpoint_read(record, read.ok.version)
 
     async def _write_endpoint(self, command: WriteEndpoint) -> TakeoverCommand | None:
         written = await self._store.put(
@@ -172,7 +177,9 @@
             return self._machine.endpoint_unknown()
         if isinstance(written.ok, Conflict):
             current = written.ok.current
-            record = EndpointRecord.decode(current.value) if current else None
+            record = _decode(current) if current else None
+            if current is not None and record is None:
+                return None
             return self._machine.endpoint_conflict(record, current.version if current else 0)
         return self._machine.endpoint_written(written.ok.version)
 
@@ -200,3 +207,12 @@
             return None
         self._inventory = read.ok
         return self._machine.inventory_read(read.ok)
+
+
+def _decode(stored: StoreObject) -> EndpointRecord | None:
+    """:return: the record of an endpoint's object, or None if it can't be read"""
+    try:
+        return EndpointRecord.decode(stored.value)
+    except OptionError as error:
+        _LOGGER.error("endpoint unreadable: step=store peer=%s: %s", stored.name, error)
+        return None
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/residency.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/residency.py
@@ -11,7 +11,7 @@
 from anyio import current_time, sleep
 from expression import Error, Ok, Result
 
-from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke.error import Failure, OptionError, Outcome, Step
 from kingcupdyke.hand_over import HandOverCommand, HandOverMachine, MayStop, RequestLoad
 from kingcupdyke.removal import (
     ReadResidency,
@@ -182,14 +182,20 @@
     """
     if isinstance(command, ReadResidency):
         read = await store.get(RESIDENCY_KIND, command.model)
-        return read.map(_decode)
+        return read.bind(_decode)
     record = command.record
     value = encode_residency(record)
     written = await store.put(RESIDENCY_KIND, record.model, value, command.if_version)
-    return written.map(
-        lambda answer: _decode(answer.current) if isinstance(answer, Conflict) else None
+    return written.bind(
+        lambda answer: _decode(answer.current) if isinstance(answer, Conflict) else Ok(None)
     )
 
 
-def _decode(stored: StoreObject | None) -> tuple[ResidencyRecord | None, int]:
-    return (decode_residency(stored.value), stored.version) if stored else (None, 0)
+def _decode(stored: StoreObject | None) -> Result[tuple[ResidencyRecord | None, int], Failure]:
+    """:return: a stored record and its version, or a failure if it can't be read"""
+    if stored is None:
+        return Ok((None, 0))
+    try:
+        return Ok((decode_residency(stored.value), stored.version))
+    except OptionError as error:
+        return Error(Failure(Outcome.NOT_RUN, Step.STORE, stored.name, str(error)))
--- a/packages/kingcupdyke-wire/features/steps/hostlist_steps.py
+++ b/packages/kingcupdyke-wire/features/steps/hostlist_steps.py
@@ -11,6 +11,7 @@
 from behave import then, when
 
 from kingcupdyke.host import Host
+from kingcupdyke_standins.asgi import StandinApp
 from kingcupdyke_standins.hosts import HostsApp
 from kingcupdyke_standins.server import open_standin
 from kingcupdyke_standins.service import ServiceApp
@@ -44,6 +45,30 @@
     context.result = run(read_hosts, HostsApp(lag_s), calls, delay_s)
 
 
+class RawApp(StandinApp):
+    """Answers with a list of these entries."""
+
+    def __init__(self, *entries):
+        super().__init__("hosts")
+        self._body = f'{{"hosts":[{",".join(entries)}]}}'.encode()
+
+    async def handle(self, request, reply):
+        await reply.send_response(200, self._body)
+
+
+@when("hostlist reads the entry {entry} among others")
+def read_odd_entry(context, entry):
+    odd = {"nested": "[" * 100_000 + "]" * 100_000, "digits": "9" * 5000}.get(entry, entry)
+    app = RawApp(odd, json.dumps(ENTRY._asdict()), odd)
+    context.result = run(read_hosts, app, [], 0.0)
+
+
+@when("hostlist reads an entry with a field that is unknown")
+def read_later_field(context):
+    app = RawApp(json.dumps(ENTRY._asdict() | {"shoe_size": 42}))
+    context.result = run(read_hosts, app, [], 0.0)
+
+
 @when("hostlist reads an entry without its fields")
 def read_incomplete_entry(context):
     context.result = run(read_hosts, ServiceApp(0.0), [], 0.0)
--- a/packages/kingcupdyke/kingcupdyke/changelog.py
+++ b/packages/kingcupdyke/kingcupdyke/changelog.py
@@ -101,4 +101,7 @@
         plain = value if value.startswith(b"{") else zlib.decompress(value)
     except zlib.error as error:
         raise ValueError(f"neither JSON nor compressed: {error}") from error
-    return json.loads(plain)
+    try:
+        return json.loads(plain)
+    except RecursionError as error:
+        raise ValueError("too deeply nested") from error
