Read all values of a header that an endpoint sends twice

Of two Retry-After headers in the answer to an order or to a request for a report the last one counted, and so it did for Server-Leaving in all answers. Several fields of one name are a list (RFC 9110, section 5.3): the longest time counts, and an endpoint leaves if one value says so.

--- a/packages/kingcupdyke-daemon/features/steps/backoff_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/backoff_steps.py
@@ -526,7 +526,8 @@
         self.received_s.append(current_time())
         if self.requested_s is None and self.requests[-1][0].startswith(self._method):
             self.requested_s = current_time()
-            await self.answer(stream, attempt_id, 503, extra=f"retry-after: {self._seconds}\r\n")
+            extra = f"retry-after: {self._seconds}\r\nretry-after: 0\r\n"
+            await self.answer(stream, attempt_id, 503, extra=extra)
         else:
             await self.answer(stream, attempt_id)
         return True
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/http.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/http.py
@@ -248,9 +248,12 @@
 
 
 def _read_headers(response: Response) -> dict[str, str]:
-    return {
-        name.decode("latin-1").lower(): value.decode("latin-1") for name, value in response.headers
-    }
+    """:return: the values of the header fields, by name; several of one name as a list"""
+    headers: dict[str, str] = {}
+    for raw_name, raw_value in response.headers:
+        name, value = raw_name.decode("latin-1").lower(), raw_value.decode("latin-1")
+        headers[name] = f"{headers[name]}, {value}" if name in headers else value
+    return headers
 
 
 async def _close(response: Response) -> None:
