--- a/packages/kingcupdyke-daemon/features/backoff.feature
+++ b/packages/kingcupdyke-daemon/features/backoff.feature
@@ -59,6 +59,12 @@
     When backoff: it requests 2 s while a request to it waits for its connection
     Then backoff: that request has gone to the other endpoint
 
+  Scenario: A request that is assigned meanwhile opens no connection
+    Given backoff: 1 gateways before an endpoint that will request backoff and one that does not
+    When backoff: it requests 2 s just after a request was assigned to it
+    Then backoff: that request has gone to the other endpoint
+    And backoff: no connection to it was opened
+
   Scenario: A request that can wait until the only endpoint may be called is answered then
     Given backoff: 1 gateways before an endpoint that will request backoff and no other
     When backoff: it requests 0.8 s, and requests with a timeout of 3 s come
--- a/packages/kingcupdyke-daemon/features/steps/backoff_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/backoff_steps.py
@@ -360,6 +360,31 @@
     run(job)
 
 
+@when("backoff: it requests {seconds:g} s just after a request was assigned to it")
+def request_after_decision(context, seconds):
+    async def job():
+        async with open_fleet(context) as fleet:
+            rig = fleet.choose(0)
+            other = list_other_late(rig)
+            submit = rig.dispatcher.submit
+
+            def submit_and_request(item, excluded, now_s):
+                decision = submit(item, excluded, now_s)
+                rig.endpoint_table.backoff_table.note("e1", seconds, now_s)
+                rig.endpoint_table.put(other)
+                return decision
+
+            rig.dispatcher.submit = submit_and_request
+            await ask(context, rig, "g0-first")
+
+    run(job)
+
+
+@then("backoff: no connection to it was opened")
+def check_no_connection(context):
+    assert context.endpoints[0].connections == 0
+
+
 @then("backoff: that request has gone to the other endpoint")
 def check_moved(context):
     assert not context.endpoints[0].received
