Show four guards that the features did not need

Taken out one by one, these left the features green: a new connection for a request without an id, the memory of misdirected attempts, that an answer which is no stream is not sent for again, and that an object with an unreadable part is unreadable as a whole. A row or a check for each is red without its guard (run after this commit).

--- a/packages/kingcupdyke-daemon/features/brokenstreams.feature
+++ b/packages/kingcupdyke-daemon/features/brokenstreams.feature
@@ -56,6 +56,7 @@
     Given brokenstreams: an endpoint whose answer <framing> breaks off, and one that answers it from its beginning
     When brokenstreams: a client asks for a stream that can be resumed, with "HTTP/1.1"
     Then brokenstreams: it has got the beginning only, and its answer is not complete
+    And brokenstreams: the second endpoint has received nothing
 
     Examples:
       | framing |
--- a/packages/kingcupdyke-daemon/features/repeatedrefusals.feature
+++ b/packages/kingcupdyke-daemon/features/repeatedrefusals.feature
@@ -18,6 +18,7 @@
       | the refusal comes while the connection is idle | GET /safe/1 | POST /once/1 | repeats it at once | 200 ran | 1 |
       | the refusal comes while the connection is idle, without an id | GET /safe/1 | POST /once/1 | repeats it at once without an id | 200 ran | 1 |
       | a request without an id gets no refusal of another one | GET /safe/1 | POST /once/1 without an id | repeats it before its answer | 200 ran | 1 |
+      | a request without an id gets no refusal without one | GET /safe/1 | POST /once/1 without an id | repeats it without an id before its answer | 200 ran | 1 |
       | a stream gets no refusal of another one | GET /safe/1 | GET /stream/1 | repeats it without an id before its answer | 200 events 1 | 1 |
 
   Scenario: An attempt that is sent to the endpoint again gets no earlier refusal of itself
@@ -27,12 +28,17 @@
     And repeatedrefusals: it has run 1 times
     And repeatedrefusals: other requests use the connection of the refusal
 
-  Scenario: A client's attempt that comes again gets no earlier refusal of itself
-    Given repeatedrefusals: an endpoint that refuses a request, keeps the connection, and then repeats it before its answer
+  Scenario Outline: A client's attempt that comes again gets no earlier <refusal> of itself
+    Given repeatedrefusals: an endpoint that refuses a request, keeps the connection, and then repeats its <refusal> before its answer
     When repeatedrefusals: "POST /once/1" is refused there, and "POST /once/1" with the same id follows
     Then repeatedrefusals: the second answer is "200 ran"
     And repeatedrefusals: the second request has run 1 times, at the first endpoint
 
+    Examples:
+      | refusal |
+      | rejection |
+      | misdirection |
+
   Scenario: An endpoint that never names attempts gets a connection for each request
     Given repeatedrefusals: an endpoint that names no attempt
     When repeatedrefusals: 3 requests follow each other
--- a/packages/kingcupdyke-daemon/features/steps/brokenstreams_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/brokenstreams_steps.py
@@ -202,6 +202,11 @@
     assert read_body(context.raw) == (WHOLE[:9], False), context.raw
 
 
+@then("brokenstreams: the second endpoint has received nothing")
+def check_not_sent(context):
+    assert not context.endpoints[1].requests
+
+
 @then(
     "brokenstreams: it has got two events without ids and nothing else, and its answer is not "
     "complete"
--- a/packages/kingcupdyke-daemon/features/steps/repeatedrefusals_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/repeatedrefusals_steps.py
@@ -55,6 +55,9 @@
 
     async def write_refusal(self, stream, attempt_id, status=503):
         extra = "x-not-run: 1\r\n"
+        if "misdirection" in self.behaviour:
+            # Its status alone says that the request has not run.
+            status, extra = 421, ""
         if self.backoff_s is not None and attempt_id:
             extra += f"retry-after: {self.backoff_s}\r\n"
         await self.answer(stream, attempt_id, status, b"full", extra, "x-a: b")
