Place a model elsewhere if its holders have requested a long backoff

Found while reading the change: a model whose only holder had asked for a backoff stayed unreachable for all of that time, as the planner still took it for served; and a load could wait for an engine in backoff, since one without a report counts as available soon. A holder counts only if its backoff ends before a load elsewhere would, and no load waits for an engine in backoff.

Five rows of residencyplan.feature, two of them red before; the core's suite is green (1356).

--- a/packages/kingcupdyke/features/residencyplan.feature
+++ b/packages/kingcupdyke/features/residencyplan.feature
@@ -28,6 +28,11 @@
       | not on a holder that has it, if it is the only one | e1=m1:a1 | 90 | m1+a1 0 900 | |
       | an adapter with waiting requests is loaded first | e1=m1 | 90 | m1+a1 0 900; m1+a2 1 0 | load_adapter m1+a2 e1 |
       | a draining engine gets no orders, and its models do not count as replicas | e1=m1!draining+e2=m2 | 90 90 | m1 1 0 | load m1 e2 |
+      | a model whose holder has requested a backoff longer than a load is loaded elsewhere | e1=m1!backoff-9+e2=m2 | 90 90 | m1 1 0 | load m1 e2 |
+      | not if the backoff is shorter | e1=m1!backoff-2+e2=m2 | 90 90 | m1 1 0 | |
+      | not if another holder accepts requests | e1=m1!backoff-9+e2=m1+e3=m2 | 90 90 | m1 1 0 | |
+      | an engine in backoff gets no order | e1=m1!backoff-9+e2=m2,m4 | 90 90 90 90 | m3 1 0; m2 0 9000; m4 0 9000 | |
+      | a load does not wait for an engine in backoff whose state is unknown | e1=m1!silent-9+e2=m2,m4 | 90 90 90 90 | m3 1 500 | unload m2 e2 |
       | the same for an unreachable engine | e1=m1!unreachable+e2=m2 | 90 90 | m1 1 0 | load m1 e2 |
       | an engine that executes an order gets none | e1=m1!busy | 90 90 | m2 1 0 | |
 
--- a/packages/kingcupdyke/features/steps/enginestate_steps.py
+++ b/packages/kingcupdyke/features/steps/enginestate_steps.py
@@ -64,10 +64,10 @@
         self.engine.observe_entry(entry)
 
     def do_backoff(self):
-        self.engine.is_backing_off = True
+        self.engine.backoff_s = 1.0
 
     def do_accept(self):
-        self.engine.is_backing_off = False
+        self.engine.backoff_s = 0.0
 
     def do_resendnothing(self):
         assert self.engine.get_order_to_resend(self.now_s + 60.0) is None
--- a/packages/kingcupdyke/features/steps/residencyplan_steps.py
+++ b/packages/kingcupdyke/features/steps/residencyplan_steps.py
@@ -32,9 +32,11 @@
     )
     engine = EngineState(entry)
     report = EndpointReport(models, mark == "busy", 0, 0, 0, (), frozenset(), frozenset())
-    if mark != "new":
+    state, _, backoff_s = mark.partition("-")
+    if state not in ("new", "silent"):
         engine.observe_report(report, 0.0)
     engine.is_reachable = mark != "unreachable"
+    engine.backoff_s = float(backoff_s or 0.0)
     return engine
 
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/enginestate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/enginestate.py
@@ -60,8 +60,8 @@
         self.entry = entry
         #: Whether this gateway can reach it.
         self.is_reachable = True
-        #: Whether it has requested backoff from this gateway until later.
-        self.is_backing_off = False
+        #: Seconds for which it has requested backoff from this gateway.
+        self.backoff_s = 0.0
         #: Whether a report was received since the term began, the engine started, or an order was
         #: rejected.
         self.has_report = False
@@ -91,6 +91,11 @@
         #: Whether the last request for a report failed.
         self._has_report_failed = False
 
+    @property
+    def is_backing_off(self) -> bool:
+        """:return: whether it may not be called now"""
+        return self.backoff_s > 0.0
+
     @property
     def accepts_orders(self) -> bool:
         """:return: whether a new order may be sent"""
@@ -181,12 +186,8 @@
         is_in_progress = is_open and now_s <= self.expected_end_s and not self._next_resend_s
         is_overdue = is_open and now_s > self.expected_end_s + REPORT_OVERDUE_S
         is_needed = self._needs_report or not self.has_report or is_overdue or is_in_progress
-        if (
-            self.is_backing_off
-            or not is_needed
-            or self.is_call_in_flight
-            or now_s < self._next_report_s
-        ):
+        may_call = not self.is_call_in_flight and not self.is_backing_off
+        if not is_needed or not may_call or now_s < self._next_report_s:
             return False
         is_answering = is_in_progress and not self._has_report_failed
         self._next_report_s = now_s + (POLL_INTERVAL_S if is_answering else REPORT_INTERVAL_S)
--- a/packages/kingcupdyke/kingcupdyke/forwarding/modelround.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/modelround.py
@@ -120,10 +120,15 @@
                 self._round.waiting_by_model.get(model, 0)
                 or self._round.rate_by_model.get(model, 0.0) >= MIN_DEMAND_TOKENS_PER_S
             )
-            and not self._round.list_holders(model)
+            and not self._has_holder_in_time(model)
             and not self._round.is_loading(model)
         ]
 
+    def _has_holder_in_time(self, model: str) -> bool:
+        """:return: whether a holder of a model accepts requests before a load elsewhere ends"""
+        load_s = self._engine_spec.models_by_name[model].load_s
+        return any(each.backoff_s <= load_s for each in self._round.list_holders(model))
+
     def _propose_replica(self) -> list[tuple[float, str]]:
         """:return: the model that most needs a further replica, and the demand moved to that"""
         best: list[tuple[float, str]] = []
@@ -155,7 +160,10 @@
         if not self._runs_version(reserved_endpoint, software_version):
             reserved_endpoint = ""
         if reserved_endpoint and reserved_endpoint not in self._round.free_engines:
-            if any(engine.entry.endpoint == reserved_endpoint for engine in self._round.engines):
+            if any(
+                engine.entry.endpoint == reserved_endpoint and not engine.is_backing_off
+                for engine in self._round.engines
+            ):
                 return
             reserved_endpoint = ""
         engines = (
@@ -203,6 +211,8 @@
         ]
 
     def _is_available_soon(self, engine: EngineState) -> bool:
+        if engine.is_backing_off:
+            return False
         if engine.entry.endpoint in self._round.free_engines or not engine.has_report:
             return True
         return engine.open_order is not None and self._now_s < engine.expected_end_s + ORDER_GRACE_S
--- a/packages/kingcupdyke/kingcupdyke/forwarding/planner.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/planner.py
@@ -59,8 +59,7 @@
             is_new = engine is None
             if is_new:
                 engine = self.engine_by_id[endpoint] = EngineState(state.entry)
-            backoff_s = self._endpoint_table.backoff_table.find_delay(endpoint, now_s)
-            engine.is_backing_off = backoff_s > 0.0
+            engine.backoff_s = self._endpoint_table.backoff_table.find_delay(endpoint, now_s)
             if is_new:
                 changed.append(engine)
                 continue
