--- a/review/standins/platform_standin.py
+++ b/review/standins/platform_standin.py
@@ -91,6 +91,8 @@
         #: Watches from a revision below get a 410.
         self.oldest_rev = 100
         self.is_away = False
+        #: Tells of a call and the status of its answer whether the answer is lost.
+        self.is_lost = lambda request, status: False
         self.is_logged = lambda kind: not kind.startswith(("servers", "config"))
         self._changed = asyncio.Event()
         self._writers = set()
@@ -173,6 +175,11 @@
                 if self.is_away:
                     writer.transport.abort()
                     return
+                if self.is_lost(request, status):
+                    # "A connection on which a response is lost returns nothing further."
+                    self.record.write("store answer lost", target=request.target, status=status)
+                    await reader.read()
+                    return
                 data = json.dumps(body).encode() if body is not None else b""
                 headers = ["Content-Type: application/json", f"Store-Era: {self.era}"]
                 writer.write(make_answer(status, data, headers))
