Review: half of an answer without a length looks complete

Broken is MIXED: a worker is killed while it writes an answer that has neither a length nor chunks, and the client gets the first half with status 200 as a complete chunked answer.

--- a/review/standins/model_site.py
+++ b/review/standins/model_site.py
@@ -116,7 +116,7 @@
         self.answers = {}
         self._tasks = []
 
-    async def start(self, workers=4, nodes=NODES):
+    async def start(self, workers=4, nodes=NODES, app_workers=2):
         port = await self.store.start()
         configuration = make_configuration()
         self.store.write("config", "main", configuration)
@@ -134,7 +134,7 @@
                 engine,
             )
             self.workers.append(worker)
-        for number in range(2):
+        for number in range(app_workers):
             self.workers.append(
                 Worker(self.record, self.store, f"i-app{number}", "app", zones[number])
             )
--- a/review/standins/platform_standin.py
+++ b/review/standins/platform_standin.py
@@ -599,8 +599,11 @@
                 data += await reader.readexactly(size)
                 await reader.readline()
             await reader.readline()
+        elif "content-length" in found:
+            data = await reader.readexactly(int(found["content-length"]))
         else:
-            data = await reader.readexactly(int(found.get("content-length", "0")))
+            # The answer ends with its connection; a reset raises.
+            data = await reader.read()
         return status, found, data
     finally:
         writer.close()
