Review: streams join two software versions after a restart during an outage

Broken is ORDER: a worker starts again under its id with newer software while the store is away, and crashes once more; streams that it has begun go on at workers of the earlier version, in one answer.

--- a/review/standins/model_site.py
+++ b/review/standins/model_site.py
@@ -66,6 +66,19 @@
             "resumable": False,
             "gap_target_ms": 200,
         },
+        {
+            "name": "r-resume",
+            "host": HOST,
+            "path_prefix": "/resume/",
+            "kind": "streaming",
+            "timeout_ms": 12000,
+            "target_latency_ms": 5000,
+            "priority": 1,
+            "service": "app",
+            "max_attempts": 2,
+            "resumable": True,
+            "gap_target_ms": 200,
+        },
         {
             "name": "r-book",
             "host": HOST,
@@ -136,7 +149,7 @@
             self.workers.append(worker)
         for number in range(app_workers):
             self.workers.append(
-                Worker(self.record, self.store, f"i-app{number}", "app", zones[number])
+                Worker(self.record, self.store, f"i-app{number}", "app", zones[number % 3], 16)
             )
         for worker in self.workers:
             await worker.start()
--- a/review/standins/platform_standin.py
+++ b/review/standins/platform_standin.py
@@ -121,6 +121,20 @@
         self.record.write("store copy taken", rev=self.rev)
         return self.rev, copy.deepcopy(self.objects)
 
+    # An outage: nothing is lost, and what was not written meanwhile is written at the return.
+
+    def go_away(self):
+        self.record.write("store away", rev=self.rev)
+        self.is_away = True
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def come_back(self):
+        self.is_away = False
+        self.record.write("store back", rev=self.rev)
+        for (kind, name), spec in list(self.current.items()):
+            self._put(kind, name, spec)
+
     async def restore(self, taken, away_s):
         self.record.write("store away", rev=self.rev)
         self.is_away = True
@@ -272,19 +286,40 @@
         self.events = 4
         self.port = 0
         self.running = 0
-        self._tasks = []
+        self.version = "v1"
+        self._server = None
+        self._writers = set()
+        self._beats_task = None
 
     async def start(self):
-        server = await asyncio.start_server(self._serve, LOOPBACK, 0)
-        self.port = server.sockets[0].getsockname()[1]
-        self._tasks.append(asyncio.create_task(self._beat()))
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+        self._beats_task = asyncio.create_task(self._beat())
+
+    def crash(self):
+        """End without a word: connections are reset, new ones are refused."""
+        self.record.write("worker crashes", worker=self.id, version=self.version)
+        self._beats_task.cancel()
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def start_again(self, version):
+        """Start under the same id and address, without the models that it held."""
+        self.version = version
+        self.born = int(time.time() * 1000)
+        self.seq = self.beats = self.running = 0
+        self.busy = False
+        self.models = {}
+        await self.start()
+        self.record.write("worker starts again", worker=self.id, version=version)
 
     def make_spec(self):
         spec = {
             "service": self.service,
             "address": f"{LOOPBACK}:{self.port}",
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": self.state,
             "cold_left_ms": 0,
@@ -312,6 +347,7 @@
             await asyncio.sleep(1.2)
 
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
                 await self._answer(request, writer)
@@ -319,6 +355,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, request, writer):
@@ -399,19 +436,27 @@
         if name and (model not in self.models or (adapter and adapter not in self.models[model])):
             writer.write(make_answer(421, b"", [*common, "Kingcupdyke-Not-Run: 1"]))
             return
-        self.record.write("run", worker=self.id, attempt=attempt, target=request.target)
+        after = int(request.headers.get("last-event-id", "0"))
+        self.record.write(
+            "run",
+            worker=self.id,
+            attempt=attempt,
+            target=request.target,
+            version=self.version,
+            after=after,
+        )
         self.running += 1
         try:
             stamp = [*common, f"Kingcupdyke-Server-Stamp: s.{self.id}.{attempt}"]
-            if not name:
+            if not name and not request.target.startswith("/resume/"):
                 await asyncio.sleep(self.work_s)
                 writer.write(make_answer(200, f"done {attempt}".encode(), stamp))
                 return
             head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", *stamp]
             head += ["Transfer-Encoding: chunked", "", ""]
             writer.write("\r\n".join(head).encode())
-            for number in range(1, self.events + 1):
-                data = f"id: {number}\ndata: {attempt} {number}\n\n".encode()
+            for number in range(after + 1, self.events + 1):
+                data = f"id: {number}\ndata: {attempt} {number} {self.version}\n\n".encode()
                 writer.write(b"%x\r\n%s\r\n" % (len(data), data))
                 await writer.drain()
                 await asyncio.sleep(self.work_s)
