--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,7 +12,8 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins"))
 
 from model_site import ModelSite  # noqa: E402
-from platform_standin import list_order_faults, main_guard  # noqa: E402
+from orders import list_order_faults  # noqa: E402
+from record import main_guard  # noqa: E402
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 LEASE_TTL_S = 3.0
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,7 +12,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins"))
 
 from model_site import HOST, ModelSite  # noqa: E402
-from platform_standin import main_guard  # noqa: E402
+from record import main_guard  # noqa: E402
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 #: Time for which the entry is in the store, and delay until the platform starts a process again.
--- a/review/standins/model_site.py
+++ b/review/standins/model_site.py
@@ -9,14 +9,11 @@
 import shutil
 import tempfile
 
-from platform_standin import (
-    Gateway,
-    Record,
-    Store,
-    Worker,
-    call,
-    find_ports,
-)
+from gateway import Gateway, find_ports
+from messages import call
+from record import Record
+from store import Store
+from worker import Worker
 
 ZONES = {"praha-a": "cechy", "brno-a": "morava", "plzen-a": "cechy"}
 NODES = {
--- a/review/standins/unframed_worker.py
+++ b/review/standins/unframed_worker.py
@@ -10,7 +10,7 @@
 import sys
 import time
 
-from platform_standin import LOOPBACK, make_answer, read_request
+from messages import LOOPBACK, make_answer, read_request
 
 WORK_S = 0.3
 ITEMS = 200
