--- a/review/4/case.py
+++ b/review/4/case.py
@@ -21,7 +21,7 @@
 #: "closes that connection without an answer, more than three times"
 MAX_LOST = 3
 #: Clients of each gateway, each with a connection that it keeps.
-CLIENTS = 4
+CLIENTS = 8
 
 
 async def run():
