--- a/review/4/case.py
+++ b/review/4/case.py
@@ -40,7 +40,7 @@
             raise RuntimeError("no order was given")
         await asyncio.sleep(2.0)
         if HAS_TROUBLE:
-            entry = site.workers[0].make_spec() | {"address": "fd00::9:8080"}
+            entry = site.workers[0].make_spec() | {"address": "::1:8080"}
             site.record.write("entry of another writer", spec=entry)
             site.store.write("servers", "i-other", entry)
         tasks += [asyncio.create_task(keep_running(each)) for each in site.gateways.values()]
