Limit an error to the task, call or connection in which it occurs

Cause: two faults. The address was used before it was checked, and each task of a gateway is in one group, in which one error cancels all the others.

Change: addresses are IPv4 with a port. A forwarding gateway starts its tasks in a group that contains their errors, logs and counts them, and starts those again that must go on. Failed orders and reports leave their engine to be asked again; a failed accept is tried again; a request that ends with an unexpected error gets status 500.

The gateway and the sidecar of the product's own deployment are not changed.

--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -56,6 +56,7 @@
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
 from kingcupdyke_daemon.forwarder.versionregistrar import VersionRegistrar
 from kingcupdyke_daemon.logs import LineSampler
+from kingcupdyke_daemon.taskerrors import TaskErrors
 from kingcupdyke_daemon.timer import LoopTimer
 from kingcupdyke_wire.memorystore import MemoryStoreClient
 from kingcupdyke_wire.retryafter import read_retry_after
@@ -522,7 +523,9 @@
         self.limits = ClientLimits(2000, 10_000, 0.3, 0.6)
         self.handler.configuration = make_configuration(1, 1.0, self.limits)
         self.memory = AnswerMemory(None, self.metrics)
-        self.server = ClientServer(self.handler, lambda: self.limits, timer.now, self.memory)
+        self.server = ClientServer(
+            self.handler, lambda: self.limits, timer.now, self.memory, TaskErrors()
+        )
         self.endpoints = endpoints
         self.address = SocketAddress("127.0.0.1", 0)
 
--- a/packages/kingcupdyke-daemon/features/steps/origins_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/origins_steps.py
@@ -21,6 +21,7 @@
 from kingcupdyke_daemon.forwarder.peergossip import PeerGossip
 from kingcupdyke_daemon.forwarder.pinneddemands import PinnedDemands
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
+from kingcupdyke_daemon.taskerrors import TaskErrors
 from kingcupdyke_daemon.timer import LoopTimer
 from kingcupdyke_wire.memorystore import MemoryStoreClient
 from kingcupdyke_wire.store import StoreObject
@@ -80,6 +81,7 @@
             store,
             table,
             LoopTimer(tasks),
+            TaskErrors(),
             lambda number: GatewayState(host, "i", number, *NO_STATE),
             lambda state: None,
             {OriginMessage: self.received.append},
--- a/packages/kingcupdyke-daemon/features/steps/peers_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/peers_steps.py
@@ -23,6 +23,7 @@
 from kingcupdyke.forwarding.storerelay import RelayedObject, StoreRelay
 from kingcupdyke_daemon.forwarder.peergossip import PEERS_KIND, PeerGossip
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
+from kingcupdyke_daemon.taskerrors import TaskErrors
 from kingcupdyke_daemon.timer import LoopTimer
 from kingcupdyke_wire.memorystore import MemoryStoreClient
 from kingcupdyke_wire.store import StoreObject
@@ -55,6 +56,7 @@
             self.store,
             self.table,
             self.timer,
+            TaskErrors(),
             lambda number: EMPTY._replace(
                 host=host, number=number, unreadable_kinds=self.unreadable_kinds
             ),
--- a/packages/kingcupdyke-daemon/features/steps/planning_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/planning_steps.py
@@ -25,6 +25,7 @@
 from kingcupdyke.lease import LeaseMachine
 from kingcupdyke_daemon.forwarder.pinneddemands import PinnedDemands
 from kingcupdyke_daemon.forwarder.plannerrunner import PlannerRunner
+from kingcupdyke_daemon.taskerrors import TaskErrors
 from kingcupdyke_wire.memorystore import MemoryStoreClient
 
 HOST = "n1"
@@ -96,6 +97,7 @@
         lambda: configuration,
         rig.timer,
         rig.metrics,
+        TaskErrors(rig.metrics.count_task_error),
         on_placement,
     )
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/catalogue.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/catalogue.py
@@ -17,6 +17,7 @@
 from kingcupdyke_daemon.forwarder.storewatcher import StoreWatcher
 from kingcupdyke_daemon.logs import log_record
 from kingcupdyke_daemon.records import DataAges, EndpointRecord
+from kingcupdyke_daemon.taskerrors import TaskErrors
 from kingcupdyke_wire.store import StoreClient, StoreObject
 
 __all__ = ["Catalogue"]
@@ -29,6 +30,7 @@
 
     :param dialect: decodes the store's objects
     :param endpoint_table: is updated with the endpoints
+    :param errors: logs and counts errors in one entry, which leave the others in force
     :param on_configuration: called with each configuration that is newer than the one in force
     :param on_change: called with the time in seconds after each change that may allow a decision on
         waiting requests
@@ -41,6 +43,7 @@
         store: StoreClient,
         endpoint_table: EndpointTable,
         timer: TimerService,
+        errors: TaskErrors,
         on_configuration: Callable[[Configuration], None],
         on_change: Callable[[float], None],
         get_endpoint_interval_s: Callable[[], float],
@@ -48,6 +51,7 @@
         self._dialect = dialect
         self._endpoint_table = endpoint_table
         self._timer = timer
+        self._errors = errors
         self._on_configuration = on_configuration
         self._on_change = on_change
         self._configuration: Configuration | None = None
@@ -116,10 +120,18 @@
             if each.is_error():
                 _LOGGER.warning("an endpoint's entry can't be decoded: %s", each.error.reason)
         usable = [each.ok for each in entries if each.is_ok()]
-        self._endpoint_table.replace_all(usable, self._timer.now(), after_outage)
-        self._on_change(self._timer.now())
+        for entry in usable:
+            with self._errors.contain("endpoint entry"):
+                self._endpoint_table.put(entry)
+        now_s = self._timer.now()
+        self._endpoint_table.retain({each.endpoint for each in usable}, now_s, after_outage)
+        self._on_change(now_s)
 
     def _apply_endpoint(self, found: StoreObject) -> None:
+        with self._errors.contain("endpoint entry"):
+            self._put_endpoint(found)
+
+    def _put_endpoint(self, found: StoreObject) -> None:
         entry = self._dialect.decode_endpoint(found.name, found.value)
         if entry.is_error():
             _LOGGER.warning("an endpoint's entry can't be decoded: %s", entry.error.reason)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
@@ -16,6 +16,7 @@
     create_task_group,
     create_tcp_listener,
     fail_after,
+    sleep,
 )
 from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
 from h11 import (
@@ -58,6 +59,7 @@
     find_length,
 )
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
+from kingcupdyke_daemon.taskerrors import TaskErrors
 from kingcupdyke_wire.sockets import reset, set_unacknowledged_timeout
 
 __all__ = ["ClientServer"]
@@ -76,6 +78,10 @@
 ANSWER_UNACKNOWLEDGED_TIMEOUT_S = 10.0
 #: Retry-After of a request whose body does not fit into the memory budget.
 NO_MEMORY_RETRY_S = 0.5
+#: Status of the answer to a request that an unexpected error has ended.
+STATUS_INTERNAL_ERROR = 500
+#: Delay before the next connection is accepted after that has failed.
+ACCEPT_RETRY_S = 0.1
 #: Timeout for writing the rejection of a request that does not reach the handler.
 REJECTION_TIMEOUT_S = 1.0
 
@@ -87,6 +93,7 @@
     :param get_limits: returns the limits in force
     :param now: returns the time in seconds
     :param memory: bounds the bytes held for slow clients and of request bodies
+    :param errors: logs and counts errors of connections
     """
 
     def __init__(
@@ -95,8 +102,10 @@
         get_limits: Callable[[], ClientLimits],
         now: Callable[[], float],
         memory: AnswerMemory,
+        errors: TaskErrors,
     ) -> None:
         self.handler = handler
+        self._errors = errors
         self.get_limits = get_limits
         self.now = now
         self.memory = memory
@@ -116,16 +125,28 @@
 
         :param tasks: task group that runs the connections, which outlive the listener
         """
-        try:
-            await listener.serve(self._serve_connection, tasks)
-        except ClosedResourceError:
-            _LOGGER.debug("the listener was closed")
+        while True:
+            try:
+                stream = await listener.accept()
+            except ClosedResourceError:
+                _LOGGER.debug("the listener was closed")
+                return
+            except OSError as error:
+                # As with no free descriptor: the connections wait in the kernel meanwhile.
+                self._errors.note("accept", error)
+                await sleep(ACCEPT_RETRY_S)
+                continue
+            tasks.start_soon(self._serve_connection, stream)
 
     async def close_idle(self) -> None:
         """Close the connections on which no request is in progress."""
         for connection in list(self._idle):
             await connection.aclose()
 
+    def note_error(self, error: Exception) -> None:
+        """Log and count an unexpected error of one connection."""
+        self._errors.note("client connection", error)
+
     def set_idle(self, connection: "_ClientConnection", is_idle: bool) -> None:
         """Record whether a connection is waiting for a request."""
         if is_idle:
@@ -134,13 +155,18 @@
             self._idle.discard(connection)
 
     async def _serve_connection(self, stream: SocketStream) -> None:
-        connection = _ClientConnection(self, stream)
+        try:
+            connection = _ClientConnection(self, stream)
+        except OSError as error:
+            _LOGGER.debug("the client disconnected at once: %r", error)
+            await aclose_forcefully(stream)
+            return
         try:
             await connection.serve()
         except (ClientDisconnectedError, *DISCONNECT_ERRORS) as error:
             _LOGGER.debug("the client disconnected: %r", error)
-        except Exception:
-            _LOGGER.exception("unhandled error on a client's connection")
+        except Exception as error:
+            self.note_error(error)
         finally:
             self.set_idle(connection, False)
             await connection.aclose()
@@ -234,6 +260,9 @@
                     _LOGGER.debug("the client disconnected: %s", error)
                 except LocalProtocolError as error:
                     _LOGGER.warning("the handler's answer violates HTTP/1.1: %r", error)
+                except Exception as error:
+                    server.note_error(error)
+                    await self._answer_error()
                 tasks.cancel_scope.cancel()
         finally:
             server.in_progress -= 1
@@ -241,6 +270,15 @@
             self._buffer = None
             server.memory.budget.release_body(len(request.body))
 
+    async def _answer_error(self) -> None:
+        """Answer a request that an unexpected error has ended; it may have run."""
+        if self.has_begun:
+            return
+        try:
+            await self.reject(STATUS_INTERNAL_ERROR, "internal error", [(b"connection", b"close")])
+        except (ClientDisconnectedError, LocalProtocolError) as error:
+            _LOGGER.debug("the answer could not be written: %r", error)
+
     async def _watch_for_disconnect(self, tasks: object) -> None:
         """Cancel the request when the client disconnects."""
         try:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
@@ -137,15 +137,15 @@
         try:
             with fail_after(CONNECT_TIMEOUT_S):
                 stream = await connect_tcp(*address)
+            raw = stream.extra(SocketAttribute.raw_socket)
+            for option in KEEPALIVE_OPTIONS:
+                raw.setsockopt(*option)
         except TimeoutError as error:
             raise TransferError(Progress.NOT_SENT, "connect timed out") from error
         except OSError as error:
             # anyio names the error of the system only as the cause of its own.
             reason = f"connecting failed: {error.__cause__ or error!r}"
             raise TransferError(Progress.NOT_SENT, reason) from error
-        raw = stream.extra(SocketAttribute.raw_socket)
-        for option in KEEPALIVE_OPTIONS:
-            raw.setsockopt(*option)
         return cls(stream)
 
     def is_reusable(self) -> bool:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
@@ -73,6 +73,7 @@
         self._answers = create_counter(f"{METRIC_PREFIX}answers")
         self._continuations = create_counter(f"{METRIC_PREFIX}stream_continuations")
         self._quota_denials = create_counter(f"{METRIC_PREFIX}quota_denied")
+        self._task_errors = create_counter(f"{METRIC_PREFIX}task_errors")
         self._aborted = create_counter(f"{METRIC_PREFIX}aborted_answers")
         self._total = create_histogram(f"{METRIC_PREFIX}request_seconds")
         self._first = create_histogram(f"{METRIC_PREFIX}first_part_seconds")
@@ -103,6 +104,10 @@
         """Count a call to an endpoint before the end of the backoff that it has requested."""
         self._calls_in_backoff.add(1, {"call": call})
 
+    def count_task_error(self, task: str) -> None:
+        """Count an unexpected error, by the task that it has ended or interrupted."""
+        self._task_errors.add(1, {"task": task})
+
     def count_aborted_answer(self) -> None:
         """Count an answer that is aborted since its client takes no byte."""
         self._aborted.add(1)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peergossip.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peergossip.py
@@ -8,7 +8,7 @@
 import json
 import logging
 from collections.abc import Callable, Iterable, Mapping
-from ipaddress import ip_address
+from ipaddress import IPv4Address
 from typing import Protocol
 
 from anyio import Event, create_task_group, move_on_after, sleep
@@ -23,6 +23,7 @@
 from kingcupdyke_daemon.forwarder.datagramsocket import DatagramSocket
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
 from kingcupdyke_daemon.forwarder.storewatcher import StoreWatcher
+from kingcupdyke_daemon.taskerrors import IsolatedTaskGroup, TaskErrors
 from kingcupdyke_wire.store import Conflict, StoreClient, StoreObject
 
 __all__ = ["PEERS_KIND", "PeerGossip", "PeerMessage"]
@@ -58,6 +59,7 @@
     :param store: the platform's store
     :param table: the peers' states
     :param timer: the timer service
+    :param errors: logs and counts errors in one message, which leave the others in force
     :param make_state: returns this gateway's state for a message with the given number
     :param on_state: called with each received state that is newer than the last of its sender
     :param handlers: called with each received message of their class
@@ -72,6 +74,7 @@
         store: StoreClient,
         table: PeerTable,
         timer: TimerService,
+        errors: TaskErrors,
         make_state: Callable[[int], GatewayState],
         on_state: Callable[[GatewayState], None],
         handlers: Mapping[type[PeerMessage], Callable[[PeerMessage], None]],
@@ -83,6 +86,7 @@
         self._store = store
         self._table = table
         self._timer = timer
+        self._errors = errors
         self._make_state = make_state
         self._on_state = on_state
         self._handlers = handlers
@@ -220,20 +224,17 @@
         datagrams = await DatagramSocket.bind(self._address)
         try:
             async with create_task_group() as tasks:
-                tasks.start_soon(self._receive, datagrams)
-                tasks.start_soon(self._send, datagrams)
-                tasks.start_soon(self._send_posted, datagrams)
+                isolated = IsolatedTaskGroup(tasks, self._errors)
+                for run in (self._receive, self._send, self._send_posted):
+                    isolated.keep_running(run, datagrams)
         finally:
             datagrams.close()
 
     async def _receive(self, datagrams: DatagramSocket) -> None:
         while True:
             for data in await datagrams.receive():
-                try:
+                with self._errors.contain("peer message"):
                     self._apply(data)
-                except DECODE_ERRORS:
-                    # Its fields have other types than those that its class checks.
-                    _LOGGER.warning("a peer's message can't be applied", exc_info=True)
 
     async def _send_posted(self, datagrams: DatagramSocket) -> None:
         while True:
@@ -330,4 +331,4 @@
     address, port = get_str_opt(fields, "address"), get_int_opt(fields, "port", least=1)
     if port > MAX_PORT:
         raise ValueError(f"port: more than {MAX_PORT}")
-    return SocketAddress(str(ip_address(address)), port)
+    return SocketAddress(str(IPv4Address(address)), port)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannedstop.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannedstop.py
@@ -90,6 +90,8 @@
         """
         while self._planner_runner.is_store_unavailable and self._timer.now() < end_s:
             await sleep(POLL_INTERVAL_S)
-        with move_on_after(LEASE_RELEASE_TIMEOUT_S):
-            await self._planner_runner.release_lease()
-        handed_over.set()
+        try:
+            with move_on_after(LEASE_RELEASE_TIMEOUT_S):
+                await self._planner_runner.release_lease()
+        finally:
+            handed_over.set()
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
@@ -32,6 +32,7 @@
 from kingcupdyke_daemon.leasemanager import LeaseManager
 from kingcupdyke_daemon.logs import log_record
 from kingcupdyke_daemon.records import EngineRecord, OrderRecord
+from kingcupdyke_daemon.taskerrors import IsolatedTaskGroup, TaskErrors
 from kingcupdyke_wire.http import HttpAnswer, HttpClient
 from kingcupdyke_wire.store import StoreClient
 
@@ -84,6 +85,7 @@
     :param list_stopping: returns the hosts that are stopping and will not take the lease
     :param is_candidate: returns whether this gateway is one of those that contend for the lease
     :param timer: the timer service
+    :param errors: logs and counts errors in one call or one round
     :param on_placement: called when there is a new placement to send to peers
     """
 
@@ -107,6 +109,7 @@
         get_configuration: Callable[[], Configuration | None],
         timer: TimerService,
         metrics: ForwarderMetrics,
+        errors: TaskErrors,
         on_placement: Callable[[], None],
     ) -> None:
         self._host = host
@@ -129,6 +132,7 @@
         self._now = timer.now
         self._lease_due = Event()
         self._metrics = metrics
+        self._errors = errors
         self._term = 0
         #: Set while the lease is held, as of the last check; no rounds are run otherwise.
         self._held = Event()
@@ -194,13 +198,15 @@
 
     async def run(self) -> None:
         """Contend for the lease and plan until cancelled."""
-        async with create_task_group() as tasks:
-            tasks.start_soon(self._maintain_lease)
+        async with create_task_group() as group:
+            tasks = IsolatedTaskGroup(group, self._errors)
+            tasks.keep_running(self._maintain_lease)
             while True:
                 await self._held.wait()
                 await sleep(PLANNING_INTERVAL_S)
                 if self.fence:
-                    self._plan_round(tasks)
+                    with self._errors.contain("planning round"):
+                        self._plan_round(tasks)
 
     async def release_lease(self) -> None:
         """Release the lease at a planned stop."""
@@ -246,7 +252,7 @@
             _log_engine(engine.entry)
         self._close_unused(tasks)
         for engine in self._planner.list_unreported(now_s):
-            tasks.start_soon(self._request_report, engine)
+            tasks.start_soon(self._update_report, engine)
         demands = list(self._dispatcher.list_demands(now_s))
         for peer in self._peers.live(now_s):
             demands += peer.demands
@@ -266,11 +272,17 @@
             tasks.start_soon(self._http_by_key.pop(key).aclose)
 
     async def _send_order(self, engine: EngineState, timed: TimedOrder) -> None:
+        reply = OrderReply.UNKNOWN
+        try:
+            reply = await self._request_order(engine, timed)
+        finally:
+            self._planner.answered(engine, timed, reply, self._now())
+
+    async def _request_order(self, engine: EngineState, timed: TimedOrder) -> OrderReply:
         order = timed.order
         fence = self.fence
         if not fence:
-            self._planner.answered(engine, timed, OrderReply.REFUSED, self._now())
-            return
+            return OrderReply.REFUSED
         held, expected_count = _list_held(engine), engine.expected_count
         body = self._dialect.encode_order(order, expected_count, self._host, fence)
         headers = {"content-type": "application/json"}
@@ -304,7 +316,14 @@
         )
         log_record(_LOGGER, "order answered", record)
         self._metrics.count_order(order.kind, reply.value)
-        self._planner.answered(engine, timed, reply, self._now())
+        return reply
+
+    async def _update_report(self, engine: EngineState) -> None:
+        try:
+            await self._request_report(engine)
+        except Exception:
+            engine.report_failed(self._now())
+            raise
 
     async def _request_report(self, engine: EngineState) -> None:
         endpoint = engine.entry.endpoint
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -47,6 +47,7 @@
 from kingcupdyke_daemon.forwarder.versionregistrar import VersionRegistrar
 from kingcupdyke_daemon.logs import LineSampler
 from kingcupdyke_daemon.process import make_incarnation
+from kingcupdyke_daemon.taskerrors import IsolatedTaskGroup, TaskErrors
 from kingcupdyke_daemon.timer import LoopTimer
 from kingcupdyke_wire.store import StoreClient
 
@@ -88,10 +89,12 @@
         self._settings_reloader = SettingsReloader(settings, source, self._apply_settings)
         self._dialect = dialect
         self._store = store
-        self._tasks = tasks
+        self._metrics = ForwarderMetrics(settings.host)
+        self._errors = TaskErrors(self._metrics.count_task_error)
+        self._tasks = tasks = IsolatedTaskGroup(tasks, self._errors)
         self._incarnation = make_incarnation()
         self._is_stopping = False
-        self._timer = LoopTimer(tasks)
+        self._timer = LoopTimer(tasks, self._errors)
         self._endpoint_table = EndpointTable()
         self._dispatcher = Dispatcher(
             self._endpoint_table, settings.data_centre, settings.region_by_data_centre
@@ -101,7 +104,6 @@
         self._retry_budget = SharedRetryBudget(
             settings.repeat_share, settings.repeat_allowance, settings.repeat_window_s
         )
-        self._metrics = ForwarderMetrics(settings.host)
         self._backoffs = EndpointBackoffs(self._endpoint_table, self._timer, self._metrics)
         self._peer_table = PeerTable()
         self._exchanges = PeerExchanges(
@@ -147,11 +149,17 @@
         self._ready = ReadyHandler()
         self._memory = AnswerMemory(settings.memory_bytes, self._metrics)
         self._client_server = ClientServer(
-            self._request_handler, self._get_limits, self._timer.now, self._memory
+            self._request_handler, self._get_limits, self._timer.now, self._memory, self._errors
+        )
+        self._ready_server = ClientServer(
+            self._ready, ClientLimits, self._timer.now, self._memory, self._errors
         )
-        self._ready_server = ClientServer(self._ready, ClientLimits, self._timer.now, self._memory)
         self._metrics_server = ClientServer(
-            MetricsHandler(self._metrics), ClientLimits, self._timer.now, self._memory
+            MetricsHandler(self._metrics),
+            ClientLimits,
+            self._timer.now,
+            self._memory,
+            self._errors,
         )
         self._peer_log = PeerLog()
         self._peer_gossip = PeerGossip(
@@ -162,6 +170,7 @@
             store,
             self._peer_table,
             self._timer,
+            self._errors,
             self._make_state,
             self._on_peer_state,
             {
@@ -177,6 +186,7 @@
             store,
             self._endpoint_table,
             self._timer,
+            self._errors,
             self._apply_configuration,
             self._on_catalogue_change,
             self._get_watch_interval_s,
@@ -227,7 +237,8 @@
 
     def reload(self) -> None:
         """Read the settings again."""
-        self._settings_reloader.reload()
+        with self._errors.contain("reload"):
+            self._settings_reloader.reload()
 
     @property
     def _settings(self) -> ForwarderSettings:
@@ -243,11 +254,11 @@
         self._tasks.start_soon(self._ready_server.serve, ready_listener, self._tasks)
         self._tasks.start_soon(self._client_server.serve, client_listener, self._tasks)
         for watcher in self._peer_gossip.watchers:
-            self._tasks.start_soon(watcher.watch_forever)
-        self._tasks.start_soon(self._peer_gossip.run)
-        self._tasks.start_soon(self._peer_gossip.keep_registered)
-        self._tasks.start_soon(self._planner_runner.run)
-        self._tasks.start_soon(self._notify_demand)
+            self._tasks.keep_running(watcher.watch_forever)
+        self._tasks.keep_running(self._peer_gossip.run)
+        self._tasks.keep_running(self._peer_gossip.keep_registered)
+        self._tasks.keep_running(self._planner_runner.run)
+        self._tasks.keep_running(self._notify_demand)
         self._timer.subscribe("peers", PEER_UPDATE_INTERVAL_S, self._update_peers)
         self._timer.subscribe("promises", PROMISE_INTERVAL_S, self._request_promises)
         self._timer.subscribe("tidy", CLEANUP_INTERVAL_S, self._clean_up)
@@ -303,6 +314,7 @@
             lambda: self._request_handler.configuration,
             self._timer,
             self._metrics,
+            self._errors,
             self._peer_gossip.send_state_soon,
         )
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/timer.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/timer.py
@@ -11,6 +11,7 @@
 from anyio.abc import TaskGroup
 
 from kingcupdyke.timer import TimerService
+from kingcupdyke_daemon.taskerrors import TaskErrors
 
 __all__ = ["LoopTimer"]
 
@@ -21,11 +22,15 @@
     Calls are due at multiples of their periods since the start, so that the process wakes up once
     for all subscriptions that are due at a time.
 
+    An error of a subscriber is logged, and it is called again after its next period.
+
     :param tasks: the task group that runs the subscriptions
+    :param errors: logs and counts errors of subscribers
     """
 
-    def __init__(self, tasks: TaskGroup) -> None:
+    def __init__(self, tasks: TaskGroup, errors: TaskErrors | None = None) -> None:
         self._tasks = tasks
+        self._errors = errors or TaskErrors()
         self._started_s = current_time()
         self._scopes_by_name: dict[str, CancelScope] = {}
 
@@ -36,7 +41,7 @@
         self.unsubscribe(name)
         scope = CancelScope()
         self._scopes_by_name[name] = scope
-        self._tasks.start_soon(self._run, scope, period_s, callback)
+        self._tasks.start_soon(self._run, name, scope, period_s, callback)
 
     def list_names(self) -> list[str]:
         """:return: names of the subscriptions"""
@@ -48,7 +53,7 @@
             scope.cancel()
 
     async def _run(
-        self, scope: CancelScope, period_s: float, callback: Callable[[float], None]
+        self, name: str, scope: CancelScope, period_s: float, callback: Callable[[float], None]
     ) -> None:
         periods = 0
         with scope:
@@ -56,4 +61,5 @@
                 # A call may come a little before it is due.
                 periods = max(periods, int((current_time() - self._started_s) / period_s)) + 1
                 await sleep_until(self._started_s + periods * period_s)
-                callback(current_time())
+                with self._errors.contain(f"timer {name}"):
+                    callback(current_time())
--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpointtable.py
@@ -71,11 +71,19 @@
 
         :param after_outage: whether the store was unavailable, so that entries may have lapsed
         """
-        # Changes between the previous list and this one may be missing.
-        self.listed_since_s = now_s
-        listed = {each.endpoint for each in entries}
+        entries = list(entries)
         for entry in entries:
             self.put(entry)
+        self.retain({each.endpoint for each in entries}, now_s, after_outage)
+
+    def retain(self, listed: Set[str], now_s: float, after_outage: bool) -> None:
+        """Remove all entries but those of a complete list.
+
+        :param listed: endpoints of the list
+        :param after_outage: whether the store was unavailable, so that entries may have lapsed
+        """
+        # Changes between the previous list and this one may be missing.
+        self.listed_since_s = now_s
         self._has_list = True
         for endpoint in [each for each in self.state_by_id if each not in listed]:
             self.remove(endpoint, now_s, after_outage)
--- a/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
@@ -133,16 +133,22 @@
                 raise ValueError(f"invalid fencing number: {fields.fence!r}")
             return Ok(
                 fields._replace(
-                    loads=tuple(EndpointLoad(*each) for each in fields.loads),
-                    demands=tuple(Demand(*each) for each in fields.demands),
-                    unreachable=tuple(fields.unreachable),
+                    host=_read_text(fields.host),
+                    incarnation=_read_text(fields.incarnation),
+                    number=int(fields.number),
+                    is_stopping=bool(fields.is_stopping),
+                    version=int(fields.version),
+                    loads=tuple(_read_load(*each) for each in fields.loads),
+                    demands=tuple(_read_demand(*each) for each in fields.demands),
+                    unreachable=tuple(map(_read_text, fields.unreachable)),
                     lease_promise=(
                         None
                         if fields.lease_promise is None
-                        else LeasePromise(*fields.lease_promise)
+                        else _read_promise(*fields.lease_promise)
                     ),
-                    placements=tuple(Placement(*each) for each in fields.placements),
-                    unreadable_kinds=tuple(fields.unreadable_kinds),
+                    placements=tuple(_read_placement(*each) for each in fields.placements),
+                    unreadable_kinds=tuple(map(_read_text, fields.unreadable_kinds)),
+                    wants_promise=bool(fields.wants_promise),
                     interval_s=float(fields.interval_s),
                     store_era=int(fields.store_era),
                     fence=int(fields.fence),
@@ -153,6 +159,31 @@
             return Error(Failure(Outcome.FAILED, Step.PARSE, "", reason))
 
 
+def _read_text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"no text: {type(value).__name__}")
+    return value
+
+
+def _read_load(endpoint: str, requests: int, prompt_tokens: int) -> EndpointLoad:
+    return EndpointLoad(_read_text(endpoint), int(requests), int(prompt_tokens))
+
+
+def _read_demand(model: str, adapter: str, waiting: int, tokens_per_s: float) -> Demand:
+    return Demand(_read_text(model), _read_text(adapter), int(waiting), float(tokens_per_s))
+
+
+def _read_promise(host: str, incarnation: str, fence: int, number: int) -> LeasePromise:
+    return LeasePromise(_read_text(host), _read_text(incarnation), int(fence), int(number))
+
+
+def _read_placement(
+    endpoint: str, model: str, adapter: str, is_present: bool, ready_in_s: float
+) -> Placement:
+    names = (_read_text(endpoint), _read_text(model), _read_text(adapter))
+    return Placement(*names, bool(is_present), float(ready_in_s))
+
+
 def pack_message(fields: object) -> bytes:
     """:return: a message as compressed JSON"""
     return compress(json.dumps(fields, separators=(",", ":")).encode(), wbits=RAW_DEFLATE)
--- a/packages/kingcupdyke/kingcupdyke/forwarding/storerelay.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/storerelay.py
@@ -49,13 +49,17 @@
         """:return: the message, or a failure if the bytes are not a valid message"""
         try:
             fields = unpack_message(value)
-            objects = tuple(RelayedObject(*each) for each in fields["objects"])
+            objects = tuple(_read_object(*each) for each in fields["objects"])
             return Ok(cls(str(fields["kind"]), int(fields["position"]), objects))
         except MESSAGE_ERRORS as error:
             reason = f"invalid store relay message: {error!r}"
             return Error(Failure(Outcome.FAILED, Step.PARSE, "", reason))
 
 
+def _read_object(name: str, version: int, value: str) -> RelayedObject:
+    return RelayedObject(str(name), int(version), str(value))
+
+
 def list_relay_hosts(kind: str, host: str, peers: Iterable[GatewayState]) -> list[str]:
     """Choose the peers to which a gateway that can read a kind of objects relays them.
 
