--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/planner.py
@@ -63,6 +63,7 @@
         is_candidate: Callable[[], bool],
     ) -> None:
         self._region = region
+        self._lease_name = f"planner-{region}"
         self._lease_manager = LeaseManager(lease, store, LEASES_KIND, timer.now)
         self._lease = lease
         self._policy = policy
