Doubt the version of an endpoint that has refused connections, also where a stream begins

Cause: that the endpoint had refused connections since its last heartbeat was asked only for the endpoint at which a stream goes on.

Change: a stream that begins after a refusal is not recorded and does not go on until a heartbeat or a new entry proves its process; others are preferred for streams that may be resumed. Gateways report refused connections to each other. A stream whose version is known no longer waits for the register.

On the code of before, the dispatcher's scenario is red, and so is a gateway that is cut off from the store only (it waited for the register).

--- a/packages/kingcupdyke-daemon/features/steps/process_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/process_steps.py
@@ -132,6 +132,8 @@
         self.stop = Event()
         self.ended_s = None
         self.endpoints = {}
+        #: The running gateway, or None before the start.
+        self.forwarder = None
         self._running = None
 
     async def start(self):
@@ -142,6 +144,7 @@
         async with create_task_group() as tasks:
             self._running = tasks.cancel_scope
             forwarder = Forwarder(self.settings, self.source, JsonDialect(), self.store, tasks)
+            self.forwarder = forwarder
             await forwarder.run(self.stop)
             self.ended_s = current_time()
             tasks.cancel_scope.cancel()
--- a/packages/kingcupdyke-daemon/features/steps/versions_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/versions_steps.py
@@ -7,7 +7,7 @@
 
 import re
 
-from anyio import create_task_group, run, sleep
+from anyio import create_task_group, current_time, run, sleep
 from behave import then, when
 from forwarder_steps import describe, write_request
 from process_steps import Site, capture
@@ -71,6 +71,22 @@
         endpoint.name = endpoint.software_version = version
         endpoint.starts += 1
 
+    async def do_refuse(self, name):
+        """Let the first gateway know that no process listens at an endpoint for a moment."""
+        starts = self.sites[0].forwarder._endpoint_table.starts
+        starts.note_refused(name, current_time(), is_gone=True)
+
+    async def do_storeless(self):
+        """Cut all gateways but the first off from the store."""
+        for site in self.sites[1:]:
+            site.store.down = True
+        await sleep(0.1)
+
+    async def do_silent(self):
+        """Cut all gateways off from each other."""
+        for site in self.sites:
+            site.forwarder._peer_gossip._address_by_host.clear()
+
     async def do_list(self, name):
         await self.keeper.list(name, False)
 
@@ -107,8 +123,8 @@
         await sleep(0.8)
 
     async def do_kill(self, which="all"):
-        """Kill all gateways, or the one of the client's last attempt."""
-        killed = self.sites if which == "all" else [self.used]
+        """Kill all gateways, the first one, or the one of the client's last attempt."""
+        killed = {"all": self.sites, "first": self.sites[:1], "own": [self.used]}[which]
         for site in killed:
             site.kill()
         self.sites = [each for each in self.sites if each not in killed]
--- a/packages/kingcupdyke-daemon/features/versions.feature
+++ b/packages/kingcupdyke-daemon/features/versions.feature
@@ -24,12 +24,27 @@
       | the route's timeout was shortened | add a v1; start 1; begin; add b v2; other; remove a; timeout 0.3; wait 0.6; resume none | 1,2 | 503 |
       | an ordinary release | add a v1; start 4; begin; add b v2; add c v1; rests; kill own; remove a; resume r1 | 1,2,3,4 | 200 |
       | an endpoint had started again with newer software when its stream began | add a v1; start 4; secret a v2; begin; add c v1; rests; list a; wait 0.2; kill own; resume r1 | 1,2 | 503 |
+      | a peer had found no process there, and the entry is not replaced yet | add a v1; start 4; refuse a; wait 1.2; secret a v2; begin; add c v1; rests; kill own; resume r1 | 1,2 | 503 |
 
     Examples: within one answer
       | case | events | ids | last |
       | an endpoint had started again with newer software when its stream began | add a v1; start 1; secret a v2; begin; add c v1; rests; list a; wait 0.2; break a; wait 0.3 | 1,2 | cut |
+      | an endpoint had refused connections, and its entry is not replaced yet | add a v1; start 1; refuse a; secret a v2; begin; add c v1; rests; wait 0.2; break a; wait 0.3 | 1,2 | cut |
       | an ordinary release | add a v1; start 1; begin; add b v2; add c v1; rests; wait 0.2; break a; wait 0.3 | 1,2,3,4 | 200 |
 
+  # Guards against streams that are taken up at a gateway that has missed a release, and go on at
+  # another version there.
+  Scenario Outline: A gateway that is out of step while endpoints of another version join: <case>
+    When versions: "<events>" happens
+    Then versions: the client got events "<ids>", all of one version, and its last answer was "<last>"
+
+    Examples:
+      | case | events | ids | last |
+      | cut off from the store, its peers relay the list | add a v1; start 3; other; storeless; remove a; add b v2; add c v2; wait 0.6; begin; add d v1; rests; kill own; resume r1 | 1,2,3,4 | 200 |
+      | cut off from its peers | add a v1; start 3; other; remove a; add b v2; add c v2; silent; begin; add d v1; rests; kill own; resume r1 | 1,2 | 503 |
+      | cut off from both | add a v1; start 3; other; storeless; silent; remove a; add b v2; add c v2; begin; add d v1; rests; kill own; resume r1 | 1,2 | 503 |
+      | started anew, with peers that know the stream | add a v1; start 4; other; remove a; add b v2; add c v2; begin; add d v1; rests; kill own; start 1; kill first; kill first; resume r1 | 1,2,3,4 | 200 |
+
   # Guards against requests that fail while a version is being registered, and against calls to the
   # store that a deployment with one version does not need.
   Scenario: Gateways that start together register the version once, and only read it later
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/attemptfailures.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/attemptfailures.py
@@ -44,7 +44,9 @@
         self.reason = f"endpoint {endpoint}: {error.reason}"
         self._deps.endpoint_table.note_failure(endpoint, self._deps.timer.now(), True)
         if error.progress is Progress.NOT_SENT:
-            self._deps.endpoint_table.starts.note_refused(endpoint, self._deps.timer.now())
+            self._deps.endpoint_table.starts.note_refused(
+                endpoint, self._deps.timer.now(), error.is_refused
+            )
             return AttemptResult.NOT_SENT
         return AttemptResult.BROKEN if self._reply.has_begun else AttemptResult.UNKNOWN
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
@@ -97,12 +97,14 @@
 
     :param progress: how far the transfer had come
     :param reason: what failed
+    :param is_refused: whether the host has answered that no process listens at the address
     """
 
-    def __init__(self, progress: Progress, reason: str) -> None:
+    def __init__(self, progress: Progress, reason: str, is_refused: bool = False) -> None:
         super().__init__(reason)
         self.progress = progress
         self.reason = reason
+        self.is_refused = is_refused
 
 
 class EndpointConnection:
@@ -145,7 +147,8 @@
         except OSError as error:
             # anyio names the error of the system only as the cause of its own.
             reason = f"connecting failed: {error.__cause__ or error!r}"
-            raise TransferError(Progress.NOT_SENT, reason) from error
+            is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+            raise TransferError(Progress.NOT_SENT, reason, is_refused) from error
         return cls(stream)
 
     def is_reusable(self) -> bool:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/origindirectory.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/origindirectory.py
@@ -125,12 +125,11 @@
         if origin is None or not origin.endpoint:
             return origin
         began_s = now_s - origin.age_s
-        if self._starts.was_running(origin.endpoint, origin.started_ms, began_s):
+        if self._starts.is_certain(origin.endpoint, origin.started_ms, began_s):
             return origin
         _LOGGER.info(
-            "origin of stream %s dropped: %s has started again", attempt_id, origin.endpoint
+            "origin of stream %s not used: %s may have started again", attempt_id, origin.endpoint
         )
-        self._table.drop(attempt_id)
         return None
 
     def _choose_holders(self, attempt_id: str, factor: int = 1) -> list[str]:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -402,6 +402,7 @@
             ),
             wants_promise=self._planner_runner.wants_promises,
             store_era=self._store.era,
+            refusing=self._endpoint_table.starts.list_refused(),
         )
         if state.fence:
             self._endpoint_table.apply_placements(state, now_s)
@@ -410,8 +411,10 @@
 
     def _on_peer_state(self, state: GatewayState) -> None:
         self._endpoint_table.apply_peer_state(state)
+        now_s = self._timer.now()
+        self._endpoint_table.starts.note_peer_report(state.host, state.refusing, now_s)
         if state.fence:
-            self._endpoint_table.apply_placements(state, self._timer.now())
+            self._endpoint_table.apply_placements(state, now_s)
         self._planner_runner.note_peer(state)
         is_rival = self._planner_runner.may_have_written
         self._lease_promises.receive(
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/streamcontinuation.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/streamcontinuation.py
@@ -91,10 +91,10 @@
         self._sent = entry
         if not self._route.is_resumable:
             return True
-        needed = software_version if self._origin is None else self._origin.software_version
-        return entry.software_version == needed and self._deps.versions.register.is_usable(
-            entry.service, needed
-        )
+        if self._origin is not None:
+            return entry.software_version == self._origin.software_version
+        is_usable = self._deps.versions.register.is_usable(entry.service, software_version)
+        return is_usable and entry.software_version == software_version
 
     def begin(self, service: str, software_version: str) -> str:
         """Record that the first event of the request's answer is passed on now.
@@ -108,7 +108,11 @@
             self._note_outcome("continued", self._evidence)
         self._has_events = True
         origin = self._origin
-        if origin.started_ms:
+        starts = self._deps.endpoint_table.starts
+        # A stream of an uncertain process proves nothing to other gateways.
+        if origin.started_ms and starts.is_certain(
+            origin.endpoint, origin.started_ms, self._began_s
+        ):
             attempts = {self._metadata.attempt_id, self._metadata.resumes} - {""}
             age_s = self._deps.timer.now() - self._began_s
             valid_s = self._deps.versions.register.memory_s
@@ -125,6 +129,8 @@
         """
         origin = self._origin
         starts = self._deps.endpoint_table.starts
+        if starts.may_have_restarted_before(origin.endpoint, self._began_s):
+            return self._reject("the endpoint that began the stream may have started again")
         if origin.started_ms and starts.was_running(
             origin.endpoint, origin.started_ms, self._began_s
         ):
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/versionregistrar.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/versionregistrar.py
@@ -124,6 +124,9 @@
         with move_on_after(READ_TIMEOUT_S):
             await read.ended.wait()
         inference = self.register.infer(service, self._timer.now())
+        if read.is_successful and self.register.has_uncertain(service):
+            reason = "an endpoint of the service may have started again with other software"
+            return Inference(None, inference.registered, reason)
         if read.is_successful:
             return inference
         return Inference(None, inference.registered, "the software versions can't be read")
--- a/packages/kingcupdyke/features/dispatcher.feature
+++ b/packages/kingcupdyke/features/dispatcher.feature
@@ -27,6 +27,8 @@
       | a stream is rejected if no endpoint has the version that began it | e1 e2 | version e2 v2; submit r1 software_version=v3 | r1:reject |
       | a stream does not continue where a connection was refused, as the endpoint may have started again | e1 e2 | version e2 v2; refuse e2; submit r1 software_version=v2 | r1:reject |
       | nor after a heartbeat that may have been written before | e1 e2 | version e2 v2; refuse e2; wait 2.9; beat e2 5; submit r1 software_version=v2 | r1:reject |
+      | a stream that may be resumed begins elsewhere, as long as there is room | e1 e2 | version e1 v1; version e2 v1; registered v1; refuse e1; begin_resumable r1; begin_resumable r2 | r1:e2 r2:e2 |
+      | but it begins there rather than nowhere | e1 | version e1 v1; registered v1; refuse e1; begin_resumable r1 | r1:e1 |
       | it does after a later heartbeat of the same process | e1 e2 | version e2 v2; refuse e2; wait 3.1; beat e2 5; submit r1 software_version=v2 | r1:e2 |
       | a resumable stream waits until a version is registered | e1 e2 | begin_resumable r1; wait 0.1; poll | r1:wait |
       | it begins once that is so | e1 | version e1 v1; begin_resumable r1; registered v1; poll | r1:e1 |
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -267,17 +267,35 @@
                     self._make_waiting(item, now_s), engine_spec, states, now_s
                 )
             states = holders
-        if not item.is_resumable:
+        if not item.is_resumable or item.software_version is not None:
+            # What began a stream at this version has registered it.
             return self._decide_among(item, states, engine_spec, now_s)
         usable = self.version_register.select(item.service, states, now_s)
         if not usable:
             return Wait("the software version is not registered yet")
-        decision = self._decide_among(item, usable, engine_spec, now_s)
+        decision = self._decide_among_certain(item, usable, engine_spec, now_s)
         is_pending = self.version_register.is_pending(item.service, now_s)
         if isinstance(decision, Refuse) and len(usable) < len(states) and is_pending:
             return Wait("the software version is not registered yet")
         return decision
 
+    def _decide_among_certain(
+        self,
+        item: WorkItem,
+        states: list[EndpointState],
+        engine_spec: EngineSpec | None,
+        now_s: float,
+    ) -> Decision:
+        """Prefer endpoints whose software is certain: a stream that begins at another one can't be
+        continued when it breaks off.
+        """
+        certain = self._endpoint_table.list_certain(states)
+        if certain and len(certain) < len(states):
+            decision = self._decide_among(item, certain, engine_spec, now_s)
+            if isinstance(decision, Send):
+                return decision
+        return self._decide_among(item, states, engine_spec, now_s)
+
     def _decide_among(
         self,
         item: WorkItem,
--- a/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/peerstate.py
@@ -114,6 +114,8 @@
     wants_promise: bool = False
     #: Era of the store's last answer to this gateway, or 0 before the first one.
     store_era: int = 0
+    #: Endpoints at which no process has listened since their last heartbeat.
+    refusing: tuple[str, ...] = ()
 
     def encode(self) -> bytes:
         """:return: the message as compressed JSON"""
@@ -148,6 +150,7 @@
                     ),
                     placements=tuple(_read_placement(*each) for each in fields.placements),
                     unreadable_kinds=tuple(map(_read_text, fields.unreadable_kinds)),
+                    refusing=tuple(map(_read_text, fields.refusing)),
                     wants_promise=bool(fields.wants_promise),
                     interval_s=float(fields.interval_s),
                     store_era=int(fields.store_era),
--- a/packages/kingcupdyke/kingcupdyke/forwarding/versionregister.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/versionregister.py
@@ -110,6 +110,11 @@
                     self._want(service, each.entry.software_version, now_s)
         return selected
 
+    def has_uncertain(self, service: str) -> bool:
+        """:return: whether an endpoint of a service may run other software than its entry says"""
+        ready = self._endpoint_table.list_ready(service)
+        return len(self._endpoint_table.list_certain(ready)) < len(ready)
+
     def is_usable(self, service: str, software_version: str) -> bool:
         """:return: whether a version is registered and is not about to be removed"""
         return software_version in self._usable_by_service.get(service, ())
