Take an answer up to the end of its connection for whole only if something shows it

Cause: an answer with neither a length nor chunks got the gateway's own last chunk at the end of the endpoint's connection, whatever had ended it.

Change: its content decides where it can (JSON, events); otherwise the answer is whole if the endpoint's process goes on 0.1 s later. Up to 64 KB are held back until then, so that another endpoint can be tried.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerrelay.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerrelay.py
@@ -5,7 +5,7 @@
 Passes the answers of endpoints on to a client, and records how they ended.
 """
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -15,14 +15,19 @@
 from kingcupdyke_daemon.forwarder.dialect import Headers
 from kingcupdyke_daemon.forwarder.events import EventBuffer
 from kingcupdyke_daemon.forwarder.reply import Reply
+from kingcupdyke_wire.completeness import find_truncation, marks_its_end
 from kingcupdyke_wire.sse import EVENT_STREAM, EventTooLongError
 
-__all__ = ["AnswerEnd", "AnswerFraming", "AnswerRelay", "strip_headers"]
+__all__ = ["AnswerEnd", "AnswerFraming", "AnswerRelay", "decode_headers", "strip_headers"]
 
 #: Hop-by-hop headers of an endpoint's answer, which are not passed on.
 CONNECTION_HEADERS = frozenset(
     (b"connection", b"keep-alive", b"proxy-connection", b"transfer-encoding", b"upgrade")
 )
+#: Statuses of answers without a body.
+STATUSES_WITHOUT_BODY = (204, 304)
+#: Limit of the bytes of an answer that are held back until its end shows whether it is whole.
+MAX_HELD_BYTES = 65_536
 #: Lowest status of an answer that is not a success.
 STATUS_REDIRECT = 300
 
@@ -30,6 +35,8 @@
 class AnswerFraming(StrEnum):
     """What marks the end of an answer's body."""
 
+    #: There is no body.
+    NONE = "none"
     LENGTH = "length"
     CHUNKS = "chunks"
     #: The end of its connection.
@@ -100,28 +107,76 @@
         """:return: how the last answer ended"""
         return AnswerEnd(self._framing, self._events.count, self._events.partial_bytes)
 
-    async def relay(self, head: Response, parts: AsyncIterator[bytes]) -> None:
+    async def relay(
+        self,
+        head: Response,
+        parts: AsyncIterator[bytes],
+        is_running: Callable[[], Awaitable[bool]],
+        has_body: bool = True,
+    ) -> None:
         """Pass an answer on up to its end, which :meth:`end` marks.
 
+        The end of a connection marks the end of an answer, or that of the endpoint's process. Where
+        the body does not show which, the answer counts as whole if the endpoint still runs.
+
         :param parts: its body as it arrives
-        :raises TransferError: when a stream ends before it is complete, or an event is too long
+        :param is_running: returns whether a process still listens at the endpoint's address
+        :param has_body: whether answers to the request's method have bodies
+        :raises TransferError: when the answer ends before it is complete, or an event is too long
         """
-        self._framing = _find_framing(head)
+        self._framing = _find_framing(head) if has_body else AnswerFraming.NONE
         self._events.drop_partial()
         is_events = self._is_event_stream(head)
-        if not self._reply.has_begun:
-            self._status, self._is_events = head.status_code, is_events
-            await self._reply.begin(head.status_code, strip_headers(head))
-        if is_events:
-            await self._relay_events(parts)
-        else:
+        is_unframed = self._framing == AnswerFraming.CONNECTION
+        if is_unframed and not is_events:
+            await self._relay_unframed(head, parts, is_running)
+            return
+        await self._begin(head, is_events)
+        if not is_events:
             async for data in parts:
                 await self._reply.write(data)
+            return
+        await self._relay_events(parts)
+        if is_unframed:
+            await _check_running(is_running)
 
     async def end(self) -> None:
         """Mark the end of the answer, and wait until all of it is written to the client."""
         await self._reply.end()
 
+    async def _begin(self, head: Response, is_events: bool) -> None:
+        if not self._reply.has_begun:
+            self._status, self._is_events = head.status_code, is_events
+            await self._reply.begin(head.status_code, strip_headers(head))
+
+    async def _relay_unframed(
+        self,
+        head: Response,
+        parts: AsyncIterator[bytes],
+        is_running: Callable[[], Awaitable[bool]],
+    ) -> None:
+        """Pass an answer on that ends with its connection. A short one is held back until it is
+        known to be whole, so that the request can still be sent to another endpoint.
+        """
+        held = b""
+        async for data in parts:
+            held += data
+            if len(held) > MAX_HELD_BYTES:
+                await self._begin(head, False)
+                await self._reply.write(held)
+                held = b""
+        if not self._reply.has_begun:
+            headers = decode_headers(head)
+            if reason := find_truncation(headers, held):
+                raise TransferError(Progress.ANSWERING, reason)
+            if not marks_its_end(headers, held):
+                await _check_running(is_running)
+        else:
+            await _check_running(is_running)
+        await self._begin(head, False)
+        if held:
+            await self._reply.write(held)
+
     async def _relay_events(self, parts: AsyncIterator[bytes]) -> None:
         events = self._events
         count_before = events.count
@@ -150,12 +205,25 @@
         return self._is_streaming and head.status_code < STATUS_REDIRECT
 
 
+async def _check_running(is_running: Callable[[], Awaitable[bool]]) -> None:
+    """:raises TransferError: when no process listens at the endpoint's address"""
+    if not await is_running():
+        raise TransferError(Progress.ANSWERING, "the endpoint's process ended with the connection")
+
+
+def decode_headers(head: Response) -> dict[str, str]:
+    """:return: values of the header fields, by name in lower case"""
+    return {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
+
+
 def strip_headers(head: Response) -> Headers:
     """:return: the headers of an answer that are passed on"""
     return [each for each in head.headers if each[0] not in CONNECTION_HEADERS]
 
 
 def _find_framing(head: Response) -> AnswerFraming:
+    if head.status_code in STATUSES_WITHOUT_BODY:
+        return AnswerFraming.NONE
     names = {name for name, _ in head.headers}
     if b"transfer-encoding" in names:
         return AnswerFraming.CHUNKS
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/attemptfailures.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/attemptfailures.py
@@ -11,13 +11,14 @@
 from kingcupdyke.forwarding.endpoint import Replica
 from kingcupdyke.forwarding.metadata import AnswerMetadata
 from kingcupdyke.forwarding.workitem import WorkItem
-from kingcupdyke_daemon.forwarder.answerrelay import strip_headers
+from kingcupdyke_daemon.forwarder.answerrelay import decode_headers, strip_headers
 from kingcupdyke_daemon.forwarder.attemptresult import AttemptResult
 from kingcupdyke_daemon.forwarder.connection import Progress, TransferError
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.exchange import STATUS_MISDIRECTED, Exchange
 from kingcupdyke_daemon.forwarder.finalanswer import FinalAnswer, KeptAnswer
 from kingcupdyke_daemon.forwarder.reply import Reply
+from kingcupdyke_wire.completeness import find_truncation
 
 __all__ = ["AttemptFailures"]
 
@@ -101,5 +102,8 @@
         if self._reply.has_begun:
             return AttemptResult.BROKEN, True
         headers = [each for each in strip_headers(head) if each[0] != b"content-length"]
+        if reason := find_truncation(decode_headers(head), body):
+            self.reason = f"endpoint {endpoint}: status {head.status_code}, {reason}"
+            return AttemptResult.FAILED, False
         self._final_answer.kept = KeptAnswer(head.status_code, headers, body)
         return AttemptResult.FAILED, True
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -47,6 +47,7 @@
 RETRY_AFTER_S = 0.5
 #: Timeout for writing a final answer that the gateway gives itself.
 FINAL_ANSWER_TIMEOUT_S = 1.0
+METHOD_HEAD = b"HEAD"
 #: Lowest status that is treated as a failure of the endpoint.
 STATUS_FAILURE = 500
 
@@ -322,19 +323,32 @@
             return await self._failures.keep_answer(exchange, endpoint, head)
         if self._reply.has_begun and not self._answer.is_continuation(head):
             return self._failures.note_other_answer(endpoint, head), False
-        result = await self._relay(exchange, endpoint, head, sent_s)
+        result = await self._relay(exchange, entry, head, sent_s)
         deps.endpoint_table.note_success(endpoint)
         self._watch.note_sound()
         return result, True
 
     async def _relay(
-        self, exchange: Exchange, endpoint: str, head: Response, sent_s: float
+        self, exchange: Exchange, entry: EndpointEntry, head: Response, sent_s: float
     ) -> AttemptResult:
         if not self._reply.has_begun:
             self._status = head.status_code
-        await self._answer.relay(head, self._read_parts(exchange, endpoint, sent_s))
+        await self._answer.relay(
+            head,
+            self._read_parts(exchange, entry.endpoint, sent_s),
+            partial(self._is_running, entry),
+            self._request.method != METHOD_HEAD,
+        )
         return AttemptResult.DELIVERED
 
+    async def _is_running(self, entry: EndpointEntry) -> bool:
+        """:return: whether a process still listens at an endpoint's address"""
+        is_running = await self._deps.pool.is_listening(entry.endpoint, entry.address)
+        if not is_running:
+            starts = self._deps.endpoint_table.starts
+            starts.note_refused(entry.endpoint, self._deps.timer.now(), is_gone=True)
+        return is_running
+
     async def _read_parts(
         self, exchange: Exchange, endpoint: str, sent_s: float
     ) -> AsyncIterator[bytes]:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/pool.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/pool.py
@@ -8,7 +8,7 @@
 import logging
 from collections.abc import Awaitable, Callable, Iterable
 
-from anyio import CancelScope, move_on_after
+from anyio import CancelScope, move_on_after, sleep
 from anyio.abc import TaskGroup
 
 from kingcupdyke.timer import TimerService
@@ -20,6 +20,9 @@
 #: Time for which an answer is awaited that may cross the end of its request; longer than a round
 #: trip between regions.
 LATE_ANSWER_TIMEOUT_S = 0.1
+#: Time after the end of a connection after which it is known whether the endpoint's process goes
+#: on: one that ends may close its connections before it stops listening.
+ENDING_DELAY_S = 0.1
 #: An idle connection is no longer used when less than this remains of the endpoint's keep-alive.
 IDLE_MARGIN_S = 0.4
 #: Seconds that an idle connection is kept if the endpoint does not announce its keep-alive.
@@ -86,6 +89,28 @@
         """
         self._tasks.start_soon(_read_and_close, connection, read)
 
+    async def is_listening(self, endpoint: str, address: tuple[str, int]) -> bool:
+        """Check whether the process of an endpoint goes on after it has closed a connection.
+
+        :return: False if no process listens at its address; True also if that can't be told
+        """
+        await sleep(ENDING_DELAY_S)
+        idle = self._idle_by_endpoint.get(endpoint, ())
+        if any(each.is_reusable() for each in idle):
+            return True
+        try:
+            connection = await EndpointConnection.open(address)
+        except TransferError as error:
+            _LOGGER.info("endpoint %s has closed a connection: %s", endpoint, error.reason)
+            return not error.is_refused
+        idle = self._idle_by_endpoint.setdefault(endpoint, [])
+        if len(idle) >= MAX_IDLE_CONNECTIONS:
+            self._close([connection])
+            return True
+        connection.idle_since_s = self._timer.now()
+        idle.append(connection)
+        return True
+
     def close_expired(self) -> None:
         """Close the connections whose idle time has expired."""
         now_s = self._timer.now()
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/completeness.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/completeness.py
@@ -10,7 +10,7 @@
 
 from kingcupdyke_wire.sse import EVENT_STREAM, ends_inside_event
 
-__all__ = ["find_truncation", "is_json"]
+__all__ = ["find_truncation", "is_json", "marks_its_end"]
 
 JSON = "application/json"
 
@@ -30,6 +30,16 @@
     return ""
 
 
+def marks_its_end(headers: Mapping[str, str], body: bytes) -> bool:
+    """:return: whether the body itself shows that nothing is missing: it is a JSON object, list or
+    text, of which no beginning is valid JSON
+
+    :param headers: values of the header fields, by name in lower case
+    """
+    content_type = headers.get("content-type", "").partition(";")[0].strip().lower()
+    return content_type == JSON and body.lstrip()[:1] in (b"{", b"[", b'"') and is_json(body)
+
+
 def is_json(body: bytes) -> bool:
     """:return: whether the body is one JSON value"""
     try:
