Split records of leases and the candidacy for the planner off; mend steps of taskerrors.feature

Records and commands of a lease are in leaserecord.py; which gateways contend for the planner's lease, and which may hold it, is in plannercandidacy.py, which takes the place of four callables. No change of behaviour.

--- a/packages/kingcupdyke-daemon/features/steps/planning_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/planning_steps.py
@@ -71,6 +71,22 @@
         return [head for head, _ in self.requests if head.startswith("POST")]
 
 
+class OnlyCandidate:
+    """The candidacy of a gateway without peers."""
+
+    def list_members(self):
+        return (HOST,)
+
+    def list_rivals(self):
+        return set()
+
+    def list_stopping(self):
+        return set()
+
+    def is_candidate(self):
+        return True
+
+
 def make_planner_runner(rig, dialect=None, on_placement=lambda: None):
     configuration = Configuration(
         1, (), (ServiceSpec("service", "/", 10, ENGINE_SPEC),), ClientLimits()
@@ -90,10 +106,7 @@
         rig.leaving,
         rig.backoffs,
         LeasePromises(HOST, LEASE_S),
-        lambda: (HOST,),
-        set,
-        set,
-        lambda: True,
+        OnlyCandidate(),
         lambda: configuration,
         rig.timer,
         rig.metrics,
--- a/packages/kingcupdyke-daemon/features/steps/taskerrors_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/taskerrors_steps.py
@@ -15,6 +15,7 @@
 from anyio.abc import SocketAttribute
 from behave import then, when
 from forwarder_rig import ForwarderRig, ScriptedEndpoint, open_rig
+from forwarder_steps import write_request
 from planning_steps import (
     PLANNING_S,
     EngineDialect,
@@ -30,7 +31,7 @@
 from kingcupdyke_daemon.timer import LoopTimer
 
 STATE = GatewayState("h", "i", 1, False, 1, (), (), (), 0, None, ())
-GET = b"GET /a HTTP/1.1\r\nhost: h\r\nx-attempt: r1\r\nconnection: close\r\n\r\n"
+GET = write_request("GET /safe/1")
 
 
 class RecordList(logging.Handler):
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerlease.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerlease.py
@@ -6,13 +6,21 @@
 """
 
 from kingcupdyke.lease import LeaseMachine
-from kingcupdyke_daemon.forwarder.plannerrunner import (
-    LEASE_NAME,
-    MAX_UNRENEWED_LEASE_S,
-    RENEWAL_INTERVAL_S,
-)
 
-__all__ = ["LEASE_MARGIN_S", "make_planner_lease"]
+__all__ = [
+    "LEASE_MARGIN_S",
+    "MAX_UNRENEWED_LEASE_S",
+    "RENEWAL_INTERVAL_S",
+    "make_planner_lease",
+]
+
+#: Name of the lease.
+LEASE_NAME = "planner"
+#: Interval between renewals of the lease by its holder, and between reads of it by other gateways.
+RENEWAL_INTERVAL_S = 0.8
+#: Time after its last renewal for which the lease may be kept by promises of peers. A gateway that
+#: the holder did not list as a member waits this much longer before it takes the lease.
+MAX_UNRENEWED_LEASE_S = 40.0
 
 #: How much longer a lease lasts than the minimum time between the orders of two planners. Must
 #: exceed the time after a proof of the lease during which orders are sent.
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
@@ -29,6 +29,8 @@
 from kingcupdyke_daemon.forwarder.leavingdirectory import LeavingDirectory
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
 from kingcupdyke_daemon.forwarder.pinneddemands import PinnedDemands
+from kingcupdyke_daemon.forwarder.plannercandidacy import PlannerCandidacy
+from kingcupdyke_daemon.forwarder.plannerlease import RENEWAL_INTERVAL_S
 from kingcupdyke_daemon.leasemanager import LeaseManager
 from kingcupdyke_daemon.logs import log_record
 from kingcupdyke_daemon.records import EngineRecord, OrderRecord
@@ -36,20 +38,14 @@
 from kingcupdyke_wire.http import HttpAnswer, HttpClient
 from kingcupdyke_wire.store import StoreClient
 
-__all__ = ["LEASE_NAME", "LEASES_KIND", "PlannerRunner", "read_clock"]
+__all__ = ["LEASES_KIND", "PlannerRunner", "read_clock"]
 
 _LOGGER = logging.getLogger(__name__)
-#: Kind and name of the store's object that holds the planner's lease.
+#: Kind of the store's objects that hold the planner's lease.
 LEASES_KIND = "kingcupdyke-leases"
-LEASE_NAME = "planner"
-#: Time after its last renewal for which the lease may be kept by promises of peers. A gateway that
-#: the holder did not list as a member waits this much longer before it takes the lease.
-MAX_UNRENEWED_LEASE_S = 40.0
 #: Orders are sent only within this time after the last proof that the lease is held: the remainder
 #: of the lease must cover the time that another planner waits before its first order.
 MAX_PROOF_AGE_S = 1.0
-#: Interval between renewals of the lease by its holder, and between reads of it by other gateways.
-RENEWAL_INTERVAL_S = 0.8
 #: Seconds since the last renewal after which the next one is overdue.
 RENEWAL_OVERDUE_S = RENEWAL_INTERVAL_S + 0.3
 #: Time without a renewal after which the store counts as unavailable: two renewal intervals plus
@@ -80,10 +76,7 @@
     :param backoffs: is told of engines that request backoff
     :param lease_promises: promises of peers, which prove that the lease is still held while the
         store does not answer
-    :param list_members: returns the hosts on whose promises the lease is to rely
-    :param list_rivals: returns the hosts that may hold a lease of an earlier era of the store
-    :param list_stopping: returns the hosts that are stopping and will not take the lease
-    :param is_candidate: returns whether this gateway is one of those that contend for the lease
+    :param candidacy: knows which gateways contend for the lease, and which may hold it
     :param timer: the timer service
     :param errors: logs and counts errors in one call or one round
     :param on_placement: called when there is a new placement to send to peers
@@ -102,10 +95,7 @@
         leaving: LeavingDirectory,
         backoffs: EndpointBackoffs,
         lease_promises: LeasePromises,
-        list_members: Callable[[], tuple[str, ...]],
-        list_rivals: Callable[[], set[str]],
-        list_stopping: Callable[[], set[str]],
-        is_candidate: Callable[[], bool],
+        candidacy: PlannerCandidacy,
         get_configuration: Callable[[], Configuration | None],
         timer: TimerService,
         metrics: ForwarderMetrics,
@@ -123,10 +113,7 @@
         self._leaving = leaving
         self._backoffs = backoffs
         self._lease_promises = lease_promises
-        self._list_members = list_members
-        self._list_rivals = list_rivals
-        self._list_stopping = list_stopping
-        self._is_candidate = is_candidate
+        self._candidacy = candidacy
         self._get_configuration = get_configuration
         self._timer = timer
         self._now = timer.now
@@ -179,7 +166,7 @@
         now_s = read_clock()
         fence = self._lease.fence_at(now_s)
         if fence is not None:
-            hosts = self._lease.proof_hosts - self._list_stopping()
+            hosts = self._lease.proof_hosts - self._candidacy.list_stopping()
             proof_s = self._lease_promises.proof_s(fence, hosts)
             if proof_s is not None:
                 self._lease.record_proof(proof_s)
@@ -218,10 +205,10 @@
             await self._lease_due.wait()
             self._lease_due = Event()
             held = self._lease.fence_at(read_clock()) is not None
-            if held or self._is_candidate():
+            if held or self._candidacy.is_candidate():
                 self._lease.may_take = self._lease_promises.may_take(read_clock())
-                self._lease.members = self._list_members()
-                self._lease.is_era_shared = not self._list_rivals()
+                self._lease.members = self._candidacy.list_members()
+                self._lease.is_era_shared = not self._candidacy.list_rivals()
                 await self._lease_manager.tick()
             self._check_new_term()
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -34,12 +34,9 @@
     SEND_GRACE_FRACTION,
     PlannedStop,
 )
+from kingcupdyke_daemon.forwarder.plannercandidacy import PlannerCandidacy
 from kingcupdyke_daemon.forwarder.plannerlease import LEASE_MARGIN_S, make_planner_lease
-from kingcupdyke_daemon.forwarder.plannerrunner import (
-    MAX_UNRENEWED_LEASE_S,
-    PlannerRunner,
-    read_clock,
-)
+from kingcupdyke_daemon.forwarder.plannerrunner import PlannerRunner, read_clock
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
 from kingcupdyke_daemon.forwarder.readyhandler import ReadyHandler
@@ -68,8 +65,6 @@
 CLEANUP_INTERVAL_S = 0.25
 #: Interval between checks whether the settings have changed.
 SETTINGS_POLL_INTERVAL_S = 1.0
-#: Number of gateways that contend for the planner's lease.
-MAX_CANDIDATES = 2
 
 
 class Forwarder:
@@ -184,7 +179,6 @@
             },
         )
         self._lease_promises = LeasePromises(settings.host, settings.lease_s + LEASE_MARGIN_S)
-        self._planner_runner = self._make_planner_runner(store)
         self._catalogue = Catalogue(
             dialect,
             store,
@@ -195,6 +189,15 @@
             self._on_catalogue_change,
             self._get_watch_interval_s,
         )
+        self._candidacy = PlannerCandidacy(
+            settings.host,
+            self._peer_table,
+            self._peer_gossip,
+            self._catalogue,
+            store,
+            self._timer,
+        )
+        self._planner_runner = self._make_planner_runner(store)
         self._catalogue.configurations.on_recovery = self._versions.recheck
         self._gateway_watcher = StoreWatcher(
             store,
@@ -274,7 +277,7 @@
     async def _stop(self, client_listener: SocketListener) -> None:
         _LOGGER.warning("stopping")
         started_s = self._timer.now()
-        self._is_stopping = self._exchanges.is_stopping = True
+        self._is_stopping = self._exchanges.is_stopping = self._candidacy.is_stopping = True
         grace_s = self._settings.grace_s
         self._dispatcher.send_by_s = started_s + grace_s * SEND_GRACE_FRACTION
         self._dispatcher.end_by_s = started_s + grace_s * ANSWER_GRACE_FRACTION
@@ -313,10 +316,7 @@
             self._exchanges.leaving,
             self._backoffs,
             self._lease_promises,
-            self._list_members,
-            self._list_rivals,
-            self._list_stopping,
-            self._is_candidate,
+            self._candidacy,
             lambda: self._request_handler.configuration,
             self._timer,
             self._metrics,
@@ -331,31 +331,6 @@
     def _get_watch_interval_s(self) -> float:
         return choose_watch_interval(self._peer_gossip.gateway_count)
 
-    def _list_members(self) -> tuple[str, ...]:
-        """:return: hosts of live gateways that are not stopping, this one included"""
-        hosts = self._peer_table.list_hosts(False, self._timer.now())
-        return tuple(sorted(hosts | {self._settings.host}))
-
-    def _list_rivals(self) -> set[str]:
-        """:return: hosts that may hold a lease that the store has lost, this one among them while
-        it does not know the others
-        """
-        if not self._gateway_watcher.is_listed:
-            return {self._settings.host}
-        listed = self._peer_gossip.list_hosts()
-        era, now_s = self._store.era, self._timer.now()
-        return self._peer_table.list_unaware(listed, era, now_s, MAX_UNRENEWED_LEASE_S)
-
-    def _list_stopping(self) -> set[str]:
-        """:return: hosts of live gateways that are stopping and will not take the lease"""
-        return self._peer_table.list_hosts(True, self._timer.now())
-
-    def _is_candidate(self) -> bool:
-        if self._is_stopping or not self._catalogue.endpoints.is_listed:
-            return False
-        hosts = self._peer_table.list_hosts(False, self._timer.now())
-        return sum(host < self._settings.host for host in hosts) < MAX_CANDIDATES
-
     def _apply_configuration(self, configuration: Configuration) -> None:
         self._request_handler.configuration = configuration
         self._exchanges.quotas.configure(configuration.callers)
@@ -432,7 +407,7 @@
 
     def _request_promises(self, now_s: float) -> None:
         if self._planner_runner.wants_promises:
-            self._peer_gossip.send_state_to(self._list_members())
+            self._peer_gossip.send_state_to(self._candidacy.list_members())
 
     def _update_peers(self, now_s: float) -> None:
         """Forget what peers have reported that no longer send messages."""
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/leasemanager.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/leasemanager.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable
 
 from kingcupdyke.error import OptionError, Outcome
-from kingcupdyke.lease import LeaseCommand, LeaseMachine, LeaseRecord, ReadLease
+from kingcupdyke.lease import LeaseMachine
+from kingcupdyke.leaserecord import LeaseCommand, LeaseRecord, ReadLease
 from kingcupdyke_wire.store import Conflict, StoreClient
 
 __all__ = ["LeaseManager"]
--- a/packages/kingcupdyke/features/lease_script.py
+++ b/packages/kingcupdyke/features/lease_script.py
@@ -7,7 +7,8 @@
 
 from fake_engine import FakeStore
 
-from kingcupdyke.lease import LeaseMachine, ReadLease
+from kingcupdyke.lease import LeaseMachine
+from kingcupdyke.leaserecord import ReadLease
 
 #: Offset of each process's clock.
 OFFSETS_S = {"p": 0.0, "q": 1000.0, "r": -500.0}
--- a/packages/kingcupdyke/features/lease_simulation.py
+++ b/packages/kingcupdyke/features/lease_simulation.py
@@ -12,7 +12,8 @@
 
 from kingcupdyke.forwarding.leasepromise import LeasePromises
 from kingcupdyke.forwarding.peerstate import GatewayState, PeerTable
-from kingcupdyke.lease import LeaseMachine, LeaseRecord, ReadLease
+from kingcupdyke.lease import LeaseMachine
+from kingcupdyke.leaserecord import LeaseRecord, ReadLease
 from kingcupdyke.storeera import join_revision, split_revision
 
 __all__ = ["GatewaySimulation"]
--- a/packages/kingcupdyke/features/steps/lease_steps.py
+++ b/packages/kingcupdyke/features/steps/lease_steps.py
@@ -12,7 +12,8 @@
 from lease_rules import LeaseRules
 from lease_script import LeaseScript
 
-from kingcupdyke.lease import LeaseMachine, LeaseRecord, ReadLease, WriteLease
+from kingcupdyke.lease import LeaseMachine
+from kingcupdyke.leaserecord import LeaseRecord, ReadLease, WriteLease
 
 
 @when('lease: "{events}" happens to processes that renew a lease of 10 s every 3 s')
