--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -19,8 +19,7 @@
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 #: Folder for the output of failed suites; ignored by git.
 REPORT_FOLDER = ROOT / "reports"
-#: Folders whose features each start their own processes, so that they can run concurrently. They
-#: take longest and are started first.
+#: Folders whose features each start their own processes, so that they can run concurrently.
 SPLIT_FOLDERS = (ROOT / "packages" / "kingcupdyke-daemon", ROOT)
 #: Limit of suites that run concurrently.
 MAX_CONCURRENT_SUITES = 3
@@ -43,11 +42,12 @@
     :return: folders of features, and single features of the root
     """
     suites = []
-    for folder in SPLIT_FOLDERS:
-        suites += sorted((folder / "features").glob("*.feature"))
+    # Whole suites come first: they take longest.
     for folder in [*sorted((ROOT / "packages").iterdir()), ROOT / "platform"]:
         if folder not in SPLIT_FOLDERS and list((folder / "features").glob("*.feature")):
             suites.append(folder / "features")
+    for folder in SPLIT_FOLDERS:
+        suites += sorted((folder / "features").glob("*.feature"))
     return [each for each in suites if only is None or each.is_relative_to(ROOT / only)]
 
 
