--- a/packages/kingcupdyke-daemon/features/steps/truncation_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/truncation_steps.py
@@ -28,6 +28,7 @@
     "a long text": (TEXT_TYPE, LONG),
     "status 204": ("", b""),
     "two events": (EVENT_TYPE, EVENTS),
+    "a part of a stream": (EVENT_TYPE, EVENTS + b"id: 3\nda"),
 }
 SOUND = b"sound"
 LINES = {"may be repeated": "GET /safe/1", "runs once": "POST /once/1"}
@@ -91,6 +92,8 @@
             await rig.serve_endpoint(context.endpoints[0])
             tasks.start_soon(add_later, rig, context.endpoints[1])
             context.raw = await rig.ask(write_request(LINES[kind]))
+            await sleep(0.3)
+            context.may_have_restarted = rig.endpoint_table.starts.may_have_restarted("e1")
             tasks.cancel_scope.cancel()
 
     run(job)
@@ -121,6 +124,12 @@
         assert not read_body(raw)[1], raw[:300]
 
 
+@then("truncation: whether the endpoint's process has ended is known: {is_known}")
+def check_known(context, is_known):
+    assert read_body(context.raw) == (EVENTS + REST, True), context.raw
+    assert context.may_have_restarted == (is_known == "yes")
+
+
 class CuttingEndpoint(ScriptedEndpoint):
     """An endpoint that cuts off its answers at one byte after the other.
 
--- a/packages/kingcupdyke-daemon/features/truncation.feature
+++ b/packages/kingcupdyke-daemon/features/truncation.feature
@@ -48,3 +48,15 @@
       | framing |
       | with a length |
       | in chunks |
+
+  # Guards against streams that begin at the next process of an endpoint and count as the earlier
+  # one's: no request was refused a connection in between (rule ORDER).
+  Scenario Outline: An endpoint that breaks a stream off and <then> is known to have ended: <is known>
+    Given truncation: an endpoint that sends a part of a stream and then <then>, and a sound one
+    When truncation: a client sends a request that may be resumed
+    Then truncation: whether the endpoint's process has ended is known: <is known>
+
+    Examples:
+      | then | is known |
+      | ends | yes |
+      | closes | no |
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/attemptfailures.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/attemptfailures.py
@@ -49,8 +49,24 @@
                 endpoint, self._deps.timer.now(), error.is_refused
             )
             return AttemptResult.NOT_SENT
+        self._check_listening(endpoint)
         return AttemptResult.BROKEN if self._reply.has_begun else AttemptResult.UNKNOWN
 
+    def _check_listening(self, endpoint: str) -> None:
+        """Find out whether the process that broke the connection has ended: until its next entry,
+        another one may answer in its place.
+        """
+        deps = self._deps
+        state = deps.endpoint_table.state_by_id.get(endpoint)
+        if state is not None:
+            deps.pool.check_listening(
+                endpoint,
+                state.entry.address,
+                lambda: deps.endpoint_table.starts.note_refused(
+                    endpoint, deps.timer.now(), is_gone=True
+                ),
+            )
+
     def note_unstamped(self, endpoint: str, head: Response) -> AttemptResult:
         """Record an answer that does not carry the server's stamp."""
         self.reason = f"endpoint {endpoint}: status {head.status_code} without the server's stamp"
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/pool.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/pool.py
@@ -48,6 +48,8 @@
         self._timer = timer
         self._tasks = tasks
         self._idle_by_endpoint: dict[str, list[EndpointConnection]] = {}
+        #: Endpoints for which a task finds out whether they still listen.
+        self._checked: set[str] = set()
 
     @property
     def idle_count(self) -> int:
@@ -111,6 +113,26 @@
         idle.append(connection)
         return True
 
+    def check_listening(
+        self, endpoint: str, address: tuple[str, int], on_gone: Callable[[], None]
+    ) -> None:
+        """Find out in the background whether an endpoint still listens that broke a connection.
+
+        :param on_gone: called if no process listens at its address
+        """
+        if endpoint not in self._checked:
+            self._checked.add(endpoint)
+            self._tasks.start_soon(self._check_listening, endpoint, address, on_gone)
+
+    async def _check_listening(
+        self, endpoint: str, address: tuple[str, int], on_gone: Callable[[], None]
+    ) -> None:
+        try:
+            if not await self.is_listening(endpoint, address):
+                on_gone()
+        finally:
+            self._checked.discard(endpoint)
+
     def close_expired(self) -> None:
         """Close the connections whose idle time has expired."""
         now_s = self._timer.now()
