Receive datagrams without registering the socket anew, and send them without a task

Ten gateways of the large fleet were sampled on (1,196 samples outside of waits): 29 % of their processor time was the registration of the socket with the event loop for each read and the reads, 3 % a task that sent what others had posted, 4 % removing secrets from each configuration a second time for nobody, 5 % a context manager for each message.

Change: the socket stays registered while the gateway runs; messages are sent when they are posted; a state is encoded only for those scopes in which peers are due; peers' reports that have not changed are not taken out of the sums and added again; one JSON decoder for all messages; changes are put together only where they are passed on. Before, a message posted before the socket was open was sent later; now it is lost, as any message may be.

--- a/packages/kingcupdyke-daemon/features/steps/datagramsocket_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/datagramsocket_steps.py
@@ -43,6 +43,15 @@
         logger.setLevel(logging.NOTSET)
 
 
+async def receive(receiver):
+    """:return: the datagrams of the first call that brings some"""
+    calls = []
+    with receiver.reading(calls.append):
+        while not calls:
+            await sleep(0.005)
+    return calls[0]
+
+
 @when("datagramsocket: {count:d} messages are sent, then received")
 def send_many(context, count):
     async def job(sender, receiver, address):
@@ -50,7 +59,7 @@
             sender.send(b"%d" % number, address)
         await sleep(0.05)
         context.expected = [b"%d" % number for number in range(count)]
-        context.received = await receiver.receive()
+        context.received = await receive(receiver)
 
     run_with_pair(context, job)
 
@@ -94,7 +103,7 @@
         context.address = address
         sender.send(TOO_LONG, address)
         sender.send(b"short", address)
-        context.received = await receiver.receive()
+        context.received = await receive(receiver)
 
     run_with_pair(context, job)
 
--- a/packages/kingcupdyke-daemon/features/steps/peermessages_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/peermessages_steps.py
@@ -149,7 +149,7 @@
 @then("peermessages: it has been decompressed 1 time, parsed 1 time and processed")
 def check_once(context):
     calls = context.calls
-    assert (calls["decompress"], calls["loads"]) == (1, 1), calls
+    assert (calls["decompress"], calls["raw_decode"]) == (1, 1), calls
     assert context.receiver.received == [context.kind], context.receiver.received
 
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/datagramsocket.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/datagramsocket.py
@@ -7,8 +7,11 @@
 
 import logging
 import socket
+from asyncio import get_running_loop
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
-from anyio import getaddrinfo, wait_readable
+from anyio import getaddrinfo
 
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
 
@@ -53,9 +56,23 @@
         except OSError as error:
             _LOGGER.debug("sending a message to %s:%d failed: %r", *address, error)
 
-    async def receive(self) -> list[bytes]:
-        """:return: the datagrams that have arrived, after waiting for the first one"""
-        await wait_readable(self._socket)
+    @contextmanager
+    def reading(self, on_received: Callable[[list[bytes]], None]) -> Iterator[None]:
+        """Read within the context.
+
+        The socket stays registered with the event loop, which costs no system calls for each read.
+
+        :param on_received: called with the datagrams that have arrived; must not raise an error
+        """
+        loop = get_running_loop()
+        loop.add_reader(self._socket, lambda: on_received(self._receive()))
+        try:
+            yield
+        finally:
+            loop.remove_reader(self._socket)
+
+    def _receive(self) -> list[bytes]:
+        """:return: the datagrams that have arrived"""
         received: list[bytes] = []
         try:
             while len(received) < MAX_RECEIVED_AT_ONCE:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peergossip.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/peergossip.py
@@ -105,8 +105,8 @@
         }
         self._count_rejected = count_rejected
         self._rejection_log = LineSampler(timer.now, MAX_REJECTION_LINES_PER_S)
-        self._outbox: list[tuple[str, bytes]] = []
-        self._posted = Event()
+        #: The open socket, or None before :meth:`run` and after it.
+        self._datagrams: DatagramSocket | None = None
         self._address_by_host: dict[str, SocketAddress] = {}
         self._data_centre_by_host: dict[str, str] = {}
         self._schedule = PeerSchedule()
@@ -186,8 +186,9 @@
 
     def post(self, host: str, message: bytes) -> None:
         """Send a message to a peer immediately; it may be lost."""
-        self._outbox.append((host, message))
-        self._posted.set()
+        address = self._address_by_host.get(host)
+        if address is not None and self._datagrams is not None:
+            self._datagrams.send(message, address)
 
     def send_state_soon(self, is_demand: bool = False) -> None:
         """Send the state to all peers without waiting until they are due.
@@ -236,30 +237,21 @@
 
     async def run(self) -> None:
         """Send and receive messages until cancelled."""
-        datagrams = await DatagramSocket.bind(self._address)
+        datagrams = self._datagrams = await DatagramSocket.bind(self._address)
         try:
-            async with create_task_group() as tasks:
-                isolated = IsolatedTaskGroup(tasks, self._errors)
-                for run in (self._receive, self._send, self._send_posted):
-                    isolated.keep_running(run, datagrams)
+            with datagrams.reading(self._apply_all):
+                async with create_task_group() as tasks:
+                    IsolatedTaskGroup(tasks, self._errors).keep_running(self._send, datagrams)
         finally:
+            self._datagrams = None
             datagrams.close()
 
-    async def _receive(self, datagrams: DatagramSocket) -> None:
-        while True:
-            for data in await datagrams.receive():
-                with self._errors.contain("peer message"):
-                    self._apply(data)
-
-    async def _send_posted(self, datagrams: DatagramSocket) -> None:
-        while True:
-            await self._posted.wait()
-            self._posted = Event()
-            outbox, self._outbox = self._outbox, []
-            for host, message in outbox:
-                address = self._address_by_host.get(host)
-                if address is not None:
-                    datagrams.send(message, address)
+    def _apply_all(self, received: list[bytes]) -> None:
+        for data in received:
+            try:
+                self._apply(data)
+            except Exception as error:
+                self._errors.note("peer message", error)
 
     def _apply(self, data: bytes) -> None:
         """Decode a datagram as a message of the kind that it names, and process it."""
@@ -309,7 +301,7 @@
         self._message_number += 1
         state = self._make_state(self._message_number)
         data_by_scope = {}
-        for scope in PeerScope:
+        for scope in {scope_by_host[host] for host in hosts if host in scope_by_host}:
             interval_s = self._schedule.get_interval_s(scope, len(scope_by_host))
             data_by_scope[scope] = state._replace(interval_s=interval_s).encode()
         for host in hosts:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/storewatcher.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/storewatcher.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 
 from anyio import Event, move_on_after, sleep
@@ -76,8 +76,8 @@
         self.is_listed = False
         #: Time in seconds of the last answer of the store, received directly or from a peer.
         self.last_answer_s = 0.0
-        #: Called with the changes that a call has returned.
-        self.on_read: Callable[[StoreChanges], None] = lambda changes: None
+        #: Called with the changes that a call has returned, or None.
+        self.on_read: Callable[[StoreChanges], None] | None = None
         #: Called when changes may have been missed, until the whole list is read again.
         self.on_gap: Callable[[], None] = lambda: None
         #: Called when the store answers again, or has come back from a copy.
@@ -222,12 +222,8 @@
                 value = None if event.current is None else event.current.value
                 self._apply(event.name, _get_version(event), value, self.had_recent_outage)
             self._position = max(self._position, position)
-            changes = tuple(self._make_change(each) for each in events)
-            self.on_read(
-                StoreChanges(
-                    "", self._kind, from_position, position, self.had_recent_outage, changes
-                )
-            )
+            if self.on_read is not None:
+                self.on_read(self._make_read_changes(from_position, position, events))
             await sleep(max(0.0, next_call_s - self._timer.now()))
 
     async def _follow(self) -> None:
@@ -249,10 +245,21 @@
         elif known is None or known.version < version:
             self._put(StoreObject(self._kind, name, version, value))
 
+    def _make_read_changes(
+        self, from_position: int, position: int, events: Iterable[WatchEvent]
+    ) -> StoreChanges:
+        changes = tuple(self._make_change(each) for each in events)
+        return StoreChanges(
+            "", self._kind, from_position, position, self.had_recent_outage, changes
+        )
+
     def _make_change(self, event: WatchEvent) -> StoreChange:
         value = None
         if event.current is not None:
-            value = self._redact(event.current.value).decode("utf-8", "replace")
+            known = self._object_by_name.get(event.name)
+            is_known = known is not None and known.version == event.current.version
+            stripped = known if is_known else self._strip(event.current)
+            value = stripped.value.decode("utf-8", "replace")
         return StoreChange(event.name, _get_version(event), value)
 
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/timer.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/timer.py
@@ -5,9 +5,10 @@
 The timer service on the event loop.
 """
 
+from asyncio import get_running_loop
 from collections.abc import Callable
 
-from anyio import CancelScope, current_time, sleep_until
+from anyio import CancelScope, sleep_until
 from anyio.abc import TaskGroup
 
 from kingcupdyke.timer import TimerService
@@ -31,11 +32,12 @@
     def __init__(self, tasks: TaskGroup, errors: TaskErrors | None = None) -> None:
         self._tasks = tasks
         self._errors = errors or TaskErrors()
-        self._started_s = current_time()
+        self._loop = get_running_loop()
+        self._started_s = self._loop.time()
         self._scopes_by_name: dict[str, CancelScope] = {}
 
     def now(self) -> float:
-        return current_time()
+        return self._loop.time()
 
     def subscribe(self, name: str, period_s: float, callback: Callable[[float], None]) -> None:
         self.unsubscribe(name)
@@ -59,7 +61,7 @@
         with scope:
             while True:
                 # A call may come a little before it is due.
-                periods = max(periods, int((current_time() - self._started_s) / period_s)) + 1
+                periods = max(periods, int((self.now() - self._started_s) / period_s)) + 1
                 await sleep_until(self._started_s + periods * period_s)
                 with self._errors.contain(f"timer {name}"):
-                    callback(current_time())
+                    callback(self.now())
--- a/packages/kingcupdyke/kingcupdyke/forwarding/peermessage.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/peermessage.py
@@ -108,7 +108,7 @@
     text = inflater.decompress(memoryview(data)[1:], MAX_MESSAGE_BYTES)
     if not inflater.eof:
         raise ValueError("message is truncated or too long")
-    return json.loads(text, parse_float=_parse_finite, parse_constant=_parse_finite)
+    return _DECODER.decode(str(text, "utf-8"))
 
 
 def _parse_finite(text: str) -> float:
@@ -118,5 +118,7 @@
     return number
 
 
+#: ``json.loads`` would make one for each message.
+_DECODER = json.JSONDecoder(parse_float=_parse_finite, parse_constant=_parse_finite)
 _KIND_BY_NUMBER = {each.value: each for each in MessageKind}
 _PREFIX_BY_KIND = {each: bytes([each]) for each in MessageKind}
--- a/packages/kingcupdyke/kingcupdyke/forwarding/peerreports.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/peerreports.py
@@ -49,6 +49,10 @@
 
         :return: endpoints whose sums may have changed
         """
+        known = self._state_by_host.get(state.host)
+        if known is not None and _has_same_report(known, state):
+            self._state_by_host[state.host] = state
+            return set()
         changed = self._drop(state.host)
         self._state_by_host[state.host] = state
         return changed | self._add(state, 1)
@@ -82,8 +86,20 @@
         return {each.endpoint for each in state.loads} | set(state.unreachable)
 
 
+def _has_same_report(known: GatewayState, state: GatewayState) -> bool:
+    return (
+        known.loads == state.loads
+        and known.unreachable == state.unreachable
+        and known.demands == state.demands
+    )
+
+
 def _add(counter: Counter[str], key: str, number: int) -> None:
     """Add to a sum, and forget it when it is zero."""
-    counter[key] += number
-    if not counter[key]:
+    if not number:
+        return
+    total = counter[key] + number
+    if total:
+        counter[key] = total
+    else:
         del counter[key]
