Tell peers of endpoints that start or recover what is new, not all of it again

Cause: a message contained all windows of the last ten seconds, whether or not they had changed, went to all peers and 0.1 s later to the senders as well, and at once to all peers whenever a window ended anywhere: a gateway that learnt of the end told all others too. Besides, each window was compared with all endpoints each 0.1 s, which grows with the square of their number.

Change: a message contains what this gateway has seen since the one before the last (one of them may be lost); a message to all peers is also one to the senders; what must be known at once is sent alone; of the end of a window three gateways tell the others, by rendezvous hashing. What windows are compared with is found once for each service.

A draft without the urgent message at the end of a window was red at 300 gateways (no request permitted at an endpoint).

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/pacedirectory.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/pacedirectory.py
@@ -7,6 +7,7 @@
 
 import logging
 from collections.abc import Callable, Collection, Mapping
+from math import inf
 
 from kingcupdyke.forwarding.pacemessage import PaceMessage
 from kingcupdyke.forwarding.pacetable import PaceEvent, PaceTable
@@ -29,7 +30,9 @@
     """Keeps the windows of endpoints that start or recover together with the peers.
 
     The gateways that send to such an endpoint hear of it at the interval for their number, as few
-    of them share a small window; all others at the interval for the number of peers.
+    of them share a small window; all others at the interval for the number of peers. A message
+    contains what is new since the one before the last, as one of them may be lost. All hear
+    immediately of endpoints that go down, are back, or no longer need a window.
 
     :param host: name of this host
     :param incarnation: identifies this start of the process
@@ -57,8 +60,8 @@
         self._list_peers = list_peers
         self._count_gateways = count_gateways
         self._send = send
-        self._next_sender_s = 0.0
-        self._next_peer_s = 0.0
+        self._for_peers = _Audience()
+        self._for_senders = _Audience()
         timer.subscribe("pace", UPDATE_INTERVAL_S, self._update)
 
     def receive(self, message: PaceMessage) -> None:
@@ -74,17 +77,25 @@
         table.update(now_s)
         for event in table.take_events():
             _log(event)
-        is_urgent = table.take_urgent()
-        if is_urgent or now_s >= self._next_peer_s:
-            self._next_peer_s = now_s + _get_interval_s(len(peers))
-            self._post(peers, now_s)
-        elif now_s >= self._next_sender_s:
+        if urgent := table.take_urgent():
+            self._post(peers, -inf, now_s, urgent)
+        if now_s >= self._for_peers.due_s:
+            since_s = self._for_peers.note_message(len(peers), now_s)
+            # The senders are among them.
+            self._for_senders.note_message(len(peers), now_s)
+            self._post(peers, since_s, now_s)
+        elif now_s >= self._for_senders.due_s:
             senders = table.list_senders(now_s) & peers.keys()
-            self._next_sender_s = now_s + _get_interval_s(len(senders))
-            self._post(senders, now_s)
+            self._post(senders, self._for_senders.note_message(len(senders), now_s), now_s)
 
-    def _post(self, peers: Collection[str], now_s: float) -> None:
-        reports = self._table.make_reports(now_s)
+    def _post(
+        self,
+        peers: Collection[str],
+        since_s: float,
+        now_s: float,
+        endpoints: Collection[str] | None = None,
+    ) -> None:
+        reports = self._table.make_reports(since_s, now_s, endpoints)
         if not reports:
             return
         data = PaceMessage(self._host, self._incarnation, reports).encode()
@@ -92,8 +103,25 @@
             self._send(peer, data)
 
 
-def _get_interval_s(receivers: int) -> float:
-    return MESSAGE_INTERVAL_S * max(1.0, receivers / PEERS_AT_FULL_RATE)
+class _Audience:
+    """Receivers of messages, with the times of the last two messages and of the next one."""
+
+    def __init__(self) -> None:
+        self.due_s = 0.0
+        self._last_s = -inf
+        self._before_last_s = -inf
+
+    def note_message(self, receivers: int, now_s: float) -> float:
+        """Record that a message is sent now.
+
+        :param receivers: number of its receivers
+        :return: time since which its news are
+        """
+        since_s = self._before_last_s
+        self._before_last_s, self._last_s = self._last_s, now_s
+        slowdown = max(1.0, receivers / PEERS_AT_FULL_RATE)
+        self.due_s = now_s + MESSAGE_INTERVAL_S * slowdown
+        return since_s
 
 
 def _log(event: PaceEvent) -> None:
--- a/packages/kingcupdyke-measure/kingcupdyke_measure/simulator.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/simulator.py
@@ -5,6 +5,7 @@
 Simulates a load in virtual time, with the real dispatcher and planner over simulated engines.
 """
 
+from math import inf
 from random import Random
 
 from anyio import create_task_group, current_time, move_on_after, sleep, sleep_until
@@ -154,7 +155,7 @@
         for name, table in tables.items():
             table.set_gateways(name, tables.keys() - {name}, len(tables))
             table.update(now_s)
-            message = PaceMessage(name, "", table.make_reports(now_s))
+            message = PaceMessage(name, "", table.make_reports(-inf, now_s))
             for peer in tables.keys() - {name}:
                 tables[peer].merge(message, now_s)
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/pacetable.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/pacetable.py
@@ -15,7 +15,11 @@
 from typing import NamedTuple
 
 from kingcupdyke.forwarding.endpointstate import UNREACHABLE_FAILURES, EndpointState
-from kingcupdyke.forwarding.pacecomparison import compare_window, get_expected_first_s
+from kingcupdyke.forwarding.pacecomparison import (
+    compare_window,
+    find_norms,
+    get_expected_first_s,
+)
 from kingcupdyke.forwarding.pacemessage import PaceMessage, PaceReason, PaceReport
 from kingcupdyke.forwarding.pacewindow import INITIAL_WINDOW, PaceSender, PaceWindow
 from kingcupdyke.forwarding.peerschedule import PeerSchedule, PeerScope
@@ -27,7 +31,9 @@
 MIN_WITNESSES = 2
 #: Seconds after which a gateway tries an unreachable endpoint that most of its peers can reach.
 OWN_PROBE_S = 5.0
-#: Seconds after its latest news for which a window is reported to peers.
+#: Number of gateways that tell all others that a window has ended.
+ANNOUNCERS = 3
+#: Seconds after this gateway's latest evidence for which it is reported to peers.
 REPORT_S = 10.0
 
 
@@ -62,7 +68,8 @@
         #: Hosts that report an endpoint as unreachable, by endpoint, start and episode.
         self._witnesses: dict[tuple[str, int, int], set[str]] = {}
         self._events: list[PaceEvent] = []
-        self._is_urgent = False
+        #: Endpoints of which peers should hear immediately.
+        self._urgent: set[str] = set()
 
     @property
     def is_active(self) -> bool:
@@ -107,8 +114,11 @@
 
     def note_unreachable(self, state: EndpointState, now_s: float) -> None:
         """Record two or more failed connections to an endpoint."""
+        if state.pace is None:
+            self._urgent.add(state.entry.endpoint)
         self.begin(state, PaceReason.UNREACHABLE)
         window = state.pace
+        window.own_news_s = now_s
         window.begin(now_s)
         window.bad_s = now_s
         window.is_down = True
@@ -148,6 +158,7 @@
         """Record a failure or a slow response of an endpoint with a window."""
         if state.pace.note_bad(now_s):
             state.pace.own_failures += 1
+            state.pace.own_news_s = now_s
 
     def has_room(self, state: EndpointState, now_s: float) -> bool:
         """:return: whether the window of an endpoint permits a further request from here"""
@@ -184,6 +195,8 @@
 
     def update(self, now_s: float) -> None:
         """Update what the windows are compared with, and end those that are no longer needed."""
+        services = {state.entry.service for state in self._recovering.values()}
+        norm_by_service = find_norms(services, self._state_by_id.values())
         for endpoint, state in list(self._recovering.items()):
             if self._state_by_id.get(endpoint) is not state or state.pace is None:
                 del self._recovering[endpoint]
@@ -193,10 +206,12 @@
             if window.cold_left_s:
                 window.cold_until_s = now_s + window.cold_left_s
                 window.cold_left_s = 0.0
-            compare_window(state, self._state_by_id.values())
+            compare_window(state, norm_by_service.get(state.entry.service))
             if window.released_until_s is None:
                 if window.may_end(now_s):
                     self._release(state, now_s)
+                    if self._is_announcer(endpoint, window, now_s):
+                        self._urgent.add(endpoint)
             elif now_s >= window.released_until_s:
                 state.pace = None
                 del self._recovering[endpoint]
@@ -226,6 +241,7 @@
             if was_down and not state.pace.is_down:
                 self._note_reached(state)
             if report.is_ended and state.pace.released_until_s is None and not state.pace.is_down:
+                # The peer that has released it first has told the others too.
                 self._release(state, now_s)
 
     def take_events(self) -> list[PaceEvent]:
@@ -233,17 +249,24 @@
         events, self._events = self._events, []
         return events
 
-    def take_urgent(self) -> bool:
-        """:return: whether peers should hear immediately of what has changed since the last call"""
-        is_urgent, self._is_urgent = self._is_urgent, False
-        return is_urgent
+    def take_urgent(self) -> set[str]:
+        """:return: endpoints of whose change since the last call peers should hear immediately"""
+        urgent, self._urgent = self._urgent, set()
+        return urgent
+
+    def make_reports(
+        self, since_s: float, now_s: float, endpoints: Collection[str] | None = None
+    ) -> tuple[PaceReport, ...]:
+        """:return: the windows of which this gateway has had evidence of its own since a time
 
-    def make_reports(self, now_s: float) -> tuple[PaceReport, ...]:
-        """:return: the windows of which this gateway has evidence of its own"""
+        :param endpoints: the endpoints to report on, or None for all
+        """
         reports = []
         for endpoint, state in self._recovering.items():
             window = state.pace
-            if window is None or now_s - window.news_s > REPORT_S:
+            if endpoints is not None and endpoint not in endpoints:
+                continue
+            if window is None or window.own_news_s < max(since_s, now_s - REPORT_S):
                 continue
             is_witness = window.reason is PaceReason.UNREACHABLE and not window.is_adopted
             if not (window.own_successes or window.own_failures or is_witness):
@@ -287,10 +310,10 @@
         endpoint = state.entry.endpoint
         state.pace = PaceWindow(reason, hash_score(endpoint, self._host) / 2**64)
         self._recovering[endpoint] = state
-        compare_window(state, self._state_by_id.values())
+        service = state.entry.service
+        compare_window(state, find_norms({service}, self._state_by_id.values()).get(service))
         if state.pace.is_alone:
             state.pace.window = max(INITIAL_WINDOW, state.entry.slots / 4)
-        self._is_urgent = self._is_urgent or reason is PaceReason.UNREACHABLE
         self._record(state, True, 0.0)
 
     def _judge(
@@ -306,8 +329,9 @@
 
     def _count_success(self, state: EndpointState, now_s: float) -> None:
         state.pace.own_successes += 1
+        state.pace.own_news_s = now_s
         if state.pace.note_good(1, now_s):
-            self._is_urgent = True
+            self._urgent.add(state.entry.endpoint)
 
     def _get_room(self, state: EndpointState, now_s: float) -> int:
         """:return: requests that this gateway may send now; negative if it has sent more"""
@@ -329,6 +353,13 @@
             window.ranked = rank_rendezvous(f"{endpoint}/{key[0]}", self._hosts)
         return window.ranked
 
+    def _is_announcer(self, endpoint: str, window: PaceWindow, now_s: float) -> bool:
+        """:return: whether this gateway tells the others that a window has ended; many see it at
+        about the same time
+        """
+        ranked = self._rank(endpoint, window, now_s)
+        return bool(window.own_successes) and self._host in ranked[:ANNOUNCERS]
+
     def _may_probe(self, state: EndpointState, now_s: float) -> bool:
         """:return: whether only this gateway and few others cannot reach an endpoint"""
         is_local = 2 * state.peer_reports.unreachable_peers < len(self._hosts) - 1
@@ -369,7 +400,8 @@
         state.pace.released_until_s = now_s + interval_s
         state.failure_share = 0.0
         self._note_reached(state)
-        self._is_urgent = self._is_urgent or bool(state.pace.own_successes)
+        if state.pace.own_successes:
+            state.pace.own_news_s = now_s
         self._record(state, False, now_s - state.pace.begun_s)
 
     def _record(self, state: EndpointState, is_begin: bool, seconds: float) -> None:
--- a/packages/kingcupdyke/kingcupdyke/forwarding/pacewindow.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/pacewindow.py
@@ -60,6 +60,8 @@
         self.cut_s = -inf
         self.bad_s = -inf
         self.news_s = inf
+        #: Time of this gateway's own last evidence of it.
+        self.own_news_s = -inf
         #: Seconds for which the endpoint says that it stays slow; counted from the next update.
         self.cold_left_s = 0.0
         self.cold_until_s = -inf
