Bound what endpoints' bytes without end hold and delay, over all requests

Cause, found with endlessprocess.feature and by sampling the process: each stream held up to 1 MiB of an event, put together again with each piece, and nothing bounded these together; the event loop read 256 KiB a connection, and served all faulty connections before it came back to others; the pattern that finds the end of an event ran over all bytes.

Change: beginnings of events, bodies held back and failed answers that are kept count toward the memory budget, by endpoint; an event has at most 65,536 bytes (setting); a piece costs time in its own length; 16 KiB are read at once, and large reads of one endpoint are passed on in turns; faults are counted by kind. A request that may have run is still never called "not run".

--- a/packages/kingcupdyke-daemon/features/endless.feature
+++ b/packages/kingcupdyke-daemon/features/endless.feature
@@ -21,3 +21,17 @@
       | an event of a resumable stream | GET /resume/1 | event | 200 events 1,2,3,4 | 0.9 |
       | the size of a chunk | GET /stream/1 | chunk | cut | 0.5 |
       | a body, to a client that does not read it | GET /safe/1 | body | cut | 1.6 |
+      | a body, to a client that reads it | GET /safe/1 | readbody | cut | 1.6 |
+      | an event of a stream with a length | GET /resume/1 | sizedevent | cut | 0.9 |
+
+  # Guards against endpoints that use up the memory of others' requests with many beginnings of events.
+  Scenario Outline: With a memory limit of <limit> bytes, <case>
+    When endless: with a memory limit of <limit> bytes, "<request>" goes to an endpoint that sends "<script>", and then to a sound one
+    Then endless: the answer is "<answer>", and the fault counted is "<fault>"
+
+    Examples:
+      | limit | case | request | script | answer | fault |
+      | 640000 | a beginning of an event over the endpoint's share breaks off | GET /resume/1 | event | 200 events 1,2,3,4 | memory used up |
+      | 64000000 | one within the share breaks off by its length | GET /resume/1 | event | 200 events 1,2,3,4 | event too long |
+      | 64000000 | a head without end counts as malformed | GET /safe/1 | line | 200 e2 | malformed |
+      | 64000000 | answers to other requests count as stray | GET /safe/1 | stray | 200 e2 | stray |
--- a/packages/kingcupdyke-daemon/features/forwarder_rig.py
+++ b/packages/kingcupdyke-daemon/features/forwarder_rig.py
@@ -491,6 +491,7 @@
             self.network.send,
         )
         self.backoffs = EndpointBackoffs(self.endpoint_table, timer, self.metrics)
+        self.memory = AnswerMemory(None, self.metrics)
         deps = ForwarderDependencies(
             PlainDialect(),
             self.dispatcher,
@@ -517,12 +518,12 @@
                 self.dispatcher.version_register, MemoryStoreClient(), timer, tasks, queue.poll
             ),
             self.quotas,
+            self.memory,
         )
         self.endpoint_table.listed_since_s = -inf
         self.handler = ForwardingHandler(deps)
         self.limits = ClientLimits(2000, 10_000, 0.3, 0.6)
         self.handler.configuration = make_configuration(1, 1.0, self.limits)
-        self.memory = AnswerMemory(None, self.metrics)
         self.server = ClientServer(
             self.handler, lambda: self.limits, timer.now, self.memory, TaskErrors()
         )
--- a/packages/kingcupdyke-daemon/features/steps/endless_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/endless_steps.py
@@ -29,6 +29,13 @@
         BLOCK,
         0.0,
     ),
+    "sizedevent": (
+        "HTTP/1.1 200 X\r\nx-id: {id}\r\nx-mark: m\r\ncontent-length: 999999999999\r\n\r\n"
+        "id: 1\ndata: ",
+        BLOCK,
+        0.0,
+    ),
+    "readbody": ("HTTP/1.1 200 X\r\nx-id: {id}\r\nx-mark: m\r\n\r\n", BLOCK, 0.001),
     "body": ("HTTP/1.1 200 X\r\nx-id: {id}\r\nx-mark: m\r\n\r\n", BLOCK, 0.0),
 }
 
@@ -50,9 +57,10 @@
         return False
 
 
-async def ask(context, request, script):
+async def ask(context, request, script, memory_bytes=None):
     sound = "rest" if "resume" in request else "ok"
     async with open_rig(["down", sound]) as rig:
+        rig.memory.configure(memory_bytes)
         endpoint = EndlessEndpoint("e1", f"endless:{script}")
         await rig.serve_endpoint(endpoint)
         # The first request goes to the endpoint without end.
@@ -63,12 +71,28 @@
             await sleep(1.4)
             context.raw = (await stream.receive())[:1000]
             await stream.aclose()
+        elif script == "readbody":
+            stream = await rig.send(write_request(request))
+            context.raw = await read_tail(stream)
         else:
             context.raw = await rig.ask(write_request(request))
         context.seconds = current_time() - started_s
         # A slow endpoint sees that its connection was closed when it sends twice more.
         await sleep(0.3)
         context.closed = endpoint.closed
+        context.metrics = rig.metrics.render().decode()
+        context.unfinished = rig.memory.unfinished_parts.size_bytes
+
+
+async def read_tail(stream):
+    """:return: the last bytes that are received on a connection until it ends"""
+    found = b""
+    try:
+        while True:
+            found = await stream.receive()
+    except DISCONNECT_ERRORS:
+        await stream.aclose()
+        return found[-1000:]
 
 
 @when(
@@ -84,6 +108,22 @@
     run(ask, context, request, script)
 
 
+@when(
+    'endless: with a memory limit of {limit:d} bytes, "{request}" goes to an endpoint that sends '
+    '"{script}", and then to a sound one'
+)
+def send_with_limit(context, limit, request, script):
+    run(ask, context, request, script, limit)
+
+
+@then('endless: the answer is "{answer}", and the fault counted is "{fault}"')
+def check_fault(context, answer, fault):
+    assert describe(context.raw) == answer, context.raw
+    lines = [each for each in context.metrics.splitlines() if "faulty_answers_total{" in each]
+    assert lines == [f'kingcupdyke_faulty_answers_total{{fault="{fault}"}} 1.0'], lines
+    assert context.unfinished == 0, context.unfinished
+
+
 @then('endless: the answer is "{answer}" within {seconds:g} s')
 def check_answer(context, answer, seconds):
     found = "cut" if context.raw.endswith(b"!") or b"aaaa" in context.raw else None
--- a/packages/kingcupdyke-daemon/features/steps/pool_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/pool_steps.py
@@ -23,7 +23,13 @@
 from behave import then, when
 from forwarder_rig import PlainDialect
 
-from kingcupdyke_daemon.forwarder.connection import EndpointConnection, Progress, TransferError
+from kingcupdyke.forwarding.unfinishedparts import UnfinishedParts
+from kingcupdyke_daemon.forwarder.connection import (
+    EndpointConnection,
+    Progress,
+    ReadTurns,
+    TransferError,
+)
 from kingcupdyke_daemon.forwarder.exchange import Exchange
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
 from kingcupdyke_daemon.timer import LoopTimer
@@ -52,7 +58,7 @@
 
     async def open(self):
         """:return: a new connection that has served a request, and its stream at the endpoint"""
-        connection = await EndpointConnection.open(self.address)
+        connection = await EndpointConnection.open(self.address, ReadTurns())
         await read_answer(begin(self.tasks, connection))
         return connection, self.streams[-1]
 
@@ -80,7 +86,7 @@
 
 async def read_answer(exchange):
     await exchange.read_head(lambda status, metadata: None)
-    return await exchange.read_short_body()
+    return await exchange.read_short_body(UnfinishedParts(1_000_000).open_part("e"))
 
 
 def delay_close(connection, delay_s=CLOSE_S):
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerbuffer.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerbuffer.py
@@ -12,8 +12,10 @@
 from anyio.lowlevel import checkpoint
 
 from kingcupdyke.forwarding.memorybudget import HeldAnswer, MemoryBudget, choose_budget_bytes
+from kingcupdyke.forwarding.unfinishedparts import UnfinishedParts
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
 from kingcupdyke_daemon.forwarder.reply import Reply
+from kingcupdyke_daemon.forwarder.settings import DEFAULT_MAX_EVENT_BYTES
 from kingcupdyke_daemon.logs import log_record
 from kingcupdyke_daemon.records import AnswerMemoryRecord
 from kingcupdyke_wire.sockets import count_unsent, set_unacknowledged_timeout, write_now
@@ -45,13 +47,25 @@
     """The memory budget of a process, with its gauge, counter and log lines.
 
     :param limit_bytes: memory limit of the process, or None if it is not known
+    :param max_event_bytes: limit of the size of an event of a stream
     """
 
-    def __init__(self, limit_bytes: int | None, metrics: ForwarderMetrics) -> None:
+    def __init__(
+        self,
+        limit_bytes: int | None,
+        metrics: ForwarderMetrics,
+        max_event_bytes: int = DEFAULT_MAX_EVENT_BYTES,
+    ) -> None:
         self.budget = MemoryBudget(choose_budget_bytes(limit_bytes))
+        self.max_event_bytes = max_event_bytes
         self._metrics = metrics
         metrics.add_gauge("held_bytes", self._list_held, "side")
 
+    @property
+    def unfinished_parts(self) -> UnfinishedParts:
+        """:return: the bytes of answers that can't be passed on yet"""
+        return self.budget.unfinished_parts
+
     def configure(self, limit_bytes: int | None) -> None:
         """Change the memory limit of the process."""
         self.budget.configure(choose_budget_bytes(limit_bytes))
@@ -72,7 +86,11 @@
         )
 
     def _list_held(self) -> dict[str, float]:
-        return {"client": self.budget.answer_bytes, "endpoint": self.budget.body_bytes}
+        return {
+            "client": self.budget.answer_bytes,
+            "endpoint": self.budget.body_bytes,
+            "unfinished": self.unfinished_parts.size_bytes,
+        }
 
 
 class AnswerBuffer:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerrelay.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerrelay.py
@@ -6,12 +6,15 @@
 """
 
 from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import closing
 from enum import StrEnum
 from typing import NamedTuple
 
 from h11 import Response
 
-from kingcupdyke_daemon.forwarder.connection import Progress, TransferError
+from kingcupdyke.forwarding.unfinishedparts import UnfinishedPart
+from kingcupdyke_daemon.forwarder.answerbuffer import AnswerMemory
+from kingcupdyke_daemon.forwarder.connection import AnswerFault, Progress, TransferError
 from kingcupdyke_daemon.forwarder.dialect import Headers
 from kingcupdyke_daemon.forwarder.events import EventBuffer
 from kingcupdyke_daemon.forwarder.reply import Reply
@@ -58,6 +61,7 @@
     """Passes the answer to one request on; a resumed stream comes from several endpoints.
 
     :param reply: writes the answer to the client
+    :param memory: counts what can't be passed on yet
     :param is_streaming: whether the route's answers are streams of events
     :param is_resumable: whether another endpoint can continue the stream after its last complete
         event, so that only complete events are passed on
@@ -67,15 +71,17 @@
     def __init__(
         self,
         reply: Reply,
+        memory: AnswerMemory,
         is_streaming: bool,
         is_resumable: bool,
         on_first_event: Callable[[], None],
     ) -> None:
         self._reply = reply
+        self._memory = memory
         self._is_streaming = is_streaming
         self._is_resumable = is_resumable
         self._on_first_event = on_first_event
-        self._events = EventBuffer()
+        self._events = EventBuffer(is_resumable, memory.max_event_bytes)
         self._framing = ""
         #: Status of the answer whose head was passed on, and whether it is a stream of events.
         self._status = 0
@@ -109,6 +115,7 @@
 
     async def relay(
         self,
+        endpoint: str,
         head: Response,
         parts: AsyncIterator[bytes],
         is_running: Callable[[], Awaitable[bool]],
@@ -119,24 +126,27 @@
         The end of a connection marks the end of an answer, or that of the endpoint's process. Where
         the body does not show which, the answer counts as whole if the endpoint still runs.
 
+        :param endpoint: the endpoint that has sent it
         :param parts: its body as it arrives
         :param is_running: returns whether a process still listens at the endpoint's address
         :param has_body: whether answers to the request's method have bodies
-        :raises TransferError: when the answer ends before it is complete, or an event is too long
+        :raises TransferError: when the answer ends before it is complete, an event is too long, or
+            the endpoint's answers may not hold more
         """
         self._framing = _find_framing(head) if has_body else AnswerFraming.NONE
         self._events.drop_partial()
         is_events = self._is_event_stream(head)
         is_unframed = self._framing == AnswerFraming.CONNECTION
-        if is_unframed and not is_events:
-            await self._relay_unframed(head, parts, is_running)
-            return
-        await self._begin(head, is_events)
-        if not is_events:
-            async for data in parts:
-                await self._reply.write(data)
-            return
-        await self._relay_events(parts)
+        with closing(self._memory.unfinished_parts.open_part(endpoint)) as unfinished:
+            if is_unframed and not is_events:
+                await self._relay_unframed(head, parts, is_running, unfinished)
+                return
+            await self._begin(head, is_events)
+            if not is_events:
+                async for data in parts:
+                    await self._reply.write(data)
+                return
+            await self._relay_events(parts, unfinished)
         if is_unframed:
             await _check_running(is_running)
 
@@ -154,49 +164,55 @@
         head: Response,
         parts: AsyncIterator[bytes],
         is_running: Callable[[], Awaitable[bool]],
+        unfinished: UnfinishedPart,
     ) -> None:
         """Pass an answer on that ends with its connection. A short one is held back until it is
         known to be whole, so that the request can still be sent to another endpoint.
         """
-        held = b""
+        held = bytearray()
         async for data in parts:
             held += data
-            if len(held) > MAX_HELD_BYTES:
+            if len(held) > MAX_HELD_BYTES or not unfinished.resize(len(held)):
                 await self._begin(head, False)
-                await self._reply.write(held)
-                held = b""
+                await self._reply.write(bytes(held))
+                held.clear()
+                unfinished.resize(0)
+        rest = bytes(held)
         if not self._reply.has_begun:
             headers = decode_headers(head)
-            if reason := find_truncation(headers, held):
+            if reason := find_truncation(headers, rest):
                 raise TransferError(Progress.ANSWERING, reason)
-            if not marks_its_end(headers, held):
+            if not marks_its_end(headers, rest):
                 await _check_running(is_running)
         else:
             await _check_running(is_running)
         await self._begin(head, False)
-        if held:
-            await self._reply.write(held)
+        if rest:
+            await self._reply.write(rest)
 
-    async def _relay_events(self, parts: AsyncIterator[bytes]) -> None:
+    async def _relay_events(self, parts: AsyncIterator[bytes], unfinished: UnfinishedPart) -> None:
         events = self._events
         count_before = events.count
         async for data in parts:
             is_first = not events.count
             try:
-                complete = events.feed(data)
+                ready = events.feed(data)
             except EventTooLongError as error:
-                raise TransferError(Progress.ANSWERING, str(error)) from error
-            if complete and is_first:
+                reason = str(error)
+                raise TransferError(Progress.ANSWERING, reason, fault=AnswerFault.EVENT) from error
+            if not unfinished.resize(events.held_bytes):
+                reason = "the endpoint's incomplete events use too much memory"
+                raise TransferError(Progress.ANSWERING, reason, fault=AnswerFault.MEMORY)
+            if events.count and is_first:
                 self._on_first_event()
-            data = complete if self._is_resumable else data
-            if data:
-                await self._reply.write(data)
+            if ready:
+                await self._reply.write(ready)
         if events.partial_bytes:
             raise TransferError(Progress.ANSWERING, "the stream ended inside an event")
         if self._framing == AnswerFraming.CONNECTION and events.count == count_before:
             raise TransferError(Progress.ANSWERING, "the stream ended before its first event")
-        if self._is_resumable and events.partial:
-            await self._reply.write(events.partial)
+        if rest := events.take_rest():
+            await self._reply.write(rest)
 
     def _is_event_stream(self, head: Response) -> bool:
         for name, value in head.headers:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/attemptfailures.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/attemptfailures.py
@@ -6,10 +6,13 @@
 and what is kept for the final answer.
 """
 
+from contextlib import closing
+
 from h11 import Response
 
 from kingcupdyke.forwarding.endpoint import Replica
 from kingcupdyke.forwarding.metadata import AnswerMetadata
+from kingcupdyke.forwarding.unfinishedparts import UnfinishedPart
 from kingcupdyke.forwarding.workitem import WorkItem
 from kingcupdyke_daemon.forwarder.answerrelay import decode_headers, strip_headers
 from kingcupdyke_daemon.forwarder.attemptresult import AttemptResult
@@ -37,13 +40,22 @@
         self._deps = deps
         self._reply = reply
         self._final_answer = final_answer
+        #: Account of the failed answer that is kept, or None.
+        self._kept_part: UnfinishedPart | None = None
         #: Why the request was not answered by the latest attempt, or at all.
         self.reason = ""
 
+    def close(self) -> None:
+        """Release the memory of a failed answer that is kept."""
+        if self._kept_part is not None:
+            self._kept_part.close()
+
     def note_transfer_error(self, endpoint: str, error: TransferError) -> AttemptResult:
         """Record that the connection to the endpoint broke or could not be opened."""
         self.reason = f"endpoint {endpoint}: {error.reason}"
         self._deps.endpoint_table.note_failure(endpoint, self._deps.timer.now(), True)
+        if error.fault is not None:
+            self._deps.metrics.count_faulty_answer(error.fault)
         if error.progress is Progress.NOT_SENT:
             self._deps.endpoint_table.starts.note_refused(
                 endpoint, self._deps.timer.now(), error.is_refused
@@ -92,7 +104,8 @@
         :return: how the attempt ended, and whether the connection can be reused
         """
         self.reason = f"endpoint {endpoint}: status {head.status_code}, not run"
-        is_reusable = await exchange.read_short_body() is not None
+        with closing(self._deps.memory.unfinished_parts.open_part(endpoint)) as part:
+            is_reusable = await exchange.read_short_body(part) is not None
         now_s = self._deps.timer.now()
         self._deps.endpoint_table.note_rejection(endpoint, now_s)
         is_other = answer.endpoint and answer.endpoint != endpoint
@@ -112,7 +125,9 @@
         """
         self._deps.endpoint_table.note_failure(endpoint, self._deps.timer.now(), False)
         self.reason = f"endpoint {endpoint}: status {head.status_code}"
-        body = await exchange.read_short_body()
+        self.close()
+        self._kept_part = self._deps.memory.unfinished_parts.open_part(endpoint)
+        body = await exchange.read_short_body(self._kept_part)
         if body is None:
             return AttemptResult.FAILED, False
         if self._reply.has_begun:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
@@ -5,7 +5,7 @@
 HTTP/1.1 client connections to endpoints, which are reused.
 """
 
-from enum import IntEnum
+from enum import IntEnum, StrEnum
 from select import POLLIN, poll
 from socket import (
     IPPROTO_TCP,
@@ -21,11 +21,13 @@
     BrokenResourceError,
     ClosedResourceError,
     EndOfStream,
+    Lock,
     aclose_forcefully,
     connect_tcp,
     fail_after,
 )
 from anyio.abc import SocketAttribute, SocketStream
+from anyio.lowlevel import checkpoint
 from h11 import (
     CLIENT,
     DONE,
@@ -42,9 +44,11 @@
 __all__ = [
     "KEEPALIVE_OPTIONS",
     "TRANSFER_ERRORS",
+    "AnswerFault",
     "EndpointConnection",
     "UNACKNOWLEDGED_TIMEOUT_S",
     "Progress",
+    "ReadTurns",
     "TransferError",
 ]
 
@@ -59,8 +63,10 @@
 KEEPALIVE_PROBES = 2
 #: Limit of the rejected attempts that are remembered of a connection in use.
 MAX_REJECTED_ATTEMPTS = 64
-#: Maximum number of bytes read from a socket in one call.
-READ_BYTES = 65_536
+#: Maximum number of bytes read from a socket in one call, before other tasks run.
+READ_BYTES = 16_384
+#: Size from which a read is large. Those of events and short answers are smaller.
+LARGE_READ_BYTES = 4096
 #: Socket options that close a connection within seconds when its peer becomes unresponsive.
 KEEPALIVE_OPTIONS = (
     (SOL_SOCKET, SO_KEEPALIVE, 1),
@@ -92,29 +98,68 @@
     ANSWERING = 2
 
 
+class AnswerFault(StrEnum):
+    """What makes the bytes of an endpoint no answer."""
+
+    #: They violate HTTP/1.1, or a head has no end.
+    MALFORMED = "malformed"
+    #: There are too many answers before the one to the request.
+    STRAY = "stray"
+    #: An event has no end.
+    EVENT = "event too long"
+    #: The endpoint's answers hold more than the memory that they may use.
+    MEMORY = "memory used up"
+
+
 class TransferError(Exception):
     """The transfer of a request or of its answer failed.
 
     :param progress: how far the transfer had come
     :param reason: what failed
     :param is_refused: whether the host has answered that no process listens at the address
+    :param fault: what makes the endpoint's bytes no answer, or None if the connection broke
     """
 
-    def __init__(self, progress: Progress, reason: str, is_refused: bool = False) -> None:
+    def __init__(
+        self,
+        progress: Progress,
+        reason: str,
+        is_refused: bool = False,
+        fault: AnswerFault | None = None,
+    ) -> None:
         super().__init__(reason)
         self.progress = progress
         self.reason = reason
         self.is_refused = is_refused
+        self.fault = fault
+
+
+class ReadTurns:
+    """Lets the connections to one endpoint pass on large reads one after the other.
+
+    Other tasks run between two of them, so that an endpoint that sends at full speed on many
+    connections does not delay what the process does for others.
+    """
+
+    def __init__(self) -> None:
+        self._lock = Lock()
+
+    async def wait(self) -> None:
+        """Wait for the turn of a connection that has read much at once."""
+        async with self._lock:
+            await checkpoint()
 
 
 class EndpointConnection:
     """One connection to an endpoint; it carries at most one request at a time.
 
     :param stream: the open socket
+    :param turns: shared by all connections to the endpoint
     """
 
-    def __init__(self, stream: SocketStream) -> None:
+    def __init__(self, stream: SocketStream, turns: ReadTurns) -> None:
         self._stream = stream
+        self._turns = turns
         self._http = Connection(CLIENT)
         #: Whether a request has begun, and the connection has not been prepared for the next one.
         self._is_in_use = False
@@ -131,14 +176,17 @@
         self.keep_alive_s: float | None = None
 
     @classmethod
-    async def open(cls, address: tuple[str, int]) -> "EndpointConnection":
+    async def open(cls, address: tuple[str, int], turns: ReadTurns) -> "EndpointConnection":
         """Connect to an endpoint.
 
+        :param turns: shared by all connections to the endpoint
         :raises TransferError: when the connection can't be established
         """
         try:
             with fail_after(CONNECT_TIMEOUT_S):
                 stream = await connect_tcp(*address)
+            # The transport reads and keeps up to 256 KiB otherwise, whatever is asked for.
+            stream._transport.max_size = READ_BYTES
             raw = stream.extra(SocketAttribute.raw_socket)
             for option in KEEPALIVE_OPTIONS:
                 raw.setsockopt(*option)
@@ -149,7 +197,7 @@
             reason = f"connecting failed: {error.__cause__ or error!r}"
             is_refused = isinstance(error.__cause__, ConnectionRefusedError)
             raise TransferError(Progress.NOT_SENT, reason, is_refused) from error
-        return cls(stream)
+        return cls(stream, turns)
 
     def is_reusable(self) -> bool:
         """:return: whether the idle connection is still open and has no unexpected data to read"""
@@ -196,6 +244,8 @@
                 data = await self._stream.receive(READ_BYTES)
             except EndOfStream:
                 data = b""
+            if len(data) >= LARGE_READ_BYTES:
+                await self._turns.wait()
             self._http.receive_data(data)
         return None if isinstance(event, ConnectionClosed) else event
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/dependencies.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/dependencies.py
@@ -11,6 +11,7 @@
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.retrybudget import SharedRetryBudget
 from kingcupdyke.timer import TimerService
+from kingcupdyke_daemon.forwarder.answerbuffer import AnswerMemory
 from kingcupdyke_daemon.forwarder.crashdirectory import CrashDirectory
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.endpointbackoffs import EndpointBackoffs
@@ -46,3 +47,4 @@
     backoffs: EndpointBackoffs
     versions: VersionRegistrar
     quotas: QuotaDirectory
+    memory: AnswerMemory
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
@@ -10,11 +10,21 @@
 
 from anyio import move_on_after
 from anyio.abc import TaskGroup
-from h11 import Data, EndOfMessage, InformationalResponse, LocalProtocolError, Request, Response
+from h11 import (
+    Data,
+    EndOfMessage,
+    InformationalResponse,
+    LocalProtocolError,
+    RemoteProtocolError,
+    Request,
+    Response,
+)
 
 from kingcupdyke.forwarding.metadata import AnswerMetadata
+from kingcupdyke.forwarding.unfinishedparts import UnfinishedPart
 from kingcupdyke_daemon.forwarder.connection import (
     TRANSFER_ERRORS,
+    AnswerFault,
     EndpointConnection,
     Progress,
     TransferError,
@@ -92,7 +102,8 @@
                 self._note_own(response.status_code, metadata)
                 return response
             await self._skip_answer()
-        raise TransferError(self._progress, "received only answers to other attempts")
+        reason = "received only answers to other attempts"
+        raise TransferError(self._progress, reason, fault=AnswerFault.STRAY)
 
     def _is_own(self, named: str) -> bool:
         """:return: whether an answer belongs to this request, from the attempt that it names"""
@@ -121,19 +132,21 @@
                 raise TransferError(self._progress, "the answer ended early")
             yield bytes(event.data)
 
-    async def read_short_body(self) -> bytes | None:
+    async def read_short_body(self, part: UnfinishedPart) -> bytes | None:
         """Read the body of an answer that is not passed on as it arrives.
 
-        :return: the body, or None if it is too long or too slow, so that the rest stays unread
+        :param part: account of the bytes
+        :return: the body, or None if it is too long, too slow or not permitted by the account, so
+            that the rest stays unread
         :raises TransferError: when the connection breaks before the end of the body
         """
-        body = b""
+        body = bytearray()
         with move_on_after(SHORT_BODY_TIMEOUT_S):
             async for data in self.read_body():
                 body += data
-                if len(body) > MAX_SHORT_BODY_BYTES:
+                if len(body) > MAX_SHORT_BODY_BYTES or not part.resize(len(body)):
                     return None
-            return body
+            return bytes(body)
         return None
 
     async def _send_all(self, data: bytes) -> None:
@@ -148,7 +161,8 @@
         async for data in self.read_body():
             skipped += len(data)
             if skipped > MAX_STRAY_BYTES:
-                raise TransferError(self._progress, "the answer to another attempt is too long")
+                reason = "the answer to another attempt is too long"
+                raise TransferError(self._progress, reason, fault=AnswerFault.STRAY)
         self._connection.expect_another_answer(self._request)
 
     async def _next_response(self) -> Response:
@@ -159,13 +173,16 @@
             if not isinstance(event, Response):
                 raise TransferError(self._progress, "the connection was closed")
             return event
-        raise TransferError(self._progress, "received only informational answers")
+        reason = "received only informational answers"
+        raise TransferError(self._progress, reason, fault=AnswerFault.STRAY)
 
     async def _next_event(self) -> object:
         try:
             event = await self._connection.next_event()
         except TRANSFER_ERRORS as error:
-            raise TransferError(self._progress, f"reading the answer failed: {error!r}") from error
+            fault = AnswerFault.MALFORMED if isinstance(error, RemoteProtocolError) else None
+            reason = f"reading the answer failed: {error!r}"
+            raise TransferError(self._progress, reason, fault=fault) from error
         if event is None:
             raise TransferError(self._progress, "the connection was closed")
         return event
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -109,7 +109,9 @@
         self._exchange: Exchange | None = None
         self._watch: CrashWatch | None = None
         is_stream = route.kind is RouteKind.STREAMING
-        self._answer = AnswerRelay(reply, is_stream, route.is_resumable, self._pin_version)
+        self._answer = AnswerRelay(
+            reply, deps.memory, is_stream, route.is_resumable, self._pin_version
+        )
         self._continuation = StreamContinuation(deps, route, metadata, request.headers)
 
     @property
@@ -126,6 +128,7 @@
                 self._log_end("left")
             raise
         finally:
+            self._failures.close()
             self._charge.settle(self._may_have_run)
 
     async def finish(self) -> None:
@@ -340,6 +343,7 @@
         if not self._reply.has_begun:
             self._status = head.status_code
         await self._answer.relay(
+            entry.endpoint,
             head,
             self._read_parts(exchange, entry.endpoint, sent_s),
             partial(self._is_running, entry),
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
@@ -75,6 +75,7 @@
         self._quota_denials = create_counter(f"{METRIC_PREFIX}quota_denied")
         self._task_errors = create_counter(f"{METRIC_PREFIX}task_errors")
         self._aborted = create_counter(f"{METRIC_PREFIX}aborted_answers")
+        self._faulty_answers = create_counter(f"{METRIC_PREFIX}faulty_answers")
         self._rejected_messages = create_counter(f"{METRIC_PREFIX}rejected_peer_messages")
         self._total = create_histogram(f"{METRIC_PREFIX}request_seconds")
         self._first = create_histogram(f"{METRIC_PREFIX}first_part_seconds")
@@ -109,6 +110,10 @@
         """Count an unexpected error, by the task that it has ended or interrupted."""
         self._task_errors.add(1, {"task": task})
 
+    def count_faulty_answer(self, fault: str) -> None:
+        """Count bytes of an endpoint that are no answer, by what is wrong with them."""
+        self._faulty_answers.add(1, {"fault": fault})
+
     def count_rejected_message(self, reason: str) -> None:
         """Count a datagram that is dropped.
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/pool.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/pool.py
@@ -7,12 +7,13 @@
 
 import logging
 from collections.abc import Awaitable, Callable, Iterable
+from weakref import WeakValueDictionary
 
 from anyio import CancelScope, move_on_after, sleep
 from anyio.abc import TaskGroup
 
 from kingcupdyke.timer import TimerService
-from kingcupdyke_daemon.forwarder.connection import EndpointConnection, TransferError
+from kingcupdyke_daemon.forwarder.connection import EndpointConnection, ReadTurns, TransferError
 
 __all__ = ["ConnectionPool"]
 
@@ -48,6 +49,8 @@
         self._timer = timer
         self._tasks = tasks
         self._idle_by_endpoint: dict[str, list[EndpointConnection]] = {}
+        #: Kept for as long as connections to the endpoint are.
+        self._turns_by_endpoint: WeakValueDictionary[str, ReadTurns] = WeakValueDictionary()
         #: Endpoints for which a task finds out whether they still listen.
         self._checked: set[str] = set()
 
@@ -71,7 +74,7 @@
         """
         margin_s = NON_RETRYABLE_MARGIN_S if needs_fresh else IDLE_MARGIN_S
         connection = self._take(endpoint, margin_s, attempt_id) if attempt_id else None
-        return connection or await EndpointConnection.open(address)
+        return connection or await self._open(endpoint, address)
 
     def release(self, endpoint: str, connection: EndpointConnection) -> None:
         """Take over a connection whose request has ended cleanly; it is closed if not reusable."""
@@ -101,7 +104,7 @@
         if any(each.is_reusable() for each in idle):
             return True
         try:
-            connection = await EndpointConnection.open(address)
+            connection = await self._open(endpoint, address)
         except TransferError as error:
             _LOGGER.info("endpoint %s has closed a connection: %s", endpoint, error.reason)
             return not error.is_refused
@@ -151,6 +154,12 @@
         for idle in idle_by_endpoint.values():
             self._close(idle)
 
+    async def _open(self, endpoint: str, address: tuple[str, int]) -> EndpointConnection:
+        turns = self._turns_by_endpoint.get(endpoint)
+        if turns is None:
+            turns = self._turns_by_endpoint[endpoint] = ReadTurns()
+        return await EndpointConnection.open(address, turns)
+
     def _take(self, endpoint: str, margin_s: float, attempt_id: str) -> EndpointConnection | None:
         """Take the first usable connection out of the pool, and those that are not usable."""
         now_s = self._timer.now()
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -124,6 +124,7 @@
             self._queue.poll,
             lambda: bool(self._planner_runner.held_fence),
         )
+        self._memory = AnswerMemory(settings.memory_bytes, self._metrics, settings.max_event_bytes)
         self._request_handler = ForwardingHandler(
             ForwarderDependencies(
                 dialect,
@@ -142,11 +143,11 @@
                 self._backoffs,
                 self._versions,
                 self._exchanges.quotas,
+                self._memory,
             ),
             lambda: self._catalogue.get_ages(),
         )
         self._ready = ReadyHandler()
-        self._memory = AnswerMemory(settings.memory_bytes, self._metrics)
         self._client_server = ClientServer(
             self._request_handler, self._get_limits, self._timer.now, self._memory, self._errors
         )
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/settings.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/settings.py
@@ -12,7 +12,11 @@
 
 from kingcupdyke.forwarding.quotalimits import QuotaLimits
 
-__all__ = ["ForwarderSettings", "SettingsSource", "SocketAddress"]
+__all__ = ["DEFAULT_MAX_EVENT_BYTES", "ForwarderSettings", "SettingsSource", "SocketAddress"]
+
+
+#: Limit of the size of an event of a stream if none is set.
+DEFAULT_MAX_EVENT_BYTES = 65_536
 
 
 class SocketAddress(NamedTuple):
@@ -54,6 +58,8 @@
     quota_limits: QuotaLimits = QuotaLimits()
     #: Memory limit of the process, or None if it is not known.
     memory_bytes: int | None = None
+    #: Limit of the size of an event of a stream.
+    max_event_bytes: int = DEFAULT_MAX_EVENT_BYTES
 
 
 class SettingsSource(ABC):
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/sse.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/sse.py
@@ -34,10 +34,13 @@
 
 
 class EventTooLongError(Exception):
-    """An event of a stream has no end within MAX_EVENT_BYTES."""
+    """An event of a stream is too long.
 
-    def __init__(self) -> None:
-        super().__init__(f"an event is longer than {MAX_EVENT_BYTES} bytes")
+    :param max_bytes: limit of its size
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        super().__init__(f"an event is longer than {max_bytes} bytes")
 
 
 async def split_events(parts: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
@@ -55,7 +58,7 @@
         for event in events:
             yield event + BLANK_LINE
         if len(remainder) > MAX_EVENT_BYTES:
-            raise EventTooLongError
+            raise EventTooLongError(MAX_EVENT_BYTES)
 
 
 def ends_inside_event(body: bytes) -> bool:
--- a/packages/kingcupdyke/kingcupdyke/forwarding/memorybudget.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/memorybudget.py
@@ -9,6 +9,8 @@
 from heapq import heappop, heappush
 from itertools import count
 
+from kingcupdyke.forwarding.unfinishedparts import UnfinishedParts
+
 __all__ = ["HeldAnswer", "MemoryBudget", "choose_budget_bytes"]
 
 #: Budget in bytes if the memory limit of the process is not known.
@@ -95,6 +97,8 @@
 
     def __init__(self, size_bytes: int = DEFAULT_BUDGET_BYTES) -> None:
         self.size_bytes = size_bytes
+        #: What endpoints have sent and can't be passed on yet.
+        self.unfinished_parts = UnfinishedParts(size_bytes, self.resume_stopped)
         #: Bytes of answers and of request bodies that are held now.
         self.answer_bytes = 0
         self.body_bytes = 0
@@ -102,9 +106,15 @@
         self._stopped: list[tuple[int, int, HeldAnswer]] = []
         self._numbers = count()
 
+    @property
+    def _other_bytes(self) -> int:
+        """:return: bytes that are held other than those of answers for clients"""
+        return self.body_bytes + self.unfinished_parts.size_bytes
+
     def configure(self, size_bytes: int) -> None:
         """Change the budget; what is held stays held."""
         self.size_bytes = size_bytes
+        self.unfinished_parts.budget_bytes = size_bytes
         self.resume_stopped()
 
     def open_answer(self, on_room: Callable[[], None]) -> HeldAnswer:
@@ -119,7 +129,7 @@
 
         :return: whether they were counted
         """
-        if size and self.answer_bytes + self.body_bytes + size > self.size_bytes:
+        if size and self.answer_bytes + self._other_bytes + size > self.size_bytes:
             return False
         self.body_bytes += size
         return True
@@ -133,7 +143,7 @@
         """:return: whether an answer may be read that will hold so many bytes"""
         if not wanted_bytes:
             return True
-        room = min(self.size_bytes * ANSWERS_SHARE, self.size_bytes - self.body_bytes)
+        room = min(self.size_bytes * ANSWERS_SHARE, self.size_bytes - self._other_bytes)
         threshold = min(self.size_bytes // ANSWER_PARTS, room - self.answer_bytes)
         return wanted_bytes <= threshold
 
--- a/packages/kingcupdyke/kingcupdyke/forwarding/pacetable.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/pacetable.py
@@ -11,15 +11,11 @@
 """
 
 from collections.abc import Collection, Iterator, Mapping
-from math import ceil, inf
+from math import ceil
 from typing import NamedTuple
 
 from kingcupdyke.forwarding.endpointstate import UNREACHABLE_FAILURES, EndpointState
-from kingcupdyke.forwarding.pacecomparison import (
-    compare_window,
-    find_norms,
-    get_expected_first_s,
-)
+from kingcupdyke.forwarding.pacecomparison import compare_window, find_norms, get_expected_first_s
 from kingcupdyke.forwarding.pacemessage import PaceMessage, PaceReason, PaceReport
 from kingcupdyke.forwarding.pacewindow import INITIAL_WINDOW, PaceSender, PaceWindow
 from kingcupdyke.forwarding.peerschedule import PeerSchedule, PeerScope
@@ -268,25 +264,9 @@
                 continue
             if window is None or window.own_news_s < max(since_s, now_s - REPORT_S):
                 continue
-            is_witness = window.reason is PaceReason.UNREACHABLE and not window.is_adopted
-            if not (window.own_successes or window.own_failures or is_witness):
-                continue
-            since_s = min(now_s, window.begun_s if window.is_down else window.usable_s)
-            reports.append(
-                PaceReport(
-                    endpoint,
-                    state.entry.started_ms,
-                    state.pace_episode,
-                    window.reason,
-                    window.own_successes,
-                    window.own_failures,
-                    round(window.window, 2),
-                    window.is_down,
-                    window.released_until_s is not None,
-                    round(now_s - since_s, 3),
-                    None if window.bad_s == -inf else round(now_s - window.bad_s, 3),
-                )
-            )
+            if window.has_own_evidence:
+                process = (endpoint, state.entry.started_ms, state.pace_episode)
+                reports.append(window.make_report(*process, now_s))
         return tuple(reports)
 
     def list_senders(self, now_s: float) -> set[str]:
--- a/packages/kingcupdyke/kingcupdyke/forwarding/pacewindow.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/pacewindow.py
@@ -101,6 +101,33 @@
         """:return: whether the window has ended, so that the endpoint gets its fair share"""
         return self.released_until_s is not None
 
+    @property
+    def has_own_evidence(self) -> bool:
+        """:return: whether this gateway has seen itself what the window is about"""
+        is_witness = self.reason is PaceReason.UNREACHABLE and not self.is_adopted
+        return bool(self.own_successes or self.own_failures or is_witness)
+
+    def make_report(self, endpoint: str, started_ms: int, episode: int, now_s: float) -> PaceReport:
+        """:return: what peers are told of the window
+
+        :param started_ms: Unix time in milliseconds of the start of the endpoint's process
+        :param episode: number of the window of that process
+        """
+        since_s = min(now_s, self.begun_s if self.is_down else self.usable_s)
+        return PaceReport(
+            endpoint,
+            started_ms,
+            episode,
+            self.reason,
+            self.own_successes,
+            self.own_failures,
+            round(self.window, 2),
+            self.is_down,
+            self.is_released,
+            round(now_s - since_s, 3),
+            None if self.bad_s == -inf else round(now_s - self.bad_s, 3),
+        )
+
     def begin(self, now_s: float) -> None:
         """Begin the times of the window, unless they have begun."""
         if self.begun_s == inf:
