Tests: count processor waits of other work out of endlessprocess.feature; two guards more

The steps measured wall-clock time, in which the gateway also waits for a processor that other programs use. Now the time for which the gateway, the sound endpoints and their clients wait for a processor (/proc/PID/schedstat) is taken off. The bound of 0.2 s is as before, and where nothing else runs, so is what is measured.

Two guards had no test: without counting bodies that are held back, or failed answers, nothing was red. A step that would not end with the threshold taken out fails instead.

--- a/packages/kingcupdyke-daemon/features/endless_processes.py
+++ b/packages/kingcupdyke-daemon/features/endless_processes.py
@@ -7,13 +7,15 @@
 Usage:
     endless_processes.py gateway PORT:SERVICE...   prints the port on which it listens
     endless_processes.py endpoint SCRIPT           the same
-    endless_processes.py clients PORT SECONDS      sends requests to ``/safe/``, then prints what
-                                                   became of them, as JSON
+    endless_processes.py clients PORT SECONDS PID...
+        sends requests to ``/safe/``, then prints what became of them, as JSON; the process ids are
+        those of the servers
 """
 
 import json
 import sys
 from itertools import count
+from pathlib import Path
 
 from anyio import (
     connect_tcp,
@@ -125,9 +127,18 @@
         await sleep_forever()
 
 
-async def run_clients(port, seconds):
+def read_wait_s(processes):
+    """:return: seconds for which the main threads of processes have waited for a processor"""
+    texts = [Path(f"/proc/{each}/schedstat").read_text() for each in ("self", *processes)]
+    return sum(int(each.split()[1]) for each in texts) / 1e9
+
+
+async def run_clients(port, duration_s, *processes):
     """Let each of CLIENTS send one request after the other.
 
+    Time for which one of the processes, or this one, waits for a processor is not counted, as it
+    depends on what else runs on the machine.
+
     Prints a line when they begin. At the end prints the time of each request in seconds since then,
     its duration, and whether it was answered.
     """
@@ -138,7 +149,7 @@
 
     async def ask_forever():
         while True:
-            started_s = current_time()
+            started_s, waited_s = current_time(), read_wait_s(processes)
             answer = b""
             try:
                 async with await connect_tcp("127.0.0.1", int(port)) as stream:
@@ -147,10 +158,11 @@
                         answer += await stream.receive()
             except DISCONNECT_ERRORS:
                 is_answered = answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"ok")
-                results.append((started_s - begin_s, current_time() - started_s, is_answered))
+                seconds = current_time() - started_s - (read_wait_s(processes) - waited_s)
+                results.append((started_s - begin_s, max(0.0, seconds), is_answered))
             await sleep(0.01)
 
-    with move_on_after(float(seconds)):
+    with move_on_after(float(duration_s)):
         async with create_task_group() as tasks:
             for _ in range(CLIENTS):
                 tasks.start_soon(ask_forever)
--- a/packages/kingcupdyke-daemon/features/steps/endless_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/endless_steps.py
@@ -40,12 +40,24 @@
 }
 
 
+#: What each script sends once, before it closes the connection.
+ENDING_SCRIPTS = {
+    "half": "HTTP/1.1 200 X\r\nx-id: {id}\r\nx-mark: m\r\ncontent-type: application/json\r\n\r\n["
+    + "1, " * 7000,
+    "longfailure": "HTTP/1.1 500 X\r\nx-id: {id}\r\nx-mark: m\r\ncontent-length: 20000\r\n\r\n"
+    + "a" * 20_000,
+}
+
+
 class EndlessEndpoint(ScriptedEndpoint):
-    """An endpoint that sends bytes until the gateway closes the connection."""
+    """An endpoint that sends bytes until the gateway closes the connection, or once."""
 
     closed = False
 
     async def do_endless(self, stream, attempt_id, script):
+        if script in ENDING_SCRIPTS:
+            await stream.send(ENDING_SCRIPTS[script].replace("{id}", attempt_id).encode())
+            return False
         head, block, pause_s = SCRIPTS[script]
         try:
             await stream.send(head.replace("{id}", attempt_id).encode())
@@ -116,6 +128,14 @@
     run(ask, context, request, script, limit)
 
 
+@then('endless: the answer with status or end is "{answer}"')
+def check_end(context, answer):
+    is_cut = context.raw.endswith(b"!") or describe(context.raw) == "cut"
+    found = "cut" if is_cut else context.raw.split()[1].decode()
+    assert found == answer, context.raw[:200]
+    assert context.unfinished == 0, context.unfinished
+
+
 @then('endless: the answer is "{answer}", and the fault counted is "{fault}"')
 def check_fault(context, answer, fault):
     assert describe(context.raw) == answer, context.raw
--- a/packages/kingcupdyke-daemon/features/steps/endlessprocess_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/endlessprocess_steps.py
@@ -57,10 +57,11 @@
 
 @given('endlessprocess: a gateway with two endpoints that send "{script}", and three sound ones')
 def start_all(context, script):
-    faulty = [start_server(context, "endpoint", script)[1] for _ in range(2)]
-    sound = [start_server(context, "endpoint", "ok")[1] for _ in range(3)]
-    endpoints = [f"{each}:faulty" for each in faulty] + [f"{each}:service" for each in sound]
+    faulty = [start_server(context, "endpoint", script) for _ in range(2)]
+    sound = [start_server(context, "endpoint", "ok") for _ in range(3)]
+    endpoints = [f"{port}:faulty" for _, port in faulty] + [f"{port}:service" for _, port in sound]
     context.gateway, context.port = start_server(context, "gateway", *endpoints)
+    context.servers = [str(each.pid) for each in (context.gateway, *(each for each, _ in sound))]
 
 
 async def ask_faulty(port, route, numbers):
@@ -81,7 +82,7 @@
 def ask(context, route):
     numbers = count()
     seconds = ALONE_S + RAMP_S + BESIDE_S
-    clients = start(context, "clients", str(context.port), str(seconds))
+    clients = start(context, "clients", str(context.port), str(seconds), *context.servers)
     clients.stdout.readline()
 
     async def job():
--- a/packages/kingcupdyke/features/steps/unfinishedparts_steps.py
+++ b/packages/kingcupdyke/features/steps/unfinishedparts_steps.py
@@ -9,6 +9,9 @@
 
 from kingcupdyke.forwarding.memorybudget import MemoryBudget
 
+#: Rounds in which answers grow; more than any of them may.
+MAX_ROUNDS = 1000
+
 
 @given("unfinishedparts: a budget of {size:d} bytes")
 def make_budget(context, size):
@@ -20,13 +23,13 @@
 @when('unfinishedparts: answers of "{endpoints}" grow in turn by {step:d} bytes until none may')
 def grow(context, endpoints, step):
     context.answers = [[each, context.parts.open_part(each), 0] for each in endpoints.split()]
-    is_growing = True
-    while is_growing:
-        is_growing = False
-        for answer in context.answers:
-            if answer[1].resize(answer[2] + step):
-                answer[2] += step
-                is_growing = True
+    for _ in range(MAX_ROUNDS):
+        grown = [each for each in context.answers if each[1].resize(each[2] + step)]
+        for answer in grown:
+            answer[2] += step
+        if not grown:
+            return
+    raise AssertionError(f"still growing: {context.answers}")
 
 
 @when("unfinishedparts: the first answer ends")
