--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import tempfile
+from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import NamedTuple
@@ -21,6 +22,8 @@
 REPORT_FOLDER = ROOT / "reports"
 #: Folders whose features each start their own processes, so that they can run concurrently.
 SPLIT_FOLDERS = (ROOT / "packages" / "kingcupdyke-daemon", ROOT)
+#: Folders whose features each put the machine under load, so that they run alone, after the others.
+ALONE_FOLDERS = (ROOT / "crowds",)
 #: Limit of suites that run concurrently.
 MAX_CONCURRENT_SUITES = 3
 SUITE_TIMEOUT_S = 1500
@@ -36,7 +39,7 @@
 
 
 def find_suites(only: str | None) -> list[Path]:
-    """Find the suites; each is run by its own behave process.
+    """Find the suites that may run beside each other; each is run by its own behave process.
 
     :param only: folder below the root whose suites are run; None for all
     :return: folders of features, and single features of the root
@@ -46,8 +49,18 @@
     for folder in [*sorted((ROOT / "packages").iterdir()), ROOT / "platform"]:
         if folder not in SPLIT_FOLDERS and list((folder / "features").glob("*.feature")):
             suites.append(folder / "features")
-    for folder in SPLIT_FOLDERS:
-        suites += sorted((folder / "features").glob("*.feature"))
+    return choose_suites([*suites, *list_features(SPLIT_FOLDERS)], only)
+
+
+def list_features(folders: Iterable[Path]) -> list[Path]:
+    """:return: the single features of folders"""
+    return [
+        feature for folder in folders for feature in sorted((folder / "features").glob("*.feature"))
+    ]
+
+
+def choose_suites(suites: list[Path], only: str | None) -> list[Path]:
+    """:return: the suites below a folder; all of them if none is given"""
     return [each for each in suites if only is None or each.is_relative_to(ROOT / only)]
 
 
@@ -140,6 +153,8 @@
     with ThreadPoolExecutor(min(MAX_CONCURRENT_SUITES, os.cpu_count() or 1)) as pool:
         for suite_results in pool.map(run_suite, suites):
             results += suite_results
+    for suite in choose_suites(list_features(ALONE_FOLDERS), arguments.only):
+        results += run_suite(suite)
     return report_verdict(results)
 
 
