Let accepted connections read only while they are asked to

Callers saw: a gateway that ran out of memory ended with all their requests.

Cause: a stream of anyio stops reading its socket after a call that had to wait. One that was accepted begins with reading on, so that if its client always sends faster than the gateway takes, no call ever waits, nothing stops the reading, and all that comes lies in the stream's queue, below every account.

Change: reading is stopped from the start, and a read takes 16 KiB at most, as on connections to endpoints, which now share the function.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
@@ -60,13 +60,13 @@
 )
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
 from kingcupdyke_daemon.taskerrors import TaskErrors
-from kingcupdyke_wire.sockets import reset, set_unacknowledged_timeout
+from kingcupdyke_wire.sockets import bound_reading, reset, set_unacknowledged_timeout
 
 __all__ = ["ClientServer"]
 
 _LOGGER = logging.getLogger(__name__)
 #: Maximum number of bytes read from a socket in one call.
-READ_BYTES = 65_536
+READ_BYTES = 16_384
 #: Bytes of pipelined requests that are read while a request is being answered. Once this limit is
 #: reached, a disconnect of the client is noticed only when the answer is written.
 MAX_PIPELINED_BYTES = 65_536
@@ -178,6 +178,7 @@
     def __init__(self, server: ClientServer, stream: SocketStream) -> None:
         self._server = server
         self._stream = stream
+        bound_reading(stream, READ_BYTES)
         limits = server.get_limits()
         self._http = Connection(SERVER, max_incomplete_event_size=limits.max_header_bytes)
         self._pipelined_bytes = 0
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
@@ -41,6 +41,8 @@
     Request,
 )
 
+from kingcupdyke_wire.sockets import bound_reading
+
 __all__ = [
     "KEEPALIVE_OPTIONS",
     "TRANSFER_ERRORS",
@@ -186,7 +188,7 @@
             with fail_after(CONNECT_TIMEOUT_S):
                 stream = await connect_tcp(*address)
             # The transport reads and keeps up to 256 KiB otherwise, whatever is asked for.
-            stream._transport.max_size = READ_BYTES
+            bound_reading(stream, READ_BYTES)
             raw = stream.extra(SocketAttribute.raw_socket)
             for option in KEEPALIVE_OPTIONS:
                 raw.setsockopt(*option)
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/sockets.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/sockets.py
@@ -14,13 +14,26 @@
 from anyio import BrokenResourceError
 from anyio.abc import SocketAttribute, SocketStream
 
-__all__ = ["count_unsent", "reset", "set_unacknowledged_timeout", "write_now"]
+__all__ = ["bound_reading", "count_unsent", "reset", "set_unacknowledged_timeout", "write_now"]
 
 _LOGGER = logging.getLogger(__name__)
 #: Linger for 0 s: closing the socket discards unsent data and resets the connection.
 _NO_LINGER = pack("ii", 1, 0)
 
 
+def bound_reading(stream: SocketStream, max_bytes: int) -> None:
+    """Let a connection read only while it is asked to.
+
+    Otherwise one that was accepted reads from the start on, and stops only when a call has found
+    nothing to read: what its peer sends faster than it is taken is all kept in memory.
+
+    :param max_bytes: limit of the bytes read from the socket in one call
+    """
+    transport = stream._transport
+    transport.max_size = max_bytes
+    transport.pause_reading()
+
+
 def count_unsent(stream: SocketStream) -> int:
     """:return: bytes written to a connection that its peer has not acknowledged
 
