Count what is held of requests sent ahead, not what each request has read

Callers saw: a gateway that ran out of memory ended with all their requests.

Cause: each request sent ahead could read 64 KiB more, and takes a few hundred bytes of them itself, so that what the parser held grew with the number of answered requests.

Change: the limit, now 16 KiB, is compared with what the parser holds.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
@@ -67,9 +67,9 @@
 _LOGGER = logging.getLogger(__name__)
 #: Maximum number of bytes read from a socket in one call.
 READ_BYTES = 16_384
-#: Bytes of pipelined requests that are read while a request is being answered. Once this limit is
-#: reached, a disconnect of the client is noticed only when the answer is written.
-MAX_PIPELINED_BYTES = 65_536
+#: Limit of the bytes of pipelined requests that are held. Once it is reached, nothing more is read,
+#: and a disconnect of the client is noticed only when an answer is written.
+MAX_PIPELINED_BYTES = 16_384
 #: Bytes that the kernel accepts beyond those that the client can receive now. It bounds the memory
 #: that the kernel uses for slow clients, which the memory budget does not count.
 MAX_KERNEL_UNSENT_BYTES = 65_536
@@ -181,7 +181,6 @@
         bound_reading(stream, READ_BYTES)
         limits = server.get_limits()
         self._http = Connection(SERVER, max_incomplete_event_size=limits.max_header_bytes)
-        self._pipelined_bytes = 0
         self._status = 0
         #: Whether a request has reached the handler and its answer is not complete.
         self._is_answering = False
@@ -283,10 +282,9 @@
     async def _watch_for_disconnect(self, tasks: object) -> None:
         """Cancel the request when the client disconnects."""
         try:
-            while self._pipelined_bytes < MAX_PIPELINED_BYTES:
-                data = await self._stream.receive(READ_BYTES)
-                self._pipelined_bytes += len(data)
-                self._http.receive_data(data)
+            # Counted is all that is held, as a pipelined request before this one has left it.
+            while len(self._http.trailing_data[0]) < MAX_PIPELINED_BYTES:
+                self._http.receive_data(await self._stream.receive(READ_BYTES))
         except DISCONNECT_ERRORS:
             tasks.cancel_scope.cancel()
         except RemoteProtocolError as error:
@@ -295,7 +293,6 @@
     async def _read_request(self) -> ClientRequest | None:
         """:return: the next request, or None if the client disconnected or sent none in time"""
         limits = self._server.get_limits()
-        self._pipelined_bytes = 0
         head = await self._read_head(limits)
         if head is None:
             return None
