Bound the connections of each listener of a forwarding gateway

Clients saw: with many connections that send nothing, or one byte, the gateway had no descriptor left for them, for endpoints or for the store, and each connection took memory that nothing bounded.

Cause: connections were accepted without a limit, each for the idle timeout, and the kernel let the receive buffer of each grow to megabytes, which count toward the process.

Change: a limit from the memory and, newly read, the descriptors of the settings. A connection beyond it takes the place of one that is about to close, or of the one that has waited longest for a request. The ready and metrics addresses have 32 each, where the oldest gives way in any state, and no bodies. Receive buffers are fixed. What a listener rejects or closes is counted and logged, at most ten lines a second of each kind; the same for 404. A rejected request is read on for its size at most.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerbuffer.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerbuffer.py
@@ -58,7 +58,7 @@
     ) -> None:
         self.budget = MemoryBudget(choose_budget_bytes(limit_bytes))
         self.max_event_bytes = max_event_bytes
-        self._metrics = metrics
+        self.metrics = metrics
         metrics.add_gauge("held_bytes", self._list_held, "side")
 
     @property
@@ -76,7 +76,7 @@
 
     def note_aborted(self, attempt_id: str, held_bytes: int) -> None:
         """Count and log an answer that is aborted since its client takes no byte."""
-        self._metrics.count_aborted_answer()
+        self.metrics.count_aborted_answer()
         log_record(_LOGGER, "answer aborted", self._make_record(attempt_id, held_bytes))
 
     def _make_record(self, attempt_id: str, held_bytes: int) -> AnswerMemoryRecord:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
@@ -77,6 +77,8 @@
         self._aborted = create_counter(f"{METRIC_PREFIX}aborted_answers")
         self._faulty_answers = create_counter(f"{METRIC_PREFIX}faulty_answers")
         self._rejected_messages = create_counter(f"{METRIC_PREFIX}rejected_peer_messages")
+        self._rejected_requests = create_counter(f"{METRIC_PREFIX}rejected_requests")
+        self._closed_connections = create_counter(f"{METRIC_PREFIX}closed_connections")
         self._total = create_histogram(f"{METRIC_PREFIX}request_seconds")
         self._first = create_histogram(f"{METRIC_PREFIX}first_part_seconds")
         self._longest_pause = create_histogram(f"{METRIC_PREFIX}longest_pause_seconds")
@@ -121,6 +123,14 @@
         """
         self._rejected_messages.add(1, {"reason": reason})
 
+    def count_rejected_request(self, listener: str, status: int) -> None:
+        """Count a request that is rejected before it reaches its handler."""
+        self._rejected_requests.add(1, {"listener": listener, "status": str(status)})
+
+    def count_closed_connection(self, listener: str, reason: str) -> None:
+        """Count a connection that is closed for lack of room, by what it was doing."""
+        self._closed_connections.add(1, {"listener": listener, "reason": reason})
+
     def count_aborted_answer(self) -> None:
         """Count an answer that is aborted since its client takes no byte."""
         self._aborted.add(1)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannedstop.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannedstop.py
@@ -65,7 +65,7 @@
         :param grace_s: seconds after which the process is killed
         """
         started_s = self._timer.now()
-        self._client_server.is_stopping = True
+        self._client_server.begin_stop()
         end_s = started_s + grace_s * ANSWER_GRACE_FRACTION
         handed_over = Event()
         self._tasks.start_soon(self._hand_over, end_s, handed_over)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -11,6 +11,7 @@
 from anyio.abc import SocketListener, TaskGroup
 
 from kingcupdyke.forwarding.configuration import ClientLimits, Configuration
+from kingcupdyke.forwarding.connectionlimit import choose_connection_limit
 from kingcupdyke.forwarding.dispatcher import Dispatcher
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.leasepromise import LeasePromises
@@ -20,7 +21,7 @@
 from kingcupdyke.forwarding.watchinterval import choose_watch_interval
 from kingcupdyke_daemon.forwarder.answerbuffer import AnswerMemory
 from kingcupdyke_daemon.forwarder.catalogue import Catalogue
-from kingcupdyke_daemon.forwarder.clientserver import ClientServer
+from kingcupdyke_daemon.forwarder.clientserver import AuxiliaryServer, ClientServer
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.endpointbackoffs import EndpointBackoffs
@@ -149,14 +150,19 @@
         )
         self._ready = ReadyHandler()
         self._client_server = ClientServer(
-            self._request_handler, self._get_limits, self._timer.now, self._memory, self._errors
+            self._request_handler,
+            self._get_limits,
+            self._timer.now,
+            self._memory,
+            self._errors,
+            self._get_max_connections,
         )
-        self._ready_server = ClientServer(
-            self._ready, ClientLimits, self._timer.now, self._memory, self._errors
+        self._ready_server = AuxiliaryServer(
+            "ready", self._ready, self._timer.now, self._memory, self._errors
         )
-        self._metrics_server = ClientServer(
+        self._metrics_server = AuxiliaryServer(
+            "metrics",
             MetricsHandler(self._metrics),
-            ClientLimits,
             self._timer.now,
             self._memory,
             self._errors,
@@ -329,6 +335,9 @@
         configuration = self._request_handler.configuration
         return ClientLimits() if configuration is None else configuration.limits
 
+    def _get_max_connections(self) -> int:
+        return choose_connection_limit(self._settings.memory_bytes, self._settings.max_fds)
+
     def _get_watch_interval_s(self) -> float:
         return choose_watch_interval(self._peer_gossip.gateway_count)
 
--- /dev/null
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestreader.py
@@ -0,0 +1,143 @@
+"""
+kingcupdyke_daemon.forwarder.requestreader
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Reads the requests of one client connection.
+"""
+
+from collections.abc import Awaitable, Callable
+
+from anyio import EndOfStream, fail_after
+from anyio.abc import SocketStream
+from h11 import (
+    NEED_DATA,
+    PAUSED,
+    Connection,
+    ConnectionClosed,
+    Data,
+    EndOfMessage,
+    RemoteProtocolError,
+    Request,
+)
+
+from kingcupdyke.forwarding.configuration import ClientLimits
+from kingcupdyke.forwarding.memorybudget import MemoryBudget
+from kingcupdyke_daemon.forwarder.requestcheck import (
+    RejectedRequest,
+    check_head,
+    describe_protocol_error,
+    find_length,
+)
+
+__all__ = ["READ_BYTES", "NoMemoryError", "RequestReader"]
+
+#: Maximum number of bytes read from a socket in one call.
+READ_BYTES = 16_384
+
+
+class NoMemoryError(Exception):
+    """The memory budget does not permit a request body."""
+
+
+class RequestReader:
+    """Reads the requests of one connection.
+
+    :param stream: the connection
+    :param http: its state
+    :param budget: the memory budget that bodies count toward
+    """
+
+    def __init__(self, stream: SocketStream, http: Connection, budget: MemoryBudget) -> None:
+        self._stream = stream
+        self._http = http
+        self._budget = budget
+
+    async def read_head(self, limits: ClientLimits) -> Request | None:
+        """:return: the next head, or None if the client disconnected or sent none in time
+        :raises RejectedRequest: when it is malformed
+        """
+        first_timeout_s = limits.idle_timeout_s
+        if self._http.trailing_data[0]:
+            first_timeout_s = limits.header_timeout_s
+        try:
+            event = await self._next_event(first_timeout_s, limits.header_timeout_s)
+        except TimeoutError:
+            return None
+        return None if isinstance(event, ConnectionClosed) else event
+
+    async def read_body(
+        self,
+        head: Request,
+        limits: ClientLimits,
+        begin: Callable[[], Awaitable[None]],
+    ) -> bytes:
+        """Read the body of a request.
+
+        :param begin: called before the first byte is awaited
+        :return: the body, which counts toward the memory budget until the caller releases it
+        :raises RejectedRequest: when it is invalid, or does not arrive in time
+        :raises NoMemoryError: when there is no room for it
+        """
+        check_head(head, limits)
+        # A declared length is taken at once: a body that was begun is not rejected for memory.
+        taken = find_length(head)
+        if not self._budget.take_body(taken):
+            raise NoMemoryError
+        parts: list[bytes] = []
+        size = 0
+        is_read = False
+        try:
+            await begin()
+            while (part := await self._read_part(limits)) is not None:
+                size += len(part)
+                if size > limits.max_body_bytes:
+                    raise RejectedRequest(413, "the request body is too large")
+                if size > taken:
+                    if not self._budget.take_body(size - taken):
+                        raise NoMemoryError
+                    taken = size
+                parts.append(part)
+            is_read = True
+        finally:
+            if not is_read:
+                self._budget.release_body(taken)
+        return b"".join(parts)
+
+    async def _read_part(self, limits: ClientLimits) -> bytes | None:
+        """:return: the next part of the body, or None at its end"""
+        try:
+            event = await self._next_event(limits.idle_timeout_s, limits.idle_timeout_s)
+        except TimeoutError:
+            raise RejectedRequest(408, "timeout while reading the request body") from None
+        if isinstance(event, EndOfMessage):
+            return None
+        if not isinstance(event, Data):
+            raise RejectedRequest(400, "the request body ended early")
+        return event.data
+
+    async def _next_event(self, first_timeout_s: float, rest_timeout_s: float) -> object:
+        """Read until the next HTTP event is complete.
+
+        :param first_timeout_s: timeout for the first read
+        :param rest_timeout_s: timeout for all further reads together
+        :raises TimeoutError: when a timeout expires
+        """
+        try:
+            event = self._http.next_event()
+            if event is not NEED_DATA and event is not PAUSED:
+                return event
+            with fail_after(first_timeout_s):
+                await self._receive()
+            with fail_after(rest_timeout_s):
+                while (event := self._http.next_event()) is NEED_DATA:
+                    await self._receive()
+            return event
+        except RemoteProtocolError as error:
+            raise RejectedRequest(error.error_status_hint, describe_protocol_error(error)) from None
+
+    async def _receive(self) -> None:
+        try:
+            data = await self._stream.receive(READ_BYTES)
+        except EndOfStream:
+            data = b""
+        self._http.receive_data(data)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/settings.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/settings.py
@@ -58,6 +58,8 @@
     quota_limits: QuotaLimits = QuotaLimits()
     #: Memory limit of the process, or None if it is not known.
     memory_bytes: int | None = None
+    #: Limit of the descriptors of the process, or None if it is not known.
+    max_fds: int | None = None
     #: Limit of the size of an event of a stream.
     max_event_bytes: int = DEFAULT_MAX_EVENT_BYTES
 
