Let slow request bodies give way, and end those that come too late

Callers saw: 503 for each request with a body, for as long as a few clients kept bodies of permitted size open that they had begun and did not end, or dripped.

Cause: the declared length of a body is taken from the memory budget at once, and a byte now and then renewed its timeout; the parts of a chunked body were kept one by one.

Change: where room is missing, for bytes or for a connection, the body that would take longest gives way, if none of it came for a second or if all of it would take over ten seconds; it gets 408 and has not run, or its connection is closed for a new one. A body must come within the time that its client and its route leave for the request. Parts are joined as they come.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientconnection.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientconnection.py
@@ -7,6 +7,7 @@
 
 import logging
 from collections.abc import Callable
+from math import inf
 from socket import IPPROTO_TCP, TCP_NOTSENT_LOWAT
 
 from anyio import CancelScope, aclose_forcefully, create_task_group, fail_after
@@ -28,6 +29,7 @@
 )
 
 from kingcupdyke.forwarding.configuration import ClientLimits
+from kingcupdyke.forwarding.incomingbodies import IncomingBodies
 from kingcupdyke_daemon.clientconnections import (
     BoundedConnection,
     ClientConnections,
@@ -53,6 +55,7 @@
 from kingcupdyke_daemon.forwarder.requestcheck import (
     RejectedRequest,
     describe_protocol_error,
+    has_body,
 )
 from kingcupdyke_daemon.forwarder.requestreader import READ_BYTES, NoMemoryError, RequestReader
 from kingcupdyke_wire.sockets import bound_reading, reset, set_unacknowledged_timeout
@@ -85,6 +88,7 @@
     :param get_limits: returns the limits in force
     :param now: returns the time in seconds
     :param memory: bounds the bytes held for slow clients and of request bodies
+    :param bodies: all request bodies that the process receives
     :param connections: the open connections
     :param log: logs and counts what is not served
     :param note_error: called with an unexpected error of one connection
@@ -96,6 +100,7 @@
         get_limits: Callable[[], ClientLimits],
         now: Callable[[], float],
         memory: AnswerMemory,
+        bodies: IncomingBodies,
         connections: ClientConnections,
         log: ClientLog,
         note_error: Callable[[Exception], None],
@@ -104,6 +109,7 @@
         self.get_limits = get_limits
         self.now = now
         self.memory = memory
+        self.bodies = bodies
         self.connections = connections
         self.log = log
         self.note_error = note_error
@@ -127,7 +133,7 @@
         bound_reading(stream, READ_BYTES)
         limits = context.get_limits()
         self._http = Connection(SERVER, max_incomplete_event_size=limits.max_header_bytes)
-        self._reader = RequestReader(stream, self._http, context.memory.budget)
+        self._reader = RequestReader(stream, self._http, context.bodies, context.now)
         self._status = 0
         #: Whether a request has reached the handler and its answer is not complete.
         self._is_answering = False
@@ -264,8 +270,13 @@
         arrived_s = self._context.now()
         headers = list(head.headers)
         request = ClientRequest(head.method, head.target, headers, b"", arrived_s)
+        timeout_s = inf
+        if has_body(head):
+            timeout_s = self._context.handler.get_body_timeout_s(request)
         try:
-            body = await self._reader.read_body(head, limits, self._send_interim)
+            body = await self._reader.read_body(
+                head, limits, timeout_s, self._send_interim, self._give_way
+            )
         except NoMemoryError:
             rejection = self._context.handler.write_rejection(headers, NO_MEMORY_RETRY_S)
             reason = "the gateway holds too many bytes of requests"
@@ -282,6 +293,9 @@
         except TimeoutError as error:
             raise ClientDisconnectedError("it does not read") from error
 
+    def _give_way(self) -> None:
+        self._context.connections.close(self, "body")
+
     async def _send_rejection(self, error: RejectedRequest) -> None:
         context = self._context
         context.log.note_rejected(error.status, error.reason)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
@@ -22,6 +22,7 @@
     DEFAULT_MAX_CONNECTIONS,
     MAX_AUXILIARY_CONNECTIONS,
 )
+from kingcupdyke.forwarding.incomingbodies import IncomingBodies
 from kingcupdyke_daemon.clientconnections import ClientConnections, ConnectionState
 from kingcupdyke_daemon.forwarder.answerbuffer import DISCONNECT_ERRORS, AnswerMemory
 from kingcupdyke_daemon.forwarder.clientconnection import ClientConnection, ConnectionContext
@@ -64,6 +65,8 @@
         get_max_connections: Callable[[], int] = lambda: DEFAULT_MAX_CONNECTIONS,
     ) -> None:
         self._errors = errors
+        self._now = now
+        self._bodies = IncomingBodies(memory.budget)
         log = ClientLog(self.name, memory.metrics, now)
         self._connections = ClientConnections(get_max_connections, self._free_busy, log.note_closed)
         self._context = ConnectionContext(
@@ -71,6 +74,7 @@
             get_limits,
             now,
             memory,
+            self._bodies,
             self._connections,
             log,
             self._note_error,
@@ -123,7 +127,7 @@
 
         :return: whether there was one that may be closed
         """
-        return False
+        return self._bodies.free_connection(self._now())
 
     def _note_error(self, error: Exception) -> None:
         self._errors.note("client connection", error)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/handler.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/handler.py
@@ -96,6 +96,15 @@
                 self._scopes.discard(forwarded_request.scope)
         await forwarded_request.finish()
 
+    def get_body_timeout_s(self, request: ClientRequest) -> float:
+        """:return: the time that the client and the route leave for the request"""
+        caller_timeout_s = self._deps.dialect.read_request(request.headers).caller_timeout_s
+        timeout_s = inf if caller_timeout_s is None else caller_timeout_s
+        if self.configuration is None:
+            return timeout_s
+        route = self.configuration.table.find(request.host, request.path)
+        return timeout_s if route is None else min(timeout_s, route.timeout_s)
+
     def write_rejection(self, headers: Headers, retry_after_s: float) -> Headers:
         dialect = self._deps.dialect
         return dialect.write_rejection(dialect.read_request(headers).attempt_id, retry_after_s)
@@ -138,9 +147,10 @@
         )
         headers = self._deps.dialect.write_rejection(metadata.attempt_id, retry_after_s)
         if status == STATUS_UNAUTHORIZED:
-            # Anyone can send requests without a known key: they must not crowd out other lines.
-            self._deps.sampler.log(_LOGGER, "request refused", record)
             headers.append(CHALLENGE)
+        if status in (STATUS_UNAUTHORIZED, STATUS_NOT_FOUND):
+            # Anyone can send such requests: they must not crowd out other lines.
+            self._deps.sampler.log(_LOGGER, "request refused", record)
         else:
             log_record(_LOGGER, "request refused", record)
         self._deps.metrics.count_decision("", "refuse", reason)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/reply.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/reply.py
@@ -7,6 +7,7 @@
 
 import json
 from abc import ABC, abstractmethod
+from math import inf
 from typing import NamedTuple
 
 from kingcupdyke_daemon.forwarder.dialect import Headers
@@ -90,6 +91,13 @@
     async def handle(self, request: ClientRequest, reply: Reply) -> None:
         """Answer a request; if this returns before :meth:`Reply.end`, the connection is reset."""
 
+    def get_body_timeout_s(self, request: ClientRequest) -> float:
+        """:return: seconds after the head within which the whole body must have arrived
+
+        :param request: the request without its body
+        """
+        return inf
+
     def write_rejection(self, headers: Headers, retry_after_s: float) -> Headers:
         """:return: headers of the rejection of a request that does not reach the handler
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestcheck.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestcheck.py
@@ -12,7 +12,7 @@
 from kingcupdyke.forwarding.configuration import ClientLimits
 from kingcupdyke_daemon.forwarder.dialect import Headers
 
-__all__ = ["RejectedRequest", "check_head", "describe_protocol_error", "find_length"]
+__all__ = ["RejectedRequest", "check_head", "describe_protocol_error", "find_length", "has_body"]
 
 #: Line of a request in an error of h11, which quotes it as bytes.
 QUOTED_LINE = re.compile(r":? (bytearray\()?b['\"].*", re.DOTALL)
@@ -50,3 +50,8 @@
 def find_length(head: Request) -> int:
     """:return: the declared length of the body, or 0 if none is declared"""
     return next((int(value) for name, value in head.headers if name == b"content-length"), 0)
+
+
+def has_body(head: Request) -> bool:
+    """:return: whether bytes of a body may follow the head"""
+    return find_length(head) > 0 or any(name == b"transfer-encoding" for name, _ in head.headers)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestreader.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestreader.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Awaitable, Callable
 
-from anyio import EndOfStream, fail_after
+from anyio import CancelScope, EndOfStream, current_time, fail_after
 from anyio.abc import SocketStream
 from h11 import (
     NEED_DATA,
@@ -21,7 +21,7 @@
 )
 
 from kingcupdyke.forwarding.configuration import ClientLimits
-from kingcupdyke.forwarding.memorybudget import MemoryBudget
+from kingcupdyke.forwarding.incomingbodies import IncomingBodies, IncomingBody, Room
 from kingcupdyke_daemon.forwarder.requestcheck import (
     RejectedRequest,
     check_head,
@@ -44,13 +44,21 @@
 
     :param stream: the connection
     :param http: its state
-    :param budget: the memory budget that bodies count toward
+    :param bodies: all bodies that the process receives
+    :param now: returns the time in seconds
     """
 
-    def __init__(self, stream: SocketStream, http: Connection, budget: MemoryBudget) -> None:
+    def __init__(
+        self,
+        stream: SocketStream,
+        http: Connection,
+        bodies: IncomingBodies,
+        now: Callable[[], float],
+    ) -> None:
         self._stream = stream
         self._http = http
-        self._budget = budget
+        self._bodies = bodies
+        self._now = now
 
     async def read_head(self, limits: ClientLimits) -> Request | None:
         """:return: the next head, or None if the client disconnected or sent none in time
@@ -69,39 +77,54 @@
         self,
         head: Request,
         limits: ClientLimits,
+        timeout_s: float,
         begin: Callable[[], Awaitable[None]],
+        on_no_place: Callable[[], None],
     ) -> bytes:
         """Read the body of a request.
 
+        :param timeout_s: seconds within which all of it must arrive
         :param begin: called before the first byte is awaited
+        :param on_no_place: called when the body gives way to a new connection
         :return: the body, which counts toward the memory budget until the caller releases it
         :raises RejectedRequest: when it is invalid, or does not arrive in time
         :raises NoMemoryError: when there is no room for it
         """
+
+        def give_way(room: Room) -> None:
+            if room is Room.CONNECTION:
+                on_no_place()
+            scope.cancel()
+
         check_head(head, limits)
-        # A declared length is taken at once: a body that was begun is not rejected for memory.
-        taken = find_length(head)
-        if not self._budget.take_body(taken):
-            raise NoMemoryError
-        parts: list[bytes] = []
-        size = 0
-        is_read = False
+        scope = CancelScope(deadline=current_time() + timeout_s)
+        body = self._bodies.open(self._now(), give_way)
         try:
-            await begin()
-            while (part := await self._read_part(limits)) is not None:
-                size += len(part)
-                if size > limits.max_body_bytes:
-                    raise RejectedRequest(413, "the request body is too large")
-                if size > taken:
-                    if not self._budget.take_body(size - taken):
-                        raise NoMemoryError
-                    taken = size
-                parts.append(part)
-            is_read = True
+            with scope:
+                await self._receive_body(body, head, limits, begin)
+                return body.hand_over()
         finally:
-            if not is_read:
-                self._budget.release_body(taken)
-        return b"".join(parts)
+            body.close()
+        if body.has_given_way:
+            raise RejectedRequest(408, "the request body is too slow while others need its room")
+        raise RejectedRequest(408, "the request body did not arrive before the deadline")
+
+    async def _receive_body(
+        self,
+        body: IncomingBody,
+        head: Request,
+        limits: ClientLimits,
+        begin: Callable[[], Awaitable[None]],
+    ) -> None:
+        # A declared length is taken at once: a body that was begun is not rejected for memory.
+        if not body.take(find_length(head), self._now()):
+            raise NoMemoryError
+        await begin()
+        while (part := await self._read_part(limits)) is not None:
+            if len(body.data) + len(part) > limits.max_body_bytes:
+                raise RejectedRequest(413, "the request body is too large")
+            if not body.add(part, self._now()):
+                raise NoMemoryError
 
     async def _read_part(self, limits: ClientLimits) -> bytes | None:
         """:return: the next part of the body, or None at its end"""
--- a/packages/kingcupdyke/kingcupdyke/forwarding/memorybudget.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/memorybudget.py
@@ -111,6 +111,11 @@
         """:return: bytes that are held other than those of answers for clients"""
         return self.body_bytes + self.unfinished_parts.size_bytes
 
+    @property
+    def body_room(self) -> int:
+        """:return: bytes of request bodies that fit; negative if more is held than is permitted"""
+        return self.size_bytes - self.answer_bytes - self._other_bytes
+
     def configure(self, size_bytes: int) -> None:
         """Change the budget; what is held stays held."""
         self.size_bytes = size_bytes
@@ -129,7 +134,7 @@
 
         :return: whether they were counted
         """
-        if size and self.answer_bytes + self._other_bytes + size > self.size_bytes:
+        if size and size > self.body_room:
             return False
         self.body_bytes += size
         return True
