Let connections that send bodies in tiny parts take turns

Callers saw: no answer to any request, neither beside 20 to 60 clients that sent bodies in chunks of one byte nor for half a minute after these had gone.

Cause: the parser takes 11 us for a part of a body of whatever size, and a connection parsed all that it had read before others ran: thousands of parts, for each such connection in turn.

Change: after 32 events without a wait a connection waits for its turn, of which one is taken between two runs of the other tasks.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientconnection.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientconnection.py
@@ -44,6 +44,7 @@
 from kingcupdyke_daemon.forwarder.connection import (
     KEEPALIVE_OPTIONS,
     UNACKNOWLEDGED_TIMEOUT_S,
+    ReadTurns,
 )
 from kingcupdyke_daemon.forwarder.dialect import Headers
 from kingcupdyke_daemon.forwarder.reply import (
@@ -113,6 +114,8 @@
         self.connections = connections
         self.log = log
         self.note_error = note_error
+        #: Lets the connections take turns that send bodies in small parts.
+        self.turns = ReadTurns()
         #: Whether answers carry ``Connection: close``.
         self.is_stopping = False
         #: Number of requests in progress: the head was read, the answer is not finished.
@@ -133,7 +136,7 @@
         bound_reading(stream, READ_BYTES)
         limits = context.get_limits()
         self._http = Connection(SERVER, max_incomplete_event_size=limits.max_header_bytes)
-        self._reader = RequestReader(stream, self._http, context.bodies, context.now)
+        self._reader = RequestReader(stream, self._http, context.bodies, context.turns, context.now)
         self._status = 0
         #: Whether a request has reached the handler and its answer is not complete.
         self._is_answering = False
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestreader.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestreader.py
@@ -22,6 +22,7 @@
 
 from kingcupdyke.forwarding.configuration import ClientLimits
 from kingcupdyke.forwarding.incomingbodies import IncomingBodies, IncomingBody, Room
+from kingcupdyke_daemon.forwarder.connection import ReadTurns
 from kingcupdyke_daemon.forwarder.requestcheck import (
     RejectedRequest,
     check_head,
@@ -33,6 +34,9 @@
 
 #: Maximum number of bytes read from a socket in one call.
 READ_BYTES = 16_384
+#: Limit of the events parsed before other tasks run. A part of a body takes as long to parse
+#: if it has only one byte.
+MAX_EVENTS_AT_ONCE = 32
 
 
 class NoMemoryError(Exception):
@@ -45,6 +49,7 @@
     :param stream: the connection
     :param http: its state
     :param bodies: all bodies that the process receives
+    :param turns: shared by all connections of the process that receive bodies in small parts
     :param now: returns the time in seconds
     """
 
@@ -53,12 +58,15 @@
         stream: SocketStream,
         http: Connection,
         bodies: IncomingBodies,
+        turns: ReadTurns,
         now: Callable[[], float],
     ) -> None:
         self._stream = stream
         self._http = http
         self._bodies = bodies
+        self._turns = turns
         self._now = now
+        self._events_at_once = 0
 
     async def read_head(self, limits: ClientLimits) -> Request | None:
         """:return: the next head, or None if the client disconnected or sent none in time
@@ -148,6 +156,7 @@
         try:
             event = self._http.next_event()
             if event is not NEED_DATA and event is not PAUSED:
+                await self._let_others_run()
                 return event
             with fail_after(first_timeout_s):
                 await self._receive()
@@ -158,7 +167,15 @@
         except RemoteProtocolError as error:
             raise RejectedRequest(error.error_status_hint, describe_protocol_error(error)) from None
 
+    async def _let_others_run(self) -> None:
+        """Take turns with other connections after many events for which no data was awaited."""
+        self._events_at_once += 1
+        if self._events_at_once >= MAX_EVENTS_AT_ONCE:
+            self._events_at_once = 0
+            await self._turns.wait()
+
     async def _receive(self) -> None:
+        self._events_at_once = 0
         try:
             data = await self._stream.receive(READ_BYTES)
         except EndOfStream:
