Send request bodies to endpoints without copies of them

Cause: head, body and end of a request were joined, and what the endpoint did not take at once was copied again into the transport, so that a body took up to three times its size for each attempt, while once its size counted toward the memory budget.

Change: a large request is written in slices of 64 KiB of the body itself; a small one in one write as before.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
@@ -67,6 +67,8 @@
 MAX_REJECTED_ATTEMPTS = 64
 #: Maximum number of bytes read from a socket in one call, before other tasks run.
 READ_BYTES = 16_384
+#: Maximum number of bytes passed to a socket in one call.
+WRITE_BYTES = 65_536
 #: Size from which a read is large. Those of events and short answers are smaller.
 LARGE_READ_BYTES = 4096
 #: Socket options that close a connection within seconds when its peer becomes unresponsive.
@@ -212,10 +214,10 @@
         """:return: whether the current request is the first one, which all answers belong to"""
         return not self._has_served
 
-    def begin(self, request: Request, body: bytes) -> bytes:
+    def begin(self, request: Request, body: bytes) -> list[bytes]:
         """Begin a request.
 
-        :return: the bytes to write
+        :return: what to write; the body is not copied
         :raises TransferError: when another request is in progress, which is not affected
         :raises LocalProtocolError: when the request is not valid HTTP/1.1
         """
@@ -223,16 +225,23 @@
             raise TransferError(Progress.NOT_SENT, "the connection is in use")
         self._is_in_use = True
         self._is_sent = False
-        head = self._http.send(request) or b""
-        data = self._http.send(Data(data=body)) or b"" if body else b""
-        return head + data + (self._http.send(EndOfMessage()) or b"")
+        parts = [self._http.send(request) or b""]
+        if body:
+            parts += self._http.send_with_data_passthrough(Data(data=body)) or []
+        return [*parts, self._http.send(EndOfMessage()) or b""]
 
-    async def write(self, data: bytes) -> None:
-        """Write the bytes of the current request.
+    async def write(self, parts: list[bytes]) -> None:
+        """Write the current request. Of a large one only a slice is copied at a time.
 
+        :param parts: what :meth:`begin` has returned
         :raises OSError: when the connection breaks, or another of :data:`TRANSFER_ERRORS`
         """
-        await self._stream.send(data)
+        if sum(len(each) for each in parts) <= WRITE_BYTES:
+            parts = [b"".join(parts)]
+        for part in parts:
+            view = memoryview(part)
+            for start in range(0, len(part), WRITE_BYTES):
+                await self._stream.send(view[start : start + WRITE_BYTES])
         self._is_sent = True
 
     async def next_event(self) -> object | None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
@@ -79,12 +79,12 @@
         """
         try:
             request = Request(method=method, target=target, headers=headers)
-            data = self._connection.begin(request, body)
+            parts = self._connection.begin(request, body)
         except LocalProtocolError as error:
             raise TransferError(self._progress, f"sending the request failed: {error!r}") from error
         self._request = request
         self._progress = Progress.SENT
-        tasks.start_soon(self._send_all, data)
+        tasks.start_soon(self._send_all, parts)
 
     async def read_head(self, on_answer: Callable[[int, AnswerMetadata], None]) -> Response:
         """Read the head of the answer, skipping answers to other attempts, and those that name none
@@ -149,9 +149,9 @@
             return bytes(body)
         return None
 
-    async def _send_all(self, data: bytes) -> None:
+    async def _send_all(self, parts: list[bytes]) -> None:
         try:
-            await self._connection.write(data)
+            await self._connection.write(parts)
         except TRANSFER_ERRORS as error:
             # The endpoint may have answered before: reading the answer determines the outcome.
             _LOGGER.debug("sending the request failed: %r", error)
