Remember a prompt's prefixes by their hashes, not by all of their parts

Cause: the ids of all parts were kept for each prefix of a prompt, at each endpoint that read it, so that memory and time grew with the square of the number of parts, and a head of 16 KB has thousands.

Change: a chain of hashes, one number for each prefix.

--- a/packages/kingcupdyke/features/endpointtable.feature
+++ b/packages/kingcupdyke/features/endpointtable.feature
@@ -70,3 +70,7 @@
       | m1    | x:10 z:5  | 10     |
       | m1    | y:20 x:10 | 0      |
       | m2    | x:10 y:20 | 0      |
+
+  # Guards against memory and time that grow with the square of the number of parts.
+  Scenario: A prompt of many parts leaves little at each endpoint
+    Then endpointtable: prompts of 4000 parts leave less than 500000 bytes at an endpoint
--- a/packages/kingcupdyke/features/steps/endpointtable_steps.py
+++ b/packages/kingcupdyke/features/steps/endpointtable_steps.py
@@ -5,6 +5,8 @@
 Steps for a gateway's table of endpoints.
 """
 
+import tracemalloc
+
 from behave import given, then, when
 from forwarding_builders import make_entry, make_held
 
@@ -164,3 +166,21 @@
     for row in context.table:
         cached = state.count_cached_tokens(row["model"], read_parts(row["parts"]))
         assert cached == int(row["cached"]), (row, cached)
+
+
+@then("endpointtable: prompts of {count:d} parts leave less than {limit:d} bytes at an endpoint")
+def check_held_prefixes(context, count, limit):
+    script = EndpointTableScript()
+    script.run("list e1")
+    state = script.endpoint_table.state_by_id["e1"]
+    tracemalloc.start()
+    try:
+        for prompt in range(3):
+            parts = tuple(PromptPart(f"{prompt}-{number}", 1) for number in range(count))
+            state.add_prefixes("m1", parts)
+            assert state.count_cached_tokens("m1", parts) in (0, count)
+        del parts
+        held, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert held < limit, held
--- a/packages/kingcupdyke/kingcupdyke/forwarding/endpointstate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/endpointstate.py
@@ -6,6 +6,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Iterator
 from math import inf
 
 from kingcupdyke.forwarding.endpoint import EndpointEntry
@@ -64,7 +65,7 @@
         self.pace_episode = 0
         #: Time at which the entry is removed as it is no longer listed, or None while it is listed.
         self.lapses_s: float | None = None
-        self._prefixes: OrderedDict[tuple[str, ...], None] = OrderedDict()
+        self._prefixes: OrderedDict[int, None] = OrderedDict()
 
     @property
     def requests(self) -> int:
@@ -142,9 +143,7 @@
     def count_cached_tokens(self, model: str, parts: tuple[PromptPart, ...]) -> int:
         """:return: tokens of the longest prefix of a prompt that was sent there recently"""
         cached = 0
-        key: tuple[str, ...] = (model,)
-        for part in parts:
-            key = (*key, part.part_id)
+        for part, key in zip(parts, _hash_prefixes(model, parts), strict=True):
             if key not in self._prefixes:
                 break
             cached += part.tokens
@@ -152,9 +151,7 @@
 
     def add_prefixes(self, model: str, parts: tuple[PromptPart, ...]) -> None:
         """Remember the prefixes of a prompt that the endpoint now reads."""
-        key: tuple[str, ...] = (model,)
-        for part in parts:
-            key = (*key, part.part_id)
+        for key in _hash_prefixes(model, parts):
             self._prefixes[key] = None
             self._prefixes.move_to_end(key)
         while len(self._prefixes) > MAX_PREFIXES:
@@ -163,3 +160,14 @@
     def clear_prefixes(self) -> None:
         """Forget all prefixes, as the endpoint has restarted."""
         self._prefixes.clear()
+
+
+def _hash_prefixes(model: str, parts: tuple[PromptPart, ...]) -> Iterator[int]:
+    """Yield a hash of each prefix of a prompt.
+
+    What callers write in it is not kept, and many parts cost as much time as there are of them.
+    """
+    key = hash(model)
+    for part in parts:
+        key = hash((key, part.part_id))
+        yield key
