--- a/packages/kingcupdyke/features/dispatcher.feature
+++ b/packages/kingcupdyke/features/dispatcher.feature
@@ -99,3 +99,10 @@
     Then dispatcher: every urgent request is served, most of them on time
     And dispatcher: no endpoint had more requests than slots
     And dispatcher: no request is still waiting after its deadline
+
+  # Guards against state, and messages to peers, that grow with what callers write.
+  Scenario: Models and adapters that are not configured are no demand
+    Given dispatcher: engines "e1=m1" with models that load in 6 s, from disk in 1 s
+    When dispatcher: 1000 requests come, each for another model or adapter that is not configured
+    And dispatcher: "submit r1 model=m1 tokens=900; submit r2 model=m2 tokens=900" happens
+    Then dispatcher: there is demand for "m1 m2" only
--- a/packages/kingcupdyke/features/steps/dispatcher_steps.py
+++ b/packages/kingcupdyke/features/steps/dispatcher_steps.py
@@ -237,3 +237,18 @@
 def check_answers(context):
     assert not any(isinstance(each, Wait) for each in context.script.decisions.values())
     assert context.script.dispatcher.waiting == 0
+
+
+@when(
+    "dispatcher: {count:d} requests come, each for another model or adapter that is not configured"
+)
+def submit_unknown(context, count):
+    for number in range(count // 2):
+        context.script.do_submit(f"x{number}", f"model=x{number}", "tokens=900")
+        context.script.do_submit(f"y{number}", "model=m1", f"adapter=y{number}", "tokens=900")
+
+
+@then('dispatcher: there is demand for "{models}" only')
+def check_demands(context, models):
+    demands = context.script.dispatcher.list_demands(context.script.now_s)
+    assert {(each.model, each.adapter) for each in demands} == {(m, "") for m in models.split()}
--- a/packages/kingcupdyke/kingcupdyke/forwarding/demandtracker.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/demandtracker.py
@@ -38,9 +38,11 @@
             if item.model and item.software_version is None
         )
         demands = []
-        for (model, adapter), demand_rate in self._rate_by_model.items():
+        for (model, adapter), demand_rate in list(self._rate_by_model.items()):
             rate = demand_rate.read(now_s)
             count = counts[model, adapter]
+            if not rate and not count:
+                del self._rate_by_model[model, adapter]
             if model and (rate >= 1.0 or count):
                 demands.append(Demand(model, adapter, count, round(rate, 1)))
         return tuple(demands)
