Bound the HTTP connections of the product's gateways and sidecars

Callers saw: no answer beside, nor after, 20 clients that sent bodies in chunks of one or two bytes; with 1,500 connections that sent nothing, or a head's beginning, no limit but the system's.

Cause: uvicorn accepts without a limit, parses up to 256 KiB of each connection at once, and waits for ever for a client that does not read its answer.

Change: a protocol of ours on uvicorn's. The connections that wait for a request give way to new ones beyond most_connections (1,024; 128 at a sidecar); chunked bodies are parsed 1 KiB at a time, one connection after the other; an answer that is stalled for 30 s is cut off; heads have 32 KiB at most; receive buffers are fixed. Closed connections are counted and logged, at most ten lines a second.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
@@ -21,6 +21,7 @@
 from kingcupdyke.routers import get_router
 from kingcupdyke.routing import Router
 from kingcupdyke.util import rank_rendezvous
+from kingcupdyke_daemon.connectionlog import ConnectionLog
 from kingcupdyke_daemon.gateway.admin import AdminApp, AdminDependencies
 from kingcupdyke_daemon.gateway.admission import AdmissionController
 from kingcupdyke_daemon.gateway.app import AppDependencies, GatewayApp
@@ -102,7 +103,7 @@
         peer_listener = open_socket(common.address, self._settings.peer_port)
         peers = make_server([PeerService(self._gossip)])
         await peers.start(sock=peer_listener)
-        http = HttpServer(self._make_app())
+        http = self._make_server()
         http_stopped = Event()
         self._tasks.start_soon(_serve, http, listener, http_stopped)
         self._start_loops()
@@ -228,6 +229,13 @@
             )
         )
 
+    def _make_server(self) -> HttpServer:
+        return HttpServer(
+            self._make_app(),
+            self._settings.most_connections,
+            note_closed=ConnectionLog(self._metrics, self._timer.now).note_closed,
+        )
+
     def _is_ready(self) -> bool:
         return self._drain.state is DrainState.RUNNING and self._gossip.replica.version > 0
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/server.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/server.py
@@ -5,20 +5,35 @@
 Listening sockets and the HTTP server.
 """
 
-from asyncio import TimerHandle, Transport
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from contextlib import contextmanager
-from socket import AF_INET, AF_INET6, IPPROTO_TCP, SO_REUSEADDR, SOCK_STREAM, SOL_SOCKET, socket
+from functools import partial
+from socket import (
+    AF_INET,
+    AF_INET6,
+    IPPROTO_TCP,
+    SO_RCVBUF,
+    SO_REUSEADDR,
+    SOCK_STREAM,
+    SOL_SOCKET,
+    socket,
+)
 
 from uvicorn import Config, Server
-from uvicorn.protocols.http.h11_impl import H11Protocol
 
-__all__ = ["HttpServer", "open_socket"]
+from kingcupdyke_daemon.clientconnections import ClientConnections
+from kingcupdyke_daemon.httpprotocol import BoundedHttpProtocol, ParseTurns
+
+__all__ = ["MAX_CONNECTIONS", "HttpServer", "open_socket"]
 
 #: Maximum number of connections that wait to be accepted.
 _BACKLOG = 1024
-#: Seconds within which the head of a request must arrive, or its connection is closed.
-_HEAD_TIMEOUT_S = 5.0
+#: Limit of the open connections of a server if none is set.
+MAX_CONNECTIONS = 1024
+#: Limit of the size of the head of a request.
+MAX_HEAD_BYTES = 32_768
+#: Receive buffer of each connection. The kernel would let it grow to megabytes.
+RECEIVE_BUFFER_BYTES = 32_768
 
 
 def open_socket(address: str, port: int) -> socket:
@@ -35,48 +50,41 @@
     return listener
 
 
-class HeadTimeoutProtocol(H11Protocol):
-    """Closes a connection on which the head of a request stalls."""
-
-    _head_timer: TimerHandle | None = None
-
-    def connection_made(self, transport: Transport) -> None:
-        super().connection_made(transport)
-        self._start_head_timer()
-
-    def data_received(self, data: bytes) -> None:
-        super().data_received(data)
-        if self.cycle is None or self.cycle.response_complete:
-            self._start_head_timer()
-        else:
-            self._cancel_head_timer()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._cancel_head_timer()
-        super().connection_lost(exc)
-
-    def _start_head_timer(self) -> None:
-        if self._head_timer is None:
-            self._head_timer = self.loop.call_later(_HEAD_TIMEOUT_S, self.transport.close)
-
-    def _cancel_head_timer(self) -> None:
-        if self._head_timer is not None:
-            self._head_timer.cancel()
-            self._head_timer = None
-
-
 class HttpServer(Server):
     """A uvicorn server on the daemon's event loop; the daemon itself handles signals.
 
     :param app: an ASGI application
+    :param max_connections: limit of open connections; beyond it those that wait for a request give
+        way to new ones, or else the new ones are closed
+    :param free_busy: closes a connection in use for a new one, and returns whether it did
+    :param note_closed: called with what a connection did that is closed, and with the number of
+        open connections
     """
 
-    def __init__(self, app: object) -> None:
+    def __init__(
+        self,
+        app: object,
+        max_connections: int = MAX_CONNECTIONS,
+        free_busy: Callable[[], bool] = lambda: False,
+        note_closed: Callable[[str, int], None] = lambda reason, open_connections: None,
+    ) -> None:
+        connections = ClientConnections(lambda: max_connections, free_busy, note_closed)
         config = Config(
-            app, http=HeadTimeoutProtocol, log_config=None, access_log=False, lifespan="off"
+            app,
+            http=partial(BoundedHttpProtocol, connections, ParseTurns()),
+            log_config=None,
+            access_log=False,
+            lifespan="off",
+            h11_max_incomplete_event_size=MAX_HEAD_BYTES,
         )
         super().__init__(config)
 
+    async def startup(self, sockets: list[socket] | None = None) -> None:
+        for each in sockets or ():
+            # Accepted connections inherit it.
+            each.setsockopt(SOL_SOCKET, SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        await super().startup(sockets)
+
     @contextmanager
     def capture_signals(self) -> Generator[None, None, None]:
         yield
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/process.py
@@ -16,6 +16,7 @@
 from kingcupdyke.keyworker import KeyWorker
 from kingcupdyke.ledger import MemoryLedger
 from kingcupdyke.residency import Holder
+from kingcupdyke_daemon.connectionlog import ConnectionLog
 from kingcupdyke_daemon.gossip import GossipService, PeerService
 from kingcupdyke_daemon.metrics import DaemonMetrics
 from kingcupdyke_daemon.process import (
@@ -56,6 +57,8 @@
 _STOP_POLL_INTERVAL_S = 0.05
 #: After a longer pause of the event loop, another sidecar may own the endpoint.
 _MAX_PAUSE_S = 2.0
+#: Limit of the open connections for health checks and metrics.
+_MAX_STATUS_CONNECTIONS = 128
 #: Time that a draining sidecar waits until its last replicas are loaded elsewhere.
 _HAND_OVER_TIMEOUT_S = 5.0
 
@@ -72,6 +75,7 @@
         self._settings = settings
         self._tasks = tasks
         self._timer = LoopTimer(tasks)
+        self._metrics = DaemonMetrics(common.host, "sidecar")
         self._incarnation = make_incarnation()
         self._stop = Event()
         self._handed_over = False
@@ -120,7 +124,11 @@
         service = SidecarService(self._make_service_dependencies())
         server = make_server([service, PeerService(self._gossip)])
         await server.start(sock=listener)
-        http_server = HttpServer(StatusApp(lambda: not self._handed_over))
+        http_server = HttpServer(
+            StatusApp(lambda: not self._handed_over),
+            _MAX_STATUS_CONNECTIONS,
+            note_closed=ConnectionLog(self._metrics, self._timer.now).note_closed,
+        )
         self._tasks.start_soon(http_server.serve, [http_listener])
         self._start_loops()
         print_addresses(listening=listener, http=http_listener)
@@ -224,7 +232,7 @@
             self._incarnation,
             settings.common.host,
             lambda: self._gossip.replica.rule_set,
-            DaemonMetrics(settings.common.host, "sidecar"),
+            self._metrics,
         )
 
     def _make_service_dependencies(self) -> ServiceDependencies:
