Bound the request bodies that the product's gateways hold

Callers saw: a gateway that ran out of memory ended with all their requests.

Cause: each request could hold most_body_bytes, while it was received and until it was answered, and nothing bounded all of them; a byte within 5 s kept a body open for ever.

Change: the same rules as in a forwarding gateway: most_held_bytes (32 MiB) for all together, beyond which a body gets 503, the slowest giving way; the caller's deadline, where it names one, is the time of its body. The reading of bodies has left the application's module.

--- a/packages/kingcupdyke-daemon/features/steps/app_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/app_steps.py
@@ -14,7 +14,10 @@
 from behave import then, when
 from expression import Ok
 
+from kingcupdyke.forwarding.incomingbodies import IncomingBodies
+from kingcupdyke.forwarding.memorybudget import MemoryBudget
 from kingcupdyke_daemon.gateway.app import AppDependencies, GatewayApp
+from kingcupdyke_daemon.gateway.bodyreader import BodyReader
 
 TOKEN = "token"
 
@@ -84,7 +87,7 @@
             has_rules=lambda: True,
             host="entry-n1",
             region="north",
-            max_body_bytes=1000,
+            body_reader=BodyReader(IncomingBodies(MemoryBudget(2000)), 1000, "entry-n1", stub),
         )
     )
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/app.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/app.py
@@ -7,12 +7,12 @@
 
 import json
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from hashlib import sha256
 from typing import NamedTuple
 from uuid import uuid4
 
-from anyio import create_task_group, move_on_after
+from anyio import create_task_group
 from expression import Error, Ok, Result
 
 from kingcupdyke.demand import DemandTracker
@@ -24,6 +24,7 @@
 from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.gateway.admin import AdminApp
 from kingcupdyke_daemon.gateway.body import parse_body
+from kingcupdyke_daemon.gateway.bodyreader import BodyReader, Receive
 from kingcupdyke_daemon.gateway.call import Call, CallHandler
 from kingcupdyke_daemon.gateway.reply import (
     Rejection,
@@ -42,8 +43,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-Receive = Callable[[], Awaitable[dict]]
-
 _MODEL_PATHS = frozenset({"/v1/completions", "/v1/chat/completions"})
 _SERVICE_PREFIX = "/services/"
 _DEADLINE_HEADER = "x-deadline-ms"
@@ -52,8 +51,6 @@
 _MAX_KEY_CHARACTERS = 200
 _MAX_ID_CHARACTERS = 128
 _MAX_DEADLINE_S = 3600.0
-#: Longest wait for the next chunk of a request body; after it the gateway answers with 408.
-_BODY_TIMEOUT_S = 5.0
 
 
 class AppDependencies(NamedTuple):
@@ -71,7 +68,7 @@
     has_rules: Callable[[], bool]
     host: str
     region: str
-    max_body_bytes: int
+    body_reader: BodyReader
 
 
 class _ReceivedRequest(NamedTuple):
@@ -112,13 +109,22 @@
             name.decode("latin-1"): value.decode("latin-1") for name, value in scope["headers"]
         }
         external_id = headers.get(_REQUEST_ID_HEADER, "")[:_MAX_ID_CHARACTERS] or uuid4().hex
-        reply_headers = ((_REQUEST_ID_HEADER.encode(), external_id.encode("latin-1")),)
         read_result = await self._read_request(scope, headers, receive)
         if read_result.is_error():
             if read_result.error is not None:
                 await self._reject(send, read_result.error, external_id)
             return
         received = read_result.ok
+        try:
+            await self._answer(received, receive, send, external_id)
+        finally:
+            self._deps.body_reader.release(received.body)
+
+    async def _answer(
+        self, received: _ReceivedRequest, receive: Receive, send: Send, external_id: str
+    ) -> None:
+        """Answer a request that was read in full."""
+        reply_headers = ((_REQUEST_ID_HEADER.encode(), external_id.encode("latin-1")),)
         if received.path == "/v1/models" and received.method == "GET":
             await send_json(send, self._list_models(received.caller), headers=reply_headers)
             return
@@ -219,26 +225,16 @@
         caller = self._authenticate(headers)
         if caller is None:
             return Error(self._rejection(Step.AUTHENTICATE, 401, "invalid_token", "unknown token"))
-        body = bytearray()
-        more = True
-        while more:
-            with move_on_after(_BODY_TIMEOUT_S) as timeout_scope:
-                message = await receive()
-            if timeout_scope.cancelled_caught:
-                reason = f"the request body stalled for {_BODY_TIMEOUT_S:g} s"
-                return Error(self._rejection(Step.PARSE, 408, "body_timeout", reason))
-            if message["type"] == "http.disconnect":
-                return Error(None)
-            body += message.get("body", b"")
-            more = message.get("more_body", False)
-            if len(body) > self._deps.max_body_bytes:
-                reason = f"the request body exceeds {self._deps.max_body_bytes} bytes"
-                return Error(self._rejection(Step.PARSE, 413, "body_too_large", reason))
+        deadline = headers.get(_DEADLINE_HEADER, "")
+        timeout_s = int(deadline) / 1000 if _is_deadline(deadline) else _MAX_DEADLINE_S
+        read = await self._deps.body_reader.read(receive, headers, timeout_s)
+        if read.is_error():
+            return read
         query = scope["query_string"].decode("latin-1")
         # The undecoded path, as a service may distinguish an escaped slash (%2F) from a slash.
         path = scope["raw_path"].decode("latin-1")
         return Ok(
-            _ReceivedRequest(caller, scope["method"], path, query, headers, bytes(body), arrived_s)
+            _ReceivedRequest(caller, scope["method"], path, query, headers, read.ok, arrived_s)
         )
 
     def _authenticate(self, headers: dict[str, str]) -> CallerRule | None:
@@ -375,7 +371,7 @@
         text = received.headers.get(_DEADLINE_HEADER)
         if text is None:
             return Ok(received.arrived_s + default_s)
-        if not text.isdecimal() or not 0 < int(text) <= _MAX_DEADLINE_S * 1000:
+        if not _is_deadline(text):
             reason = f"{_DEADLINE_HEADER}: give a whole number of milliseconds above zero"
             return Error(
                 self._rejection(Step.PARSE, 400, "invalid_request", reason, _DEADLINE_HEADER)
@@ -389,6 +385,11 @@
     scope.cancel()
 
 
+def _is_deadline(text: str) -> bool:
+    """:return: whether a header states a permitted deadline in milliseconds"""
+    return text.isdecimal() and 0 < int(text) <= _MAX_DEADLINE_S * 1000
+
+
 def _is_allowed(callers: tuple[str, ...], caller: CallerRule) -> bool:
     return ANY_CALLER in callers or caller.name in callers
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/process.py
@@ -15,6 +15,8 @@
 from kingcupdyke.budget import RetryBudget
 from kingcupdyke.demand import DemandDelta, DemandTracker
 from kingcupdyke.drain import DrainMachine, DrainState
+from kingcupdyke.forwarding.incomingbodies import IncomingBodies
+from kingcupdyke.forwarding.memorybudget import MemoryBudget
 from kingcupdyke.lease import LeaseMachine
 from kingcupdyke.placements import get_placement
 from kingcupdyke.retry import RetryPolicy
@@ -25,6 +27,7 @@
 from kingcupdyke_daemon.gateway.admin import AdminApp, AdminDependencies
 from kingcupdyke_daemon.gateway.admission import AdmissionController
 from kingcupdyke_daemon.gateway.app import AppDependencies, GatewayApp
+from kingcupdyke_daemon.gateway.bodyreader import BodyReader
 from kingcupdyke_daemon.gateway.call import CallDependencies, CallHandler
 from kingcupdyke_daemon.gateway.directory import EndpointDirectory
 from kingcupdyke_daemon.gateway.planner import RegionPlanner, make_placement_options
@@ -82,6 +85,7 @@
             self._rng,
         )
         self._metrics = DaemonMetrics(common.host, "gateway")
+        self._bodies = IncomingBodies(MemoryBudget(settings.most_held_bytes))
         self._drain = DrainMachine(common.host, common.farewell_s)
         self._demand = DemandTracker(_DEMAND_WINDOW_S)
         self._directory = EndpointDirectory(common, self._gossip.membership, tasks, self._timer)
@@ -225,7 +229,7 @@
                 lambda: self._gossip.replica.version > 0,
                 common.host,
                 common.region,
-                settings.most_body_bytes,
+                BodyReader(self._bodies, settings.most_body_bytes, common.host, self._timer),
             )
         )
 
@@ -233,7 +237,8 @@
         return HttpServer(
             self._make_app(),
             self._settings.most_connections,
-            note_closed=ConnectionLog(self._metrics, self._timer.now).note_closed,
+            lambda: self._bodies.free_connection(self._timer.now()),
+            ConnectionLog(self._metrics, self._timer.now).note_closed,
         )
 
     def _is_ready(self) -> bool:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/settings.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/settings.py
@@ -62,6 +62,8 @@
     admission: str
     retry_share: float
     most_body_bytes: int
+    #: Limit of the bytes of all request bodies together.
+    most_held_bytes: int
     #: Limit of the open connections of callers.
     most_connections: int
     #: Maximum number of concurrent requests per endpoint, over all gateways.
@@ -167,6 +169,7 @@
     "admission": lambda o, n: get_choice_opt(o, n, ("deadline", "none"), "deadline"),
     "retry_share": lambda o, n: get_float_opt(o, n, 0.1, 0.0, 1.0),
     "most_body_bytes": lambda o, n: get_bytes_opt(o, n, MIB),
+    "most_held_bytes": lambda o, n: get_bytes_opt(o, n, 32 * MIB),
     "most_connections": lambda o, n: get_int_opt(o, n, 1024, 1),
     "endpoint_slots": lambda o, n: get_int_opt(o, n, 32, 1),
     "most_waiting": lambda o, n: get_int_opt(o, n, 256),
