Drop what is held of a body when its reading ends

Change: a body drops its bytes when it is closed. Blocks are mapped one by one, so that the process gives them back.

--- a/packages/kingcupdyke/features/incomingbodies.feature
+++ b/packages/kingcupdyke/features/incomingbodies.feature
@@ -36,3 +36,6 @@
     And incomingbodies: a body "old" that declares 80 bytes, of which 70 arrive at 0.5 s
     When incomingbodies: "old" is handed over and closed
     Then incomingbodies: 70 bytes are held
+
+  Scenario: A body is handed over as it came, whatever the size of its parts
+    Then incomingbodies: bodies of up to 300000 bytes in parts of 1 to 100000 bytes are handed over as they came
--- a/packages/kingcupdyke/features/steps/incomingbodies_steps.py
+++ b/packages/kingcupdyke/features/steps/incomingbodies_steps.py
@@ -5,6 +5,8 @@
 Steps for request bodies that are being received.
 """
 
+from random import Random
+
 from behave import given, then, when
 
 from kingcupdyke.forwarding.incomingbodies import IncomingBodies, Room
@@ -68,3 +70,22 @@
 @then("incomingbodies: {size:d} bytes are held")
 def check_held(context, size):
     assert context.budget.body_bytes == size, context.budget.body_bytes
+
+
+@then(
+    "incomingbodies: bodies of up to {most:d} bytes in parts of {least_part:d} to {most_part:d} "
+    "bytes are handed over as they came"
+)
+def check_parts(context, most, least_part, most_part):
+    random = Random(1)
+    bodies = IncomingBodies(MemoryBudget(most))
+    for _ in range(100):
+        body = bodies.open(0.0, lambda room: None)
+        sent = random.randbytes(int(most ** random.random()))
+        at = 0
+        while at < len(sent):
+            part = sent[at : at + int(least_part + most_part ** random.random() - 1)]
+            assert part and body.add(part, 0.0)
+            at += len(part)
+        assert body.hand_over() == sent
+        bodies.budget.release_body(len(sent))
--- a/packages/kingcupdyke/kingcupdyke/forwarding/incomingbodies.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/incomingbodies.py
@@ -7,13 +7,14 @@
 
 from collections.abc import Callable
 from enum import StrEnum
+from mmap import mmap
 
 from kingcupdyke.forwarding.memorybudget import MemoryBudget
 
 __all__ = ["IncomingBodies", "IncomingBody", "Room"]
 
-#: Size of the blocks in which a body is kept until it is whole. Many bodies that each grow in one
-#: piece would leave gaps of all sizes in the memory of the process.
+#: Size of the beginning of a body that is kept like other data, and of the blocks that follow it.
+FIRST_BYTES = 16_384
 BLOCK_BYTES = 65_536
 #: A body is slow if, received as fast as so far, it would take longer than this in all.
 SLOW_BODY_S = 10.0
@@ -28,6 +29,41 @@
     CONNECTION = "connection"
 
 
+class _Pieces:
+    """The bytes of a body until it is whole.
+
+    Bodies that grow side by side, each in one piece, would leave gaps of all sizes in the heap,
+    which the process would keep. So all but the beginning is in blocks that are mapped one by one.
+    """
+
+    def __init__(self) -> None:
+        self.size = 0
+        self._begin = bytearray()
+        self._blocks: list[mmap] = []
+
+    def add(self, part: bytes) -> None:
+        """Append bytes."""
+        self.size += len(part)
+        if self.size <= FIRST_BYTES:
+            self._begin += part
+            return
+        view = memoryview(part)
+        while view:
+            filled = (self.size - len(self._begin) - len(view)) % BLOCK_BYTES
+            if not filled:
+                self._blocks.append(mmap(-1, BLOCK_BYTES))
+            count = min(len(view), BLOCK_BYTES - filled)
+            self._blocks[-1][filled : filled + count] = view[:count]
+            view = view[count:]
+
+    def join(self) -> bytes:
+        """:return: all bytes"""
+        if not self._blocks:
+            return bytes(self._begin)
+        last = self.size - len(self._begin) - (len(self._blocks) - 1) * BLOCK_BYTES
+        return b"".join((self._begin, *self._blocks[:-1], self._blocks[-1][:last]))
+
+
 class IncomingBody:
     """One request body of which parts have arrived.
 
@@ -44,10 +80,14 @@
         self._on_give_way = on_give_way
         #: Bytes that count toward the budget: those declared, or those received if that is more.
         self.taken_bytes = 0
-        self.received_bytes = 0
-        self._blocks: list[bytearray] = []
+        self._pieces = _Pieces()
         self.has_given_way = False
 
+    @property
+    def received_bytes(self) -> int:
+        """:return: bytes that have arrived"""
+        return self._pieces.size
+
     def take(self, size: int, now_s: float) -> bool:
         """Count bytes toward the budget, for which slow bodies give way.
 
@@ -66,10 +106,7 @@
         excess = self.received_bytes + len(part) - self.taken_bytes
         if excess > 0 and not self.take(excess, now_s):
             return False
-        if not self._blocks or len(self._blocks[-1]) + len(part) > BLOCK_BYTES:
-            self._blocks.append(bytearray())
-        self._blocks[-1] += part
-        self.received_bytes += len(part)
+        self._pieces.add(part)
         self._received_s = now_s
         return True
 
@@ -87,21 +124,21 @@
     def give_way(self, room: Room) -> None:
         """Release what is held of the body, which is not received further."""
         self.has_given_way = True
-        self._blocks.clear()
         self.close()
         self._on_give_way(room)
 
     def close(self) -> None:
-        """Release the budget, unless the body was handed over."""
+        """Drop what is held, and release the budget, unless the body was handed over."""
         self._bodies.remove(self)
+        # An error that ends the reading refers to this object for as long as it is handled.
+        self._pieces = _Pieces()
         self._bodies.budget.release_body(self.taken_bytes)
         self.taken_bytes = 0
 
     def hand_over(self) -> bytes:
         """:return: the whole body, whose bytes the caller releases from the budget"""
         self._bodies.remove(self)
-        body = b"".join(self._blocks)
-        self._blocks.clear()
+        body, self._pieces = self._pieces.join(), _Pieces()
         self._bodies.budget.release_body(self.taken_bytes - len(body))
         self.taken_bytes = 0
         return body
