Split the listeners of a forwarding gateway, and what their log lines have, from large files

Change: listeners.py holds the servers for clients, readiness checks and metrics, clientrecords.py the fields of their log lines. Whether a service has a model is asked of the service, not worked out in the dispatcher. A body begins, as "open" reads like a file. A method of the crowds' site that nothing called is gone (a planned stop is tested of the forwarding gateway only); no check was removed.

--- a/crowds/features/crowd_site.py
+++ b/crowds/features/crowd_site.py
@@ -244,14 +244,6 @@
             found.append(Ordinary(self.ports["http"], "GET", "/healthz", {}))
         return found
 
-    def stop(self):
-        """:return: the status with which the process ends after a planned stop, None if killed"""
-        self.process.terminate()
-        try:
-            return self.process.wait(PATIENCE_S)
-        except subprocess.TimeoutExpired:
-            return None
-
     def close(self):
         """End all processes."""
         self._stack.close()
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/connectionlog.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/connectionlog.py
@@ -8,9 +8,9 @@
 import logging
 from collections.abc import Callable
 
+from kingcupdyke_daemon.clientrecords import ClosedConnectionRecord
 from kingcupdyke_daemon.logs import LineSampler
 from kingcupdyke_daemon.metrics import DaemonMetrics
-from kingcupdyke_daemon.records import ClosedConnectionRecord
 
 __all__ = ["ConnectionLog"]
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientlog.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientlog.py
@@ -8,9 +8,9 @@
 import logging
 from collections.abc import Callable
 
+from kingcupdyke_daemon.clientrecords import ClosedConnectionRecord, RejectedRequestRecord
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
 from kingcupdyke_daemon.logs import LineSampler
-from kingcupdyke_daemon.records import ClosedConnectionRecord, RejectedRequestRecord
 
 __all__ = ["ClientLog"]
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -21,12 +21,12 @@
 from kingcupdyke.forwarding.watchinterval import choose_watch_interval
 from kingcupdyke_daemon.forwarder.answerbuffer import AnswerMemory
 from kingcupdyke_daemon.forwarder.catalogue import Catalogue
-from kingcupdyke_daemon.forwarder.clientserver import AuxiliaryServer, ClientServer
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.endpointbackoffs import EndpointBackoffs
 from kingcupdyke_daemon.forwarder.handler import ForwardingHandler
-from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics, MetricsHandler
+from kingcupdyke_daemon.forwarder.listeners import Listeners
+from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
 from kingcupdyke_daemon.forwarder.peerexchanges import PeerExchanges
 from kingcupdyke_daemon.forwarder.peergossip import PEERS_KIND, PeerGossip
 from kingcupdyke_daemon.forwarder.peerlog import PeerLog
@@ -40,7 +40,6 @@
 from kingcupdyke_daemon.forwarder.plannerrunner import PlannerRunner, read_clock
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
-from kingcupdyke_daemon.forwarder.readyhandler import ReadyHandler
 from kingcupdyke_daemon.forwarder.settings import ForwarderSettings, SettingsSource
 from kingcupdyke_daemon.forwarder.settingsreloader import SettingsReloader
 from kingcupdyke_daemon.forwarder.stategauges import StateGauges
@@ -148,25 +147,16 @@
             ),
             lambda: self._catalogue.get_ages(),
         )
-        self._ready = ReadyHandler()
-        self._client_server = ClientServer(
+        self._listeners = Listeners(
             self._request_handler,
+            self._metrics,
             self._get_limits,
-            self._timer.now,
-            self._memory,
-            self._errors,
             self._get_max_connections,
-        )
-        self._ready_server = AuxiliaryServer(
-            "ready", self._ready, self._timer.now, self._memory, self._errors
-        )
-        self._metrics_server = AuxiliaryServer(
-            "metrics",
-            MetricsHandler(self._metrics),
             self._timer.now,
             self._memory,
             self._errors,
         )
+        self._ready = self._listeners.ready
         self._peer_log = PeerLog()
         self._peer_gossip = PeerGossip(
             settings.host,
@@ -260,13 +250,7 @@
 
     async def _serve(self, stop: Event) -> None:
         settings = self._settings
-        ready_listener = await self._ready_server.listen(settings.ready)
-        client_listener = await self._client_server.listen(settings.front)
-        if settings.metrics is not None:
-            metrics_listener = await self._metrics_server.listen(settings.metrics)
-            self._tasks.start_soon(self._metrics_server.serve, metrics_listener, self._tasks)
-        self._tasks.start_soon(self._ready_server.serve, ready_listener, self._tasks)
-        self._tasks.start_soon(self._client_server.serve, client_listener, self._tasks)
+        client_listener = await self._listeners.start(settings, self._tasks)
         for watcher in self._peer_gossip.watchers:
             self._tasks.keep_running(watcher.watch_forever)
         self._tasks.keep_running(self._peer_gossip.run)
@@ -291,7 +275,7 @@
         self._ready.is_ready = False
         self._peer_gossip.send_state_soon()
         planned_stop = PlannedStop(
-            self._client_server,
+            self._listeners.clients,
             self._request_handler,
             self._planner_runner,
             self._timer,
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestreader.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestreader.py
@@ -106,7 +106,7 @@
 
         check_head(head, limits)
         scope = CancelScope(deadline=current_time() + timeout_s)
-        body = self._bodies.open(self._now(), give_way)
+        body = self._bodies.begin(self._now(), give_way)
         try:
             with scope:
                 await self._receive_body(body, head, limits, begin)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/bodyreader.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/gateway/bodyreader.py
@@ -57,7 +57,7 @@
         def give_way(room: Room) -> None:
             scope.cancel()
 
-        body = self._bodies.open(self._timer.now(), give_way)
+        body = self._bodies.begin(self._timer.now(), give_way)
         try:
             with scope:
                 return await self._receive(body, receive, headers)
--- a/packages/kingcupdyke/features/steps/incomingbodies_steps.py
+++ b/packages/kingcupdyke/features/steps/incomingbodies_steps.py
@@ -23,7 +23,7 @@
 
 
 def open_body(context, name, size, now_s):
-    body = context.bodies.open(now_s, lambda room: context.given_way.append((name, room)))
+    body = context.bodies.begin(now_s, lambda room: context.given_way.append((name, room)))
     context.body_by_name[name] = body
     context.is_accepted[name] = body.take(size, now_s)
     return body
@@ -80,7 +80,7 @@
     random = Random(1)
     bodies = IncomingBodies(MemoryBudget(most))
     for _ in range(100):
-        body = bodies.open(0.0, lambda room: None)
+        body = bodies.begin(0.0, lambda room: None)
         sent = random.randbytes(int(most ** random.random()))
         at = 0
         while at < len(sent):
--- a/packages/kingcupdyke/kingcupdyke/forwarding/configuration.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/configuration.py
@@ -143,6 +143,12 @@
     #: None if the endpoints are not model engines.
     engine: EngineSpec | None
 
+    def has_model(self, model: str, adapter: str) -> bool:
+        """:return: whether its endpoints can hold a model, and its adapter unless that is empty"""
+        if self.engine is None or model not in self.engine.models_by_name:
+            return False
+        return not adapter or adapter in self.engine.models_by_name[model].adapters
+
 
 class ClientLimits(NamedTuple):
     """Limits on the size of a client's requests and on the time that it may take to send them."""
--- a/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/dispatcher.py
@@ -106,7 +106,8 @@
         :param excluded: endpoints to which it must not be sent again
         :return: the decision; :meth:`poll` decides on a waiting request later
         """
-        if self._is_listed(item):
+        service = self._service_by_name.get(item.service)
+        if service is not None and service.has_model(item.model, item.adapter):
             self._demands.add(item, now_s)
         decision = self._decide(item, excluded, now_s)
         if isinstance(decision, Send):
@@ -116,14 +117,6 @@
             self._order.note_change()
         return decision
 
-    def _is_listed(self, item: WorkItem) -> bool:
-        """:return: whether the configuration has the model and adapter that a caller has named"""
-        spec = self._service_by_name.get(item.service)
-        if spec is None or spec.engine is None:
-            return False
-        model = spec.engine.models_by_name.get(item.model)
-        return model is not None and (not item.adapter or item.adapter in model.adapters)
-
     @property
     def tokens_per_s(self) -> float:
         """:return: average prompt tokens a second that an endpoint reads"""
--- a/packages/kingcupdyke/kingcupdyke/forwarding/incomingbodies.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/incomingbodies.py
@@ -154,7 +154,7 @@
         self.budget = budget
         self._bodies: set[IncomingBody] = set()
 
-    def open(self, now_s: float, on_give_way: Callable[[Room], None]) -> IncomingBody:
+    def begin(self, now_s: float, on_give_way: Callable[[Room], None]) -> IncomingBody:
         """:return: the account of a body of which nothing has arrived"""
         body = IncomingBody(self, now_s, on_give_way)
         self._bodies.add(body)
