--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -81,12 +81,22 @@
         self.events = []
         self.changed = asyncio.Event()
         self.address = ""
-        self.tasks = set()
+        #: Machines that get no answer now, by the name given to :meth:`listen_for`.
+        self.silent_for = set()
+        #: Called with the machine and the kind when a watch begins to wait.
+        self.on_watch = lambda machine, kind: None
 
-    async def start(self, ip="127.0.0.1"):
-        server = await asyncio.start_server(self._serve, ip, 0)
-        self.address = "%s:%d" % server.sockets[0].getsockname()[:2]
-        return server
+    async def start(self):
+        self.address = await self.listen_for("")
+
+    async def listen_for(self, machine):
+        """Listen for one machine; return the address that its settings name."""
+
+        async def serve(reader, writer):
+            await self._serve(machine, reader, writer)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        return "%s:%d" % server.sockets[0].getsockname()[:2]
 
     def put(self, kind, name, spec):
         """Write an object as the operator or a worker does."""
@@ -121,7 +131,7 @@
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, machine, reader, writer):
         with contextlib.suppress(
             ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError
         ):
@@ -129,7 +139,18 @@
                 first, headers = head
                 method, target, _ = first.split(" ")
                 body = await read_body(reader, headers)
-                status, answer = await self._answer(method, target, body)
+                is_silent = machine in self.silent_for
+                if not is_silent:
+                    if "watch=" in target:
+                        self.on_watch(machine, target.split("/")[3].partition("?")[0])
+                    status, answer = await self._answer(method, target, body)
+                    is_silent = machine in self.silent_for
+                if is_silent:
+                    # A connection on which an answer is lost returns nothing further.
+                    self.record(f"store: no answer to {machine}: {method} {target}")
+                    while await reader.read(65536):
+                        pass
+                    break
                 data = json.dumps(answer).encode()
                 writer.write(
                     b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
