--- a/review/8/case.py
+++ b/review/8/case.py
@@ -63,7 +63,7 @@
         try:
             answer = await asyncio.wait_for(exchange(address, data), 5.0)
             self._record(f"answer {attempt}: {answer and answer[0]}")
-        except (OSError, asyncio.TimeoutError) as error:
+        except (OSError, TimeoutError) as error:
             self._record(f"no answer to {attempt}: {error!r}")
 
 
--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -61,14 +61,16 @@
     """The lines of record.txt: what was sent, answered and run."""
 
     def __init__(self, folder):
-        self._file = open(Path(folder) / "record.txt", "w", buffering=1)
+        self._path = Path(folder) / "record.txt"
+        self._path.write_text("")
         self._start_s = time.monotonic()
 
     def now(self):
         return time.monotonic() - self._start_s
 
     def __call__(self, text):
-        self._file.write(f"{self.now():8.3f} {text}\n")
+        with self._path.open("a") as file:
+            file.write(f"{self.now():8.3f} {text}\n")
 
 
 class Store:
@@ -96,7 +98,8 @@
             await self._serve(machine, reader, writer)
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        return "%s:%d" % server.sockets[0].getsockname()[:2]
+        host, port = server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
 
     def put(self, kind, name, spec):
         """Write an object as the operator or a worker does."""
@@ -183,7 +186,7 @@
             left_s = end_s - time.monotonic()
             if events or left_s <= 0:
                 return {"events": events, "at": self.rev}
-            with contextlib.suppress(asyncio.TimeoutError):
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.changed.wait(), left_s)
 
     def _write(self, method, kind, name, options, body):
@@ -469,14 +472,16 @@
             "KINGCUPDYKE_LOG_LEVEL": "INFO",
             "PYTHONDONTWRITEBYTECODE": "1",
         }
-        self.log = open(self.folder / f"{self.name}.log", "ab")
+        path = self.folder / f"{self.name}.log"
+        log = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
         self.process = subprocess.Popen(
             ["python3", "-m", "kingcupdyke_platform"],
             cwd=ROOT,
             env=env,
-            stdout=self.log,
+            stdout=log,
             stderr=subprocess.STDOUT,
         )
+        os.close(log)
         self.record(f"start of {self.name}, front {self.ip}:{self.front}")
 
     def _write_settings(self):
@@ -546,7 +551,7 @@
                 exchange((self.ip, self.ready), b"GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n"),
                 timeout_s,
             )
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             return 0
         return answer[0] if answer else 0
 
@@ -616,6 +621,14 @@
     return {"name": name, "health_path": "/healthz", "max_conns": 110, "protocol": "h1"}
 
 
+def _keep_logs(work, gateways):
+    """Copy the gateways' logs if KEEP_LOGS names a path for them."""
+    prefix = os.environ.get("KEEP_LOGS")
+    for each in gateways if prefix else ():
+        text = (Path(work) / f"{each.name}.log").read_bytes()
+        Path(f"{prefix}.{each.name}").write_bytes(text)
+
+
 def run(main, folder):
     """Run a case: exit with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     record = Record(folder)
@@ -629,10 +642,7 @@
             finally:
                 for each in gateways:
                     each.kill()
-                if os.environ.get("KEEP_LOGS"):
-                    for each in gateways:
-                        text = (Path(work) / f"{each.name}.log").read_bytes()
-                        Path(f"{os.environ['KEEP_LOGS']}.{each.name}").write_bytes(text)
+                _keep_logs(work, gateways)
 
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
