Answers read outside a request: limits by kind, in bytes and in what decoding takes

Cause: one limit of 16 MiB for all answers, and none on what decoding makes of them: "{}," takes 3 bytes of JSON and 72 in a list, lists in depth 45 bytes a byte (tracemalloc). Nothing counted such answers together, and a faulty report was asked for again every 0.3 s and held against nobody.

Change: each kind of answer has a limit in bytes, also against the announced length, and in the memory that decoding takes, estimated before anything is decoded. Reports and answers to orders count as unfinished parts in the memory budget. What exceeds a limit is a failure with a fault: counted, logged, held against the engine; the next question waits 0.6 to 2.4 s. The planner's calls to engines moved out of PlannerRunner.

Why it works: no byte is decoded before its cost is known to be permitted, so the cost no longer depends on the shape.

--- a/packages/kingcupdyke-daemon/features/steps/planning_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/planning_steps.py
@@ -23,6 +23,7 @@
 from kingcupdyke.forwarding.peerstate import PeerTable
 from kingcupdyke.forwarding.workitem import WorkItem
 from kingcupdyke.lease import LeaseMachine
+from kingcupdyke_daemon.forwarder.enginecalls import EngineCalls
 from kingcupdyke_daemon.forwarder.pinneddemands import PinnedDemands
 from kingcupdyke_daemon.forwarder.plannerrunner import PlannerRunner
 from kingcupdyke_daemon.taskerrors import TaskErrors
@@ -94,17 +95,24 @@
     lease = LeaseMachine("planner", f"{HOST}/1", LEASE_S, 0.8, outlives_outage=False)
     peers = PeerTable()
     rig.dispatcher.configure(configuration.services_by_name)
+    dialect = dialect or EngineDialect()
     return PlannerRunner(
         HOST,
         lease,
         MemoryStoreClient(),
-        dialect or EngineDialect(),
+        dialect,
         rig.endpoint_table,
         rig.dispatcher,
         peers,
         PinnedDemands(HOST, rig.dispatcher, peers, rig.timer, rig.network.send),
-        rig.leaving,
-        rig.backoffs,
+        EngineCalls(
+            dialect,
+            rig.leaving,
+            rig.backoffs,
+            rig.memory.unfinished_parts,
+            rig.metrics,
+            rig.timer.now,
+        ),
         LeasePromises(HOST, LEASE_S),
         OnlyCandidate(),
         lambda: configuration,
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerrelay.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/answerrelay.py
@@ -12,9 +12,10 @@
 
 from h11 import Response
 
+from kingcupdyke.error import AnswerFault
 from kingcupdyke.forwarding.unfinishedparts import UnfinishedPart
 from kingcupdyke_daemon.forwarder.answerbuffer import AnswerMemory
-from kingcupdyke_daemon.forwarder.connection import AnswerFault, Progress, TransferError
+from kingcupdyke_daemon.forwarder.connection import Progress, TransferError
 from kingcupdyke_daemon.forwarder.dialect import Headers
 from kingcupdyke_daemon.forwarder.events import EventBuffer
 from kingcupdyke_daemon.forwarder.reply import Reply
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/connection.py
@@ -5,7 +5,7 @@
 HTTP/1.1 client connections to endpoints, which are reused.
 """
 
-from enum import IntEnum, StrEnum
+from enum import IntEnum
 from select import POLLIN, poll
 from socket import (
     IPPROTO_TCP,
@@ -41,12 +41,12 @@
     Request,
 )
 
+from kingcupdyke.error import AnswerFault
 from kingcupdyke_wire.sockets import bound_reading
 
 __all__ = [
     "KEEPALIVE_OPTIONS",
     "TRANSFER_ERRORS",
-    "AnswerFault",
     "EndpointConnection",
     "UNACKNOWLEDGED_TIMEOUT_S",
     "Progress",
@@ -102,19 +102,6 @@
     ANSWERING = 2
 
 
-class AnswerFault(StrEnum):
-    """What makes the bytes of an endpoint no answer."""
-
-    #: They violate HTTP/1.1, or a head has no end.
-    MALFORMED = "malformed"
-    #: There are too many answers before the one to the request.
-    STRAY = "stray"
-    #: An event has no end.
-    EVENT = "event too long"
-    #: The endpoint's answers hold more than the memory that they may use.
-    MEMORY = "memory used up"
-
-
 class TransferError(Exception):
     """The transfer of a request or of its answer failed.
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
@@ -20,11 +20,11 @@
     Response,
 )
 
+from kingcupdyke.error import AnswerFault
 from kingcupdyke.forwarding.metadata import AnswerMetadata
 from kingcupdyke.forwarding.unfinishedparts import UnfinishedPart
 from kingcupdyke_daemon.forwarder.connection import (
     TRANSFER_ERRORS,
-    AnswerFault,
     EndpointConnection,
     Progress,
     TransferError,
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
@@ -25,8 +25,7 @@
 from kingcupdyke.lease import LeaseMachine
 from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.forwarder.dialect import Dialect
-from kingcupdyke_daemon.forwarder.endpointbackoffs import EndpointBackoffs, EndpointCall
-from kingcupdyke_daemon.forwarder.leavingdirectory import LeavingDirectory
+from kingcupdyke_daemon.forwarder.enginecalls import EngineCalls
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
 from kingcupdyke_daemon.forwarder.pinneddemands import PinnedDemands
 from kingcupdyke_daemon.forwarder.plannercandidacy import PlannerCandidacy
@@ -35,7 +34,6 @@
 from kingcupdyke_daemon.logs import log_record
 from kingcupdyke_daemon.records import EngineRecord, OrderRecord
 from kingcupdyke_daemon.taskerrors import IsolatedTaskGroup, TaskErrors
-from kingcupdyke_wire.http import HttpAnswer, HttpClient
 from kingcupdyke_wire.store import StoreClient
 
 __all__ = ["LEASES_KIND", "PlannerRunner", "read_clock"]
@@ -55,9 +53,6 @@
 PLANNING_INTERVAL_S = 0.05
 #: Interval between checks whether the lease must be renewed or read.
 LEASE_TICK_INTERVAL_S = 0.1
-#: Timeouts for the answer to an order, and to a request for a report.
-ORDER_TIMEOUT_S = 0.4
-REPORT_TIMEOUT_S = 0.6
 #: Limit on the part of an answer's body that is logged.
 MAX_LOGGED_BYTES = 100
 
@@ -72,8 +67,7 @@
 
     :param host: name of this host, which orders contain
     :param lease: state machine of the lease; its times are those of :func:`read_clock`
-    :param leaving: is told of engines that say that they are leaving
-    :param backoffs: is told of engines that request backoff
+    :param calls: sends orders to engines, and asks them for their reports
     :param lease_promises: promises of peers, which prove that the lease is still held while the
         store does not answer
     :param candidacy: knows which gateways contend for the lease, and which may hold it
@@ -92,8 +86,7 @@
         dispatcher: Dispatcher,
         peers: PeerTable,
         pinned_demands: PinnedDemands,
-        leaving: LeavingDirectory,
-        backoffs: EndpointBackoffs,
+        calls: EngineCalls,
         lease_promises: LeasePromises,
         candidacy: PlannerCandidacy,
         get_configuration: Callable[[], Configuration | None],
@@ -110,8 +103,7 @@
         self._dispatcher = dispatcher
         self._peers = peers
         self._pinned_demands = pinned_demands
-        self._leaving = leaving
-        self._backoffs = backoffs
+        self._calls = calls
         self._lease_promises = lease_promises
         self._candidacy = candidacy
         self._get_configuration = get_configuration
@@ -124,8 +116,6 @@
         #: Set while the lease is held, as of the last check; no rounds are run otherwise.
         self._held = Event()
         self._planner = PlacementPlanner(endpoint_table, on_placement)
-        #: HTTP clients by endpoint and address.
-        self._http_by_key: dict[tuple[str, tuple[str, int]], HttpClient] = {}
 
     @property
     def held_fence(self) -> int:
@@ -237,7 +227,8 @@
         }
         for engine in self._planner.update(engine_spec_by_service, now_s):
             _log_engine(engine.entry)
-        self._close_unused(tasks)
+        entries = [each.entry for each in self._planner.engine_by_id.values()]
+        self._calls.close_unused([(each.endpoint, each.address) for each in entries], tasks)
         for engine in self._planner.list_unreported(now_s):
             tasks.start_soon(self._update_report, engine)
         demands = list(self._dispatcher.list_demands(now_s))
@@ -251,13 +242,6 @@
             engine = self._planner.engine_by_id[timed.order.endpoint]
             tasks.start_soon(self._send_order, engine, timed)
 
-    def _close_unused(self, tasks: TaskGroup) -> None:
-        """Close the HTTP clients of engines that were removed or have changed their address."""
-        engines = self._planner.engine_by_id.values()
-        known = {(each.entry.endpoint, each.entry.address) for each in engines}
-        for key in self._http_by_key.keys() - known:
-            tasks.start_soon(self._http_by_key.pop(key).aclose)
-
     async def _send_order(self, engine: EngineState, timed: TimedOrder) -> None:
         reply = OrderReply.UNKNOWN
         try:
@@ -272,22 +256,17 @@
             return OrderReply.REFUSED
         held, expected_count = _list_held(engine), engine.expected_count
         body = self._dialect.encode_order(order, expected_count, self._host, fence)
-        headers = {"content-type": "application/json"}
-        headers |= self._dialect.expect_endpoint(order.endpoint)
-        http = self._get_http(engine)
-        self._backoffs.note_call(order.endpoint, EndpointCall.ORDER)
-        answer = await http.request(
-            "POST", self._dialect.order_path, headers, body, ORDER_TIMEOUT_S
-        )
+        answer = await self._calls.send_order(engine.entry, body)
         reply, reason = OrderReply.UNKNOWN, ""
         if answer.is_ok():
-            self._note_answer(engine.entry, EndpointCall.ORDER, answer.ok)
             reply = self._dialect.read_order_reply(answer.ok.status)
             reason = answer.ok.body[:MAX_LOGGED_BYTES].decode("utf-8", "replace")
         else:
             reason = answer.error.reason
             if answer.error.outcome is Outcome.NOT_RUN:
                 reply = OrderReply.REFUSED
+            elif answer.error.fault is not None:
+                reply = OrderReply.FAULTY
         record = OrderRecord(
             order=order.order_id,
             kind=order.kind,
@@ -307,53 +286,17 @@
 
     async def _update_report(self, engine: EngineState) -> None:
         try:
-            await self._request_report(engine)
+            report = await self._calls.request_report(engine.entry)
         except Exception:
             engine.report_failed(self._now())
             raise
-
-    async def _request_report(self, engine: EngineState) -> None:
-        endpoint = engine.entry.endpoint
-        headers = self._dialect.expect_endpoint(endpoint)
-        path = self._dialect.report_path
-        self._backoffs.note_call(endpoint, EndpointCall.REPORT)
-        answer = await self._get_http(engine).request(
-            "GET", path, headers, timeout_s=REPORT_TIMEOUT_S
-        )
-        if answer.is_error():
-            _LOGGER.info("no report from %s: %s", endpoint, answer.error.reason)
-            self._endpoint_table.note_failure(endpoint, self._now(), True)
-            engine.report_failed(self._now())
-            return
-        self._note_answer(engine.entry, EndpointCall.REPORT, answer.ok)
-        if answer.ok.status != 200:
-            _LOGGER.info("no report from %s: status %d", endpoint, answer.ok.status)
-            return
-        report = self._dialect.decode_report(answer.ok.body)
         if report.is_error():
-            _LOGGER.warning("the report of %s can't be decoded: %s", endpoint, report.error.reason)
-            return
-        self._planner.observe_report(engine, report.ok, self._now())
-
-    def _note_answer(self, entry: EndpointEntry, call: EndpointCall, answer: HttpAnswer) -> None:
-        headers = [
-            (name.encode("latin-1"), value.encode("latin-1"))
-            for name, value in answer.headers.items()
-        ]
-        metadata = self._dialect.read_answer(headers)
-        self._leaving.note_answer(entry, metadata)
-        self._backoffs.note_answer(entry, call, answer.status, metadata)
-
-    def _get_http(self, engine: EngineState) -> HttpClient:
-        key = (engine.entry.endpoint, engine.entry.address)
-        http = self._http_by_key.get(key)
-        if http is None:
-            address, port = engine.entry.address
-            http = HttpClient(
-                f"http://{address}:{port}", ORDER_TIMEOUT_S, engine.entry.endpoint, reuse=True
-            )
-            self._http_by_key[key] = http
-        return http
+            endpoint, failure = engine.entry.endpoint, report.error
+            _LOGGER.info("no report from %s: %s", endpoint, failure.reason)
+            self._endpoint_table.note_failure(endpoint, self._now(), True)
+            engine.report_failed(self._now(), failure.fault is not None)
+        elif report.ok is not None:
+            self._planner.observe_report(engine, report.ok, self._now())
 
 
 def _list_held(engine: EngineState) -> tuple[str, ...]:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -24,6 +24,7 @@
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.endpointbackoffs import EndpointBackoffs
+from kingcupdyke_daemon.forwarder.enginecalls import EngineCalls
 from kingcupdyke_daemon.forwarder.handler import ForwardingHandler
 from kingcupdyke_daemon.forwarder.listeners import Listeners
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
@@ -89,6 +90,7 @@
         self._dialect = dialect
         self._store = store
         self._metrics = ForwarderMetrics(settings.host)
+        store.on_faulty_answer = self._metrics.count_faulty_answer
         self._errors = TaskErrors(self._metrics.count_task_error)
         self._tasks = tasks = IsolatedTaskGroup(tasks, self._errors)
         self._incarnation = make_incarnation()
@@ -304,8 +306,14 @@
             self._dispatcher,
             self._peer_table,
             self._exchanges.pinned_demands,
-            self._exchanges.leaving,
-            self._backoffs,
+            EngineCalls(
+                self._dialect,
+                self._exchanges.leaving,
+                self._backoffs,
+                self._memory.unfinished_parts,
+                self._metrics,
+                self._timer.now,
+            ),
             self._lease_promises,
             self._candidacy,
             lambda: self._request_handler.configuration,
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -16,6 +16,7 @@
     "CrashSignatureRecord",
     "EndpointRecord",
     "EngineRecord",
+    "FaultyAnswerRecord",
     "LeavingRecord",
     "LimitRecord",
     "OrderRecord",
@@ -350,6 +351,15 @@
     peers: int
 
 
+class FaultyAnswerRecord(NamedTuple):
+    """Fields of an engine's answer to the planner that is none."""
+
+    endpoint: str
+    #: A value of :class:`kingcupdyke.error.AnswerFault`.
+    fault: str
+    reason: str
+
+
 class RejectedMessageRecord(NamedTuple):
     """Fields of a peer's message that is dropped."""
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/backend.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/sidecar/backend.py
@@ -15,9 +15,10 @@
 
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke.rule import ServiceClass
+from kingcupdyke_wire.answerlimit import WHOLE_ANSWER, RefusedAnswerError, read_whole
 from kingcupdyke_wire.completeness import is_json
 from kingcupdyke_wire.engine import EngineClient, EngineRun
-from kingcupdyke_wire.http import AnswerTooLongError, ExchangeError, HttpClient, read_whole
+from kingcupdyke_wire.http import ExchangeError, HttpClient
 from kingcupdyke_wire.sidecar_pb2 import RunRequest
 from kingcupdyke_wire.sse import EVENT_STREAM
 
@@ -128,12 +129,12 @@
             async with self._open(request) as opened:
                 if opened.request_id != request.attempt_id:
                     return Error(self._fail("the engine answered another request"))
-                body = await read_whole(opened.parts)
+                body, is_whole = await _read_json(opened.parts)
         except ExchangeError as error:
             return Error(error.failure)
-        except AnswerTooLongError as error:
+        except RefusedAnswerError as error:
             return Error(self._fail(str(error)))
-        if not is_json(body):
+        if not is_whole:
             return Error(self._fail(_INCOMPLETE))
         return Ok((BackendHead(opened.status, opened.content_type), body))
 
@@ -171,8 +172,8 @@
                         head_sent = True
                         yield BackendHead(opened.status, opened.content_type)
                     if not opened.content_type.startswith(EVENT_STREAM):
-                        body = await read_whole(opened.parts)
-                        yield BackendPart(body) if is_json(body) else self._fail(_INCOMPLETE)
+                        body, is_whole = await _read_json(opened.parts)
+                        yield BackendPart(body) if is_whole else self._fail(_INCOMPLETE)
                         return
                     async for index, event in _read_events(opened.parts, events):
                         if index < events:
@@ -189,7 +190,7 @@
                     yield error.failure
                     return
                 reason = error.failure.reason
-            except AnswerTooLongError as error:
+            except RefusedAnswerError as error:
                 yield self._fail(str(error))
                 return
             except ConnectionError as error:
@@ -197,6 +198,15 @@
         yield self._fail(reason)
 
 
+async def _read_json(parts: AsyncIterator[bytes]) -> tuple[bytes, bool]:
+    """:return: a body, and whether it is one JSON value
+    :raises RefusedAnswerError: when it is too long, or too large to be decoded
+    """
+    body = await read_whole(parts)
+    WHOLE_ANSWER.check_decoded(body)
+    return body, is_json(body)
+
+
 async def _read_events(
     parts: AsyncIterator[bytes], first_index: int
 ) -> AsyncIterator[tuple[int, bytes]]:
--- a/packages/kingcupdyke-tool/kingcupdyke_tool/hostcalls.py
+++ b/packages/kingcupdyke-tool/kingcupdyke_tool/hostcalls.py
@@ -18,6 +18,7 @@
 
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke.host import Host
+from kingcupdyke_wire.answerlimit import OPERATOR_ANSWER, RefusedAnswerError
 from kingcupdyke_wire.channel import HostChannel
 from kingcupdyke_wire.http import HttpAnswer, HttpClient
 from kingcupdyke_wire.sidecar_grpc import SidecarStub
@@ -109,7 +110,7 @@
     async def _request(self, method: str, path: str) -> Answer:
         address = f"[{self._host.address}]" if ":" in self._host.address else self._host.address
         url = f"http://{address}:{self._host.port}"
-        client = HttpClient(url, CALL_TIMEOUT_S, peer=self._host.host)
+        client = HttpClient(url, CALL_TIMEOUT_S, peer=self._host.host, limit=OPERATOR_ANSWER)
         headers = {"authorization": f"Bearer {self._token}"} if self._token else {}
         try:
             answer = await client.request(method, path, headers)
@@ -119,8 +120,11 @@
 
     def _read(self, answer: HttpAnswer) -> Answer:
         try:
+            OPERATOR_ANSWER.check_decoded(answer.body)
             data = json.loads(answer.body)
-        except ValueError:
+        except RefusedAnswerError as error:
+            return Error(self._make_failure(Outcome.FAILED, Step.RUN, str(error)))
+        except (ValueError, RecursionError):
             data = None
         if answer.status == STATUS_OK and isinstance(data, Mapping):
             return Ok(data)
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/engine.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/engine.py
@@ -17,6 +17,13 @@
 
 from kingcupdyke.error import Failure, Outcome, Step
 from kingcupdyke.inventory import EngineInventory
+from kingcupdyke_wire.answerlimit import (
+    CACHE_EVENTS,
+    KV_CACHE,
+    ORDER_ANSWER,
+    REPORT,
+    AnswerLimit,
+)
 from kingcupdyke_wire.decode import decode, make_failure
 from kingcupdyke_wire.http import ExchangeError, HttpAnswer, HttpClient
 from kingcupdyke_wire.sse import EVENT_STREAM, EventTooLongError, split_events
@@ -194,7 +201,9 @@
     """
 
     def __init__(self, base_url: str, timeout_s: float, run_timeout_s: float = 60.0) -> None:
-        self._http = HttpClient(base_url, timeout_s, step=Step.ORDER, reuse=True)
+        self._http = HttpClient(
+            base_url, timeout_s, step=Step.ORDER, reuse=True, limit=ORDER_ANSWER
+        )
         self._run_http = HttpClient(base_url, run_timeout_s, step=Step.RUN)
         self._timeout_s = timeout_s
 
@@ -218,19 +227,20 @@
         return answer.bind(self._read_order)
 
     async def inventory(self) -> Result[EngineInventory, Failure]:
-        answer = await self._http.request("GET", "/admin/inventory")
-        return answer.bind(lambda each: self._decode(each, lambda d: EngineInventory(**d)))
+        answer = await self._http.request("GET", "/admin/inventory", limit=REPORT)
+        return answer.bind(lambda each: self._decode(each, lambda d: EngineInventory(**d), REPORT))
 
     async def load(self) -> Result[EngineLoad, Failure]:
-        answer = await self._http.request("GET", "/admin/load")
-        return answer.bind(lambda each: self._decode(each, _read_load))
+        answer = await self._http.request("GET", "/admin/load", limit=REPORT)
+        return answer.bind(lambda each: self._decode(each, _read_load, REPORT))
 
     async def cache_events(
         self, position: int, timeout_s: float
     ) -> Result[CacheEventBatch, Failure]:
         path = "/admin/cache-events?" + urlencode({"position": position, "timeout": timeout_s})
-        answer = await self._http.request("GET", path, timeout_s=timeout_s + self._timeout_s)
-        return answer.bind(lambda each: self._decode(each, _read_cache_events))
+        timeout_s += self._timeout_s
+        answer = await self._http.request("GET", path, timeout_s=timeout_s, limit=CACHE_EVENTS)
+        return answer.bind(lambda each: self._decode(each, _read_cache_events, CACHE_EVENTS))
 
     async def cancel(self, request_id: str) -> Result[None, Failure]:
         answer = await self._http.request("DELETE", f"/v1/requests/{quote(request_id, safe='')}")
@@ -277,8 +287,11 @@
             raise ExchangeError(failure) from error
 
     async def kv_export(self, request_id: str) -> Result[KvCache, Failure]:
-        answer = await self._post("/admin/kv/export", {"request_id": request_id})
-        return answer.bind(lambda each: self._decode(each, lambda d: _read_kv(request_id, d)))
+        content = {"request_id": request_id}
+        answer = await self._post("/admin/kv/export", content, limit=KV_CACHE)
+        return answer.bind(
+            lambda each: self._decode(each, lambda d: _read_kv(request_id, d), KV_CACHE)
+        )
 
     async def kv_import(self, cache: KvCache) -> Result[None, Failure]:
         content = {"request_id": cache.request_id, "kv": b64encode(cache.kv).decode()}
@@ -290,13 +303,17 @@
         await self._run_http.aclose()
 
     async def _post(
-        self, path: str, content: dict, timeout_s: float | None = None
+        self,
+        path: str,
+        content: dict,
+        timeout_s: float | None = None,
+        limit: AnswerLimit = ORDER_ANSWER,
     ) -> Result[HttpAnswer, Failure]:
         body = json.dumps(content).encode()
-        return await self._http.request("POST", path, JSON_HEADERS, body, timeout_s)
+        return await self._http.request("POST", path, JSON_HEADERS, body, timeout_s, limit)
 
-    def _decode(self, answer: HttpAnswer, read) -> Result:
-        return decode(answer, Step.ORDER, self._http.peer, read)
+    def _decode(self, answer: HttpAnswer, read, limit: AnswerLimit = ORDER_ANSWER) -> Result:
+        return decode(answer, Step.ORDER, self._http.peer, read, limit)
 
     def _read_order(self, answer: HttpAnswer) -> Result[OrderAnswer, Failure]:
         if answer.status == STATUS_CONFLICT:
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/hostlist.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/hostlist.py
@@ -11,6 +11,7 @@
 
 from kingcupdyke.error import DECODE_ERRORS, Failure, Step, describe_error
 from kingcupdyke.host import Host
+from kingcupdyke_wire.answerlimit import HOST_LIST
 from kingcupdyke_wire.decode import decode
 from kingcupdyke_wire.http import HttpClient
 
@@ -29,12 +30,16 @@
     """
 
     def __init__(self, base_url: str) -> None:
-        self._http = HttpClient(base_url, TIMEOUT_S, step=Step.CONFIGURE, reuse=True)
+        self._http = HttpClient(
+            base_url, TIMEOUT_S, step=Step.CONFIGURE, reuse=True, limit=HOST_LIST
+        )
 
     async def hosts(self) -> Result[list[Host], Failure]:
         """:return: the hosts that are listed now"""
         answer = await self._http.request("GET", "/v1/hosts")
-        return answer.bind(lambda each: decode(each, Step.CONFIGURE, self._http.peer, _read_hosts))
+        return answer.bind(
+            lambda each: decode(each, Step.CONFIGURE, self._http.peer, _read_hosts, HOST_LIST)
+        )
 
     async def aclose(self) -> None:
         """Close all connections."""
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/http.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/http.py
@@ -5,7 +5,7 @@
 HTTP client whose failures state whether the server may have executed the request.
 """
 
-from collections.abc import AsyncIterable, AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 from urllib.parse import urlsplit
@@ -23,50 +23,21 @@
 )
 
 from kingcupdyke.error import Failure, Outcome, Step
-from kingcupdyke.util import MIB
-from kingcupdyke_wire.completeness import find_truncation
-
-__all__ = [
-    "AnswerTooLongError",
-    "ExchangeError",
-    "HttpAnswer",
-    "HttpClient",
-    "HttpStream",
-    "read_whole",
-]
+from kingcupdyke_wire.answerlimit import WHOLE_ANSWER, AnswerLimit, RefusedAnswerError, read_whole
+from kingcupdyke_wire.completeness import find_truncation, is_judged_by_content
+
+__all__ = ["ExchangeError", "HttpAnswer", "HttpClient", "HttpStream"]
 
 #: Seconds for which an idle connection is kept. Servers commonly close theirs after 5 s;
 #: closing first avoids sending a request on a connection that the server has just closed.
 KEEPALIVE_EXPIRY_S = 2.0
 MAX_IDLE_CONNECTIONS = 64
-#: Limit of the size of an answer that is read whole.
-MAX_BODY_BYTES = 16 * MIB
 #: Trace event of httpcore after which bytes of the request may have been sent.
 SEND_STARTED = "http11.send_request_headers.started"
 
 
-class AnswerTooLongError(Exception):
-    """An answer that is read whole is longer than MAX_BODY_BYTES."""
-
-    def __init__(self) -> None:
-        super().__init__(f"the answer is longer than {MAX_BODY_BYTES} bytes")
-
-
 #: Exceptions of a failed exchange; :func:`anyio.fail_after` raises the built-in TimeoutError.
-EXCHANGE_ERRORS = (NetworkError, ProtocolError, TimeoutException, TimeoutError, AnswerTooLongError)
-
-
-async def read_whole(parts: AsyncIterable[bytes]) -> bytes:
-    """Read a body to its end.
-
-    :raises AnswerTooLongError: when it is longer than MAX_BODY_BYTES
-    """
-    body = bytearray()
-    async for part in parts:
-        body += part
-        if len(body) > MAX_BODY_BYTES:
-            raise AnswerTooLongError
-    return bytes(body)
+EXCHANGE_ERRORS = (NetworkError, ProtocolError, TimeoutException, TimeoutError, RefusedAnswerError)
 
 
 class HttpAnswer(NamedTuple):
@@ -123,6 +94,7 @@
     :param reuse: whether connections are used for several requests; if so, a server that sends
         an answer twice makes the next request receive the second one
     :param socket_options: level, name and value of the options to set on each connection
+    :param limit: limit of answers that are read whole, unless a request has its own
     """
 
     def __init__(
@@ -133,6 +105,7 @@
         step: Step = Step.RUN,
         reuse: bool = False,
         socket_options: Iterable[tuple[int, int, int]] = (),
+        limit: AnswerLimit = WHOLE_ANSWER,
     ) -> None:
         parts = urlsplit(base_url)
         self._scheme = parts.scheme
@@ -140,6 +113,7 @@
         self._port = parts.port
         self._timeout_s = timeout_s
         self._step = step
+        self._limit = limit
         self.peer = peer or parts.netloc
         self._pool = AsyncConnectionPool(
             max_connections=None,
@@ -155,27 +129,37 @@
         headers: dict[str, str] | None = None,
         body: bytes = b"",
         timeout_s: float | None = None,
+        limit: AnswerLimit | None = None,
+        may_hold: Callable[[int], bool] = lambda size: True,
     ) -> Result[HttpAnswer, Failure]:
         """Send a request and read the complete answer.
 
         :param path: path and query, quoted
         :param timeout_s: seconds for the whole exchange; None for the client's default
+        :param limit: limit of the answer; None for the client's default
+        :param may_hold: is told the bytes of the body that are held, and returns whether they may
+            be
         :return: the answer with any status, or a failure: "not run" if nothing was sent,
-            otherwise "unknown", also if the answer ended before it was complete or is longer than
-            MAX_BODY_BYTES
+            otherwise "unknown", also if the answer ended before it was complete; a failure with a
+            fault if the answer exceeds the limit or may not be held
         """
+        limit = limit or self._limit
         progress = _Progress()
         request = self._build(method, path, headers, body, {"trace": progress.trace})
         try:
             with fail_after(self._timeout_s if timeout_s is None else timeout_s):
                 response = await self._pool.handle_async_request(request)
                 try:
-                    content = await read_whole(response.stream)
+                    headers = _read_headers(response)
+                    limit.check_length(_read_length(headers))
+                    content = await read_whole(response.stream, limit, may_hold)
                 finally:
                     await _close(response)
+            if is_judged_by_content(headers):
+                limit.check_decoded(content)
         except EXCHANGE_ERRORS as error:
             return Error(self._make_failure(error, progress))
-        answer = HttpAnswer(response.status, _read_headers(response), content)
+        answer = HttpAnswer(response.status, headers, content)
         if reason := find_truncation(answer.headers, content):
             return Error(Failure(Outcome.UNKNOWN, self._step, self.peer, reason))
         return Ok(answer)
@@ -236,7 +220,8 @@
     def _make_failure(self, error: Exception, progress: _Progress) -> Failure:
         reason = str(error) or type(error).__name__
         if progress.sent:
-            return Failure(Outcome.UNKNOWN, self._step, self.peer, reason)
+            fault = error.fault if isinstance(error, RefusedAnswerError) else None
+            return Failure(Outcome.UNKNOWN, self._step, self.peer, reason, fault=fault)
         return Failure(Outcome.NOT_RUN, Step.CONNECT, self.peer, reason)
 
     async def _read_parts(self, response: Response, progress: _Progress) -> AsyncIterator[bytes]:
@@ -256,6 +241,12 @@
     return headers
 
 
+def _read_length(headers: dict[str, str]) -> int:
+    """:return: the size of the body that an answer announces in bytes, or 0 if it does not"""
+    length = headers.get("content-length", "")
+    return int(length) if length.isascii() and length.isdigit() else 0
+
+
 async def _close(response: Response) -> None:
     with CancelScope(shield=True):
         await response.aclose()
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/jsontext.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/jsontext.py
@@ -8,8 +8,11 @@
 contains it can be told from a value that was there.
 """
 
+import gc
 import json
 import re
+from collections.abc import Iterator
+from contextlib import contextmanager
 from math import inf
 from typing import Any
 
@@ -19,6 +22,8 @@
 MAX_DEPTH = 100
 #: Digits beyond which an integer is not decoded, less than the limit of ``int``.
 MAX_DIGITS = 1000
+#: The beginning of a number with more digits.
+LONG_NUMBER = re.compile(rf"(?<![0-9])[0-9]{{{MAX_DIGITS + 1}}}")
 #: A string, or a bracket outside strings. A string that is not closed reaches to the end.
 TOKEN = re.compile(r'"[^"\\]*+(?:\\.[^"\\]*+)*+(?:"|\Z)|[\[{]|[\]}]', re.DOTALL)
 #: Stands for a part that is too deep.
@@ -32,10 +37,26 @@
         NaN for each array or object that is too deep
     :raises ValueError: if the text is not valid JSON
     """
+    parse_int = _parse_int if LONG_NUMBER.search(text) else None
+    with _paused_collector():
+        try:
+            return json.loads(text, parse_int=parse_int)
+        except RecursionError:
+            return json.loads(_cut_deep_parts(text), parse_int=parse_int)
+
+
+@contextmanager
+def _paused_collector() -> Iterator[None]:
+    """Pause the collection of cycles, of which decoded JSON has none: with many containers it
+    takes several times as long as decoding.
+    """
+    was_enabled = gc.isenabled()
+    gc.disable()
     try:
-        return json.loads(text, parse_int=_parse_int)
-    except RecursionError:
-        return json.loads(_cut_deep_parts(text), parse_int=_parse_int)
+        yield
+    finally:
+        if was_enabled:
+            gc.enable()
 
 
 def _parse_int(digits: str) -> int | float:
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/store.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/store.py
@@ -9,12 +9,14 @@
 
 from abc import ABC, abstractmethod
 from base64 import b64decode
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import Any, NamedTuple, TypeVar
 from urllib.parse import quote, urlencode
 
 from expression import Error, Ok, Result
 
-from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke.error import AnswerFault, Failure, Outcome, Step
+from kingcupdyke_wire.answerlimit import STORE_ANSWER
 from kingcupdyke_wire.decode import decode, make_failure
 from kingcupdyke_wire.http import HttpAnswer, HttpClient
 
@@ -29,6 +31,8 @@
     "make_watch_answer",
 ]
 
+T = TypeVar("T")
+
 #: Reason of a failed watch whose position is too old: the objects have to be listed again.
 COMPACTED = "compacted"
 
@@ -86,6 +90,9 @@
     changed is "unknown".
     """
 
+    #: Called with what makes an answer of the store none.
+    on_faulty_answer: Callable[[AnswerFault], None] = staticmethod(lambda fault: None)
+
     @property
     def era(self) -> int:
         """:return: era of the store's last answer; 0 if the store has none, or has not answered"""
@@ -137,7 +144,9 @@
     """
 
     def __init__(self, base_url: str, timeout_s: float = 2.0) -> None:
-        self._http = HttpClient(base_url, timeout_s, step=Step.STORE, reuse=True)
+        self._http = HttpClient(
+            base_url, timeout_s, step=Step.STORE, reuse=True, limit=STORE_ANSWER
+        )
         self._timeout_s = timeout_s
 
     async def get(self, kind: str, name: str) -> Result[StoreObject | None, Failure]:
@@ -163,9 +172,7 @@
     ) -> Result[tuple[int, list[StoreObject]], Failure]:
         path = f"/v1/objects/{quote(kind, safe='')}?{urlencode({'prefix': prefix})}"
         answer = await self._http.request("GET", path)
-        return answer.bind(
-            lambda each: decode(each, Step.STORE, self._http.peer, lambda d: _read_list(kind, d))
-        )
+        return answer.bind(lambda each: self._decode(each, lambda d: _read_list(kind, d)))
 
     async def watch(
         self, kind: str, position: int, timeout_s: float
@@ -179,6 +186,9 @@
         """Close all connections."""
         await self._http.aclose()
 
+    def _decode(self, answer: HttpAnswer, read: Callable[[Any], T]) -> Result[T, Failure]:
+        return decode(answer, Step.STORE, self._http.peer, read, STORE_ANSWER)
+
     def _read_object(
         self, kind: str, name: str, answer: HttpAnswer
     ) -> Result[StoreObject | None, Failure]:
@@ -229,7 +239,7 @@
     ) -> Result[WatchAnswer, Failure]:
         if answer.status == STATUS_GONE:
             return Error(Failure(Outcome.FAILED, Step.STORE, self._http.peer, COMPACTED))
-        events = decode(answer, Step.STORE, self._http.peer, lambda d: _read_events(kind, d))
+        events = self._decode(answer, lambda d: _read_events(kind, d))
         return events.map(lambda each: make_watch_answer(position, each))
 
 
--- a/packages/kingcupdyke/features/enginestate.feature
+++ b/packages/kingcupdyke/features/enginestate.feature
@@ -25,6 +25,11 @@
       | nor does an older entry after a report remove it | report 0 m1+a1; adapter a2; accepted; report 1 m1+a1+a2; entry 2 m1+a1 | accepts | m1+a1+a2 | 1 |
       | adapters are unloaded with their model | report 0 m1+a1; adapter a2; accepted; unload m1; accepted; entry 2 - | accepts | - | 2 |
       | an order that is accepted when it is sent again is complete | report 0 m1+a1; load m2; unknown; resend; accepted; report 1 m1+a1,m2 | accepts | m1+a1 m2 | 1 |
+      | the time between questions for a report grows while its answers are faulty | faultyreport 0.6 1.2 2.4 2.4 | rejects | m1+a1 | 0 |
+      | a report after them permits orders | faultyreport 0.6 1.2; report 0 m1+a1 | accepts | m1+a1 | 0 |
+      | a restart ends the wait for the next question | faultyreport 0.6 1.2 2.4; restart 1 -; faultyreport 0.6 | rejects | - | 0 |
+      | the time until an order is sent again grows while its answers are faulty | report 0 m1+a1; load m2; faulty 0.2 0.4 0.8 0.8 | rejects | m1+a1 | 0 |
+      | a report settles an order whose answers are faulty | report 0 m1+a1; load m2; faulty 0.2; report 1 m1+a1,m2 | accepts | m1+a1 m2 | 1 |
       | after a rejection, a report is needed | report 0 m1+a1; load m2; refused | rejects | m1+a1 | 0 |
       | a restart discards everything | report 7 m1+a1; restart 1 -; report 0 - | accepts | - | 0 |
       | an engine that has requested backoff accepts none | report 0 m1+a1; backoff | rejects | m1+a1 | 0 |
--- a/packages/kingcupdyke/features/steps/enginestate_steps.py
+++ b/packages/kingcupdyke/features/steps/enginestate_steps.py
@@ -54,6 +54,31 @@
     def do_unanswered(self):
         self.engine.report_failed(self.now_s)
 
+    def do_faultyreport(self, *waits):
+        """Ask for the report at each time at which that is due; each answer is faulty.
+
+        :param waits: expected seconds until the next request
+        """
+        for wait in waits:
+            assert self.engine.begin_report_request(self.now_s)
+            self.engine.report_failed(self.now_s, True)
+            self.now_s += float(wait) - 0.01
+            assert not self.engine.begin_report_request(self.now_s), wait
+            self.now_s += 0.02
+
+    def do_faulty(self, *waits):
+        """Let the answers to an order be faulty.
+
+        :param waits: expected seconds until it is sent again
+        """
+        for wait in waits:
+            self.engine.answered(OrderReply.FAULTY, self.now_s)
+            self.now_s += float(wait) - 0.01
+            assert self.engine.get_order_to_resend(self.now_s) is None, wait
+            self.now_s += 0.02
+            self.engine.begin(self.engine.get_order_to_resend(self.now_s), self.now_s, 1.0)
+        self.engine.answered(OrderReply.FAULTY, self.now_s)
+
     def do_entry(self, heartbeat, held):
         self.engine.observe_entry(
             make_entry("e1", heartbeat=int(heartbeat), models=read_held(held))
--- a/packages/kingcupdyke/kingcupdyke/error.py
+++ b/packages/kingcupdyke/kingcupdyke/error.py
@@ -8,7 +8,15 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-__all__ = ["DECODE_ERRORS", "Failure", "OptionError", "Outcome", "Step", "describe_error"]
+__all__ = [
+    "DECODE_ERRORS",
+    "AnswerFault",
+    "Failure",
+    "OptionError",
+    "Outcome",
+    "Step",
+    "describe_error",
+]
 
 #: Raised when data is decoded that another process has written: its types, names and numbers may be
 #: others than expected, and it may be deeper than a decoder can go.
@@ -49,6 +57,25 @@
     CONFIGURE = "configure"
 
 
+class AnswerFault(StrEnum):
+    """What makes the bytes that a process has sent no answer."""
+
+    #: They violate HTTP/1.1, or a head has no end.
+    MALFORMED = "malformed"
+    #: There are too many answers before the one to the request.
+    STRAY = "stray"
+    #: An event has no end.
+    EVENT = "event too long"
+    #: The sender's answers hold more than the memory that they may use.
+    MEMORY = "memory used up"
+    #: The body is longer than an answer of its kind may be.
+    LENGTH = "answer too long"
+    #: The body would take more memory, once decoded, than an answer of its kind may use.
+    DECODED_SIZE = "too large once decoded"
+    #: The body is not of the expected format.
+    FORMAT = "unexpected format"
+
+
 class Failure(NamedTuple):
     """A failure as a value, for the error side of a ``Result``."""
 
@@ -59,6 +86,8 @@
     reason: str
     #: Seconds after which a retry may succeed, or None if a retry does not help.
     retry_after_s: float | None = None
+    #: What makes the peer's bytes no answer, or None if there was an answer, or the call broke off.
+    fault: AnswerFault | None = None
 
 
 class OptionError(ValueError):
--- a/packages/kingcupdyke/kingcupdyke/forwarding/enginestate.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/enginestate.py
@@ -20,6 +20,8 @@
 ADAPTER_PENDING_S = 0.3
 #: Seconds between two requests for a report.
 REPORT_INTERVAL_S = 0.3
+#: Doublings of these two intervals at most, one for each faulty answer in a row.
+MAX_DOUBLINGS = 3
 #: Seconds between polls of an engine that executes an order, to detect that it is lost.
 POLL_INTERVAL_S = 1.0
 
@@ -39,6 +41,8 @@
     REFUSED = "refused"
     #: No answer came: the order may have been executed, or may be executed later.
     UNKNOWN = "unknown"
+    #: The same, as what came is no answer.
+    FAULTY = "faulty"
 
 
 class EngineState:
@@ -90,6 +94,9 @@
         self._needs_report = True
         #: Whether the last request for a report failed.
         self._has_report_failed = False
+        #: Numbers of faulty answers in a row to requests for a report, and to orders.
+        self._faulty_reports = 0
+        self._faulty_order_answers = 0
 
     @property
     def is_backing_off(self) -> bool:
@@ -156,6 +163,7 @@
     def observe_report(self, report: EndpointReport, now_s: float) -> None:
         """Update from the engine's report, unless it is of an earlier process of the engine."""
         self._has_report_failed = False
+        self._faulty_reports = 0
         if report.started_ms and report.started_ms < self.entry.started_ms:
             self._needs_report = True
             return
@@ -193,11 +201,19 @@
         self._next_report_s = now_s + (POLL_INTERVAL_S if is_answering else REPORT_INTERVAL_S)
         return True
 
-    def report_failed(self, now_s: float) -> None:
-        """Record that a request for the report failed; it is repeated after REPORT_INTERVAL_S."""
+    def report_failed(self, now_s: float, is_faulty: bool = False) -> None:
+        """Record that a request for the report failed; it is repeated after REPORT_INTERVAL_S.
+
+        :param is_faulty: whether the engine has sent bytes that are no report; the time until the
+            next request grows with each such answer
+        """
         self._has_report_failed = True
         self._needs_report = True
-        self._next_report_s = min(self._next_report_s, now_s + REPORT_INTERVAL_S)
+        if not is_faulty:
+            self._next_report_s = min(self._next_report_s, now_s + REPORT_INTERVAL_S)
+            return
+        self._faulty_reports = min(self._faulty_reports + 1, MAX_DOUBLINGS)
+        self._next_report_s = now_s + REPORT_INTERVAL_S * 2**self._faulty_reports
 
     def begin(self, order: Order, now_s: float, expected_s: float) -> None:
         """Record that an order is sent; no other one is sent before its answer.
@@ -228,8 +244,14 @@
         order = self.open_order
         if order is None:
             return
-        if reply is OrderReply.UNKNOWN:
-            self._next_resend_s = now_s + RESEND_INTERVAL_S
+        if reply is OrderReply.FAULTY:
+            self._faulty_order_answers = min(self._faulty_order_answers + 1, MAX_DOUBLINGS)
+            # A report may show the order in the meantime.
+            self._needs_report = True
+        else:
+            self._faulty_order_answers = 0
+        if reply in (OrderReply.UNKNOWN, OrderReply.FAULTY):
+            self._next_resend_s = now_s + RESEND_INTERVAL_S * 2**self._faulty_order_answers
             return
         is_unload = order.kind == OrderKind.UNLOAD_ADAPTER
         if reply is OrderReply.ACCEPTED or (reply is OrderReply.HOLDS and is_unload):
@@ -324,6 +346,8 @@
         self.ordered_adapters.clear()
         self.open_order = None
         self._next_resend_s = 0.0
+        self._faulty_reports = self._faulty_order_answers = 0
+        self._next_report_s = 0.0
 
 
 def _list_adapters(models_by_name: dict[str, LoadedModel]) -> set[tuple[str, str]]:
