Lost news of the store: noticed within the bound, by shorter waits of two readers and by comparison

Cause: the answer to the call that watches was lost in a silence of 2 s, and nothing but the end of the call, 10.7 s after its beginning, ended the wait. Peers knew better, and nobody compared. It holds for each kind that is watched, and for six gateways too, whose followers take the messages of readers that hear nothing for fresh.

Change: two primary readers of each region wait for config_apply_ms less one second, all others 10 s as before. Readers name the position of the last change that they know; who has not read it 0.5 s later gives up its call and asks again for 0.1 s. Counter of watch calls by their end, and a line for each check.

Why it works: a lost answer ends a primary reader's call in 2.7 s at most, alone or in a silence that all share, and the others learn of the change in less than 1 s after that.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
@@ -76,6 +76,7 @@
         self._task_errors = create_counter(f"{METRIC_PREFIX}task_errors")
         self._aborted = create_counter(f"{METRIC_PREFIX}aborted_answers")
         self._faulty_answers = create_counter(f"{METRIC_PREFIX}faulty_answers")
+        self._watches = create_counter(f"{METRIC_PREFIX}store_watches")
         self._rejected_messages = create_counter(f"{METRIC_PREFIX}rejected_peer_messages")
         self._rejected_requests = create_counter(f"{METRIC_PREFIX}rejected_requests")
         self._closed_connections = create_counter(f"{METRIC_PREFIX}closed_connections")
@@ -116,6 +117,10 @@
         """Count bytes of an endpoint that are no answer, by what is wrong with them."""
         self._faulty_answers.add(1, {"fault": fault})
 
+    def count_watch(self, kind: str, end: str) -> None:
+        """Count a call that watches a kind of the store's objects, by how it has ended."""
+        self._watches.add(1, {"kind": kind, "end": end})
+
     def count_rejected_message(self, reason: str) -> None:
         """Count a datagram that is dropped.
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+from functools import partial
 
 from anyio import Event, sleep
 from anyio.abc import SocketListener, TaskGroup
@@ -217,8 +218,12 @@
             self._peer_gossip,
             self._peer_table,
             (self._catalogue.endpoints, self._gateway_watcher),
+            (self._catalogue.configurations,),
             self._timer,
+            lambda: self._settings.apply_s,
         )
+        for watcher in self._peer_gossip.watchers:
+            watcher.on_call_end = partial(self._metrics.count_watch, watcher.kind)
         StateGauges(
             self._catalogue,
             self._gateway_watcher,
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/storewatcher.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/storewatcher.py
@@ -7,21 +7,25 @@
 
 import logging
 from collections.abc import Callable, Iterable
+from enum import StrEnum
 from random import Random
 
-from anyio import Event, move_on_after, sleep
+from anyio import CancelScope, Event, move_on_after, sleep
+from expression import Result
 
 from kingcupdyke.error import Failure
+from kingcupdyke.forwarding.missedchange import MissedChange
 from kingcupdyke.forwarding.storechanges import StoreChange, StoreChanges
 from kingcupdyke.forwarding.storerelay import RelayedObject, StoreRelay
+from kingcupdyke.forwarding.watchinterval import MAX_WATCH_TIMEOUT_S
 from kingcupdyke.timer import TimerService
-from kingcupdyke_wire.store import COMPACTED, StoreClient, StoreObject, WatchEvent
+from kingcupdyke_wire.store import COMPACTED, StoreClient, StoreObject, WatchAnswer, WatchEvent
 
-__all__ = ["StoreWatcher"]
+__all__ = ["StoreWatcher", "WatchEnd"]
 
 _LOGGER = logging.getLogger(__name__)
-#: Seconds for which one watch call waits for changes.
-WATCH_TIMEOUT_S = 10.0
+#: Seconds for which a call waits that checks whether changes were missed.
+CHECK_TIMEOUT_S = 0.1
 #: Delay before a failed call is retried: doubles from the first value up to the second.
 INITIAL_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 0.8
@@ -31,6 +35,16 @@
 MIN_OUTAGE_S = 1.0
 
 
+class WatchEnd(StrEnum):
+    """How a watch call has ended."""
+
+    CHANGES = "changes"
+    NO_CHANGES = "no changes"
+    FAILED = "failed"
+    #: It was given up, as another call begins.
+    INTERRUPTED = "interrupted"
+
+
 class StoreWatcher:
     """Lists the objects of a kind, then watches them for changes.
 
@@ -82,6 +96,16 @@
         self.on_gap: Callable[[], None] = lambda: None
         #: Called when the store answers again, or has come back from a copy.
         self.on_recovery: Callable[[], None] = lambda: None
+        #: Called with how each watch call has ended.
+        self.on_call_end: Callable[[WatchEnd], None] = lambda end: None
+        self._watch_timeout_s = MAX_WATCH_TIMEOUT_S
+        #: Scope of the watch call in progress, or None.
+        self._call_scope: CancelScope | None = None
+        #: Whether the next call only checks whether changes were missed.
+        self._is_check_due = False
+        self._missed_change = MissedChange()
+        #: Position of the last change that is known.
+        self._last_change = 0
         self._is_following = False
         self._has_gap = False
         self._heard = Event()
@@ -127,9 +151,35 @@
         self._is_following = is_following
         self._heard.set()
 
+    def set_watch_timeout(self, timeout_s: float) -> None:
+        """Change how long a watch call waits for changes; one that waits longer is repeated.
+
+        :param timeout_s: seconds
+        """
+        is_shorter = timeout_s < self._watch_timeout_s
+        self._watch_timeout_s = timeout_s
+        if is_shorter and self._call_scope is not None:
+            self._call_scope.cancel()
+
+    def note_known(self, position: int) -> None:
+        """Note the position of a change that a peer knows."""
+        self._missed_change.note(position)
+
+    def check_missed(self, now_s: float) -> None:
+        """Ask the store again if a peer has known a change for some time that is not known here.
+
+        Its answer to the call in progress may be lost, which nothing else shows before the call
+        ends.
+        """
+        if self._call_scope is None or not self._missed_change.is_due(self._position, now_s):
+            return
+        _LOGGER.warning("a change of %s may have been missed: asking again", self._kind)
+        self._is_check_due = True
+        self._call_scope.cancel()
+
     def make_changes(self) -> StoreChanges:
         """:return: a message without changes, which tells the position that has been read"""
-        return StoreChanges("", self._kind, self._position, self._position, False, ())
+        return self._make_message(self._position, self._position, False, ())
 
     def apply_changes(self, message: StoreChanges) -> None:
         """Apply the changes that a peer has read, unless some before them are missing."""
@@ -141,6 +191,7 @@
             for each in message.changes:
                 value = None if each.value is None else each.value.encode()
                 self._apply(each.name, each.version, value, message.after_outage)
+            self._last_change = max(self._last_change, message.last_change)
             self._position = message.position
         self._heard.set()
 
@@ -205,27 +256,60 @@
             return listed.error
         self._record_answer()
         self._position, objects = listed.ok
+        known = self._object_by_name
         self._object_by_name = {each.name: self._strip(each) for each in objects}
+        if self.is_listed and self._object_by_name != known:
+            self._last_change = self._position
         self._on_list(objects, self.had_recent_outage)
         self.is_listed = True
+        if self.on_read is not None:
+            self.on_read(self.make_changes())
         while True:
             await self._follow()
             next_call_s = self._timer.now() + self._get_interval_s()
-            from_position = self._position
-            watched = await self._store.watch(self._kind, from_position, WATCH_TIMEOUT_S)
+            watched = await self._watch(self._position)
+            if watched is None:
+                continue
             if watched.is_error():
                 is_compacted = watched.error.reason == COMPACTED
                 return None if is_compacted else watched.error
             self._record_answer()
-            position, events = watched.ok
-            for event in events:
-                value = None if event.current is None else event.current.value
-                self._apply(event.name, _get_version(event), value, self.had_recent_outage)
-            self._position = max(self._position, position)
-            if self.on_read is not None:
-                self.on_read(self._make_read_changes(from_position, position, events))
+            self._apply_answer(watched.ok)
             await sleep(max(0.0, next_call_s - self._timer.now()))
 
+    async def _watch(self, position: int) -> Result[WatchAnswer, Failure] | None:
+        """Wait for changes.
+
+        :return: the answer, a failure, or None if the call was interrupted to begin another one
+        """
+        timeout_s = CHECK_TIMEOUT_S if self._is_check_due else self._watch_timeout_s
+        self._is_check_due = False
+        self._call_scope = CancelScope()
+        try:
+            with self._call_scope as scope:
+                watched = await self._store.watch(self._kind, position, timeout_s)
+        finally:
+            self._call_scope = None
+        if scope.cancelled_caught:
+            self.on_call_end(WatchEnd.INTERRUPTED)
+            return None
+        if watched.is_error():
+            self.on_call_end(WatchEnd.FAILED)
+        else:
+            self.on_call_end(WatchEnd.CHANGES if watched.ok.events else WatchEnd.NO_CHANGES)
+        return watched
+
+    def _apply_answer(self, answer: WatchAnswer) -> None:
+        """Apply the changes of an answer, and pass them on."""
+        from_position = self._position
+        for event in answer.events:
+            value = None if event.current is None else event.current.value
+            self._apply(event.name, _get_version(event), value, self.had_recent_outage)
+        self._last_change = max([self._last_change, *(each.position for each in answer.events)])
+        self._position = max(self._position, answer.position)
+        if self.on_read is not None:
+            self.on_read(self._make_read_changes(from_position, answer.position, answer.events))
+
     async def _follow(self) -> None:
         """Wait for as long as peers pass on all changes."""
         while self._is_following and not self._has_gap:
@@ -249,8 +333,17 @@
         self, from_position: int, position: int, events: Iterable[WatchEvent]
     ) -> StoreChanges:
         changes = tuple(self._make_change(each) for each in events)
+        return self._make_message(from_position, position, self.had_recent_outage, changes)
+
+    def _make_message(
+        self,
+        from_position: int,
+        position: int,
+        after_outage: bool,
+        changes: tuple[StoreChange, ...],
+    ) -> StoreChanges:
         return StoreChanges(
-            "", self._kind, from_position, position, self.had_recent_outage, changes
+            "", self._kind, from_position, position, after_outage, changes, self._last_change
         )
 
     def _make_change(self, event: WatchEvent) -> StoreChange:
--- a/packages/kingcupdyke/features/steps/watchinterval_steps.py
+++ b/packages/kingcupdyke/features/steps/watchinterval_steps.py
@@ -11,7 +11,7 @@
 
 from behave import then, when
 
-from kingcupdyke.forwarding.watchinterval import choose_watch_interval
+from kingcupdyke.forwarding.watchinterval import choose_watch_interval, choose_watch_timeout
 
 
 def watch(change_times, interval_s, until_s):
@@ -54,3 +54,9 @@
 def check_ages(context, median_s, worst_s):
     assert median(context.ages) <= median_s, median(context.ages)
     assert max(context.ages) <= worst_s, max(context.ages)
+
+
+@then("watchinterval: a call of {who} waits for {wait_s:g} s with a bound of {bound_s:g} s")
+def check_timeout(context, who, wait_s, bound_s):
+    found_s = choose_watch_timeout(who == "a primary reader", bound_s)
+    assert found_s == wait_s, found_s
--- a/packages/kingcupdyke/features/storechanges.feature
+++ b/packages/kingcupdyke/features/storechanges.feature
@@ -30,3 +30,17 @@
   Scenario: A gateway that cannot reach the store reads if no other can
     When storechanges: the gateways "a!cut b!cut" choose readers
     Then storechanges: each chooses itself
+
+  Scenario Outline: Some readers notice first that an answer was lost: <case>
+    When storechanges: the gateways "<gateways>" choose readers
+    Then storechanges: all choose the same <count> primary readers, which are among the readers
+
+    Examples:
+      | case | gateways | count |
+      | a lone gateway | a | 1 |
+      | two of a few gateways | a b c d | 2 |
+      | two of many | a b c d e f g h | 2 |
+      | none that cannot reach the store | a!cut b!cut c d e!cut | 2 |
+
+  Scenario: A message of an earlier release names no last change
+    Then storechanges: a message without a last change is decoded with position 0
--- a/packages/kingcupdyke/kingcupdyke/forwarding/storechanges.py
+++ b/packages/kingcupdyke/kingcupdyke/forwarding/storechanges.py
@@ -15,7 +15,7 @@
 from kingcupdyke.forwarding.peerstate import GatewayState
 from kingcupdyke.util import rank_rendezvous
 
-__all__ = ["StoreChange", "StoreChanges", "choose_readers"]
+__all__ = ["StoreChange", "StoreChanges", "choose_primary_readers", "choose_readers"]
 
 #: Number of gateways in each region that read the store for the others.
 READERS_IN_REGION = 2
@@ -48,6 +48,8 @@
     #: Whether an outage of the store ended recently, so that objects may have lapsed.
     after_outage: bool
     changes: tuple[StoreChange, ...]
+    #: Position of the last change of the kind that the sender knows, or 0.
+    last_change: int = 0
 
     #: The kind of the message; that of the objects is a field.
     message_kind = MessageKind.STORE_CHANGES
@@ -70,6 +72,7 @@
         int(fields["position"]),
         bool(fields["after_outage"]),
         tuple(_make_change(*each) for each in fields["changes"]),
+        int(fields.get("last_change", 0)),
     )
 
 
@@ -83,8 +86,22 @@
     :param host: the own host
     :param peers: states of the live peers in the same region
     """
+    ranked = _rank_able(kind, host, peers)
+    return ranked if len(ranked) <= MAX_REGION_WITHOUT_FOLLOWERS else ranked[:READERS_IN_REGION]
+
+
+def choose_primary_readers(kind: str, host: str, peers: Iterable[GatewayState]) -> list[str]:
+    """Choose the readers of a region that notice first when an answer of the store was lost.
+
+    :param host: the own host
+    :param peers: states of the live peers in the same region
+    """
+    return _rank_able(kind, host, peers)[:READERS_IN_REGION]
+
+
+def _rank_able(kind: str, host: str, peers: Iterable[GatewayState]) -> list[str]:
+    """:return: the own host, and those of the peers that can read the kind, in order of choice"""
     able = [
         each.host for each in peers if not each.is_stopping and kind not in each.unreadable_kinds
     ]
-    ranked = rank_rendezvous(kind, [host, *able])
-    return ranked if len(ranked) <= MAX_REGION_WITHOUT_FOLLOWERS else ranked[:READERS_IN_REGION]
+    return rank_rendezvous(kind, [host, *able])
