Answers whose status is none: no answer, at each place where a status is read

A client could get 600 or 999 from an endpoint in trouble as its answer, where no other endpoint had answered; and a request that may not be repeated, which got 600 with the mark that it has not run, was sent a second time. 000 itself reached no client on.

Cause: the HTTP library rejects what is below 100 or not of three digits, and lets 200 to 999 pass; nothing of our own looked, and such an answer was kept like any failure. The same in the HTTP client of store, reports, orders, hosts, tool and sidecar, and for what a sidecar tells a gateway.

Change: one check of the range 200 to 599 (RFC 9110, section 15) before anything of the answer is believed: exchanges of the forwarding gateway, the HTTP client, the assembler of sidecars' answers, and what a handler may be asked to send. The request may have run; the fault is counted as "invalid status" and held against the endpoint.

Why it works: each path to a client and to a decision of the planner passes one of these four.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientconnection.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientconnection.py
@@ -28,6 +28,7 @@
     Response,
 )
 
+from kingcupdyke.answer import is_final_status
 from kingcupdyke.forwarding.configuration import ClientLimits
 from kingcupdyke.forwarding.incomingbodies import IncomingBodies
 from kingcupdyke_daemon.clientconnections import (
@@ -178,6 +179,8 @@
         await aclose_forcefully(self._stream)
 
     async def begin(self, status: int, headers: Headers) -> None:
+        if not is_final_status(status):
+            raise ValueError(f"invalid status {status}")
         if self._context.is_stopping:
             headers = [*headers, (b"connection", b"close")]
         self.has_begun = True
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/exchange.py
@@ -20,6 +20,7 @@
     Response,
 )
 
+from kingcupdyke.answer import is_final_status
 from kingcupdyke.error import AnswerFault
 from kingcupdyke.forwarding.metadata import AnswerMetadata
 from kingcupdyke.forwarding.unfinishedparts import UnfinishedPart
@@ -172,6 +173,9 @@
                 continue
             if not isinstance(event, Response):
                 raise TransferError(self._progress, "the connection was closed")
+            if not is_final_status(event.status_code):
+                reason = f"invalid status {event.status_code}"
+                raise TransferError(self._progress, reason, fault=AnswerFault.STATUS)
             return event
         reason = "received only informational answers"
         raise TransferError(self._progress, reason, fault=AnswerFault.STRAY)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/reply.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/reply.py
@@ -57,7 +57,10 @@
 
     @abstractmethod
     async def begin(self, status: int, headers: Headers) -> None:
-        """Send the head of the answer."""
+        """Send the head of the answer.
+
+        :raises ValueError: when the status is none that an answer can have; nothing is sent then
+        """
 
     @abstractmethod
     async def write(self, data: bytes) -> None:
--- a/packages/kingcupdyke-wire/features/http.feature
+++ b/packages/kingcupdyke-wire/features/http.feature
@@ -15,6 +15,10 @@
       | ends a stream inside an event      | unknown | run     |
       | ends its connection inside an event | unknown | run    |
       | ends its connection inside a JSON value | unknown | run |
+      | answers with status 000            | unknown | run     |
+      | answers with status 099            | unknown | run     |
+      | answers with status 600            | unknown | run     |
+      | answers with status 999            | unknown | run     |
 
   Scenario Outline: The next request gets its own answer
     Given a server for http that <behaviour>
@@ -46,6 +50,17 @@
       | closes within the answer      |
       | stalls within the answer      |
 
+  Scenario Outline: A stream whose status is none is a failure: <status>
+    Given a server for http that answers with status <status>
+    When http reads a stream with a timeout of 0.5 s between its parts
+    Then http has read no part and reports "unknown" at step "run" with the peer's address
+
+    Examples:
+      | status |
+      | 000 |
+      | 600 |
+      | 999 |
+
   Scenario Outline: An answer that ends with its connection is complete: <body>
     Given a server for http whose answer "<body>" of type "<type>" ends with its connection
     When http sends a request with a timeout of 0.5 s
--- a/packages/kingcupdyke-wire/features/steps/http_steps.py
+++ b/packages/kingcupdyke-wire/features/steps/http_steps.py
@@ -59,6 +59,13 @@
                 await end_connection(reply, "text/event-stream", b"data: 1\n\ndata")
             case "ends its connection inside a JSON value":
                 await end_connection(reply, "application/json", b'{"a":')
+            case str(text) if text.startswith("answers with status "):
+                status = text.removeprefix("answers with status ")
+                reply.send_unsolicited(
+                    f"HTTP/1.1 {status} X\r\ncontent-length: 1\r\n\r\na".encode()
+                )
+                await sleep(0.01)
+                await reply.drop()
             case (content_type, body):
                 await end_connection(reply, content_type, body)
             case _:
@@ -174,6 +181,12 @@
     check_failure(context, context.result, outcome, step)
 
 
+@then('http has read no part and reports "{outcome}" at step "{step}" with the peer\'s address')
+def check_no_part(context, outcome, step):
+    assert context.parts == [], context.parts
+    check_failure(context, context.result, outcome, step)
+
+
 @then('http: an answer of 503 with the Retry-After "{value}" is a failure with {seconds}')
 def check_retry_after(context, value, seconds):
     answer = HttpAnswer(503, {"retry-after": value}, b"")
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/http.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/http.py
@@ -22,7 +22,8 @@
     TimeoutException,
 )
 
-from kingcupdyke.error import Failure, Outcome, Step
+from kingcupdyke.answer import is_final_status
+from kingcupdyke.error import AnswerFault, Failure, Outcome, Step
 from kingcupdyke_wire.answerlimit import WHOLE_ANSWER, AnswerLimit, RefusedAnswerError, read_whole
 from kingcupdyke_wire.completeness import find_truncation, is_judged_by_content
 
@@ -150,6 +151,7 @@
             with fail_after(self._timeout_s if timeout_s is None else timeout_s):
                 response = await self._pool.handle_async_request(request)
                 try:
+                    _check_status(response)
                     headers = _read_headers(response)
                     limit.check_length(_read_length(headers))
                     content = await read_whole(response.stream, limit, may_hold)
@@ -189,6 +191,7 @@
         try:
             with fail_after(idle_timeout_s):
                 response = await self._pool.handle_async_request(request)
+            await _require_status(response)
         except EXCHANGE_ERRORS as error:
             raise ExchangeError(self._make_failure(error, progress)) from error
         try:
@@ -241,6 +244,25 @@
     return headers
 
 
+def _check_status(response: Response) -> None:
+    """:raises RefusedAnswerError: when the status is none that an answer can have"""
+    if not is_final_status(response.status):
+        reason = f"invalid status {response.status}"
+        raise RefusedAnswerError(AnswerFault.STATUS, reason)
+
+
+async def _require_status(response: Response) -> None:
+    """Close an answer whose status is none.
+
+    :raises RefusedAnswerError: when the status is none that an answer can have
+    """
+    try:
+        _check_status(response)
+    except RefusedAnswerError:
+        await _close(response)
+        raise
+
+
 def _read_length(headers: dict[str, str]) -> int:
     """:return: the size of the body that an answer announces in bytes, or 0 if it does not"""
     length = headers.get("content-length", "")
--- a/packages/kingcupdyke/features/answer.feature
+++ b/packages/kingcupdyke/features/answer.feature
@@ -18,6 +18,9 @@
       | gap                                 | start 0 2 end3                               | p0        | 2 end3                | partial   |
       | duplicate parts                     | start 0 0 1 0 1 2 2 end3 end3                | p0 p1 p2  | none                  | complete  |
       | duplicate start                     | start 0 start 1 2 end3                       | p0 p1 p2  | none                  | complete  |
+      | a status above all that HTTP has    | start=600 0 end1                             | none      | start=600 0 end1      | unstarted |
+      | a status of 0                       | start=0 0 end1                               | none      | start=0 0 end1        | unstarted |
+      | a status that comes before an answer | start=100 0 end1                            | none      | start=100 0 end1      | unstarted |
       | status changed                      | start 0 start=500 1                          | p0 p1     | start=500             | partial   |
       | part of another request             | start 0 r2:1 1 2 end3                        | p0 p1 p2  | r2:1                  | complete  |
       | start of another request            | r2:start                                     | none      | r2:start              | unstarted |
--- a/packages/kingcupdyke/kingcupdyke/answer.py
+++ b/packages/kingcupdyke/kingcupdyke/answer.py
@@ -11,7 +11,17 @@
 
 from kingcupdyke.error import Failure, Outcome, Step
 
-__all__ = ["AnswerAssembler", "AnswerBuffer"]
+__all__ = ["AnswerAssembler", "AnswerBuffer", "is_final_status"]
+
+#: The statuses of answers: HTTP has none above them, and those below come before an answer
+#: (RFC 9110, section 15).
+MIN_FINAL_STATUS = 200
+MAX_FINAL_STATUS = 599
+
+
+def is_final_status(status: int) -> bool:
+    """:return: whether an HTTP status is one that an answer can have"""
+    return MIN_FINAL_STATUS <= status <= MAX_FINAL_STATUS
 
 
 class AnswerAssembler:
@@ -46,10 +56,13 @@
     ) -> Result[None, Failure]:
         """Take the status, which may be sent again after a resume.
 
-        :return: nothing, or a failure for a wrong id or when the status or content type changed
+        :return: nothing, or a failure for a wrong id, for a status that is none, or when the status
+            or content type changed
         """
         if not self._is_expected(request_id, attempt_id):
             return self._fail("start message of another answer")
+        if not is_final_status(status):
+            return self._fail(f"invalid status {status}")
         head = (status, content_type)
         if self._head not in (None, head):
             return self._fail("status or content type changed within an answer")
--- a/packages/kingcupdyke/kingcupdyke/error.py
+++ b/packages/kingcupdyke/kingcupdyke/error.py
@@ -62,6 +62,8 @@
 
     #: They violate HTTP/1.1, or a head has no end.
     MALFORMED = "malformed"
+    #: Its status is none that an answer can have.
+    STATUS = "invalid status"
     #: There are too many answers before the one to the request.
     STRAY = "stray"
     #: An event has no end.
