State messages and records on engines in modules of their own

What a gateway tells its peers of itself, and takes from their states, is now StateExchange; the records on engines and the planner's calls are enginerecords.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/enginecalls.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/enginecalls.py
@@ -15,12 +15,12 @@
 from kingcupdyke.error import AnswerFault, Failure, Outcome, Step
 from kingcupdyke.forwarding.endpoint import EndpointEntry, EndpointReport
 from kingcupdyke.forwarding.unfinishedparts import UnfinishedPart, UnfinishedParts
+from kingcupdyke_daemon.enginerecords import FaultyAnswerRecord
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.endpointbackoffs import EndpointBackoffs, EndpointCall
 from kingcupdyke_daemon.forwarder.leavingdirectory import LeavingDirectory
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
 from kingcupdyke_daemon.logs import LineSampler
-from kingcupdyke_daemon.records import FaultyAnswerRecord
 from kingcupdyke_wire.answerlimit import ORDER_ANSWER, REPORT, RefusedAnswerError
 from kingcupdyke_wire.http import HttpAnswer, HttpClient
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/plannerrunner.py
@@ -24,6 +24,7 @@
 from kingcupdyke.forwarding.planround import TimedOrder
 from kingcupdyke.lease import LeaseMachine
 from kingcupdyke.timer import TimerService
+from kingcupdyke_daemon.enginerecords import EngineRecord, OrderRecord
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.enginecalls import EngineCalls
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
@@ -32,7 +33,6 @@
 from kingcupdyke_daemon.forwarder.plannerlease import RENEWAL_INTERVAL_S
 from kingcupdyke_daemon.leasemanager import LeaseManager
 from kingcupdyke_daemon.logs import log_record
-from kingcupdyke_daemon.records import EngineRecord, OrderRecord
 from kingcupdyke_daemon.taskerrors import IsolatedTaskGroup, TaskErrors
 from kingcupdyke_wire.store import StoreClient
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -16,7 +16,7 @@
 from kingcupdyke.forwarding.dispatcher import Dispatcher
 from kingcupdyke.forwarding.endpointtable import EndpointTable
 from kingcupdyke.forwarding.leasepromise import LeasePromises
-from kingcupdyke.forwarding.peerstate import GatewayState, PeerTable
+from kingcupdyke.forwarding.peerstate import PeerTable
 from kingcupdyke.forwarding.retrybudget import SharedRetryBudget
 from kingcupdyke.forwarding.storechanges import StoreChanges
 from kingcupdyke.forwarding.watchinterval import choose_watch_interval
@@ -31,7 +31,6 @@
 from kingcupdyke_daemon.forwarder.metrics import ForwarderMetrics
 from kingcupdyke_daemon.forwarder.peerexchanges import PeerExchanges
 from kingcupdyke_daemon.forwarder.peergossip import PEERS_KIND, PeerGossip
-from kingcupdyke_daemon.forwarder.peerlog import PeerLog
 from kingcupdyke_daemon.forwarder.plannedstop import (
     ANSWER_GRACE_FRACTION,
     SEND_GRACE_FRACTION,
@@ -39,11 +38,12 @@
 )
 from kingcupdyke_daemon.forwarder.plannercandidacy import PlannerCandidacy
 from kingcupdyke_daemon.forwarder.plannerlease import LEASE_MARGIN_S, make_planner_lease
-from kingcupdyke_daemon.forwarder.plannerrunner import PlannerRunner, read_clock
+from kingcupdyke_daemon.forwarder.plannerrunner import PlannerRunner
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
 from kingcupdyke_daemon.forwarder.settings import ForwarderSettings, SettingsSource
 from kingcupdyke_daemon.forwarder.settingsreloader import SettingsReloader
+from kingcupdyke_daemon.forwarder.stateexchange import StateExchange
 from kingcupdyke_daemon.forwarder.stategauges import StateGauges
 from kingcupdyke_daemon.forwarder.storereaders import StoreReaders
 from kingcupdyke_daemon.forwarder.storewatcher import StoreWatcher
@@ -59,10 +59,6 @@
 _LOGGER = logging.getLogger(__name__)
 #: Minimum interval between messages to the planner when requests start to wait.
 DEMAND_INTERVAL_S = 0.025
-#: Interval between checks which peers no longer send messages.
-PEER_UPDATE_INTERVAL_S = 0.1
-#: Interval between requests for the promises that prove a lease while the store does not answer.
-PROMISE_INTERVAL_S = 0.4
 #: Interval between clean-ups of idle connections and expired entries.
 CLEANUP_INTERVAL_S = 0.25
 #: Interval between checks whether the settings have changed.
@@ -160,7 +156,6 @@
             self._errors,
         )
         self._ready = self._listeners.ready
-        self._peer_log = PeerLog()
         self._peer_gossip = PeerGossip(
             settings.host,
             settings.peer,
@@ -170,8 +165,8 @@
             self._peer_table,
             self._timer,
             self._errors,
-            self._make_state,
-            self._on_peer_state,
+            lambda number: self._states.make(number, self._is_stopping),
+            lambda state: self._states.receive(state),
             {
                 StoreChanges: lambda each: self._store_readers.receive(each),
                 **self._exchanges.receivers,
@@ -198,6 +193,21 @@
             self._timer,
         )
         self._planner_runner = self._make_planner_runner(store)
+        self._states = StateExchange(
+            settings.host,
+            self._incarnation,
+            store,
+            self._catalogue,
+            self._dispatcher,
+            self._endpoint_table,
+            self._queue,
+            self._peer_table,
+            self._peer_gossip,
+            self._planner_runner,
+            self._lease_promises,
+            self._candidacy,
+            self._timer,
+        )
         self._catalogue.configurations.on_recovery = self._versions.recheck
         self._gateway_watcher = StoreWatcher(
             store,
@@ -264,8 +274,7 @@
         self._tasks.keep_running(self._peer_gossip.keep_registered)
         self._tasks.keep_running(self._planner_runner.run)
         self._tasks.keep_running(self._notify_demand)
-        self._timer.subscribe("peers", PEER_UPDATE_INTERVAL_S, self._update_peers)
-        self._timer.subscribe("promises", PROMISE_INTERVAL_S, self._request_promises)
+        self._states.start()
         self._timer.subscribe("tidy", CLEANUP_INTERVAL_S, self._clean_up)
         self._timer.subscribe("settings", SETTINGS_POLL_INTERVAL_S, self._settings_reloader.check)
         _LOGGER.warning("started as %s", settings.host)
@@ -370,54 +379,3 @@
             self._queue.demand_changed = Event()
             self._peer_gossip.send_state_soon(is_demand=True)
             await sleep(DEMAND_INTERVAL_S)
-
-    def _make_state(self, number: int) -> GatewayState:
-        now_s = self._timer.now()
-        self._lease_promises.note_sent(number, read_clock())
-        state = GatewayState(
-            host=self._settings.host,
-            incarnation=self._incarnation,
-            number=number,
-            is_stopping=self._is_stopping,
-            version=self._catalogue.version,
-            loads=self._dispatcher.list_loads(),
-            demands=self._dispatcher.list_demands(now_s),
-            unreachable=self._endpoint_table.list_unreachable(now_s),
-            fence=self._planner_runner.held_fence,
-            lease_promise=self._lease_promises.get_own_promise(read_clock()),
-            placements=self._planner_runner.list_placements(),
-            unreadable_kinds=tuple(
-                each.kind for each in self._peer_gossip.watchers if each.is_store_unreachable
-            ),
-            wants_promise=self._planner_runner.wants_promises,
-            store_era=self._store.era,
-            refusing=self._endpoint_table.starts.list_refused(),
-        )
-        if state.fence:
-            self._endpoint_table.apply_placements(state, now_s)
-            self._queue.poll(now_s)
-        return state
-
-    def _on_peer_state(self, state: GatewayState) -> None:
-        self._endpoint_table.apply_peer_state(state)
-        now_s = self._timer.now()
-        self._endpoint_table.starts.note_peer_report(state.host, state.refusing, now_s)
-        if state.fence:
-            self._endpoint_table.apply_placements(state, now_s)
-        self._planner_runner.note_peer(state)
-        is_rival = self._planner_runner.may_have_written
-        self._lease_promises.receive(
-            state, self._incarnation, is_rival, read_clock(), self._store.era
-        )
-        if state.wants_promise:
-            self._peer_gossip.send_state_to((state.host,))
-
-    def _request_promises(self, now_s: float) -> None:
-        if self._planner_runner.wants_promises:
-            self._peer_gossip.send_state_to(self._candidacy.list_members())
-
-    def _update_peers(self, now_s: float) -> None:
-        """Forget what peers have reported that no longer send messages."""
-        hosts = {each.host for each in self._peer_table.live(now_s)}
-        self._peer_log.update(hosts)
-        self._endpoint_table.retain_peers(hosts)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -15,11 +15,8 @@
     "CrashRecord",
     "CrashSignatureRecord",
     "EndpointRecord",
-    "EngineRecord",
-    "FaultyAnswerRecord",
     "LeavingRecord",
     "LimitRecord",
-    "OrderRecord",
     "PaceRecord",
     "PeerRecord",
     "QuotaDeniedRecord",
@@ -178,26 +175,6 @@
     caller: str = ""
 
 
-class OrderRecord(NamedTuple):
-    """Fields of an order that was answered, or whose answer failed to arrive."""
-
-    order: str
-    kind: str
-    model: str
-    adapter: str
-    endpoint: str
-    #: Number of orders that the engine was expected to have accepted.
-    order_count: int
-    fence: int
-    outcome: str
-    reason: str
-    #: Milliseconds that the order was expected to take.
-    expected_ms: int
-    #: Models, and adapters as ``MODEL/ADAPTER``, that the planner took the engine to hold when it
-    #: sent the order.
-    held: tuple[str, ...]
-
-
 class CallersRecord(NamedTuple):
     """Fields of a configuration whose callers or keys differ from those before."""
 
@@ -222,18 +199,6 @@
     list_age_ms: int
 
 
-class EngineRecord(NamedTuple):
-    """Fields of an engine whose models or copies have changed, as seen by the planner."""
-
-    endpoint: str
-    models: tuple[str, ...]
-    #: Models with a copy in host memory, and on the engine's local disk.
-    in_memory: tuple[str, ...]
-    on_disk: tuple[str, ...]
-    #: Sequence number of the heartbeat that reported it.
-    heartbeat: int
-
-
 class CrashRecord(NamedTuple):
     """Fields of a request that was lost with an endpoint that crashed."""
 
@@ -351,15 +316,6 @@
     peers: int
 
 
-class FaultyAnswerRecord(NamedTuple):
-    """Fields of an engine's answer to the planner that is none."""
-
-    endpoint: str
-    #: A value of :class:`kingcupdyke.error.AnswerFault`.
-    fault: str
-    reason: str
-
-
 class RejectedMessageRecord(NamedTuple):
     """Fields of a peer's message that is dropped."""
 
