A watch's changes are passed on from the position at which its call began

Since the wait for news was changed, a gateway that took changes of peers during its own call passed its own changes on from the later position, so that followers could see a gap that was none and ask the store.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/storewatcher.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/storewatcher.py
@@ -267,14 +267,15 @@
         while True:
             await self._follow()
             next_call_s = self._timer.now() + self._get_interval_s()
-            watched = await self._watch(self._position)
+            from_position = self._position
+            watched = await self._watch(from_position)
             if watched is None:
                 continue
             if watched.is_error():
                 is_compacted = watched.error.reason == COMPACTED
                 return None if is_compacted else watched.error
             self._record_answer()
-            self._apply_answer(watched.ok)
+            self._apply_answer(from_position, watched.ok)
             await sleep(max(0.0, next_call_s - self._timer.now()))
 
     async def _watch(self, position: int) -> Result[WatchAnswer, Failure] | None:
@@ -299,9 +300,8 @@
             self.on_call_end(WatchEnd.CHANGES if watched.ok.events else WatchEnd.NO_CHANGES)
         return watched
 
-    def _apply_answer(self, answer: WatchAnswer) -> None:
-        """Apply the changes of an answer, and pass them on."""
-        from_position = self._position
+    def _apply_answer(self, from_position: int, answer: WatchAnswer) -> None:
+        """Apply the changes of an answer to a watch from a position, and pass them on."""
         for event in answer.events:
             value = None if event.current is None else event.current.value
             self._apply(event.name, _get_version(event), value, self.had_recent_outage)
