The limit of the store's answers follows the memory of the process

96 MiB for decoding an answer of the store is a third of 300 MB, but more than half of the memory of a gateway with 160 MB. The limit is now a third of the memory at most: 53 MB of 160, which one object of 1 MB in the worst shape still fits.

--- a/packages/kingcupdyke-wire/features/answerlimit.feature
+++ b/packages/kingcupdyke-wire/features/answerlimit.feature
@@ -58,6 +58,15 @@
       | {"":{}}, |
       | deep list |
 
+  Scenario Outline: What decoding the store's answers may take follows the memory of the process: <memory>
+    Then answerlimit: with a memory limit of <memory> bytes, decoding an answer of the store may take <decoded> bytes
+
+    Examples:
+      | memory | decoded |
+      | 160000000 | 53333333 |
+      | 300000000 | 100000000 |
+      | 552000000 | 100663296 |
+
   Scenario Outline: An answer that drips ends at the timeout of its call: <framing>
     When answerlimit: a server answers to a list of the store with a byte every 0.02 s, <framing>
     Then answerlimit: the call fails without a fault after 0.5 to 0.8 s
--- a/packages/kingcupdyke-wire/features/steps/answerlimit_steps.py
+++ b/packages/kingcupdyke-wire/features/steps/answerlimit_steps.py
@@ -22,7 +22,7 @@
 from anyio.abc import SocketAttribute
 from behave import then, when
 
-from kingcupdyke_wire.answerlimit import estimate_decoded_bytes
+from kingcupdyke_wire.answerlimit import choose_store_limit, estimate_decoded_bytes
 from kingcupdyke_wire.engine import HttpEngineClient
 from kingcupdyke_wire.hostlist import HostListClient
 from kingcupdyke_wire.http import HttpClient
@@ -186,3 +186,11 @@
 @then("answerlimit: at most {limit:d} MB have been used")
 def check_memory(context, limit):
     assert context.peak_bytes <= limit * 1_000_000, context.peak_bytes
+
+
+@then(
+    "answerlimit: with a memory limit of {memory:d} bytes, decoding an answer of the store may "
+    "take {decoded:d} bytes"
+)
+def check_store_limit(context, memory, decoded):
+    assert choose_store_limit(memory).decoded_bytes == decoded
--- a/packages/kingcupdyke-wire/kingcupdyke_wire/answerlimit.py
+++ b/packages/kingcupdyke-wire/kingcupdyke_wire/answerlimit.py
@@ -23,6 +23,7 @@
     "WHOLE_ANSWER",
     "AnswerLimit",
     "RefusedAnswerError",
+    "choose_store_limit",
     "estimate_decoded_bytes",
     "read_whole",
 ]
@@ -83,6 +84,8 @@
 #: The store's objects have one megabyte of value at most, and its lists about as much in a part;
 #: JSON may take several bytes for a character. One object of the least favourable shape fits.
 STORE_ANSWER = AnswerLimit(8 * MIB, 96 * MIB)
+#: One part in so many of the memory limit of a process is what decoding it may take.
+STORE_MEMORY_PARTS = 3
 #: A list of hosts has some hundred bytes for each host of the system.
 HOST_LIST = AnswerLimit(4 * MIB, 64 * MIB)
 #: Cache events name the prefix blocks that an engine has stored or evicted.
@@ -95,6 +98,17 @@
 WHOLE_ANSWER = AnswerLimit(16 * MIB, 128 * MIB)
 
 
+def choose_store_limit(memory_bytes: int | None) -> AnswerLimit:
+    """:return: limit of the store's answers in a process
+
+    :param memory_bytes: memory limit of the process, or None if it is not known
+    """
+    if memory_bytes is None:
+        return STORE_ANSWER
+    decoded_bytes = min(STORE_ANSWER.decoded_bytes, memory_bytes // STORE_MEMORY_PARTS)
+    return STORE_ANSWER._replace(decoded_bytes=decoded_bytes)
+
+
 def estimate_decoded_bytes(body: bytes) -> int:
     """Estimate the memory that decoding JSON takes, without decoding it.
 
