--- a/packages/kingcupdyke-daemon/features/run.feature
+++ b/packages/kingcupdyke-daemon/features/run.feature
@@ -21,6 +21,18 @@
       | {"error": 1}  | head part |
       | {"error":     | head fail |
 
+  # Guards against a sidecar that exceeds its memory when it checks whether an answer is whole.
+  Scenario Outline: An answer that is large once decoded is a failure: <kind>, <size> empty lists
+    When an engine answers a <kind> request with <size> empty lists
+    Then the run's backend yields "<items>"
+    And the run has used at most 80 MB
+
+    Examples:
+      | kind      | size    | items     |
+      | streaming | 3000000 | head fail |
+      | whole     | 3000000 | fail      |
+      | whole     | 1000    | head part |
+
   Scenario Outline: An engine's answer without end to a <kind> request is a failure
     When an engine answers a <kind> request with JSON without end
     Then the run's backend yields "<items>"
--- a/packages/kingcupdyke-daemon/features/steps/run_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/run_steps.py
@@ -5,6 +5,7 @@
 Steps for attempts that a sidecar runs.
 """
 
+import tracemalloc
 from contextlib import asynccontextmanager
 
 import anyio
@@ -77,6 +78,20 @@
     anyio.run(collect_items, context, JsonEngine(body.encode()), True)
 
 
+@when("an engine answers a {kind} request with {size:d} empty lists")
+def answer_lists(context, kind, size):
+    engine = JsonEngine(b"[" + b"[]," * (size - 1) + b"[]]")
+    tracemalloc.start()
+    anyio.run(collect_items, context, engine, kind == "streaming")
+    context.peak_bytes = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+
+
+@then("the run has used at most {limit:d} MB")
+def check_memory(context, limit):
+    assert context.peak_bytes <= limit * 1_000_000, context.peak_bytes
+
+
 @when("an engine answers a {kind} request with JSON without end")
 def answer_without_end(context, kind):
     anyio.run(collect_items, context, EndlessEngine(), kind == "streaming")
--- a/packages/kingcupdyke-tool/features/hosts.feature
+++ b/packages/kingcupdyke-tool/features/hosts.feature
@@ -15,6 +15,9 @@
       | sidecar hangs    | version 4 | 1    | state of e1 is unknown            |
       | gateway rejects  | version 4 | 1    | operator's token is needed        |
       | gateway garbles  | version 4 | 1    | unexpected answer format          |
+      | gateway floods   | version 4 | 1    | longer than 4194304 bytes         |
+      | gateway nests    | version 4 | 1    | decoding the answer may take more than |
+      | gateway strays   | version 4 | 1    | invalid status 600                |
 
   Scenario Outline: A drain reports whether it was accepted, rejected, not sent or of unknown outcome
     Given tool hosts at version 4 with the fault "<fault>"
--- a/packages/kingcupdyke-tool/features/steps/hosts_steps.py
+++ b/packages/kingcupdyke-tool/features/steps/hosts_steps.py
@@ -28,6 +28,12 @@
 GB = 10**9
 TOKEN = "a token"
 STATUS = {"config_version": 4, "in_flight": 2, "leaving": False}
+#: What a gateway sends in place of its answers.
+BODY_BY_FAULT = {
+    "gateway garbles": b"<p>",
+    "gateway floods": b"[" + b" " * 5_000_000 + b"]",
+    "gateway nests": b"[" + b"[]," * 1_000_000 + b"[]]",
+}
 EXPLANATION = {"candidates": [{"endpoint": "e1", "running": 3}]}
 
 
@@ -65,7 +71,8 @@
         status, data = answer_route(fault, method, urlsplit(target))
         if f"Bearer {TOKEN}" not in head or fault == "gateway rejects":
             status, data = 401, {"error": "an operator's token is needed"}
-        body = b"<p>" if fault == "gateway garbles" else json.dumps(data).encode()
+        status = 600 if fault == "gateway strays" else status
+        body = BODY_BY_FAULT.get(fault, json.dumps(data).encode())
         await connection.send(
             f"HTTP/1.1 {status} X\r\ncontent-length: {len(body)}\r\n\r\n".encode() + body
         )
--- a/packages/kingcupdyke-wire/features/answerlimit.feature
+++ b/packages/kingcupdyke-wire/features/answerlimit.feature
@@ -35,6 +35,7 @@
       | an order to an engine | empty objects | 16500000 | {}, | in chunks | answer too long | 4 |
       | a question for an engine's inventory | empty objects | 16500000 | {}, | in chunks | answer too long | 4 |
       | a question for an engine's load | empty objects | 16500000 | {}, | to the end of its connection | answer too long | 4 |
+      | a question for a KV cache | empty objects | 17500000 | {}, | in chunks | answer too long | 60 |
       | a question for cache events | empty objects | 16500000 | {}, | in chunks | answer too long | 30 |
 
     Examples: Answers that are too large once they are decoded
@@ -44,6 +45,7 @@
       | a list of hosts | empty lists | 3000000 | [], | in chunks | too large once decoded | 20 |
       | a question for an engine's inventory | empty objects | 200000 | {}, | with a length | too large once decoded | 4 |
       | a question for an engine's load | empty objects | 200000 | {}, | to the end of its connection | too large once decoded | 4 |
+      | a question for a KV cache | empty lists | 6000000 | [], | with a length | too large once decoded | 30 |
       | a question for cache events | empty lists | 6000000 | [], | in chunks | too large once decoded | 30 |
       | a whole answer | empty lists | 8000000 | [], | to the end of its connection | too large once decoded | 40 |
 
--- a/packages/kingcupdyke-wire/features/steps/answerlimit_steps.py
+++ b/packages/kingcupdyke-wire/features/steps/answerlimit_steps.py
@@ -96,6 +96,7 @@
     "a question for cache events": lambda *at: call_engine(
         *at, lambda each: each.cache_events(0, 0.1)
     ),
+    "a question for a KV cache": lambda *at: call_engine(*at, lambda each: each.kv_export("r")),
     "a list of hosts": list_hosts,
     "a whole answer": request_whole,
 }
