Tell operators whether requests were read late, queued, or answered late

Cause: durations of a request begin when its head has been read. A gateway that runs half a second behind shows neither that nor an answer that is written late; the users' record has 534 ms before the endpoint and 117 ms after it that are in no log line or metric of the gateway.

Change: the event loop records when it looks for bytes (looptimes), which bounds when those of a request arrived: not before the look before the one that found them, or before the last time at which the accept queue was empty. `unread_ms` and `writing_ms` in the line of a request that ended, the histograms kingcupdyke_unread_seconds, _answer_write_seconds and _overdue_seconds, the gauges _processor_seconds and _longest_pass_seconds, and a line `event loop late`, which `explain` shows beside a request. No decision depends on them yet.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientconnection.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientconnection.py
@@ -60,6 +60,7 @@
     has_body,
 )
 from kingcupdyke_daemon.forwarder.requestreader import READ_BYTES, NoMemoryError, RequestReader
+from kingcupdyke_daemon.looptimes import ArrivalTimes
 from kingcupdyke_wire.sockets import bound_reading, reset, set_unacknowledged_timeout
 
 __all__ = ["ClientConnection", "ConnectionContext"]
@@ -128,16 +129,21 @@
 
     :param context: shared by the connections of the listener
     :param stream: the accepted connection
+    :param arrivals: bounds when its bytes arrived
     :raises OSError: when the client has disconnected
     """
 
-    def __init__(self, context: ConnectionContext, stream: SocketStream) -> None:
+    def __init__(
+        self, context: ConnectionContext, stream: SocketStream, arrivals: ArrivalTimes
+    ) -> None:
         self._context = context
         self._stream = stream
         bound_reading(stream, READ_BYTES)
         limits = context.get_limits()
         self._http = Connection(SERVER, max_incomplete_event_size=limits.max_header_bytes)
-        self._reader = RequestReader(stream, self._http, context.bodies, context.turns, context.now)
+        self._reader = RequestReader(
+            stream, self._http, context.bodies, context.turns, context.now, arrivals
+        )
         self._status = 0
         #: Whether a request has reached the handler and its answer is not complete.
         self._is_answering = False
@@ -153,6 +159,7 @@
         """Serve requests until the connection is closed."""
         with self._scope:
             while await self._serve_request():
+                self._reader.end_request()
                 self._http.start_next_cycle()
 
     async def _serve_request(self) -> bool:
@@ -249,8 +256,11 @@
         """Cancel the request when the client disconnects."""
         try:
             # Counted is all that is held, as a pipelined request before this one has left it.
-            while len(self._http.trailing_data[0]) < MAX_PIPELINED_BYTES:
-                self._http.receive_data(await self._stream.receive(READ_BYTES))
+            while (held := len(self._http.trailing_data[0])) < MAX_PIPELINED_BYTES:
+                data = await self._stream.receive(READ_BYTES)
+                if not held:
+                    self._reader.note_pipelined()
+                self._http.receive_data(data)
         except DISCONNECT_ERRORS:
             tasks.cancel_scope.cancel()
         except RemoteProtocolError as error:
@@ -274,8 +284,9 @@
     async def _read_body(self, head: Request, limits: ClientLimits) -> ClientRequest:
         """:return: the request with its body"""
         arrived_s = self._context.now()
+        unread_s = arrived_s - self._reader.arrived_s
         headers = list(head.headers)
-        request = ClientRequest(head.method, head.target, headers, b"", arrived_s)
+        request = ClientRequest(head.method, head.target, headers, b"", arrived_s, unread_s)
         timeout_s = inf
         if has_body(head):
             timeout_s = self._context.handler.get_body_timeout_s(request)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
@@ -29,6 +29,7 @@
 from kingcupdyke_daemon.forwarder.clientlog import ClientLog
 from kingcupdyke_daemon.forwarder.reply import ClientDisconnectedError, RequestHandler
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
+from kingcupdyke_daemon.looptimes import PASSES_TO_ACCEPT, ArrivalTimes, get_loop_times
 from kingcupdyke_daemon.taskerrors import TaskErrors
 
 __all__ = ["AuxiliaryServer", "ClientServer"]
@@ -104,9 +105,13 @@
 
         :param tasks: task group that runs the connections, which outlive the listener
         """
+        arrivals = ArrivalTimes(get_loop_times(), self._now(), PASSES_TO_ACCEPT)
         while True:
+            arrivals.begin_look()
             try:
                 stream = await listener.accept()
+                arrived_s = arrivals.find_arrival()
+                await self._start_connection(stream, arrived_s, tasks)
             except ClosedResourceError:
                 _LOGGER.debug("the listener was closed")
                 return
@@ -114,8 +119,6 @@
                 # As with no free descriptor: the connections wait in the kernel meanwhile.
                 self._errors.note("accept", error)
                 await sleep(ACCEPT_RETRY_S)
-                continue
-            await self._start_connection(stream, tasks)
 
     async def close_idle(self) -> None:
         """Close the connections on which no request is in progress."""
@@ -132,9 +135,16 @@
     def _note_error(self, error: Exception) -> None:
         self._errors.note("client connection", error)
 
-    async def _start_connection(self, stream: SocketStream, tasks: TaskGroup) -> None:
+    async def _start_connection(
+        self, stream: SocketStream, arrived_s: float, tasks: TaskGroup
+    ) -> None:
+        """Serve a connection that was accepted.
+
+        :param arrived_s: time in seconds before which it did not arrive
+        """
+        arrivals = ArrivalTimes(get_loop_times(), arrived_s)
         try:
-            connection = ClientConnection(self._context, stream)
+            connection = ClientConnection(self._context, stream, arrivals)
         except OSError as error:
             _LOGGER.debug("the client disconnected at once: %r", error)
             await aclose_forcefully(stream)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -103,6 +103,8 @@
         self._queued_s = 0.0
         self._first_s: float | None = None
         self._pauses = PauseMeter()
+        #: Time at which the end of the answer was known, or None before.
+        self._decided_s: float | None = None
         self._status = 0
         self._unread_tokens = 0
         #: Exchange of the current attempt, once it has begun.
@@ -140,9 +142,17 @@
     def _log_end(self, outcome: str) -> None:
         arrived_s = self._request.arrived_s
         first_s = None if self._first_s is None else self._first_s - arrived_s
-        total_s = self._deps.timer.now() - arrived_s
-        times = RequestTimes(total_s, first_s, self._queued_s, self._pauses.longest_s)
-        limit_s = self._deadline_s - arrived_s
+        now_s = self._deps.timer.now()
+        total_s, limit_s = now_s - arrived_s, self._deadline_s - arrived_s
+        times = RequestTimes(
+            total_s,
+            self._request.unread_s,
+            first_s,
+            self._queued_s,
+            self._pauses.longest_s,
+            now_s - (self._decided_s or now_s),
+            max(0.0, total_s - limit_s),
+        )
         end = self._answer.describe_end()
         self._request_log.log_end(
             outcome, self._status, self._failures.reason, tuple(self._sent_to), end, times, limit_s
@@ -183,6 +193,7 @@
             self._sent_to.append(SentTo(decision.endpoint, software_version))
             result = await self._try_endpoint(decision.endpoint)
             if result is AttemptResult.DELIVERED:
+                self._decided_s = self._deps.timer.now()
                 self._note_duration()
                 # The endpoint is free, even if a slow client has not read all of its answer.
                 await self._answer.end()
@@ -212,7 +223,8 @@
         """Send the final answer of a request that no endpoint has answered."""
         self._is_given_up = True
         self._failures.reason = reason
-        is_late = self._deps.timer.now() >= self._deadline_s
+        self._decided_s = self._deps.timer.now()
+        is_late = self._decided_s >= self._deadline_s
         # The request's deadline must not cut off the final answer.
         with move_on_after(FINAL_ANSWER_TIMEOUT_S, shield=True):
             status = await self._final_answer.send(
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/main.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/main.py
@@ -9,18 +9,30 @@
 import signal
 from time import monotonic
 
-from anyio import Event, create_task_group, open_signal_receiver
+from anyio import Event, create_task_group, open_signal_receiver, run
 
 from kingcupdyke_daemon.forwarder.dialect import Dialect
 from kingcupdyke_daemon.forwarder.process import Forwarder
 from kingcupdyke_daemon.forwarder.settings import ForwarderSettings, SettingsSource
+from kingcupdyke_daemon.looptimes import TimedEventLoop
 from kingcupdyke_wire.store import StoreClient
 
-__all__ = ["run_forwarder"]
+__all__ = ["run_forwarder", "run_process"]
 
 _LOGGER = logging.getLogger(__name__)
 
 
+def run_process(
+    settings: ForwarderSettings, source: SettingsSource, dialect: Dialect, store: StoreClient
+) -> int:
+    """Run a forwarding gateway on an event loop of its own until its planned stop is complete.
+
+    :return: the exit status
+    """
+    options = {"loop_factory": TimedEventLoop}
+    return run(run_forwarder, settings, source, dialect, store, backend_options=options)
+
+
 async def run_forwarder(
     settings: ForwarderSettings, source: SettingsSource, dialect: Dialect, store: StoreClient
 ) -> int:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/metrics.py
@@ -34,12 +34,19 @@
 
     #: From its arrival to its end.
     total_s: float
+    #: For which its first bytes may have waited until they were read.
+    unread_s: float
     #: From its arrival to the first part of the answer, or None without an answer.
     first_s: float | None
     #: Total time in the queue, over all attempts.
     queued_s: float
     #: Longest pause between two pieces of a stream after its first event, or None without one.
     longest_pause_s: float | None
+    #: From the end of the last endpoint's answer, or the decision to give up, until the answer was
+    #: written.
+    writing_s: float
+    #: From its deadline to its end; 0 if it ended before.
+    overdue_s: float
 
 
 class ForwarderMetrics:
@@ -84,6 +91,9 @@
         self._first = create_histogram(f"{METRIC_PREFIX}first_part_seconds")
         self._longest_pause = create_histogram(f"{METRIC_PREFIX}longest_pause_seconds")
         self._queued = create_histogram(f"{METRIC_PREFIX}queue_wait_seconds")
+        self._unread = create_histogram(f"{METRIC_PREFIX}unread_seconds")
+        self._writing = create_histogram(f"{METRIC_PREFIX}answer_write_seconds")
+        self._overdue = create_histogram(f"{METRIC_PREFIX}overdue_seconds")
 
     def count_decision(self, route: str, decision: str, reason: str = "") -> None:
         """Count a decision of the dispatcher.
@@ -146,6 +156,10 @@
         self._requests.add(1, labels | {"outcome": outcome, "status": str(status)})
         self._total.record(times.total_s, labels)
         self._queued.record(times.queued_s, labels)
+        self._unread.record(times.unread_s, labels)
+        self._writing.record(times.writing_s, labels)
+        if times.overdue_s > 0.0:
+            self._overdue.record(times.overdue_s, labels)
         if times.first_s is not None:
             self._first.record(times.first_s, labels)
         if times.longest_pause_s is not None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/process.py
@@ -40,6 +40,7 @@
 from kingcupdyke_daemon.forwarder.plannerlease import LEASE_MARGIN_S, make_planner_lease
 from kingcupdyke_daemon.forwarder.plannerrunner import PlannerRunner
 from kingcupdyke_daemon.forwarder.pool import ConnectionPool
+from kingcupdyke_daemon.forwarder.processorload import ProcessorLoad
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
 from kingcupdyke_daemon.forwarder.settings import ForwarderSettings, SettingsSource
 from kingcupdyke_daemon.forwarder.settingsreloader import SettingsReloader
@@ -49,6 +50,7 @@
 from kingcupdyke_daemon.forwarder.storewatcher import StoreWatcher
 from kingcupdyke_daemon.forwarder.versionregistrar import VersionRegistrar
 from kingcupdyke_daemon.logs import LineSampler
+from kingcupdyke_daemon.looptimes import get_loop_times
 from kingcupdyke_daemon.process import make_incarnation
 from kingcupdyke_daemon.taskerrors import IsolatedTaskGroup, TaskErrors
 from kingcupdyke_daemon.timer import LoopTimer
@@ -156,6 +158,7 @@
             self._errors,
         )
         self._ready = self._listeners.ready
+        ProcessorLoad(get_loop_times(), self._timer, self._metrics)
         self._peer_gossip = PeerGossip(
             settings.host,
             settings.peer,
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/reply.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/reply.py
@@ -26,6 +26,8 @@
     body: bytes
     #: Time in seconds at which its head was received.
     arrived_s: float
+    #: Seconds for which its first bytes may have waited until they were read.
+    unread_s: float = 0.0
 
     @property
     def host(self) -> str:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestlog.py
@@ -170,6 +170,8 @@
             leaving=tuple(self.leaving),
             caller=self._item.caller,
             longest_pause_ms=-1 if pause_s is None else round(pause_s * 1000),
+            unread_ms=round(times.unread_s * 1000),
+            writing_ms=round(times.writing_s * 1000),
         )
         if outcome == "answered" and status < STATUS_FAILURE:
             self._sampler.log(_LOGGER, "request ended", record)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestreader.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/requestreader.py
@@ -29,6 +29,7 @@
     describe_protocol_error,
     find_length,
 )
+from kingcupdyke_daemon.looptimes import ArrivalTimes
 
 __all__ = ["READ_BYTES", "NoMemoryError", "RequestReader"]
 
@@ -51,6 +52,7 @@
     :param bodies: all bodies that the process receives
     :param turns: shared by all connections of the process that receive bodies in small parts
     :param now: returns the time in seconds
+    :param arrivals: bounds when the bytes arrived
     """
 
     def __init__(
@@ -60,12 +62,18 @@
         bodies: IncomingBodies,
         turns: ReadTurns,
         now: Callable[[], float],
+        arrivals: ArrivalTimes,
     ) -> None:
         self._stream = stream
         self._http = http
         self._bodies = bodies
         self._turns = turns
         self._now = now
+        self._arrivals = arrivals
+        #: Time in seconds before which no byte of the last head arrived.
+        self.arrived_s = arrivals.since_s
+        #: Whether bytes have been read of the head that is awaited.
+        self._is_in_head = False
         self._events_at_once = 0
 
     async def read_head(self, limits: ClientLimits) -> Request | None:
@@ -75,11 +83,26 @@
         first_timeout_s = limits.idle_timeout_s
         if self._http.trailing_data[0]:
             first_timeout_s = limits.header_timeout_s
+        self._is_in_head = False
+        self._arrivals.begin_look()
         try:
             event = await self._next_event(first_timeout_s, limits.header_timeout_s)
         except TimeoutError:
             return None
-        return None if isinstance(event, ConnectionClosed) else event
+        if isinstance(event, ConnectionClosed):
+            return None
+        if not self._is_in_head:
+            self.arrived_s = self._arrivals.since_s
+        return event
+
+    def end_request(self) -> None:
+        """Expect the next head: what is not read yet arrives after the answer."""
+        if not self._http.trailing_data[0]:
+            self._arrivals.begin_wait(self._now())
+
+    def note_pipelined(self) -> None:
+        """Record that the first bytes of the next head are read during a request."""
+        self._arrivals.begin_wait(self._arrivals.find_arrival())
 
     async def read_body(
         self,
@@ -180,4 +203,7 @@
             data = await self._stream.receive(READ_BYTES)
         except EndOfStream:
             data = b""
+        if not self._is_in_head:
+            self._is_in_head = True
+            self.arrived_s = self._arrivals.find_arrival()
         self._http.receive_data(data)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -19,6 +19,7 @@
     "LimitRecord",
     "PaceRecord",
     "PeerRecord",
+    "ProcessorRecord",
     "QuotaDeniedRecord",
     "QuotaOwnerRecord",
     "RefusalRecord",
@@ -127,6 +128,17 @@
     reason: str
 
 
+class ProcessorRecord(NamedTuple):
+    """Fields of a line that says that a process reads, decides and writes late."""
+
+    #: Longest time between two looks at its sockets since the last measurement.
+    longest_pass_ms: int
+    #: Time since the last measurement, which is due each second.
+    elapsed_ms: int
+    #: Processor time used meanwhile, as a share of one core.
+    processor_share: float
+
+
 class RequestRecord(NamedTuple):
     """Fields of a request that has ended."""
 
@@ -173,6 +185,11 @@
     longest_pause_ms: int
     #: Name of the caller, or empty if it is not known.
     caller: str = ""
+    #: Milliseconds for which its first bytes may have waited until they were read.
+    unread_ms: int = 0
+    #: Milliseconds from the end of the last endpoint's answer, or the decision to give up, until
+    #: the answer to the client was written.
+    writing_ms: int = 0
 
 
 class CallersRecord(NamedTuple):
--- a/packages/kingcupdyke-measure/kingcupdyke_measure/fleetnode.py
+++ b/packages/kingcupdyke-measure/kingcupdyke_measure/fleetnode.py
@@ -14,7 +14,7 @@
 import anyio
 from expression import Ok, Result
 
-from kingcupdyke_daemon.forwarder.main import run_forwarder
+from kingcupdyke_daemon.forwarder.main import run_process
 from kingcupdyke_daemon.forwarder.settings import (
     ForwarderSettings,
     SettingsSource,
@@ -96,7 +96,7 @@
     settings = make_settings(fields)
     print(f"listening 127.0.0.1:{settings.front.port}", flush=True)
     store = HttpStoreClient(settings.store_url)
-    anyio.run(run_forwarder, settings, _FixedSettings(settings), FleetDialect(), store)
+    run_process(settings, _FixedSettings(settings), FleetDialect(), store)
 
 
 if __name__ == "__main__":
--- a/packages/kingcupdyke-tool/kingcupdyke_tool/timeline.py
+++ b/packages/kingcupdyke-tool/kingcupdyke_tool/timeline.py
@@ -17,7 +17,14 @@
 #: Length of the time before a request's arrival from which other lines are shown, in seconds.
 LOOKBACK_S = 10.0
 #: Prefixes of the events that are relevant to every request.
-COMMON_EVENTS = ("configuration", "took the planner's lease", "following", "started", "stopping")
+COMMON_EVENTS = (
+    "configuration",
+    "event loop late",
+    "took the planner's lease",
+    "following",
+    "started",
+    "stopping",
+)
 
 
 class LogLine(NamedTuple):
