--- a/packages/kingcupdyke-daemon/features/steps/timer_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/timer_steps.py
@@ -6,12 +6,14 @@
 """
 
 import time
+from itertools import pairwise
 from statistics import median
 
 from anyio import create_task_group, current_time, move_on_after, run, sleep
 from behave import then, when
 
 from kingcupdyke.forwarding.decision import Wait
+from kingcupdyke.timer import TimerService
 from kingcupdyke_daemon.forwarder.queue import WaitingQueue
 from kingcupdyke_daemon.timer import LoopTimer
 
@@ -127,3 +129,60 @@
     assert context.waited_from_s <= polled_s[0]
     assert polled_s[-1] <= context.waited_until_s
     assert not context.is_subscribed
+
+
+class SteppedTimer(TimerService):
+    """A clock that the test moves, without subscriptions."""
+
+    def __init__(self):
+        self.now_s = 0.0
+
+    def now(self):
+        return self.now_s
+
+    def subscribe(self, name, period_s, callback):
+        """Not called, as events ask for decisions."""
+
+    def unsubscribe(self, name):
+        """There is none."""
+
+
+class SlowDispatcher(WaitingDispatcher):
+    """A dispatcher whose decisions take time."""
+
+    def __init__(self, timer, takes_s):
+        super().__init__()
+        self.timer, self.takes_s = timer, takes_s
+
+    def poll(self, now_s):
+        self.timer.now_s += self.takes_s
+        return super().poll(now_s)
+
+
+@when(
+    "timer: decisions take {takes_s:g} s each, and events ask for one each {interval_s:g} s, for "
+    "{for_s:g} s"
+)
+def ask_often(context, takes_s, interval_s, for_s):
+    timer = SteppedTimer()
+    context.dispatcher = SlowDispatcher(timer, takes_s)
+    queue = WaitingQueue(context.dispatcher, timer)
+
+    async def job():
+        queue.submit(None, frozenset())
+        while timer.now_s < for_s:
+            queue.poll(timer.now_s)
+            timer.now_s += interval_s
+
+    run(job)
+    context.taken = len(context.dispatcher.polled_s) * takes_s / for_s
+
+
+@then(
+    "timer: they have taken at most {share:g} of the time, and no two were more than {gap_s:g} s "
+    "apart"
+)
+def check_taken(context, share, gap_s):
+    polled_s = context.dispatcher.polled_s
+    assert context.taken <= share, context.taken
+    assert max(b - a for a, b in pairwise(polled_s)) <= gap_s, polled_s
--- a/packages/kingcupdyke-daemon/features/timer.feature
+++ b/packages/kingcupdyke-daemon/features/timer.feature
@@ -12,3 +12,8 @@
   Scenario: A queue without waiting requests is not polled
     When timer: a request waits in a queue for 0.3 s and is withdrawn
     Then timer: the queue was polled while it waited, and not before or later
+
+  # Guards against decisions on waiting requests that take all of the time as more events ask for them.
+  Scenario: Decisions that take long leave time for other work
+    When timer: decisions take 0.01 s each, and events ask for one each 0.002 s, for 2 s
+    Then timer: they have taken at most 0.25 of the time, and no two were more than 0.3 s apart
