A request's timeout begins when it arrives, not when it is read

Callers saw: answers up to half a second and more past their route's timeout from a gateway that runs behind; endpoints were handed deadlines that ended as much later than the caller's.

Cause: arrived_s was taken when the head had been read and parsed, so that whatever made the process late was added to the timeout, the objective and the time to the first event.

Change: durations of a request begin at the time before which none of its bytes arrived, as the event loop knows it (looptimes); the timeout of a body too. The time of a route's answers is still measured from the reading, as it estimates endpoints.

Why it works: the bound is at most one pass of the loop too early, and a caller's own clock began before it.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientconnection.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientconnection.py
@@ -283,13 +283,13 @@
 
     async def _read_body(self, head: Request, limits: ClientLimits) -> ClientRequest:
         """:return: the request with its body"""
-        arrived_s = self._context.now()
-        unread_s = arrived_s - self._reader.arrived_s
+        arrived_s = self._reader.arrived_s
+        unread_s = self._context.now() - arrived_s
         headers = list(head.headers)
         request = ClientRequest(head.method, head.target, headers, b"", arrived_s, unread_s)
         timeout_s = inf
         if has_body(head):
-            timeout_s = self._context.handler.get_body_timeout_s(request)
+            timeout_s = self._context.handler.get_body_timeout_s(request) - unread_s
         try:
             body = await self._reader.read_body(
                 head, limits, timeout_s, self._send_interim, self._give_way
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/forwardedrequest.py
@@ -216,7 +216,9 @@
 
     def _note_duration(self) -> None:
         """Record how long the answer took from when it was asked for, without waits before."""
-        seconds = self._deps.timer.now() - self._request.arrived_s - self._queued_s
+        request = self._request
+        waited_s = request.unread_s + self._queued_s
+        seconds = self._deps.timer.now() - request.arrived_s - waited_s
         self._deps.dispatcher.durations.note(self._route.name, seconds)
 
     async def _give_up(self, reason: str, retry_after_s: float = RETRY_AFTER_S) -> None:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/reply.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/reply.py
@@ -24,9 +24,9 @@
     #: Header fields as sent, names in lower case.
     headers: Headers
     body: bytes
-    #: Time in seconds at which its head was received.
+    #: Time in seconds before which no byte of it arrived; its durations begin there.
     arrived_s: float
-    #: Seconds for which its first bytes may have waited until they were read.
+    #: Seconds from then until its head was read, which the process was late.
     unread_s: float = 0.0
 
     @property
