Write a complete answer of the gateway's own at once

Cause: head, body and end of a rejection or a kept answer are written apart, and each write takes a pass of the event loop, while the process is late. A rejection costs three sends for some 150 bytes.

Change: ClientConnection.answer writes the three events of h11 together.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientconnection.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientconnection.py
@@ -186,6 +186,27 @@
         await aclose_forcefully(self._stream)
 
     async def begin(self, status: int, headers: Headers) -> None:
+        await self._send(self._make_head(status, headers))
+
+    async def write(self, data: bytes) -> None:
+        await self._send(Data(data=data))
+
+    async def end(self) -> None:
+        await self._send(EndOfMessage())
+        await self._complete()
+
+    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        # One write instead of three, each of which would take a pass of the event loop.
+        length = (b"content-length", str(len(body)).encode())
+        head = self._make_head(status, [*headers, length])
+        await self._send(head, *([Data(data=body)] if body else []), EndOfMessage())
+        await self._complete()
+
+    def _make_head(self, status: int, headers: Headers) -> Response:
+        """Begin an answer.
+
+        :raises ValueError: when the status is none that an answer can have
+        """
         if not is_final_status(status):
             raise ValueError(f"invalid status {status}")
         if self._context.is_stopping:
@@ -193,21 +214,19 @@
         self.has_begun = True
         self._status = status
         set_unacknowledged_timeout(self._stream, ANSWER_UNACKNOWLEDGED_TIMEOUT_S)
-        await self._send(Response(status_code=status, headers=headers, reason=b""))
+        return Response(status_code=status, headers=headers, reason=b"")
 
-    async def write(self, data: bytes) -> None:
-        await self._send(Data(data=data))
-
-    async def end(self) -> None:
-        await self._send(EndOfMessage())
+    async def _complete(self) -> None:
+        """Wait until the answer is written."""
         if self._buffer is not None:
             await self._buffer.drain()
         set_unacknowledged_timeout(self._stream, UNACKNOWLEDGED_TIMEOUT_S)
         self.is_complete = True
         self._is_answering = False
 
-    async def _send(self, event: object) -> None:
-        data = self._http.send(event)
+    async def _send(self, *events: object) -> None:
+        """Write events of h11 together."""
+        data = b"".join(self._http.send(each) or b"" for each in events)
         if not data:
             return
         write = self._stream.send if self._buffer is None else self._buffer.write
