Bounds of arrivals after a wait that a signal has ended

Cause: shortprocessor.feature, "Requests that wait while the process stands still", failed in 2 of 6 runs: a process that is suspended while it waits for bytes is woken by a signal; the wait's time is over then, and Python returns without a look at what has arrived. The look after it finds it at once, and counted it as having arrived since.

Change: a wait that ended late and found nothing is no look.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/looptimes.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/looptimes.py
@@ -34,20 +34,31 @@
     def __init__(self, now: Callable[[], float] = monotonic) -> None:
         self.now = now
         self._looked_s = now()
+        #: Time in seconds at which the last look had taken all that was there.
+        self._taken_s = self._looked_s
         #: Number of passes since the start.
         self.passes = 0
         #: Times before which the bytes did not arrive that the last looks found, newest last.
         self._earliest_s = deque([self._looked_s], PASSES_TO_ACCEPT + 1)
         self._longest_pass_s = 0.0
 
-    def note_look(self, began_s: float, ended_s: float, timeout_s: float | None) -> None:
+    def note_look(
+        self, began_s: float, ended_s: float, timeout_s: float | None, has_found: bool
+    ) -> None:
         """Record that the loop has looked for bytes.
 
         :param timeout_s: seconds for which it waits if there are none; None for any time
         """
         self.passes += 1
         self._longest_pass_s = max(self._longest_pass_s, began_s - self._looked_s)
-        self._earliest_s.append(self._find_earliest(began_s, ended_s, timeout_s))
+        # After a wait that ended late, the process was not running, and what arrived has waited.
+        is_late = timeout_s is not None and ended_s - began_s > timeout_s + MAX_WAKE_DELAY_S
+        if timeout_s == 0 or ended_s - began_s < MIN_WAIT_S:
+            self._earliest_s.append(self._taken_s)
+        else:
+            self._earliest_s.append(began_s if is_late else ended_s)
+        # A signal ends a wait whose time is over without a look at what has arrived meanwhile.
+        self._taken_s = began_s if is_late and not has_found else ended_s
         self._looked_s = ended_s
 
     def find_arrival(self, since_s: float, looking_since: int, passes: int) -> float:
@@ -68,14 +79,6 @@
         longest_s, self._longest_pass_s = self._longest_pass_s, 0.0
         return longest_s
 
-    def _find_earliest(self, began_s: float, ended_s: float, timeout_s: float | None) -> float:
-        waited_s = ended_s - began_s
-        if not timeout_s and timeout_s is not None or waited_s < MIN_WAIT_S:
-            return self._looked_s
-        # After a wait that ended late, the process was not running, and what arrived has waited.
-        is_late = timeout_s is not None and waited_s > timeout_s + MAX_WAKE_DELAY_S
-        return began_s if is_late else ended_s
-
 
 class ArrivalTimes:
     """Bounds when the bytes that are read from one socket arrived.
@@ -139,5 +142,5 @@
     def select(self, timeout: float | None = None) -> list:
         began_s = self._times.now()
         ready = super().select(timeout)
-        self._times.note_look(began_s, self._times.now(), timeout)
+        self._times.note_look(began_s, self._times.now(), timeout, bool(ready))
         return ready
