Reject requests while all are read late, on new connections before these are served

Callers saw: with more requests than its processor can serve, a gateway answered all of them late, seconds past their timeouts, and ordinary work and the configuration waited behind them.

Cause: requests are limited by places at endpoints and by memory, never by the processor.

Change: ReadDelayControl follows CoDel (RFC 8289): while every request of the last 0.2 s was read over 0.15 s late, requests that were read so late get 503, not run, with Retry-After 0.25. A burst passes, a standing queue does not. They are counted in kingcupdyke_decisions_total ("this gateway is short of processor time") and logged at the sampled rate, with unread_ms.

Why it works: what is rejected costs little, so that the rest gets the processor time, and callers may ask another gateway at once.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/clientserver.py
@@ -7,6 +7,7 @@
 
 import logging
 from collections.abc import Callable
+from http import HTTPStatus
 from socket import SO_RCVBUF, SOL_SOCKET, socket
 
 from anyio import (
@@ -27,6 +28,10 @@
 from kingcupdyke_daemon.forwarder.answerbuffer import DISCONNECT_ERRORS, AnswerMemory
 from kingcupdyke_daemon.forwarder.clientconnection import ClientConnection, ConnectionContext
 from kingcupdyke_daemon.forwarder.clientlog import ClientLog
+from kingcupdyke_daemon.forwarder.earlyrejection import (
+    read_waiting_request,
+    reject_waiting_request,
+)
 from kingcupdyke_daemon.forwarder.reply import ClientDisconnectedError, RequestHandler
 from kingcupdyke_daemon.forwarder.settings import SocketAddress
 from kingcupdyke_daemon.looptimes import PASSES_TO_ACCEPT, ArrivalTimes, get_loop_times
@@ -157,6 +162,9 @@
             for _ in range(MAX_ACCEPTED_AT_ONCE):
                 accepted, _ = raw.accept()
                 accepted.setblocking(False)
+                with self._errors.contain("early rejection"):
+                    if self._reject_early(accepted, arrived_s):
+                        continue
                 self._starting += 1
                 tasks.start_soon(self._start_accepted, accepted, arrived_s, tasks)
         except BlockingIOError:
@@ -167,6 +175,18 @@
             raw.detach()
         return False
 
+    def _reject_early(self, accepted: socket, arrived_s: float) -> bool:
+        """:return: whether the request of a new connection was rejected, which is closed then"""
+        handler, unread_s = self._context.handler, self._now() - arrived_s
+        reason = handler.find_shortage(unread_s)
+        headers = read_waiting_request(accepted) if reason else None
+        if headers is None:
+            return False
+        headers = handler.note_early_rejection(headers, reason, unread_s)
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        reject_waiting_request(accepted, status.value, status.phrase, reason, headers)
+        return True
+
     async def _start_accepted(self, accepted: socket, arrived_s: float, tasks: TaskGroup) -> None:
         try:
             stream = await SocketStream.from_socket(accepted)
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/handler.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/handler.py
@@ -15,6 +15,11 @@
 from kingcupdyke.forwarding.configuration import Configuration, Route
 from kingcupdyke.forwarding.dispatcher import STOPPING_RETRY_S
 from kingcupdyke.forwarding.metadata import RequestMetadata
+from kingcupdyke.forwarding.readdelay import (
+    READ_DELAY_RETRY_S,
+    READ_DELAY_TARGET_S,
+    ReadDelayControl,
+)
 from kingcupdyke_daemon.forwarder.dependencies import ForwarderDependencies
 from kingcupdyke_daemon.forwarder.dialect import Headers
 from kingcupdyke_daemon.forwarder.finalanswer import STATUS_UNAVAILABLE
@@ -28,6 +33,8 @@
 _LOGGER = logging.getLogger(__name__)
 STATUS_UNAUTHORIZED = 401
 STATUS_NOT_FOUND = 404
+#: Reason of rejections while all requests are read late.
+SHORTAGE = "this gateway is short of processor time"
 #: Header of a rejection that names the scheme of the expected credentials.
 CHALLENGE = (b"www-authenticate", b"Bearer")
 
@@ -55,6 +62,7 @@
         #: Time from which on new requests are rejected, as the process is about to end.
         self.reject_from_s = inf
         self._scopes: set[CancelScope] = set()
+        self._read_delays = ReadDelayControl()
         deps.metrics.add_gauge("caller_keys", self._count_keys, "caller")
 
     async def handle(self, request: ClientRequest, reply: Reply) -> None:
@@ -66,6 +74,11 @@
         if configuration is None:
             await self._reject(reply, metadata, "no configuration is known yet", RETRY_AFTER_S)
             return
+        if not self._read_delays.note_read(request.unread_s, self._deps.timer.now()):
+            await self._reject(
+                reply, metadata, SHORTAGE, READ_DELAY_RETRY_S, unread_s=request.unread_s
+            )
+            return
         route = configuration.table.find(request.host, request.path)
         if route is None and not self.is_configuration_fresh:
             await self._reject(reply, metadata, "the routes may have changed", RETRY_AFTER_S)
@@ -105,6 +118,15 @@
         route = self.configuration.table.find(request.host, request.path)
         return timeout_s if route is None else min(timeout_s, route.timeout_s)
 
+    def find_shortage(self, unread_s: float) -> str:
+        is_late = self._read_delays.is_late(self._deps.timer.now())
+        return SHORTAGE if is_late and unread_s > READ_DELAY_TARGET_S else ""
+
+    def note_early_rejection(self, headers: Headers, reason: str, unread_s: float) -> Headers:
+        metadata = self._deps.dialect.read_request(headers)
+        self._note_rejection(metadata, STATUS_UNAVAILABLE, reason, unread_s)
+        return self._deps.dialect.write_rejection(metadata.attempt_id, READ_DELAY_RETRY_S)
+
     def write_rejection(self, headers: Headers, retry_after_s: float) -> Headers:
         dialect = self._deps.dialect
         return dialect.write_rejection(dialect.read_request(headers).attempt_id, retry_after_s)
@@ -139,22 +161,36 @@
         reason: str,
         retry_after_s: float | None,
         status: int = STATUS_UNAVAILABLE,
+        unread_s: float = 0.0,
     ) -> None:
+        self._note_rejection(metadata, status, reason, unread_s)
+        headers = self._deps.dialect.write_rejection(metadata.attempt_id, retry_after_s)
+        if status == STATUS_UNAUTHORIZED:
+            headers.append(CHALLENGE)
+        await reply.reject(status, reason, headers)
+
+    def _note_rejection(
+        self, metadata: RequestMetadata, status: int, reason: str, unread_s: float
+    ) -> None:
+        """Count and log a rejection."""
         ages = self.get_ages()
         version = 0 if self.configuration is None else self.configuration.version
         record = RefusalRecord(
-            metadata.attempt_id, status, reason, version, ages.version_ms, ages.list_ms
+            metadata.attempt_id,
+            status,
+            reason,
+            version,
+            ages.version_ms,
+            ages.list_ms,
+            round(unread_s * 1000),
         )
-        headers = self._deps.dialect.write_rejection(metadata.attempt_id, retry_after_s)
-        if status == STATUS_UNAUTHORIZED:
-            headers.append(CHALLENGE)
-        if status in (STATUS_UNAUTHORIZED, STATUS_NOT_FOUND):
-            # Anyone can send such requests: they must not crowd out other lines.
+        if status in (STATUS_UNAUTHORIZED, STATUS_NOT_FOUND) or unread_s:
+            # Anyone can send such requests, or many come at a time: they must not crowd out other
+            # lines.
             self._deps.sampler.log(_LOGGER, "request refused", record)
         else:
             log_record(_LOGGER, "request refused", record)
         self._deps.metrics.count_decision("", "refuse", reason)
-        await reply.reject(status, reason, headers)
 
 
 def _needs_key(configuration: Configuration, route: Route) -> bool:
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/reply.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/reply.py
@@ -103,6 +103,20 @@
         """
         return inf
 
+    def find_shortage(self, unread_s: float) -> str:
+        """:return: why a request of a new connection is rejected before that is served, or empty
+
+        :param unread_s: seconds for which the connection may have waited
+        """
+        return ""
+
+    def note_early_rejection(self, headers: Headers, reason: str, unread_s: float) -> Headers:
+        """Count and log that a request is rejected so.
+
+        :return: headers of the answer
+        """
+        return []
+
     def write_rejection(self, headers: Headers, retry_after_s: float) -> Headers:
         """:return: headers of the rejection of a request that does not reach the handler
 
--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/records.py
@@ -84,6 +84,8 @@
     version: int
     version_age_ms: int
     list_age_ms: int
+    #: Milliseconds for which its first bytes may have waited until they were read.
+    unread_ms: int = 0
 
 
 class WaitRecord(NamedTuple):
