--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/looptimes.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/looptimes.py
@@ -42,9 +42,7 @@
         self._earliest_s = deque([self._looked_s], PASSES_TO_ACCEPT + 1)
         self._longest_pass_s = 0.0
 
-    def note_look(
-        self, began_s: float, ended_s: float, timeout_s: float | None, has_found: bool
-    ) -> None:
+    def note_look(self, began_s: float, ended_s: float, timeout_s: float | None) -> None:
         """Record that the loop has looked for bytes.
 
         :param timeout_s: seconds for which it waits if there are none; None for any time
@@ -57,8 +55,8 @@
             self._earliest_s.append(self._taken_s)
         else:
             self._earliest_s.append(began_s if is_late else ended_s)
-        # A signal ends a wait whose time is over without a look at what has arrived meanwhile.
-        self._taken_s = began_s if is_late and not has_found else ended_s
+        # What has stopped the process may also have ended the look before all was found.
+        self._taken_s = began_s if is_late else ended_s
         self._looked_s = ended_s
 
     def find_arrival(self, since_s: float, looking_since: int, passes: int) -> float:
@@ -142,5 +140,5 @@
     def select(self, timeout: float | None = None) -> list:
         began_s = self._times.now()
         ready = super().select(timeout)
-        self._times.note_look(began_s, self._times.now(), timeout, bool(ready))
+        self._times.note_look(began_s, self._times.now(), timeout)
         return ready
