--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/handler.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/handler.py
@@ -124,6 +124,7 @@
 
     def note_early_rejection(self, headers: Headers, reason: str, unread_s: float) -> Headers:
         metadata = self._deps.dialect.read_request(headers)
+        self._read_delays.note_read(unread_s, self._deps.timer.now())
         self._note_rejection(metadata, STATUS_UNAVAILABLE, reason, unread_s)
         return self._deps.dialect.write_rejection(metadata.attempt_id, READ_DELAY_RETRY_S)
 
