--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/queue.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/forwarder/queue.py
@@ -16,9 +16,10 @@
 
 #: Interval in seconds between decisions on waiting requests when nothing else changes.
 POLL_INTERVAL_S = 0.025
-#: Largest share of the time that is spent on these decisions, as long as they are not delayed by
-#: more than the second value.
+#: Largest share of the time that is spent on decisions that take longer than the second value, as
+#: long as this does not delay the next ones by more than the third.
 MAX_POLL_SHARE = 0.2
+LONG_POLL_S = 0.001
 MAX_POLL_DELAY_S = 0.25
 
 
@@ -81,7 +82,8 @@
             return
         self._wake_decided(now_s)
         seconds = self._timer.now() - began_s
-        self._rests_until_s = began_s + min(seconds / MAX_POLL_SHARE, MAX_POLL_DELAY_S)
+        if seconds > LONG_POLL_S:
+            self._rests_until_s = began_s + min(seconds / MAX_POLL_SHARE, MAX_POLL_DELAY_S)
 
     def _wake_decided(self, now_s: float) -> None:
         for attempt_id, decision in self._dispatcher.poll(now_s).items():
