A wait that ended late looks again, instead of moving the next bounds back

Cause: since the look after a wait that ended late was bounded by that wait's beginning.

Change: the selector looks a second time after such a wait, which finds all that had arrived; the next look is bounded by that one. The last scenario is split, so that "held past the timeout" and "goes on serving" fail apart.

--- a/packages/kingcupdyke-daemon/kingcupdyke_daemon/looptimes.py
+++ b/packages/kingcupdyke-daemon/kingcupdyke_daemon/looptimes.py
@@ -25,6 +25,15 @@
 MAX_WAKE_DELAY_S = 0.01
 
 
+def is_late(began_s: float, ended_s: float, timeout_s: float | None) -> bool:
+    """:return: whether a wait ended so late that the process was not running meanwhile, and that
+    what has arrived has waited
+
+    :param timeout_s: seconds of the wait; None for any time
+    """
+    return timeout_s is not None and ended_s - began_s > timeout_s + MAX_WAKE_DELAY_S
+
+
 class LoopTimes:
     """When an event loop has looked for bytes; a pass is what it does from one look to the next.
 
@@ -34,8 +43,6 @@
     def __init__(self, now: Callable[[], float] = monotonic) -> None:
         self.now = now
         self._looked_s = now()
-        #: Time in seconds at which the last look had taken all that was there.
-        self._taken_s = self._looked_s
         #: Number of passes since the start.
         self.passes = 0
         #: Times before which the bytes did not arrive that the last looks found, newest last.
@@ -49,14 +56,12 @@
         """
         self.passes += 1
         self._longest_pass_s = max(self._longest_pass_s, began_s - self._looked_s)
-        # After a wait that ended late, the process was not running, and what arrived has waited.
-        is_late = timeout_s is not None and ended_s - began_s > timeout_s + MAX_WAKE_DELAY_S
         if timeout_s == 0 or ended_s - began_s < MIN_WAIT_S:
-            self._earliest_s.append(self._taken_s)
+            self._earliest_s.append(self._looked_s)
+        elif is_late(began_s, ended_s, timeout_s):
+            self._earliest_s.append(began_s)
         else:
-            self._earliest_s.append(began_s if is_late else ended_s)
-        # What has stopped the process may also have ended the look before all was found.
-        self._taken_s = began_s if is_late else ended_s
+            self._earliest_s.append(ended_s)
         self._looked_s = ended_s
 
     def find_arrival(self, since_s: float, looking_since: int, passes: int) -> float:
@@ -140,5 +145,8 @@
     def select(self, timeout: float | None = None) -> list:
         began_s = self._times.now()
         ready = super().select(timeout)
+        if is_late(began_s, self._times.now(), timeout):
+            # What has stopped the process may have ended the wait before all was there.
+            ready = super().select(0)
         self._times.note_look(began_s, self._times.now(), timeout)
         return ready
--- a/packages/kingcupdyke-measure/features/shortprocessor.feature
+++ b/packages/kingcupdyke-measure/features/shortprocessor.feature
@@ -18,4 +18,9 @@
     When shortprocessor: it runs for 20 ms of each 100 ms, and 80 requests a second come for 5 s
     Then shortprocessor: of the requests that outlast their timeout, less than a quarter end more than 0.5 s after it
     And shortprocessor: those that get no success within their timeout are rejected as not run, or have reached an endpoint
-    And shortprocessor: a tenth of the requests at least are served
+
+  # Guards against rejections that use up the time in which requests could be served.
+  Scenario: A gateway that rejects requests goes on serving others
+    Given shortprocessor: a gateway whose routes have a timeout of 1.1 s
+    When shortprocessor: it runs for 20 ms of each 100 ms, and 80 requests a second come for 5 s
+    Then shortprocessor: a tenth of the requests at least are served
