taskerrors.feature: the failing listener gives out its socket

Change: it passes `extra` on to the listener that it wraps, as anyio's do. Its errors and checks are unchanged.

--- a/packages/kingcupdyke-daemon/features/steps/taskerrors_steps.py
+++ b/packages/kingcupdyke-daemon/features/steps/taskerrors_steps.py
@@ -176,6 +176,9 @@
             raise self._errors.pop()
         return await self._listener.accept()
 
+    def extra(self, attribute):
+        return self._listener.extra(attribute)
+
     async def serve(self, handler, tasks):
         while True:
             tasks.start_soon(handler, await self.accept())
