--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -110,7 +110,7 @@
 class Gateway:
     """One gateway, started with the command and the environment of the deploy file."""
 
-    def __init__(self, rig, number, zone, region):
+    def __init__(self, rig, number, zone, region, store=None):
         self.rig = rig
         self.node = f"edge-{zone}-{number}"
         self.ip = f"127.0.1.{number}"
@@ -121,7 +121,7 @@
             ip=self.ip,
             zone=zone,
             region=region,
-            store=rig.store_address,
+            store=store or rig.store_address,
             front=ports["front"],
             ready=ports["ready"],
             peer=ports["peer"],
@@ -159,6 +159,41 @@
         self.process.send_signal(number)
 
 
+class StoreLink:
+    """The link of one machine to the store: a proxy, which a cut makes silent."""
+
+    def __init__(self, rig):
+        self.rig = rig
+        self.address = f"127.0.8.1:{find_port('127.0.8.1')}"
+        self.is_cut = False
+        self._pairs = set()
+
+    async def start(self):
+        host, port = self.address.rsplit(":", 1)
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    async def _serve(self, reader, writer):
+        if self.is_cut:
+            self._pairs.add(writer)
+            return
+        host, port = self.rig.store_address.rsplit(":", 1)
+        store_reader, store_writer = await asyncio.open_connection(host, int(port))
+        self._pairs |= {writer, store_writer}
+        await asyncio.gather(self._pump(reader, store_writer), self._pump(store_reader, writer))
+
+    async def _pump(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                while self.is_cut:
+                    await asyncio.sleep(0.05)
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+
 class Rig:
     """All processes of one run, the record of what happened, and a temporary folder."""
 
@@ -182,7 +217,7 @@
 
     def start_store(self):
         command = [sys.executable, str(HERE / "store.py"), self.store_address, str(BEAT_S)]
-        self.start(command)
+        self.store = self.start(command)
         deadline_s = time.time() + 10
         while True:
             try:
--- a/review/rig3/worker.py
+++ b/review/rig3/worker.py
@@ -7,7 +7,8 @@
 - ``.../plain/MS`` works MS milliseconds, then answers with a length;
 - ``.../unframed/MS`` answers without length and chunks: the first half of the body at once, the
   rest MS milliseconds later, then ends with its connection;
-- ``.../stream/N/MS`` streams N events, one each MS milliseconds, without length and chunks.
+- ``.../stream/N/MS`` streams N events, one each MS milliseconds, without length and chunks;
+- ``.../chunks/N/MS`` does the same in chunks.
 
 A request that expects another instance gets 421. The worker stops work when its caller leaves.
 """
@@ -29,9 +30,9 @@
     return (f"answer to {attempt_id} " + text * 100)[: 2 * HALF_BYTES].encode()
 
 
-def make_event(attempt_id, number):
-    """:return: one event of a stream; ids count from 1"""
-    return f"id: {number}\ndata: {attempt_id} piece {number}\n\n".encode()
+def make_event(attempt_id, number, version="v1"):
+    """:return: one event of a stream, which tells the version of the software that wrote it"""
+    return f"id: {number}\ndata: {attempt_id} piece {number} of {version}\n\n".encode()
 
 
 class Worker:
@@ -124,12 +125,18 @@
             await asyncio.sleep(numbers[0] / 1000)
             writer.write(body[HALF_BYTES:])
             return False
-        writer.write(f"{head}Content-Type: text/event-stream\r\n\r\n".encode())
+        is_chunked = kind == "chunks"
+        head += "Content-Type: text/event-stream\r\n"
+        head += "Transfer-Encoding: chunked\r\n" if is_chunked else ""
+        writer.write(f"{head}\r\n".encode())
         first = int(fields.get("last-event-id", 0)) + 1
         for number in range(first, numbers[0] + 1):
-            writer.write(make_event(attempt_id, number))
+            event = make_event(attempt_id, number, self.fields["version"])
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event) if is_chunked else event)
             await asyncio.sleep(numbers[1] / 1000)
-        return False
+        if is_chunked:
+            writer.write(b"0\r\n\r\n")
+        return is_chunked
 
 
 async def main(fields):
