--- a/review/rig3/worker.py
+++ b/review/rig3/worker.py
@@ -10,18 +10,23 @@
 - ``.../stream/N/MS`` streams N events, one each MS milliseconds, without length and chunks;
 - ``.../chunks/N/MS`` does the same in chunks.
 
-A request that expects another instance gets 421. The worker stops work when its caller leaves.
+A request that expects another instance gets 421. The worker stops work when its caller leaves. A
+prompt with the part ``POISON`` crashes it as it begins to write the answer.
 """
 
 import asyncio
 import hashlib
 import json
+import os
 import sys
 import time
 import urllib.request
+from contextlib import suppress
 from pathlib import Path
 
 HALF_BYTES = 1500
+#: Part of a prompt that crashes the worker.
+POISON = "bad0bad0"
 
 
 def make_body(attempt_id):
@@ -35,6 +40,12 @@
     return f"id: {number}\ndata: {attempt_id} piece {number} of {version}\n\n".encode()
 
 
+async def wait_until_closed(reader):
+    """Wait until the caller closes the connection, or sends something."""
+    with suppress(ConnectionError):
+        await reader.read(1)
+
+
 class Worker:
     """One process of a worker."""
 
@@ -95,9 +106,12 @@
             writer.write(f"{lines}Kingcupdyke-Instance-Id: {self.fields['id']}\r\n\r\n".encode())
             return True
         parts = target.strip("/").split("/")
+        prompt = fields.get("kingcupdyke-prompt-prefix", "")
         self.log("run", attempt_id, method=method, target=target, body=body.decode("latin-1"))
+        if POISON in prompt or target.endswith("/crash"):
+            await self.crash(attempt_id, writer)
         run = asyncio.ensure_future(self.run(parts, fields, attempt_id, writer))
-        gone = asyncio.ensure_future(reader.read(1))
+        gone = asyncio.ensure_future(wait_until_closed(reader))
         await asyncio.wait({run, gone}, return_when=asyncio.FIRST_COMPLETED)
         if not run.done():
             run.cancel()
@@ -108,6 +122,15 @@
         self.log("ran", attempt_id)
         return run.result()
 
+    async def crash(self, attempt_id, writer):
+        """Begin to write the answer, and end the process."""
+        head = f"HTTP/1.1 200 OK\r\nKingcupdyke-Attempt-Id: {attempt_id}\r\n"
+        head += f"Kingcupdyke-Server-Stamp: {self.fields['id']}.{attempt_id}\r\n"
+        writer.write(f"{head}Content-Type: text/event-stream\r\n\r\n".encode())
+        await writer.drain()
+        self.log("crash", attempt_id)
+        os._exit(1)
+
     async def run(self, parts, fields, attempt_id, writer):
         """:return: whether the connection is kept"""
         kind, numbers = parts[1], [int(each) for each in parts[2:]]
