--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -344,7 +344,7 @@
             if body or method != "GET":
                 lines.append(f"Content-Length: {len(body)}")
             writer.write("\r\n".join([*lines, "", ""]).encode() + body)
-            await _read_answer(reader, answer)
+            await _read_answer(reader, answer, method != "HEAD")
     except (asyncio.IncompleteReadError, ConnectionError) as error:
         answer.end = f"connection ended: {type(error).__name__}"
     except TimeoutError:
@@ -356,11 +356,14 @@
     return answer
 
 
-async def _read_answer(reader, answer):
+async def _read_answer(reader, answer, has_body):
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
     answer.status = int(head[0].split(" ")[1])
     fields = dict(line.split(":", 1) for line in head[1:] if line)
     answer.headers = {name.lower(): value.strip() for name, value in fields.items()}
+    if not has_body:
+        answer.is_whole = True
+        return
     if "content-length" in answer.headers:
         answer.body = await reader.readexactly(int(answer.headers["content-length"]))
         answer.is_whole = True
--- a/review/rig3/worker.py
+++ b/review/rig3/worker.py
@@ -5,6 +5,7 @@
 its entry to the store at its start and each beat, and runs requests by their path:
 
 - ``.../plain/MS`` works MS milliseconds, then answers with a length;
+- ``.../grey/MS`` does the same, but leaves three in ten requests unanswered;
 - ``.../unframed/MS`` answers without length and chunks: the first half of the body at once, the
   rest MS milliseconds later, then ends with its connection;
 - ``.../stream/N/MS`` streams N events, one each MS milliseconds, without length and chunks;
@@ -35,6 +36,11 @@
     return (f"answer to {attempt_id} " + text * 100)[: 2 * HALF_BYTES].encode()
 
 
+def hangs(attempt_id):
+    """:return: whether a worker that fails part of its requests leaves this one unanswered"""
+    return int(hashlib.sha256(attempt_id.encode()).hexdigest(), 16) % 10 < 3
+
+
 def make_event(attempt_id, number, version="v1"):
     """:return: one event of a stream, which tells the version of the software that wrote it"""
     return f"id: {number}\ndata: {attempt_id} piece {number} of {version}\n\n".encode()
@@ -110,7 +116,7 @@
         self.log("run", attempt_id, method=method, target=target, body=body.decode("latin-1"))
         if POISON in prompt or target.endswith("/crash"):
             await self.crash(attempt_id, writer)
-        run = asyncio.ensure_future(self.run(parts, fields, attempt_id, writer))
+        run = asyncio.ensure_future(self.run(method, parts, fields, attempt_id, writer))
         gone = asyncio.ensure_future(wait_until_closed(reader))
         await asyncio.wait({run, gone}, return_when=asyncio.FIRST_COMPLETED)
         if not run.done():
@@ -131,16 +137,19 @@
         self.log("crash", attempt_id)
         os._exit(1)
 
-    async def run(self, parts, fields, attempt_id, writer):
+    async def run(self, method, parts, fields, attempt_id, writer):
         """:return: whether the connection is kept"""
         kind, numbers = parts[1], [int(each) for each in parts[2:]]
         head = f"HTTP/1.1 200 OK\r\nKingcupdyke-Attempt-Id: {attempt_id}\r\n"
         head += f"Kingcupdyke-Server-Stamp: {self.fields['id']}.{attempt_id}\r\n"
-        if kind == "plain":
+        if kind == "grey" and hangs(attempt_id):
+            self.log("hangs", attempt_id)
+            await asyncio.Event().wait()
+        if kind in ("plain", "grey"):
             await asyncio.sleep(numbers[0] / 1000)
             body = make_body(attempt_id)
             head += f"Content-Type: text/plain\r\nContent-Length: {len(body)}\r\n\r\n"
-            writer.write(head.encode() + body)
+            writer.write(head.encode() + (b"" if method == "HEAD" else body))
             return True
         if kind == "unframed":
             body = make_body(attempt_id)
