--- a/review/rig3/store.py
+++ b/review/rig3/store.py
@@ -2,7 +2,8 @@
 
 It runs as a process of its own: ``python3 store.py IP:PORT BEAT_S``. Entries of kind ``servers``
 that are not written for three beats are removed, as the pages say. ``POST /control/era`` with a
-JSON body ``{"back_s": S}`` lets the store come back from a copy that is S seconds old.
+JSON body ``{"back_s": S, "away_s": T}`` lets the store be away for T seconds (calls get 503, and
+nothing is done), then come back from a copy of S seconds before. Beats count anew from then on.
 """
 
 import asyncio
@@ -29,6 +30,7 @@
         self.written_s = {}
         self.copies = []
         self.changed = asyncio.Event()
+        self.is_away = False
 
     def publish(self, kind, deleted, found):
         self.events.append((self.rev, kind, deleted, copy.deepcopy(found)))
@@ -70,11 +72,17 @@
         self.copies.append((time.monotonic(), self.rev, copy.deepcopy(self.objects)))
         self.copies = self.copies[-200:]
 
-    def come_back(self, back_s):
-        """Lose everything that was written in the last seconds."""
+    async def come_back(self, back_s, away_s):
+        """Be away, and lose everything that was written in the last seconds before."""
         wanted_s = time.monotonic() - back_s
+        self.is_away = True
+        self.changed.set()
+        self.changed = asyncio.Event()
+        await asyncio.sleep(away_s)
+        self.is_away = False
         _, self.rev, objects = [each for each in self.copies if each[0] <= wanted_s][-1]
         self.objects = copy.deepcopy(objects)
+        self.written_s = dict.fromkeys(self.objects, time.monotonic())
         self.events = [each for each in self.events if each[0] <= self.rev]
         self.era += 1
         self.changed.set()
@@ -87,8 +95,10 @@
         path = [unquote(each) for each in parts.path.strip("/").split("/")]
         data = json.loads(body) if body else {}
         if path == ["control", "era"]:
-            self.come_back(data["back_s"])
+            await self.come_back(data["back_s"], data["away_s"])
             return 200, {}
+        if self.is_away:
+            return 503, {}
         if path[:2] != ["v1", "objects"] or len(path) not in (3, 4, 5):
             return 400, {}
         kind = path[2]
@@ -125,8 +135,8 @@
                 return 200, {"events": events, "at": self.rev}
             with suppress(TimeoutError):
                 await asyncio.wait_for(self.changed.wait(), remaining_s)
-            if self.era != era:
-                return 410, {}
+            if self.is_away or self.era != era:
+                return (503 if self.is_away else 410), {}
 
     def handle_object(self, method, kind, name, rest, query, data):
         known = self.objects.get((kind, name))
@@ -173,8 +183,9 @@
     server = await asyncio.start_server(lambda r, w: serve(store, r, w), host, int(port))
     async with server:
         while True:
-            store.expire()
-            store.take_copy()
+            if not store.is_away:
+                store.expire()
+                store.take_copy()
             await asyncio.sleep(0.1)
 
 
--- a/review/rig3/worker.py
+++ b/review/rig3/worker.py
@@ -19,6 +19,7 @@
 import hashlib
 import json
 import os
+import signal
 import sys
 import time
 import urllib.request
@@ -59,7 +60,8 @@
         self.fields = fields
         self.born_ms = time.time_ns() // 1_000_000
         self.beats = 0
-        self.state = "ready"
+        #: Whether it leaves, without a word in the store; SIGUSR1 sets it.
+        self.is_leaving = False
         self.log_path = Path(fields["log"])
 
     def log(self, event, attempt_id, **more):
@@ -70,7 +72,7 @@
     def write_entry(self):
         self.beats += 1
         entry = {name: self.fields[name] for name in ("service", "address", "zone", "version")}
-        entry |= {"slots": self.fields["slots"], "state": self.state, "cold_left_ms": 0}
+        entry |= {"slots": self.fields["slots"], "state": "ready", "cold_left_ms": 0}
         entry |= {"seq": self.beats, "born": self.born_ms}
         name = self.fields["id"]
         base = f"http://{self.fields['store']}/v1/objects/servers"
@@ -84,9 +86,12 @@
                 continue
 
     async def beat(self):
-        while True:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGUSR1, setattr, self, "is_leaving", True)
+        while not self.is_leaving:
             await asyncio.to_thread(self.write_entry)
             await asyncio.sleep(self.fields["beat_s"])
+        await asyncio.Event().wait()
 
     async def serve(self, reader, writer):
         try:
