--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -388,6 +388,8 @@
         returns the lines that tell how the rule was broken, none if it held
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # What was started is ended also if this process is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     with open(Path(folder) / "record.txt", "w") as record:
         rig = Rig(record)
         status = 2
--- a/review/rig3/worker.py
+++ b/review/rig3/worker.py
@@ -74,9 +74,6 @@
         entry |= {"slots": self.fields["slots"], "state": "ready", "cold_left_ms": 0}
         return entry | {"seq": self.beats, "born": self.born_ms}
 
-    def answer_call(self, method, target, fields, body):
-        """:return: status and JSON of the answer to a call of the system, or None for a request"""
-
     def write_entry(self):
         self.beats += 1
         entry = self.make_entry()
@@ -122,16 +119,6 @@
             lines += f"Kingcupdyke-Attempt-Id: {attempt_id}\r\n"
             writer.write(f"{lines}Kingcupdyke-Instance-Id: {self.fields['id']}\r\n\r\n".encode())
             return True
-        called = self.answer_call(method, target, fields, body)
-        if called is not None:
-            status, data = called
-            text = json.dumps(data).encode()
-            lines = f"HTTP/1.1 {status} X\r\nContent-Length: {len(text)}\r\n"
-            lines += "Content-Type: application/json\r\n"
-            lines += "Kingcupdyke-Not-Run: 1\r\n" if status == 421 else ""
-            lines += f"Kingcupdyke-Attempt-Id: {attempt_id}\r\n" if attempt_id else ""
-            writer.write(f"{lines}\r\n".encode() + text)
-            return True
         parts = target.strip("/").split("/")
         prompt = fields.get("kingcupdyke-prompt-prefix", "")
         self.log("run", attempt_id, method=method, target=target, body=body.decode("latin-1"))
